Move the hosting of a consensus group out of the controller

The coordinators of a region will host one group as well; the transport, the route table and the group's errors become package replication. Behaviour is unchanged; the controller's tests pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/eventlog"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/replication"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/zonestate"
@@ -44,14 +45,14 @@
 	client           *rpc.Client
 	membershipClient *rpc.Client
 	backEnds         *backEndClient
-	transport        *transport
+	transport        *replication.Transport
 	workers          *ants.Pool
 	watches          *semaphore.Weighted
 	directory        *directory
 
-	zone          *group
+	zone          *replication.Group
 	zoneMachine   *zoneMachine
-	config        *group // nil if this is no config voter
+	config        *replication.Group // nil if this is no config voter
 	configMachine *configMachine
 	term          atomic.Pointer[term]
 
@@ -109,7 +110,7 @@
 		return err
 	}
 	timeout := max(minimumTransportWait, transportWaitElections*c.settings.ElectionTimeout)
-	c.transport, err = newTransport(c.client, c.settings.AdvertiseAddress, timeout, c.logger)
+	c.transport, err = replication.NewTransport(c.client, c.settings.AdvertiseAddress, timeout, c.logger)
 	return err
 }
 
@@ -121,7 +122,7 @@
 	}
 	c.config, err = openGroup(c.settings, "config", configFolder, c.configMachine, c.transport)
 	if err != nil {
-		c.zone.runner.Stop()
+		c.zone.Runner.Stop()
 		return err
 	}
 	c.health.Set(conditionConfigLeader, false)
@@ -129,11 +130,11 @@
 }
 
 // groups lists the hosted replicas.
-func (c *Controller) groups() []*group {
+func (c *Controller) groups() []*replication.Group {
 	if c.config == nil {
-		return []*group{c.zone}
+		return []*replication.Group{c.zone}
 	}
-	return []*group{c.zone, c.config}
+	return []*replication.Group{c.zone, c.config}
 }
 
 // now is the time on the process's monotonic clock.
@@ -181,11 +182,11 @@
 	endBackground()
 	running.Wait()
 	for _, g := range c.groups() {
-		g.runner.Stop()
+		g.Runner.Stop()
 	}
 	closeOperators()
 	closeInternal()
-	c.transport.close()
+	c.transport.Close()
 	_ = c.workers.ReleaseTimeout(workerReleaseTimeout)
 	c.client.Close()
 	c.membershipClient.Close()
@@ -205,7 +206,7 @@
 
 func (c *Controller) startGroups(ctx context.Context, running *sync.WaitGroup) error {
 	for _, g := range c.groups() {
-		if err := g.runner.Start(); err != nil {
+		if err := g.Runner.Start(); err != nil {
 			return failure.Wrap(err, failure.StorageFailed)
 		}
 	}
@@ -218,14 +219,14 @@
 
 // waitForEnd returns when the context ends or a replica has stopped by itself.
 func (c *Controller) waitForEnd(ctx context.Context) error {
-	failed := make(chan *group, len(c.groups()))
+	failed := make(chan *replication.Group, len(c.groups()))
 	for _, g := range c.groups() {
-		if g.runner.Status().Quarantined != nil {
-			c.logger.Error(failure.Wrap(g.runner.Status().Quarantined, failure.StorageFailed), "replica takes no part", "group", g.name)
+		if g.Runner.Status().Quarantined != nil {
+			c.logger.Error(failure.Wrap(g.Runner.Status().Quarantined, failure.StorageFailed), "replica takes no part", "group", g.Name)
 			continue
 		}
 		go func() {
-			<-g.runner.Done()
+			<-g.Runner.Done()
 			failed <- g
 		}()
 	}
@@ -233,7 +234,7 @@
 	case <-ctx.Done():
 		return nil
 	case g := <-failed:
-		err := failure.Wrap(fmt.Errorf("replica of group %s has stopped: %w", g.name, g.runner.Status().Err), failure.StorageFailed)
+		err := failure.Wrap(fmt.Errorf("replica of group %s has stopped: %w", g.Name, g.Runner.Status().Err), failure.StorageFailed)
 		c.logger.Error(err, "replica has stopped")
 		return err
 	}
@@ -244,11 +245,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
 	defer cancel()
 	for _, g := range c.groups() {
-		if !g.leads() {
+		if !g.Leads() {
 			continue
 		}
-		if err := g.runner.Transfer(ctx); err != nil {
-			c.logger.Info("leadership was not handed over", "group", g.name, "error", err.Error())
+		if err := g.Runner.Transfer(ctx); err != nil {
+			c.logger.Info("leadership was not handed over", "group", g.Name, "error", err.Error())
 		}
 	}
 }
@@ -259,9 +260,9 @@
 		founded := false
 		c.zoneMachine.Read(func(state *zonestate.State) { founded = state.Founded() })
 		c.health.Set(conditionZoneFounded, founded)
-		c.health.Set(conditionZoneLeader, c.zone.runner.Status().Leader != 0)
+		c.health.Set(conditionZoneLeader, c.zone.Runner.Status().Leader != 0)
 		if c.config != nil {
-			c.health.Set(conditionConfigLeader, c.config.runner.Status().Leader != 0)
+			c.health.Set(conditionConfigLeader, c.config.Runner.Status().Leader != 0)
 		}
 		if !sleep(ctx, healthInterval) {
 			return
@@ -272,7 +273,7 @@
 func (c *Controller) registerMetrics() {
 	c.metrics.WatchHealth(c.health)
 	c.metrics.Flag("leads_zone", "1 if this controller leads its zone group.", func() bool { return c.currentTerm() != nil })
-	c.metrics.Flag("leads_config", "1 if this controller leads the config group.", func() bool { return c.config != nil && c.config.leads() })
+	c.metrics.Flag("leads_config", "1 if this controller leads the config group.", func() bool { return c.config != nil && c.config.Leads() })
 	c.metrics.GaugeFunc("workers_running", "Calls to engines and peers under way, bounded by controller.workers.", func() float64 {
 		return float64(c.workers.Running())
 	})
@@ -283,9 +284,9 @@
 		return float64(c.zoneConfigRevision())
 	})
 	c.metrics.GaugeFunc("zone_applied_index", "Last applied position of the zone group's log.", func() float64 {
-		return float64(c.zone.runner.Status().AppliedIndex)
+		return float64(c.zone.Runner.Status().AppliedIndex)
 	})
 	c.metrics.GaugeFunc("consensus_messages_dropped", "Consensus messages that were not sent.", func() float64 {
-		return float64(c.transport.dropped())
+		return float64(c.transport.Dropped())
 	})
 }
--- a/internal/controller/founding.go
+++ b/internal/controller/founding.go
@@ -11,6 +11,7 @@
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/replication"
 )
 
 const (
@@ -23,18 +24,18 @@
 // foundGroup founds a group of the settings' first voters, if this controller
 // is the first of them, and tries again until it is a member. A controller that
 // replaces another never founds: the members refuse to promise.
-func (c *Controller) foundGroup(ctx context.Context, g *group, voters []string) {
+func (c *Controller) foundGroup(ctx context.Context, g *replication.Group, voters []string) {
 	if slices.Min(voters) != c.settings.AdvertiseAddress {
 		return
 	}
 	for isNew(g) {
 		founding, err := c.tryFounding(ctx, g, voters)
 		if err == nil {
-			c.logger.Info("founded group", "group", g.name, "members", len(founding.Members))
+			c.logger.Info("founded group", "group", g.Name, "members", len(founding.Members))
 			c.spreadFounding(ctx, founding)
 			return
 		}
-		c.logger.V(1).Info("group is not founded yet", "group", g.name, "error", err.Error())
+		c.logger.V(1).Info("group is not founded yet", "group", g.Name, "error", err.Error())
 		if !sleep(ctx, foundingRetryInterval) {
 			return
 		}
@@ -43,10 +44,10 @@
 
 // tryFounding first looks whether the group exists already: a replica that has
 // promised a founding of its own could not join it any more.
-func (c *Controller) tryFounding(ctx context.Context, g *group, voters []string) (replica.Founding, error) {
+func (c *Controller) tryFounding(ctx context.Context, g *replication.Group, voters []string) (replica.Founding, error) {
 	options := c.bootstrapOptions(voters)
 	for _, address := range options.OtherAddresses {
-		identity, err := c.askIdentity(ctx, address, g.number)
+		identity, err := c.askIdentity(ctx, address, g.Number)
 		if err != nil {
 			return replica.Founding{}, err
 		}
@@ -54,7 +55,7 @@
 			return replica.Founding{}, fmt.Errorf("%s is a member of the group already: this replica waits to be added", address)
 		}
 	}
-	return g.runner.Bootstrap(ctx, options)
+	return g.Runner.Bootstrap(ctx, options)
 }
 
 func (c *Controller) askIdentity(ctx context.Context, address string, number uint64) (peer.IdentityReply, error) {
@@ -65,8 +66,8 @@
 	return identity, err
 }
 
-func isNew(g *group) bool {
-	status := g.runner.Status()
+func isNew(g *replication.Group) bool {
+	status := g.Runner.Status()
 	return status.Quarantined == nil && status.Stage != storage.StageMember
 }
 
@@ -115,11 +116,11 @@
 	if err != nil {
 		return nil, err
 	}
-	promise, err := g.runner.PromiseFounding(ctx, *request)
+	promise, err := g.Runner.PromiseFounding(ctx, *request)
 	if errors.Is(err, replica.ErrFoundingRefused) {
 		return nil, failure.Wrap(err, failure.ChangeInProgress)
 	}
-	return &promise, g.translate(err)
+	return &promise, g.Translate(err)
 }
 
 // handleFound takes part in a founding.
@@ -128,11 +129,11 @@
 	if err != nil {
 		return nil, err
 	}
-	err = g.runner.Found(ctx, *founding)
+	err = g.Runner.Found(ctx, *founding)
 	if errors.Is(err, replica.ErrFoundingRefused) {
 		return nil, failure.Wrap(err, failure.ChangeInProgress)
 	}
-	return &peer.Empty{}, g.translate(err)
+	return &peer.Empty{}, g.Translate(err)
 }
 
 func sleep(ctx context.Context, pause time.Duration) bool {
--- a/internal/controller/generation.go
+++ b/internal/controller/generation.go
@@ -47,7 +47,7 @@
 	if generation := c.foundedGeneration(); generation != 0 {
 		return generation, nil
 	}
-	founding := c.zone.runner.Status().Founding
+	founding := c.zone.Runner.Status().Founding
 	reply, err := c.readDocuments(ctx, kindZoneGroup, c.settings.Zone)
 	if err != nil {
 		return 0, err
--- a/internal/controller/grouphandlers.go
+++ b/internal/controller/grouphandlers.go
@@ -9,6 +9,7 @@
 	"github.com/pierhaven/pierhaven/internal/api/operatorapi"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/replication"
 )
 
 // membershipTimeout bounds a change of members, which waits until a new replica
@@ -18,9 +19,9 @@
 var errUnknownAction = errors.New("unknown action on members")
 
 // groupByNumber finds the hosted replica of a group.
-func (c *Controller) groupByNumber(number uint64) (*group, error) {
+func (c *Controller) groupByNumber(number uint64) (*replication.Group, error) {
 	for _, g := range c.groups() {
-		if g.number == number {
+		if g.Number == number {
 			return g, nil
 		}
 	}
@@ -33,8 +34,8 @@
 		if err != nil {
 			continue
 		}
-		c.transport.routes.learn(message.Group, message.From, batch.From)
-		g.runner.Receive(message)
+		c.transport.Learn(message.Group, message.From, batch.From)
+		g.Runner.Receive(message)
 	}
 	return &peer.Empty{}, nil
 }
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	index, result, err := g.propose(ctx, request.Command)
+	index, result, err := g.Propose(ctx, request.Command)
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	status := g.runner.Status()
+	status := g.Runner.Status()
 	return &peer.IdentityReply{Replica: uint64(status.ID), Stage: status.Stage.String()}, nil
 }
 
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	state := g.state()
+	state := groupState(g)
 	return &state, nil
 }
 
@@ -81,28 +82,28 @@
 	if err := translateMembership(g, changeMembers(ctx, g, request)); err != nil {
 		return nil, err
 	}
-	state := g.state()
+	state := groupState(g)
 	return &state, nil
 }
 
-func changeMembers(ctx context.Context, g *group, request *peer.MembershipRequest) error {
+func changeMembers(ctx context.Context, g *replication.Group, request *peer.MembershipRequest) error {
 	added := consensus.Member{ID: consensus.ReplicaID(request.NewReplica), Address: request.Address}
 	existing := consensus.ReplicaID(request.Replica)
 	switch operatorapi.MemberAction(request.Action) {
 	case operatorapi.MemberAdd:
-		return g.runner.AddLearner(ctx, added)
+		return g.Runner.AddLearner(ctx, added)
 	case operatorapi.MemberPromote:
-		return g.runner.Promote(ctx, existing)
+		return g.Runner.Promote(ctx, existing)
 	case operatorapi.MemberRemove:
-		return g.runner.Remove(ctx, existing)
+		return g.Runner.Remove(ctx, existing)
 	case operatorapi.MemberReplace:
-		return g.runner.Replace(ctx, existing, added)
+		return g.Runner.Replace(ctx, existing, added)
 	}
 	return errUnknownAction
 }
 
 // translateMembership gives the refusals of a membership change their kinds.
-func translateMembership(g *group, err error) error {
+func translateMembership(g *replication.Group, err error) error {
 	switch {
 	case errors.Is(err, consensus.ErrUnknownMember):
 		return failure.Wrap(err, failure.NotFound)
@@ -111,14 +112,14 @@
 	case errors.Is(err, errUnknownAction):
 		return failure.Wrap(err, failure.InvalidDocument)
 	}
-	return g.translate(err)
+	return g.Translate(err)
 }
 
 func (c *Controller) handleDocuments(ctx context.Context, request *peer.DocumentsRequest) (*peer.DocumentsReply, error) {
 	if c.config == nil {
 		return nil, failure.New(failure.NotFound, "this controller is not a config voter")
 	}
-	if err := c.config.readBarrier(ctx); err != nil {
+	if err := c.config.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
 	revision, documents := c.configMachine.documents(request.Kind, request.Name)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -33,7 +33,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case change := <-c.zone.runner.LeadershipChanges():
+		case change := <-c.zone.Runner.LeadershipChanges():
 			stop()
 			c.logger.Info("leadership of the zone group", "leads", change.IsSelf, "leader", change.Address, "term", change.Term)
 			if !change.IsSelf {
@@ -49,7 +49,7 @@
 // lead runs one term. It begins with a read barrier, so that the core starts
 // from everything that earlier leaders have committed.
 func (c *Controller) lead(ctx context.Context, change replica.LeadershipChange) {
-	for c.zone.readBarrier(ctx) != nil {
+	for c.zone.ReadBarrier(ctx) != nil {
 		if !sleep(ctx, retryTermInterval) {
 			return
 		}
--- a/internal/controller/operatorcommands.go
+++ b/internal/controller/operatorcommands.go
@@ -102,7 +102,7 @@
 		configured = known && engine.Desired != nil
 	})
 	if !found {
-		if !c.zone.leads() {
+		if !c.zone.Leads() {
 			return nil, c.notLeading()
 		}
 		return nil, failure.New(failure.NotFound, "there is no engine "+request.EngineID)
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -25,7 +25,7 @@
 		status.Warnings = append(status.Warnings, "not ready: "+missing)
 	}
 	for _, g := range c.groups() {
-		state := g.state()
+		state := groupState(g)
 		status.Groups = append(status.Groups, state)
 		status.Warnings = append(status.Warnings, groupWarnings(&state)...)
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return zonestate.Result{}, failure.Wrap(err, failure.Internal, failure.WithRan(failure.RanNo))
 	}
-	_, encoded, err := c.zone.propose(ctx, data)
+	_, encoded, err := c.zone.Propose(ctx, data)
 	if err != nil {
 		return zonestate.Result{}, err
 	}
@@ -88,7 +88,7 @@
 }
 
 func (c *Controller) issueTicket(ctx context.Context) (*wire.OpenSessionReply, error) {
-	if err := c.zone.readBarrier(ctx); err != nil {
+	if err := c.zone.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
 	reply := &wire.OpenSessionReply{}
@@ -132,7 +132,7 @@
 		return nil, c.notLeading()
 	}
 	term.heard(arrived, request)
-	if err := c.zone.readBarrier(ctx); err != nil {
+	if err := c.zone.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
 	if c.currentTerm() != term {
@@ -143,10 +143,10 @@
 
 // notLeading refuses a call that only the leader of the zone group can answer.
 func (c *Controller) notLeading() error {
-	if c.zone.leads() {
+	if c.zone.Leads() {
 		return failure.New(failure.NotReady, "this controller has just begun to lead")
 	}
-	return rpc.NotLeader(c.zone.leaderAddress())
+	return rpc.NotLeader(c.zone.LeaderAddress())
 }
 
 // handleCloseSession ends a session whose gateway has nothing in flight.
--- a/internal/controller/zonereport.go
+++ b/internal/controller/zonereport.go
@@ -25,7 +25,7 @@
 // handleZoneReport reports on the zone. The leader's report comes after a read
 // barrier; a follower's is of its own copy.
 func (c *Controller) handleZoneReport(ctx context.Context, request *peer.ZoneReportRequest) (*operatorapi.ZoneReport, error) {
-	if t := c.currentTerm(); t != nil && c.zone.readBarrier(ctx) == nil {
+	if t := c.currentTerm(); t != nil && c.zone.ReadBarrier(ctx) == nil {
 		return c.leaderReport(t), nil
 	}
 	if request.LeaderOnly {
@@ -41,7 +41,7 @@
 		Engines:    []operatorapi.Engine{},
 		BackEnds:   []operatorapi.BackEnd{},
 		Gateways:   []operatorapi.Gateway{},
-		Group:      c.zone.state(),
+		Group:      groupState(c.zone),
 
 		PolicyFailures: []operatorapi.PolicyFailure{},
 	}
@@ -274,7 +274,7 @@
 // from the group's members.
 func (c *Controller) zoneControllers(zone string) []string {
 	if zone == c.settings.Zone {
-		return unique([]string{c.settings.AdvertiseAddress}, c.zone.memberAddresses(), c.directory.controllers(zone))
+		return unique([]string{c.settings.AdvertiseAddress}, c.zone.MemberAddresses(), c.directory.controllers(zone))
 	}
 	return c.directory.controllers(zone)
 }
--- a/internal/controller/routetable.go
+++ b/internal/replication/routetable.go
@@ -1,4 +1,4 @@
-package controller
+package replication
 
 import (
 	"sync"
--- a/internal/controller/transport.go
+++ b/internal/replication/transport.go
@@ -1,4 +1,4 @@
-package controller
+package replication
 
 import (
 	"context"
@@ -26,11 +26,11 @@
 	maximumPeers = 256
 )
 
-// transport sends consensus messages to other controllers, one batch in flight
+// Transport sends consensus messages to other controllers, one batch in flight
 // for each. What does not fit into a peer's queue, and what waits while a peer
 // does not answer, is dropped: the protocol repeats what it needs, and old
 // messages are worth less than new ones.
-type transport struct {
+type Transport struct {
 	client  *rpc.Client
 	self    string
 	timeout time.Duration
@@ -51,13 +51,15 @@
 	dropped  uint64
 }
 
-func newTransport(client *rpc.Client, self string, timeout time.Duration, logger logr.Logger) (*transport, error) {
+// NewTransport returns a transport that calls peers as self, an IP:port, and
+// bounds each call by a timeout.
+func NewTransport(client *rpc.Client, self string, timeout time.Duration, logger logr.Logger) (*Transport, error) {
 	pool, err := ants.NewPool(maximumPeers, ants.WithNonblocking(true),
 		ants.WithPanicHandler(eventlog.PanicHandler(logger, "sender of consensus messages")))
 	if err != nil {
 		return nil, err
 	}
-	return &transport{
+	return &Transport{
 		client:  client,
 		self:    self,
 		timeout: timeout,
@@ -69,7 +71,7 @@
 }
 
 // Send implements replica.Transport.
-func (t *transport) Send(messages []consensus.Message) {
+func (t *Transport) Send(messages []consensus.Message) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.closed {
@@ -85,7 +87,7 @@
 	}
 }
 
-func (t *transport) enqueue(address string, message consensus.Message) {
+func (t *Transport) enqueue(address string, message consensus.Message) {
 	box, found := t.peers[address]
 	if !found {
 		box = &outbox{}
@@ -100,7 +102,7 @@
 	box.bytes += size
 }
 
-func (t *transport) startSending(address string, box *outbox) {
+func (t *Transport) startSending(address string, box *outbox) {
 	if box.sending || len(box.messages) == 0 {
 		return
 	}
@@ -111,7 +113,7 @@
 }
 
 // drain sends batches until the queue is empty.
-func (t *transport) drain(address string, box *outbox) {
+func (t *Transport) drain(address string, box *outbox) {
 	for {
 		batch := t.take(box)
 		if len(batch) == 0 {
@@ -125,7 +127,7 @@
 }
 
 // take removes the next batch; with an empty queue the sending ends.
-func (t *transport) take(box *outbox) []consensus.Message {
+func (t *Transport) take(box *outbox) []consensus.Message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	bytes, count := 0, 0
@@ -147,7 +149,7 @@
 	return batch
 }
 
-func (t *transport) clear(box *outbox) {
+func (t *Transport) clear(box *outbox) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	box.dropped += uint64(len(box.messages))
@@ -155,22 +157,23 @@
 	box.bytes = 0
 }
 
-func (t *transport) post(address string, batch []consensus.Message) error {
+func (t *Transport) post(address string, batch []consensus.Message) error {
 	ctx, cancel := context.WithTimeout(context.Background(), t.timeout)
 	defer cancel()
 	request := &peer.ConsensusBatch{From: t.self, Messages: batch}
 	return t.client.Call(ctx, address, wire.PathConsensus, request, &peer.Empty{})
 }
 
-func (t *transport) close() {
+// Close stops the sending.
+func (t *Transport) Close() {
 	t.mutex.Lock()
 	t.closed = true
 	t.mutex.Unlock()
 	_ = t.pool.ReleaseTimeout(t.timeout)
 }
 
-// dropped counts the messages that were not sent, over all peers.
-func (t *transport) dropped() uint64 {
+// Dropped counts the messages that were not sent, over all peers.
+func (t *Transport) Dropped() uint64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var sum uint64
@@ -179,3 +182,8 @@
 	}
 	return sum
 }
+
+// Learn notes the address that a replica's message came from.
+func (t *Transport) Learn(group uint64, id consensus.ReplicaID, address string) {
+	t.routes.learn(group, id, address)
+}
