Refuse requests that come late after a planned stop has begun

Ruled out: new connections (the platform sends none after 2 to 3 s). Change: 2.8 s after the stop began requests are refused as not run; requests in flight have until 0.4 s before the end of the grace time.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -25,7 +25,7 @@
 const (
 	logCloseTime = 200 * time.Millisecond
 	// stopReserve is kept of the time for a planned stop, for the end itself.
-	stopReserve = 1500 * time.Millisecond
+	stopReserve = 400 * time.Millisecond
 )
 
 func (a *application) relayCommand() *cobra.Command {
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -13,7 +13,6 @@
 
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
-	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -78,24 +77,24 @@
 const maximumConnections = 3000
 
 const (
-	// lingerTime is how long new connections still come to a gateway that has
-	// begun to leave: those who send them have to notice first.
-	lingerTime = 2500 * time.Millisecond
+	// lingerTime is how long new requests are still taken by a gateway that has
+	// begun to leave: those who send them have to notice first. What comes later
+	// may not be finished in the time that is left, and is refused.
+	lingerTime = 2800 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
 )
 
 // stop takes what still comes for a while, and waits for the requests in flight.
 func (d *Daemon) stop(callers *listener.Listener) {
 	begun := time.Now()
-	d.front.leaving.Store(true)
+	d.front.leave(begun.Add(min(lingerTime, d.settings.StopTime/2)))
 	d.settings.Logger.Info("not ready", "reason", "leaving", "in_flight", d.front.inFlight.Load())
-	lingerEnd := begun.Add(min(lingerTime, d.settings.StopTime/2))
 	end := begun.Add(d.settings.StopTime)
 	for time.Now().Before(end) {
-		idle := d.front.inFlight.Load() == 0 && time.Now().After(lingerEnd)
-		if idle || !lifecycle.Sleep(context.Background(), stopPoll) {
+		if d.front.inFlight.Load() == 0 && d.front.closed() {
 			break
 		}
+		time.Sleep(stopPoll)
 	}
 	// Answers are flushed after their handlers have returned.
 	time.Sleep(stopPoll)
@@ -128,7 +127,7 @@
 // and holds a configuration and replicas, until the process leaves. A view that
 // grows old later is no reason to turn callers away.
 func (d *Daemon) isReady() bool {
-	if d.front.leaving.Load() {
+	if d.front.leaving() {
 		return false
 	}
 	if d.ready.Load() {
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -22,12 +22,24 @@
 	settings Settings
 	keeper   *viewKeeper
 	runner   *relay.Runner
-	// leaving is set when a planned stop has begun: answers then end their
-	// connections.
-	leaving  atomic.Bool
+	// closing is set when a planned stop has begun: the time from which on no
+	// request is taken any more.
+	closing  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 }
 
+// leave begins a planned stop. Answers end their connections from now on.
+func (f *front) leave(closing time.Time) { f.closing.Store(&closing) }
+
+// leaving reports whether a planned stop has begun.
+func (f *front) leaving() bool { return f.closing.Load() != nil }
+
+// closed reports whether no request is taken any more.
+func (f *front) closed() bool {
+	closing := f.closing.Load()
+	return closing != nil && time.Now().After(*closing)
+}
+
 func (f *front) newServer(opened *listener.Listener) *server.Hertz {
 	created := server.New(
 		server.WithListener(opened),
@@ -76,6 +88,10 @@
 	terms := f.settings.Dialect.ReadTerms(func(name string) string {
 		return string(request.Request.Header.Peek(name))
 	})
+	if f.closed() {
+		f.logRefusal(terms.ID, "the gateway is leaving")
+		return nil, failure.New(failure.Leaving, "the gateway is leaving", failure.WithRetryAfter(unreadyRetryAfter))
+	}
 	table := f.keeper.Table()
 	if table == nil {
 		f.logRefusal(terms.ID, "no configuration is known yet")
--- a/internal/relay/daemon/responder.go
+++ b/internal/relay/daemon/responder.go
@@ -63,7 +63,7 @@
 
 // endIfLeaving has the connection end after this answer if the process leaves.
 func (r *responder) endIfLeaving() {
-	if r.front.leaving.Load() {
+	if r.front.leaving() {
 		r.request.Response.Header.SetConnectionClose(true)
 	}
 }
