Use data folders whose files get new numbers after a loss of power

Cause: two coordinators came back from closing kill_all quarantined ('data is a copy'): the platform restores files after a loss of power under other numbers, and the next start took the log for a copy. Ruled out: a torn log, a lost founding, an election that never ends. Change: storage.Unidentified, chosen by a setting; a quarantined folder is logged.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -109,6 +109,7 @@
 		Listen:      settings.Listen,
 		ReadyListen: settings.ReadyListen,
 		ReadyPath:   platform.ReadyPath,
+		PeerListen:  settings.InternalAddress(),
 		Seeds:       process.seeds.Addresses,
 		Budget: relay.BudgetTerms{
 			Ratio:  settings.RetryRatio,
@@ -129,6 +130,10 @@
 
 func runCoordinator(process regionalProcess) error {
 	settings := process.settings
+	var fileSystem storage.FileSystem = storage.OperatingSystem{}
+	if settings.IgnoreFileIdentity {
+		fileSystem = storage.Unidentified{FileSystem: fileSystem}
+	}
 	created, err := coordinator.New(coordinator.Settings{
 		Name:       settings.Name,
 		Zone:       settings.Zone,
@@ -137,7 +142,7 @@
 		Bootstrap:  settings.Bootstrap,
 		Voters:     settings.Voters(),
 		DataFolder: settings.DataFolder,
-		FileSystem: storage.OperatingSystem{},
+		FileSystem: fileSystem,
 		Lister:     platform.NewLister(settings.ReplicaList),
 		Codec:      platform.Codec{},
 		Logger:     process.logger,
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -34,6 +34,10 @@
 	// OperatorListen is the coordinators' address for operators.
 	OperatorListen string `yaml:"operator_listen"`
 	DataFolder     string `yaml:"data_folder"`
+	// IgnoreFileIdentity is for machines whose files get new numbers when they
+	// are restored after a loss of power. No data folder may then ever be
+	// restored from a copy: it would not be noticed.
+	IgnoreFileIdentity bool `yaml:"ignore_file_identity"`
 	// ReplicaList is the address of the platform's list of replicas.
 	ReplicaList string `yaml:"replica_list"`
 	// ToleratedLosses is the number of coordinators that may be lost at once.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -26,7 +26,7 @@
 	transport *replication.Transport
 	machine   *machine
 	group     *replication.Group
-	gateways  *gatewayCount
+	gateways  *gatewayList
 	freshness freshness
 	started   time.Time
 	members   memberWatch
@@ -51,7 +51,7 @@
 		client:    client,
 		transport: transport,
 		machine:   newMachine(),
-		gateways:  newGatewayCount(),
+		gateways:  newGatewayList(),
 		started:   time.Now(),
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 	}
@@ -69,7 +69,13 @@
 		Timeout:          proposalTimeout,
 		Logger:           settings.Logger,
 	}, transport)
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	if reason := c.group.Runner.Status().Quarantined; reason != nil {
+		c.logger.Info("data folder can't be used", "folder", settings.DataFolder, "reason", reason.Error())
+	}
+	return c, nil
 }
 
 // now is the time on the process's monotonic clock.
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -16,11 +16,9 @@
 	mutex     sync.Mutex
 	confirmed bool
 	at        time.Duration
-	// gateways is the number of the region's gateways as the leader told it.
-	gateways int
 }
 
-func (f *freshness) set(at time.Duration, gateways int) {
+func (f *freshness) set(at time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.confirmed && at < f.at {
@@ -28,18 +26,16 @@
 	}
 	f.confirmed = true
 	f.at = at
-	f.gateways = gateways
 }
 
-// read returns the age, negative if nothing was ever confirmed, and the number
-// of gateways.
-func (f *freshness) read(now time.Duration) (age time.Duration, gateways int) {
+// age returns the copy's age, negative if nothing was ever confirmed.
+func (f *freshness) age(now time.Duration) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if !f.confirmed {
-		return -1, 0
+		return -1
 	}
-	return now - f.at, f.gateways
+	return now - f.at
 }
 
 // confirm keeps the copy's freshness up to date.
@@ -61,7 +57,8 @@
 	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
 	defer cancel()
 	begun := c.now()
-	request := &region.ReadIndexRequest{Gateways: c.gateways.own(begun)}
+	_, hash := c.gateways.known()
+	request := &region.ReadIndexRequest{Gateways: c.gateways.own(begun), PeersHash: hash}
 	reply, err := c.askReadIndex(ctx, request)
 	if err != nil {
 		return err
@@ -69,7 +66,10 @@
 	if err := c.awaitApplied(ctx, reply.Index); err != nil {
 		return err
 	}
-	c.freshness.set(begun, reply.Gateways)
+	if reply.PeersHash != hash {
+		c.gateways.take(reply.Peers)
+	}
+	c.freshness.set(begun)
 	return nil
 }
 
@@ -105,8 +105,10 @@
 	}
 	now := c.now()
 	c.gateways.learn(now, request.Gateways)
-	return &region.ReadIndexReply{
-		Index:    c.group.Runner.Status().AppliedIndex,
-		Gateways: c.gateways.total(now),
-	}, nil
+	peers := c.gateways.all(now)
+	reply := &region.ReadIndexReply{Index: c.group.Runner.Status().AppliedIndex, PeersHash: hashOf(peers)}
+	if reply.PeersHash != request.PeersHash {
+		reply.Peers = peers
+	}
+	return reply, nil
 }
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -13,7 +13,7 @@
 // handleView answers a gateway once there is something that it does not have,
 // or when its wait has ended.
 func (c *Coordinator) handleView(ctx context.Context, request *region.ViewRequest) (*region.View, error) {
-	c.gateways.polled(c.now(), request.Gateway)
+	c.gateways.polled(c.now(), request.Address)
 	wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maximumViewWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -33,18 +33,23 @@
 }
 
 func (c *Coordinator) viewOf(state region.State, request *region.ViewRequest) *region.View {
-	age, gateways := c.freshness.read(c.now())
+	age := c.freshness.age(c.now())
+	peers, hash := c.gateways.known()
 	view := &region.View{
 		AgeMillis:    age.Milliseconds(),
 		Zone:         c.settings.Zone,
 		Version:      state.Version,
 		ListRevision: state.ListRevision,
-		Gateways:     gateways,
+		Gateways:     len(peers),
+		PeersHash:    hash,
 		Coordinators: c.group.MemberAddresses(),
 	}
 	if age < 0 {
 		view.AgeMillis = -1
 	}
+	if hash != request.PeersHash {
+		view.Peers = peers
+	}
 	if state.Version > request.Version {
 		view.Document = state.Document
 	}
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -65,6 +65,10 @@
 // ViewRequest is a gateway's long poll.
 type ViewRequest struct {
 	Gateway string `msg:"gateway"`
+	// Address is where the gateway takes messages of its peers.
+	Address string `msg:"address"`
+	// PeersHash is that of the peers that the gateway knows.
+	PeersHash uint64 `msg:"peers_hash"`
 	// Version and ListRevision are what the gateway has.
 	Version      uint64 `msg:"version"`
 	ListRevision uint64 `msg:"list_revision"`
@@ -87,22 +91,31 @@
 	Replicas     []Replica `msg:"replicas"`
 	// Gateways is the number of gateways of the region, as far as known.
 	Gateways int `msg:"gateways"`
+	// PeersHash is that of the region's gateways; Peers are their addresses, set
+	// only if the hash is not the request's.
+	PeersHash uint64   `msg:"peers_hash"`
+	Peers     []string `msg:"peers"`
 	// Coordinators are the internal addresses of the coordinators.
 	Coordinators []string `msg:"coordinators"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership.
 type ReadIndexRequest struct {
-	// Gateways lists the gateways that poll the asking coordinator.
+	// Gateways are the addresses of the gateways that poll the asking
+	// coordinator.
 	Gateways []string `msg:"gateways"`
+	// PeersHash is that of the region's gateways as the asker knows them.
+	PeersHash uint64 `msg:"peers_hash"`
 }
 
 // ReadIndexReply tells the log position that the asker has to have applied to
 // know everything that was acknowledged before the request.
 type ReadIndexReply struct {
 	Index uint64 `msg:"index"`
-	// Gateways is the number of gateways of the region.
-	Gateways int `msg:"gateways"`
+	// PeersHash is that of the region's gateways; Peers are their addresses, set
+	// only if the hash is not the request's.
+	PeersHash uint64   `msg:"peers_hash"`
+	Peers     []string `msg:"peers"`
 }
 
 // ReplaceRequest hands an operator's configuration to the leader.
@@ -131,3 +144,21 @@
 type MembersReply struct {
 	Addresses []string `msg:"addresses"`
 }
+
+// Outstanding is what a gateway tells its peers: the work that it has placed at
+// replicas and that is not done yet. Newer ones replace older ones.
+type Outstanding struct {
+	Gateway string `msg:"gateway"`
+	// Sequence grows within a life of the gateway, whose start is Life.
+	Life     int64             `msg:"life"`
+	Sequence uint64            `msg:"sequence"`
+	Replicas []OutstandingWork `msg:"replicas"`
+}
+
+// OutstandingWork is a gateway's work at one replica.
+type OutstandingWork struct {
+	Replica  string `msg:"replica"`
+	Requests int    `msg:"requests"`
+	// Tokens of prompts that the replica has yet to read.
+	Tokens int `msg:"tokens"`
+}
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -588,15 +588,249 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
+	// string "gateway"
+	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = msgp.AppendString(o, z.Gateway)
+	// string "life"
+	o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
+	o = msgp.AppendInt64(o, z.Life)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "replicas"
+	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0001 := range z.Replicas {
+		// map header, size 3
+		// string "replica"
+		o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.Replicas[za0001].Replica)
+		// string "requests"
+		o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
+		o = msgp.AppendInt(o, z.Replicas[za0001].Requests)
+		// string "tokens"
+		o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.Replicas[za0001].Tokens)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Outstanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "gateway":
+			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateway")
+				return
+			}
+		case "life":
+			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Life")
+				return
+			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "replicas":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Replicas) >= int(zb0002) {
+				z.Replicas = (z.Replicas)[:zb0002]
+			} else {
+				z.Replicas = make([]OutstandingWork, zb0002)
+			}
+			for za0001 := range z.Replicas {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replicas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.Replicas[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+							return
+						}
+					case "requests":
+						z.Replicas[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Requests")
+							return
+						}
+					case "tokens":
+						z.Replicas[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Outstanding) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.Int64Size + 9 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Replicas[za0001].Replica) + 9 + msgp.IntSize + 7 + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "replica"
+	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	// string "requests"
+	o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.Requests)
+	// string "tokens"
+	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OutstandingWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "requests":
+			z.Requests, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		case "tokens":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OutstandingWork) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 9 + msgp.IntSize + 7 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
 	// string "index"
-	o = append(o, 0x82, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = append(o, 0x83, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
 	o = msgp.AppendUint64(o, z.Index)
-	// string "gateways"
-	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
-	o = msgp.AppendInt(o, z.Gateways)
+	// string "peers_hash"
+	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendUint64(o, z.PeersHash)
+	// string "peers"
+	o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+	for za0001 := range z.Peers {
+		o = msgp.AppendString(o, z.Peers[za0001])
+	}
 	return
 }
 
@@ -628,12 +862,35 @@
 				err = msgp.WrapError(err, "Index")
 				return
 			}
-		case "gateways":
-			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Gateways")
+				err = msgp.WrapError(err, "PeersHash")
+				return
+			}
+		case "peers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Peers) >= int(zb0002) {
+				z.Peers = (z.Peers)[:zb0002]
+			} else {
+				z.Peers = make([]string, zb0002)
+			}
+			for za0001 := range z.Peers {
+				z.Peers[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -647,21 +904,27 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReadIndexReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.IntSize
+func (z *ReadIndexReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Peers {
+		s += msgp.StringPrefixSize + len(z.Peers[za0001])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "gateways"
-	o = append(o, 0x81, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+	o = append(o, 0x82, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
 	for za0001 := range z.Gateways {
 		o = msgp.AppendString(o, z.Gateways[za0001])
 	}
+	// string "peers_hash"
+	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendUint64(o, z.PeersHash)
 	return
 }
 
@@ -710,6 +973,12 @@
 					return
 				}
 			}
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeersHash")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -728,6 +997,7 @@
 	for za0001 := range z.Gateways {
 		s += msgp.StringPrefixSize + len(z.Gateways[za0001])
 	}
+	s += 11 + msgp.Uint64Size
 	return
 }
 
@@ -1107,9 +1377,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "age"
-	o = append(o, 0x89, 0xa3, 0x61, 0x67, 0x65)
+	o = append(o, 0x8b, 0xa3, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
@@ -1139,11 +1409,20 @@
 	// string "gateways"
 	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 	o = msgp.AppendInt(o, z.Gateways)
+	// string "peers_hash"
+	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendUint64(o, z.PeersHash)
+	// string "peers"
+	o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+	for za0002 := range z.Peers {
+		o = msgp.AppendString(o, z.Peers[za0002])
+	}
 	// string "coordinators"
 	o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
-	for za0002 := range z.Coordinators {
-		o = msgp.AppendString(o, z.Coordinators[za0002])
+	for za0003 := range z.Coordinators {
+		o = msgp.AppendString(o, z.Coordinators[za0003])
 	}
 	return
 }
@@ -1251,26 +1530,55 @@
 				err = msgp.WrapError(err, "Gateways")
 				return
 			}
-		case "coordinators":
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeersHash")
+				return
+			}
+		case "peers":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coordinators")
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
 			if zb0004 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Coordinators) >= int(zb0004) {
-				z.Coordinators = (z.Coordinators)[:zb0004]
+			if cap(z.Peers) >= int(zb0004) {
+				z.Peers = (z.Peers)[:zb0004]
 			} else {
-				z.Coordinators = make([]string, zb0004)
+				z.Peers = make([]string, zb0004)
 			}
-			for za0002 := range z.Coordinators {
-				z.Coordinators[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Peers {
+				z.Peers[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coordinators", za0002)
+					err = msgp.WrapError(err, "Peers", za0002)
+					return
+				}
+			}
+		case "coordinators":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coordinators")
+				return
+			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Coordinators) >= int(zb0005) {
+				z.Coordinators = (z.Coordinators)[:zb0005]
+			} else {
+				z.Coordinators = make([]string, zb0005)
+			}
+			for za0003 := range z.Coordinators {
+				z.Coordinators[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coordinators", za0003)
 					return
 				}
 			}
@@ -1292,9 +1600,13 @@
 	for za0001 := range z.Replicas {
 		s += z.Replicas[za0001].Msgsize()
 	}
-	s += 9 + msgp.IntSize + 13 + msgp.ArrayHeaderSize
-	for za0002 := range z.Coordinators {
-		s += msgp.StringPrefixSize + len(z.Coordinators[za0002])
+	s += 9 + msgp.IntSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Peers {
+		s += msgp.StringPrefixSize + len(z.Peers[za0002])
+	}
+	s += 13 + msgp.ArrayHeaderSize
+	for za0003 := range z.Coordinators {
+		s += msgp.StringPrefixSize + len(z.Coordinators[za0003])
 	}
 	return
 }
@@ -1302,10 +1614,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "gateway"
-	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = append(o, 0x86, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
 	o = msgp.AppendString(o, z.Gateway)
+	// string "address"
+	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "peers_hash"
+	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendUint64(o, z.PeersHash)
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
@@ -1346,6 +1664,18 @@
 				err = msgp.WrapError(err, "Gateway")
 				return
 			}
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeersHash")
+				return
+			}
 		case "version":
 			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1378,6 +1708,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ViewRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 5 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 5 + msgp.IntSize
 	return
 }
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -39,7 +39,8 @@
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes})
 	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
-	keeper := newViewKeeper(settings, client, directory, budgets)
+	peers := newPeers(settings, directory)
+	keeper := newViewKeeper(settings, client, directory, budgets, peers)
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, settings.Logger)
 	return &Daemon{
 		settings:  settings,
@@ -65,6 +66,7 @@
 	defer cancel()
 	go d.keeper.keep(work)
 	go d.keeper.watchList(work)
+	go d.keeper.peers.run(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
 	go func() { _ = d.front.newServer(callers).Run() }()
 	<-stopping.Done()
--- /dev/null
+++ b/internal/relay/daemon/peers.go
@@ -0,0 +1,223 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// peers tells the other gateways of the region how much work this one has placed
+// at each replica, and learns the same of them, so that they don't all choose the
+// same replica. It is soft state: a lost datagram is made up for by the next.
+type peers struct {
+	name      string
+	address   string
+	directory *relay.Directory
+	logger    logr.Logger
+	life      int64
+
+	mutex     sync.Mutex
+	hash      uint64
+	addresses []netip.AddrPort
+	heard     map[string]heardPeer
+}
+
+// heardPeer is the newest message of a peer.
+type heardPeer struct {
+	life     int64
+	sequence uint64
+}
+
+const (
+	// tellPoll is the pause between two looks for something to tell.
+	tellPoll = 10 * time.Millisecond
+	// refreshInterval is the time after which unchanged work is told again.
+	refreshInterval = 500 * time.Millisecond
+	// requestsInterval is the least time between messages that tell only of
+	// other numbers of requests.
+	requestsInterval = 100 * time.Millisecond
+	// bytesPerSecond bounds what is sent to all peers, and burstBytes what may be
+	// saved up of it.
+	bytesPerSecond = 8 << 10
+	burstBytes     = 16 << 10
+	// maximumPeers bounds the peers that are told: each gateway tells those that
+	// follow it in the sorted list.
+	maximumPeers     = 24
+	maximumDatagram  = 8 << 10
+	receiveBuffer    = 64 << 10
+	datagramOverhead = 28
+)
+
+func newPeers(settings Settings, directory *relay.Directory) *peers {
+	return &peers{
+		name:      settings.Name,
+		address:   settings.PeerListen,
+		directory: directory,
+		logger:    settings.Logger,
+		life:      time.Now().UnixNano(),
+		heard:     map[string]heardPeer{},
+	}
+}
+
+// take takes the list of the region's gateways over.
+func (p *peers) take(hash uint64, addresses []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.hash = hash
+	p.addresses = p.addresses[:0]
+	self, _ := slices.BinarySearch(addresses, p.address)
+	for offset := range addresses {
+		address := addresses[(self+offset)%len(addresses)]
+		parsed, err := netip.ParseAddrPort(address)
+		if err == nil && address != p.address && len(p.addresses) < maximumPeers {
+			p.addresses = append(p.addresses, parsed)
+		}
+	}
+}
+
+// known returns the hash of the list last taken over.
+func (p *peers) known() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.hash
+}
+
+func (p *peers) targets() []netip.AddrPort {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.Clone(p.addresses)
+}
+
+// run tells and listens until the context ends.
+func (p *peers) run(ctx context.Context) {
+	bound, err := net.ResolveUDPAddr("udp4", p.address)
+	if err != nil {
+		p.logger.Info("peers can't be told", "address", p.address, "error", err.Error())
+		return
+	}
+	socket, err := net.ListenUDP("udp4", bound)
+	if err != nil {
+		p.logger.Info("peers can't be told", "address", p.address, "error", err.Error())
+		return
+	}
+	_ = socket.SetReadBuffer(receiveBuffer)
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	go p.tell(ctx, socket)
+	p.listen(socket)
+}
+
+func (p *peers) listen(socket *net.UDPConn) {
+	buffer := make([]byte, maximumDatagram)
+	for {
+		count, _, err := socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		var message region.Outstanding
+		if _, err := message.UnmarshalMsg(buffer[:count]); err != nil {
+			continue
+		}
+		if p.isNewer(&message) {
+			p.directory.TakeOutstanding(message.Gateway, message.Replicas)
+		}
+	}
+}
+
+// isNewer reports whether a message is not overtaken by another of its sender.
+func (p *peers) isNewer(message *region.Outstanding) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	last := p.heard[message.Gateway]
+	if message.Life < last.life || message.Life == last.life && message.Sequence <= last.sequence {
+		return false
+	}
+	p.heard[message.Gateway] = heardPeer{life: message.Life, sequence: message.Sequence}
+	return true
+}
+
+// tell sends this gateway's work whenever it has changed, within the allowance.
+func (p *peers) tell(ctx context.Context, socket *net.UDPConn) {
+	ticker := time.NewTicker(tellPoll)
+	defer ticker.Stop()
+	state := teller{peers: p, socket: socket, last: time.Now(), allowance: burstBytes}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			state.step(time.Now())
+		}
+	}
+}
+
+// teller is the state of the telling.
+type teller struct {
+	peers     *peers
+	socket    *net.UDPConn
+	sequence  uint64
+	last      time.Time
+	toldAt    time.Time
+	allowance float64
+	told      map[string]region.OutstandingWork
+}
+
+func (t *teller) step(now time.Time) {
+	t.allowance = min(burstBytes, t.allowance+now.Sub(t.last).Seconds()*bytesPerSecond)
+	t.last = now
+	if t.allowance <= 0 {
+		return
+	}
+	work := t.peers.directory.Outstanding()
+	if !t.worthTelling(now, work) {
+		return
+	}
+	t.send(now, work)
+}
+
+// worthTelling reports whether work has changed enough to be told now.
+func (t *teller) worthTelling(now time.Time, work []region.OutstandingWork) bool {
+	since := now.Sub(t.toldAt)
+	changed := len(work) != len(t.told)
+	for _, each := range work {
+		before, known := t.told[each.Replica]
+		if !known && each.Tokens > 0 || before.Tokens != each.Tokens {
+			return true
+		}
+		changed = changed || before != each
+	}
+	for _, before := range t.told {
+		if before.Tokens > 0 && !slices.ContainsFunc(work, func(each region.OutstandingWork) bool {
+			return each.Replica == before.Replica
+		}) {
+			return true
+		}
+	}
+	return changed && since >= requestsInterval || len(work) > 0 && since >= refreshInterval
+}
+
+func (t *teller) send(now time.Time, work []region.OutstandingWork) {
+	t.sequence++
+	message := &region.Outstanding{Gateway: t.peers.name, Life: t.peers.life, Sequence: t.sequence, Replicas: work}
+	encoded, err := message.MarshalMsg(nil)
+	if err != nil || len(encoded) > maximumDatagram {
+		return
+	}
+	for _, target := range t.peers.targets() {
+		_, _ = t.socket.WriteToUDPAddrPort(encoded, target)
+		t.allowance -= float64(len(encoded) + datagramOverhead)
+	}
+	t.toldAt = now
+	t.told = make(map[string]region.OutstandingWork, len(work))
+	for _, each := range work {
+		t.told[each.Replica] = each
+	}
+}
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -18,6 +18,8 @@
 	Listen      string
 	ReadyListen string
 	ReadyPath   string
+	// PeerListen takes the messages of the region's other gateways (UDP).
+	PeerListen string
 	// Seeds are the internal addresses of coordinators to begin with.
 	Seeds  func() []string
 	Budget relay.BudgetTerms
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -28,6 +28,7 @@
 	client    *rpc.Client
 	directory *relay.Directory
 	budgets   *relay.Budgets
+	peers     *peers
 	started   time.Time
 
 	table atomic.Pointer[traffic.Table]
@@ -44,13 +45,14 @@
 	zones   map[string]string
 }
 
-func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets) *viewKeeper {
+func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, peers *peers) *viewKeeper {
 	return &viewKeeper{
 		settings:  settings,
 		logger:    settings.Logger,
 		client:    client,
 		directory: directory,
 		budgets:   budgets,
+		peers:     peers,
 		started:   time.Now(),
 		zones:     map[string]string{},
 	}
@@ -145,7 +147,12 @@
 func (k *viewKeeper) poll(ctx context.Context, coordinator string) error {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	request := &region.ViewRequest{Gateway: k.settings.Name, WaitMillis: int(viewWait.Milliseconds())}
+	request := &region.ViewRequest{
+		Gateway:    k.settings.Name,
+		Address:    k.settings.PeerListen,
+		PeersHash:  k.peers.known(),
+		WaitMillis: int(viewWait.Milliseconds()),
+	}
 	if table := k.Table(); table != nil {
 		request.Version = table.Configuration.Version
 	}
@@ -182,6 +189,9 @@
 		return nil
 	}
 	k.budgets.SetGateways(view.Gateways)
+	if view.PeersHash != k.peers.known() {
+		k.peers.take(view.PeersHash, view.Peers)
+	}
 	if at := k.now() - time.Duration(view.AgeMillis)*time.Millisecond; !k.confirmed || at > k.freshAt {
 		k.confirmed = true
 		k.freshAt = at
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -15,6 +15,7 @@
 	zone      string
 	replicas  map[string]*Replica
 	services  map[string][]*Replica
+	paces     map[string]*paceMeter
 	onDropped func(address, instance string)
 }
 
@@ -26,6 +27,7 @@
 		zone:      zone,
 		replicas:  map[string]*Replica{},
 		services:  map[string][]*Replica{},
+		paces:     map[string]*paceMeter{},
 		onDropped: onDropped,
 	}
 }
@@ -106,6 +108,9 @@
 func (l *Lease) PromptRead(prompt *Prompt) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
+	if l.Replica.Stage == region.StagePrefill {
+		l.directory.paceOf(l.Replica.Service).observe(l.tokens, l.directory.clock()-l.begun)
+	}
 	l.readDone()
 	l.Replica.prefixes.learn(prompt)
 }
@@ -115,6 +120,16 @@
 	l.tokens = 0
 }
 
+// paceOf is called with the mutex held.
+func (d *Directory) paceOf(service string) *paceMeter {
+	meter, found := d.paces[service]
+	if !found {
+		meter = &paceMeter{}
+		d.paces[service] = meter
+	}
+	return meter
+}
+
 // Unreachable notes that the replica did not answer.
 func (l *Lease) Unreachable() {
 	l.directory.mutex.Lock()
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -81,6 +81,8 @@
 	prompt *Prompt
 	home   *Replica
 	zone   string
+	// pace of reading, in tokens a second.
+	pace float64
 }
 
 // crossZoneTokens is what a move of the memory between zones costs, in tokens.
@@ -91,7 +93,7 @@
 	if replica == s.home {
 		own = min(own, s.prompt.ownTokens())
 	}
-	score := float64(own+replica.readingTokens) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
+	score := float64(own) + replica.allTokens(now, s.pace) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
 	if replica.Zone != s.zone {
 		score += crossZoneTokens
 	}
@@ -155,7 +157,12 @@
 
 // PickReader leases a replica that reads prompts for others, or returns nil.
 func (d *Directory) PickReader(service string, excluded []*Replica, prompt *Prompt) *Lease {
-	rating := readScore{prompt: prompt, home: d.home(service, region.StagePrefill, prompt), zone: d.zone}
+	rating := readScore{
+		prompt: prompt,
+		home:   d.home(service, region.StagePrefill, prompt),
+		zone:   d.zone,
+		pace:   d.pace(service),
+	}
 	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, func(r *Replica) int { return r.prefixes.missing(prompt) })
 }
 
@@ -173,3 +180,10 @@
 }
 
 func noTokens(*Replica) int { return 0 }
+
+// pace returns how fast a service's replicas read prompts, in tokens a second.
+func (d *Directory) pace(service string) float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.paces[service].tokensPerSecond()
+}
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -14,17 +14,52 @@
 	// prompt tokens that it has yet to read for them.
 	inFlight      int
 	readingTokens int
-	load          Load
-	loadAt        time.Duration
+	// peers is the work that other gateways have placed there.
+	peers  map[string]peerWork
+	load   Load
+	loadAt time.Duration
 	// failures in a row, and the time until which the replica is avoided.
-	failures     int
-	avoidUntil   time.Duration
-	fullUntil    time.Duration
-	latency      float64
-	errorRate    float64
-	gone         bool
-	prefixes     *prefixMemory
-	prefixTokens int
+	failures   int
+	avoidUntil time.Duration
+	fullUntil  time.Duration
+	latency    float64
+	errorRate  float64
+	gone       bool
+	prefixes   *prefixMemory
+}
+
+// peerWork is what another gateway told of its work at a replica.
+type peerWork struct {
+	requests int
+	tokens   int
+	at       time.Duration
+}
+
+// peerMemory is how long a gateway's word on its work counts.
+const peerMemory = 2 * time.Second
+
+// allInFlight counts the requests of all gateways.
+func (r *Replica) allInFlight(now time.Duration) int {
+	sum := r.inFlight
+	for _, work := range r.peers {
+		if now-work.at < peerMemory {
+			sum += work.requests
+		}
+	}
+	return sum
+}
+
+// allTokens are the prompt tokens that the replica has yet to read for all
+// gateways. What others told of has shrunk since, at the replica's pace in tokens
+// a second.
+func (r *Replica) allTokens(now time.Duration, pace float64) float64 {
+	sum := float64(r.readingTokens)
+	for _, work := range r.peers {
+		if age := now - work.at; age < peerMemory {
+			sum += max(float64(work.tokens)-pace*age.Seconds(), 0)
+		}
+	}
+	return sum
 }
 
 const (
@@ -75,15 +110,16 @@
 	r.latency += smoothing * (seconds - r.latency)
 }
 
-// occupancy estimates the share of the replica's slots in use, from this
-// gateway's own requests and the replica's last account. The latter fades.
+// occupancy estimates the share of the replica's slots in use: the greater of
+// what the gateways have placed there and the replica's last account, which
+// fades.
 func (r *Replica) occupancy(now time.Duration) float64 {
 	slots := float64(max(r.Slots, 1))
-	own := float64(r.inFlight) / slots
+	placed := float64(r.allInFlight(now)) / slots
 	age := now - r.loadAt
 	if r.load.Slots == 0 || age > loadMemory {
-		return own
+		return placed
 	}
 	reported := float64(r.load.Running+r.load.Waiting) / float64(r.load.Slots)
-	return own + reported*(1-age.Seconds()/loadMemory.Seconds())
+	return max(placed, reported*(1-age.Seconds()/loadMemory.Seconds()))
 }
