--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -144,6 +144,8 @@
 		DataFolder: settings.DataFolder,
 		FileSystem: fileSystem,
 		Lister:     platform.NewLister(settings.ReplicaList),
+		Engines:    platform.NewEngines(),
+		Lease:      settings.Lease(),
 		Codec:      platform.Codec{},
 		Logger:     process.logger,
 	})
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -42,6 +42,9 @@
 	ReplicaList string `yaml:"replica_list"`
 	// ToleratedLosses is the number of coordinators that may be lost at once.
 	ToleratedLosses int `yaml:"tolerated_losses"`
+	// LeaseMillis is how far the orders of two coordinators to a replica must lie
+	// apart.
+	LeaseMillis int `yaml:"lease_ms"`
 	// StopSeconds bounds a planned stop.
 	StopSeconds float64 `yaml:"stop_seconds"`
 	// RetryRatio, RetryWindowSeconds and RetrySlack bound the repeated sends of
@@ -152,6 +155,9 @@
 // after the tolerated losses.
 func (s *Settings) Voters() int { return 2*s.ToleratedLosses + 1 }
 
+// Lease is how far the orders of two coordinators must lie apart.
+func (s *Settings) Lease() time.Duration { return time.Duration(s.LeaseMillis) * time.Millisecond }
+
 // StopTime bounds a planned stop.
 func (s *Settings) StopTime() time.Duration {
 	return time.Duration(s.StopSeconds * float64(time.Second))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,10 @@
 	machine   *machine
 	group     *replication.Group
 	gateways  *gatewayList
+	// demand is what gateways tell this coordinator, reported what the others
+	// tell the leader.
+	demand    *demandTable
+	reported  *demandTable
 	freshness freshness
 	started   time.Time
 	members   memberWatch
@@ -52,6 +56,8 @@
 		transport: transport,
 		machine:   newMachine(),
 		gateways:  newGatewayList(),
+		demand:    newDemandTable(),
+		reported:  newDemandTable(),
 		started:   time.Now(),
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 	}
@@ -95,7 +101,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.logLeadership} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.logLeadership} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- /dev/null
+++ b/internal/coordinator/demand.go
@@ -0,0 +1,58 @@
+package coordinator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+// demandTable holds what each of several sources last told of the demand.
+type demandTable struct {
+	mutex   sync.Mutex
+	sources map[string]toldDemand
+}
+
+type toldDemand struct {
+	services []region.ServiceDemand
+	at       time.Duration
+}
+
+// demandMemory is how long a source's word counts.
+const demandMemory = 2 * time.Second
+
+func newDemandTable() *demandTable { return &demandTable{sources: map[string]toldDemand{}} }
+
+func (d *demandTable) take(now time.Duration, source string, services []region.ServiceDemand) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.sources[source] = toldDemand{services: services, at: now}
+}
+
+// sum adds up what fresh sources told, by service.
+func (d *demandTable) sum(now time.Duration) []region.ServiceDemand {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var sums []region.ServiceDemand
+	for source, told := range d.sources {
+		if now-told.at > demandMemory {
+			delete(d.sources, source)
+			continue
+		}
+		for _, each := range told.services {
+			sums = addDemand(sums, each)
+		}
+	}
+	return sums
+}
+
+func addDemand(sums []region.ServiceDemand, added region.ServiceDemand) []region.ServiceDemand {
+	for index := range sums {
+		if sums[index].Service == added.Service {
+			sums[index].Generating += added.Generating
+			sums[index].Reading += added.Reading
+			return sums
+		}
+	}
+	return append(sums, added)
+}
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	begun := c.now()
 	_, hash := c.gateways.known()
-	request := &region.ReadIndexRequest{Gateways: c.gateways.own(begun), PeersHash: hash}
+	request := &region.ReadIndexRequest{From: c.settings.Address, Gateways: c.gateways.own(begun), PeersHash: hash, Demand: c.demand.sum(begun)}
 	reply, err := c.askReadIndex(ctx, request)
 	if err != nil {
 		return err
@@ -105,6 +105,9 @@
 	}
 	now := c.now()
 	c.gateways.learn(now, request.Gateways)
+	if request.From != c.settings.Address {
+		c.reported.take(now, request.From, request.Demand)
+	}
 	peers := c.gateways.all(now)
 	reply := &region.ReadIndexReply{Index: c.group.Runner.Status().AppliedIndex, PeersHash: hashOf(peers)}
 	if reply.PeersHash != request.PeersHash {
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -38,12 +38,7 @@
 		return nil
 	}
 	c.logChanges(state.Replicas, listed)
-	command := &region.Command{List: &region.ListCommand{Replicas: listed}}
-	encoded, err := command.MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
-	_, _, err = c.group.Propose(ctx, encoded)
+	_, err = c.commit(ctx, &region.Command{List: &region.ListCommand{Replicas: listed}})
 	return err
 }
 
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -34,7 +35,7 @@
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	reply, _ := (&region.ReplaceReply{Version: m.state.Version}).MarshalMsg(nil)
+	reply, _ := (&region.ReplaceReply{Version: m.state.Version, Index: index}).MarshalMsg(nil)
 	return reply
 }
 
@@ -46,7 +47,51 @@
 	if change := command.List; change != nil {
 		m.state.Replicas = change.Replicas
 		m.state.ListRevision = index
+		m.dropChanges(func(each region.StageChange) bool { return hasEnded(each, change.Replicas) })
 	}
+	if change := command.Change; change != nil {
+		m.dropChanges(func(each region.StageChange) bool { return each.Replica == change.Replica })
+		begun := region.StageChange{Replica: change.Replica, Stage: change.Stage, Fence: index}
+		m.state.Changes = append(m.state.Changes, begun)
+		m.state.ListRevision = index
+	}
+	if change := command.ChangeEnd; change != nil {
+		m.dropChanges(func(each region.StageChange) bool { return each.Replica == change.Replica })
+		m.state.ListRevision = index
+	}
+}
+
+// dropChanges ends stage changes. The slice is replaced, since readers hold it.
+func (m *machine) dropChanges(ended func(region.StageChange) bool) {
+	m.state.Changes = slices.DeleteFunc(slices.Clone(m.state.Changes), ended)
+}
+
+// hasEnded reports whether the list shows the stage that was ordered, or no such
+// replica any more.
+func hasEnded(change region.StageChange, replicas []region.Replica) bool {
+	for _, replica := range replicas {
+		if replica.ID == change.Replica {
+			return replica.Stage == change.Stage
+		}
+	}
+	return true
+}
+
+// shown returns the replicas as gateways should see them: those that change their
+// stage take no work.
+func shown(state region.State) []region.Replica {
+	if len(state.Changes) == 0 {
+		return state.Replicas
+	}
+	replicas := slices.Clone(state.Replicas)
+	for index := range replicas {
+		for _, change := range state.Changes {
+			if change.Replica == replicas[index].ID {
+				replicas[index].Stage = region.StageChanging
+			}
+		}
+	}
+	return replicas
 }
 
 // Snapshot implements replica.StateMachine.
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -29,7 +29,11 @@
 	FileSystem storage.FileSystem
 	// Lister asks the platform for the replicas.
 	Lister Lister
-	Codec  traffic.Codec
+	// Engines gives orders to model replicas; nil gives none.
+	Engines Engines
+	// Lease is how far the orders of two holders must lie apart.
+	Lease time.Duration
+	Codec traffic.Codec
 	// ListInterval is the time between two polls of the list.
 	ListInterval time.Duration
 	Logger       logr.Logger
--- /dev/null
+++ b/internal/coordinator/stages.go
@@ -0,0 +1,275 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/stageplan"
+)
+
+// Engines gives orders to model replicas.
+type Engines interface {
+	// Report asks a replica what it does.
+	Report(ctx context.Context, replica region.Replica) (EngineReport, error)
+	// Order gives an order to a replica. A refusal is an error that wraps
+	// ErrOrderRefused; any other error leaves it open whether the order is or
+	// will be carried out.
+	Order(ctx context.Context, replica region.Replica, order EngineOrder) error
+}
+
+// EngineReport is a replica's own account.
+type EngineReport struct {
+	Stage string
+	// Changing says that an order is being carried out.
+	Changing bool
+	// Sequence is the number of orders that the replica has taken.
+	Sequence uint64
+}
+
+// EngineOrder tells a replica to take a stage.
+type EngineOrder struct {
+	Stage  string
+	Holder string
+	Fence  uint64
+	// Sequence is what the replica's count of orders has to be.
+	Sequence uint64
+}
+
+// ErrOrderRefused says that a replica has not taken an order and never will.
+var ErrOrderRefused = errors.New("the replica has refused the order")
+
+const (
+	stageInterval = 300 * time.Millisecond
+	orderTimeout  = 800 * time.Millisecond
+	// commitToSend bounds the time between the commit of an order and its
+	// sending: later, this coordinator may have lost its leadership.
+	commitToSend = 500 * time.Millisecond
+	// changeTimeout is how long a change may take before the replica counts as
+	// what the list says it is.
+	changeTimeout = 8 * time.Second
+	// unclearHold is how long a replica gets no order after one without an
+	// answer, which may be carried out late.
+	unclearHold = 14 * time.Second
+	refusedHold = 3 * time.Second
+	// leaseMargin is added to the time that orders of two holders must lie
+	// apart.
+	leaseMargin = 1200 * time.Millisecond
+	// demandSettle is how long demand must have been told before it is believed.
+	demandSettle = 3 * time.Second
+)
+
+// stageKeeper is the leader's work on the stages of replicas.
+type stageKeeper struct {
+	*Coordinator
+	term     uint64
+	leadFrom time.Duration
+	planners map[string]*stageplan.Planner
+	begun    map[string]time.Duration
+	holds    map[string]time.Duration
+	// demandFrom is when demand was first told, by service.
+	demandFrom map[string]time.Duration
+}
+
+// keepStages plans the stages of the model replicas, at the leader.
+func (c *Coordinator) keepStages(ctx context.Context) {
+	if c.settings.Engines == nil {
+		return
+	}
+	keeper := &stageKeeper{Coordinator: c}
+	for lifecycle.Sleep(ctx, stageInterval) {
+		status := c.group.Runner.Status()
+		if !c.group.Leads() {
+			keeper.term = 0
+			continue
+		}
+		if keeper.term != status.Term {
+			keeper.reset(status.Term)
+		}
+		keeper.step(ctx)
+	}
+}
+
+func (k *stageKeeper) reset(term uint64) {
+	k.term = term
+	k.leadFrom = k.now()
+	k.planners = map[string]*stageplan.Planner{}
+	k.begun = map[string]time.Duration{}
+	k.holds = map[string]time.Duration{}
+	k.demandFrom = map[string]time.Duration{}
+}
+
+// step makes at most one change of each service. A new leader first lets the time
+// pass in which another's orders may still arrive.
+func (k *stageKeeper) step(ctx context.Context) {
+	now := k.now()
+	state, _ := k.machine.read()
+	k.endStuckChanges(ctx, now, state)
+	if now-k.leadFrom < k.settings.Lease+leaseMargin {
+		return
+	}
+	demand := append(k.demand.sum(now), k.reported.sum(now)...)
+	for service, replicas := range modelReplicas(state) {
+		planner, found := k.planners[service]
+		if !found {
+			planner = &stageplan.Planner{}
+			k.planners[service] = planner
+		}
+		input := k.inputFor(now, service, replicas, state.Changes, demand)
+		if change := planner.Step(now, input); change != nil {
+			k.carryOutStage(ctx, replicas, change)
+		}
+	}
+}
+
+// modelReplicas returns the replicas with a stage that are not leaving, by
+// service.
+func modelReplicas(state region.State) map[string][]region.Replica {
+	services := map[string][]region.Replica{}
+	for _, replica := range state.Replicas {
+		if replica.Stage != "" && !replica.Draining {
+			services[replica.Service] = append(services[replica.Service], replica)
+		}
+	}
+	return services
+}
+
+func (k *stageKeeper) inputFor(now time.Duration, service string, replicas []region.Replica, changes []region.StageChange, demand []region.ServiceDemand) stageplan.Input {
+	var input stageplan.Input
+	for _, each := range demand {
+		if each.Service == service {
+			input.Generating += each.Generating
+			input.Reading += each.Reading
+		}
+	}
+	if input.Generating > 0 {
+		if _, told := k.demandFrom[service]; !told {
+			k.demandFrom[service] = now
+		}
+	}
+	from, told := k.demandFrom[service]
+	input.Known = told && now-from > demandSettle
+	for _, replica := range replicas {
+		if now < k.holds[replica.ID] {
+			continue
+		}
+		planned := stageplan.Replica{ID: replica.ID, Slots: replica.Slots, Generates: replica.Stage == region.StageDecode}
+		for _, change := range changes {
+			if change.Replica == replica.ID {
+				planned.Changing = true
+				planned.Generates = change.Stage == region.StageDecode
+			}
+		}
+		input.Replicas = append(input.Replicas, planned)
+	}
+	return input
+}
+
+// endStuckChanges ends changes that the list has not shown in time.
+func (k *stageKeeper) endStuckChanges(ctx context.Context, now time.Duration, state region.State) {
+	under := map[string]bool{}
+	for _, change := range state.Changes {
+		under[change.Replica] = true
+		begun, known := k.begun[change.Replica]
+		if !known {
+			k.begun[change.Replica] = now
+			continue
+		}
+		if now-begun > changeTimeout {
+			k.logger.Info("stage change has not ended", "replica", change.Replica, "stage", change.Stage)
+			k.endChange(ctx, change.Replica, unclearHold)
+		}
+	}
+	for replica := range k.begun {
+		if !under[replica] {
+			delete(k.begun, replica)
+		}
+	}
+}
+
+// endChange commits the end of a change and leaves the replica alone for a time.
+func (k *stageKeeper) endChange(ctx context.Context, replica string, hold time.Duration) {
+	k.holds[replica] = k.now() + hold
+	delete(k.begun, replica)
+	command := &region.Command{ChangeEnd: &region.ChangeEndCommand{Replica: replica}}
+	if _, err := k.commit(ctx, command); err != nil {
+		k.logger.Info("end of a stage change not committed", "replica", replica, "error", err.Error())
+	}
+}
+
+// carryOutStage commits an order and gives it.
+func (k *stageKeeper) carryOutStage(ctx context.Context, replicas []region.Replica, change *stageplan.Change) {
+	replica, found := findReplica(replicas, change.ReplicaID)
+	if !found {
+		return
+	}
+	stage := region.StagePrefill
+	if change.Generates {
+		stage = region.StageDecode
+	}
+	err := k.order(ctx, replica, stage)
+	k.logger.Info("order", "replica", replica.ID, "stage", stage, "reason", change.Reason, "term", k.term,
+		"error", errorText(err))
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrOrderRefused):
+		k.holds[replica.ID] = k.now() + refusedHold
+		if _, committed := k.begun[replica.ID]; committed {
+			k.endChange(ctx, replica.ID, refusedHold)
+		}
+	default:
+		k.holds[replica.ID] = k.now() + unclearHold
+	}
+}
+
+func findReplica(replicas []region.Replica, id string) (region.Replica, bool) {
+	for _, replica := range replicas {
+		if replica.ID == id {
+			return replica, true
+		}
+	}
+	return region.Replica{}, false
+}
+
+// errOrderLate says that an order was not sent, since its commit took too long.
+var errOrderLate = errors.New("the order was not sent in time")
+
+func (k *stageKeeper) order(ctx context.Context, replica region.Replica, stage string) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+	defer cancel()
+	report, err := k.settings.Engines.Report(ctx, replica)
+	if err != nil {
+		return errors.Join(ErrOrderRefused, err)
+	}
+	if report.Changing {
+		return ErrOrderRefused
+	}
+	fence, err := k.commit(ctx, &region.Command{Change: &region.ChangeCommand{Replica: replica.ID, Stage: stage}})
+	if err != nil {
+		return err
+	}
+	committed := k.now()
+	k.begun[replica.ID] = committed
+	if !k.group.Leads() || k.now()-committed > commitToSend {
+		return errors.Join(ErrOrderRefused, errOrderLate)
+	}
+	return k.settings.Engines.Order(ctx, replica, EngineOrder{
+		Stage:    stage,
+		Holder:   k.settings.Name,
+		Fence:    fence,
+		Sequence: report.Sequence,
+	})
+}
+
+// commit proposes a command and returns its log position.
+func (c *Coordinator) commit(ctx context.Context, command *region.Command) (uint64, error) {
+	encoded, err := command.MarshalMsg(nil)
+	if err != nil {
+		return 0, failure.Wrap(err, failure.Internal)
+	}
+	index, _, err := c.group.Propose(ctx, encoded)
+	return index, err
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -14,6 +14,7 @@
 // or when its wait has ended.
 func (c *Coordinator) handleView(ctx context.Context, request *region.ViewRequest) (*region.View, error) {
 	c.gateways.polled(c.now(), request.Address)
+	c.demand.take(c.now(), request.Address, request.Demand)
 	wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maximumViewWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -55,7 +56,7 @@
 	}
 	if state.ListRevision > request.ListRevision {
 		view.HasList = true
-		view.Replicas = state.Replicas
+		view.Replicas = shown(state)
 	}
 	return view
 }
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -16,6 +16,8 @@
 const (
 	StagePrefill = "prefill"
 	StageDecode  = "decode"
+	// StageChanging replicas take no new work until their change has ended.
+	StageChanging = "changing"
 )
 
 // Replica is one incarnation of a back end of a service.
@@ -42,12 +44,35 @@
 	// ListRevision is the log position of the last change of Replicas.
 	ListRevision uint64    `msg:"list_revision"`
 	Replicas     []Replica `msg:"replicas"`
+	// Changes are the stage changes under way.
+	Changes []StageChange `msg:"changes"`
+}
+
+// StageChange is an order to a replica to take another stage.
+type StageChange struct {
+	Replica string `msg:"replica"`
+	Stage   string `msg:"stage"`
+	// Fence is the log position of the order; it grows over all leaders.
+	Fence uint64 `msg:"fence"`
 }
 
 // Command is a change of State. One of its fields is set.
 type Command struct {
 	Configuration *ConfigurationCommand `msg:"configuration"`
 	List          *ListCommand          `msg:"list"`
+	Change        *ChangeCommand        `msg:"change"`
+	ChangeEnd     *ChangeEndCommand     `msg:"change_end"`
+}
+
+// ChangeCommand begins a stage change. Its log position is the order's fence.
+type ChangeCommand struct {
+	Replica string `msg:"replica"`
+	Stage   string `msg:"stage"`
+}
+
+// ChangeEndCommand ends the stage change of a replica.
+type ChangeEndCommand struct {
+	Replica string `msg:"replica"`
 }
 
 // ConfigurationCommand puts a configuration in force if its version is above
@@ -72,6 +97,8 @@
 	// Version and ListRevision are what the gateway has.
 	Version      uint64 `msg:"version"`
 	ListRevision uint64 `msg:"list_revision"`
+	// Demand is what the gateway sees of each service of model engines.
+	Demand []ServiceDemand `msg:"demand"`
 	// WaitMillis bounds the wait for something newer.
 	WaitMillis int `msg:"wait"`
 }
@@ -101,11 +128,24 @@
 
 // ReadIndexRequest asks the leader to confirm its leadership.
 type ReadIndexRequest struct {
+	// From is the asking coordinator's address.
+	From string `msg:"from"`
 	// Gateways are the addresses of the gateways that poll the asking
 	// coordinator.
 	Gateways []string `msg:"gateways"`
 	// PeersHash is that of the region's gateways as the asker knows them.
 	PeersHash uint64 `msg:"peers_hash"`
+	// Demand is the sum over these gateways.
+	Demand []ServiceDemand `msg:"demand"`
+}
+
+// ServiceDemand is the demand for a service of model engines.
+type ServiceDemand struct {
+	Service string `msg:"service"`
+	// Generating is the number of answers that are being generated.
+	Generating float64 `msg:"generating"`
+	// Reading is the number of replicas that the prompts to be read keep busy.
+	Reading float64 `msg:"reading"`
 }
 
 // ReadIndexReply tells the log position that the asker has to have applied to
@@ -129,6 +169,8 @@
 type ReplaceReply struct {
 	// Version is in force.
 	Version uint64 `msg:"version"`
+	// Index is the log position of the command.
+	Index uint64 `msg:"index"`
 }
 
 // JoinRequest asks the leader to make a replica a member.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -13,11 +13,132 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
+func (z ChangeCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
+	// string "replica"
+	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendString(o, z.Stage)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangeCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangeCommand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 6 + msgp.StringPrefixSize + len(z.Stage)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ChangeEndCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "replica"
+	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangeEndCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangeEndCommand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
 	// string "configuration"
-	o = append(o, 0x82, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x84, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if z.Configuration == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -46,6 +167,29 @@
 			}
 		}
 	}
+	// string "change"
+	o = append(o, 0xa6, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65)
+	if z.Change == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 2
+		// string "replica"
+		o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.Change.Replica)
+		// string "stage"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+		o = msgp.AppendString(o, z.Change.Stage)
+	}
+	// string "change_end"
+	o = append(o, 0xaa, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
+	if z.ChangeEnd == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 1
+		// string "replica"
+		o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.ChangeEnd.Replica)
+	}
 	return
 }
 
@@ -198,6 +342,100 @@
 					}
 				}
 			}
+		case "change":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Change = nil
+			} else {
+				if z.Change == nil {
+					z.Change = new(ChangeCommand)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Change")
+					return
+				}
+				if zb0006 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Change")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.Change.Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Change", "Replica")
+							return
+						}
+					case "stage":
+						z.Change.Stage, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Change", "Stage")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Change")
+							return
+						}
+					}
+				}
+			}
+		case "change_end":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.ChangeEnd = nil
+			} else {
+				if z.ChangeEnd == nil {
+					z.ChangeEnd = new(ChangeEndCommand)
+				}
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ChangeEnd")
+					return
+				}
+				if zb0007 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ChangeEnd")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.ChangeEnd.Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ChangeEnd", "Replica")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ChangeEnd")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -227,6 +465,18 @@
 			s += z.List.Replicas[za0001].Msgsize()
 		}
 	}
+	s += 7
+	if z.Change == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Change.Replica) + 6 + msgp.StringPrefixSize + len(z.Change.Stage)
+	}
+	s += 11
+	if z.ChangeEnd == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.ChangeEnd.Replica)
+	}
 	return
 }
 
@@ -915,9 +1165,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
+	// string "from"
+	o = append(o, 0x84, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendString(o, z.From)
 	// string "gateways"
-	o = append(o, 0x82, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
 	for za0001 := range z.Gateways {
 		o = msgp.AppendString(o, z.Gateways[za0001])
@@ -925,6 +1178,21 @@
 	// string "peers_hash"
 	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 	o = msgp.AppendUint64(o, z.PeersHash)
+	// string "demand"
+	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+	for za0002 := range z.Demand {
+		// map header, size 3
+		// string "service"
+		o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Demand[za0002].Service)
+		// string "generating"
+		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Demand[za0002].Generating)
+		// string "reading"
+		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Demand[za0002].Reading)
+	}
 	return
 }
 
@@ -950,6 +1218,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "from":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		case "gateways":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -979,6 +1253,68 @@
 				err = msgp.WrapError(err, "PeersHash")
 				return
 			}
+		case "demand":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Demand) >= int(zb0003) {
+				z.Demand = (z.Demand)[:zb0003]
+			} else {
+				z.Demand = make([]ServiceDemand, zb0003)
+			}
+			for za0002 := range z.Demand {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0002)
+					return
+				}
+				if zb0004 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Demand", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "service":
+						z.Demand[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0002, "Service")
+							return
+						}
+					case "generating":
+						z.Demand[za0002].Generating, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0002, "Generating")
+							return
+						}
+					case "reading":
+						z.Demand[za0002].Reading, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0002, "Reading")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -993,21 +1329,27 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReadIndexRequest) Msgsize() (s int) {
-	s = 1 + 9 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.From) + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Gateways {
 		s += msgp.StringPrefixSize + len(z.Gateways[za0001])
 	}
-	s += 11 + msgp.Uint64Size
+	s += 11 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Demand {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Demand[za0002].Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z ReplaceReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "version"
-	o = append(o, 0x81, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "index"
+	o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = msgp.AppendUint64(o, z.Index)
 	return
 }
 
@@ -1039,6 +1381,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "index":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1053,7 +1401,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ReplaceReply) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size
+	s = 1 + 8 + msgp.Uint64Size + 6 + msgp.Uint64Size
 	return
 }
 
@@ -1248,12 +1596,160 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "service"
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "generating"
+	o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
+	o = msgp.AppendFloat64(o, z.Generating)
+	// string "reading"
+	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendFloat64(o, z.Reading)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "generating":
+			z.Generating, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Generating")
+				return
+			}
+		case "reading":
+			z.Reading, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reading")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ServiceDemand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StageChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "replica"
+	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendString(o, z.Stage)
+	// string "fence"
+	o = append(o, 0xa5, 0x66, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Fence)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "fence":
+			z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fence")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StageChange) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 6 + msgp.StringPrefixSize + len(z.Stage) + 6 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "version"
-	o = append(o, 0x84, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x85, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -1271,6 +1767,21 @@
 			return
 		}
 	}
+	// string "changes"
+	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
+	for za0002 := range z.Changes {
+		// map header, size 3
+		// string "replica"
+		o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.Changes[za0002].Replica)
+		// string "stage"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+		o = msgp.AppendString(o, z.Changes[za0002].Stage)
+		// string "fence"
+		o = append(o, 0xa5, 0x66, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Changes[za0002].Fence)
+	}
 	return
 }
 
@@ -1353,6 +1864,68 @@
 					return
 				}
 			}
+		case "changes":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Changes) >= int(zb0004) {
+				z.Changes = (z.Changes)[:zb0004]
+			} else {
+				z.Changes = make([]StageChange, zb0004)
+			}
+			for za0002 := range z.Changes {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Changes", za0002)
+					return
+				}
+				if zb0005 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Changes", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.Changes[za0002].Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Changes", za0002, "Replica")
+							return
+						}
+					case "stage":
+						z.Changes[za0002].Stage, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Changes", za0002, "Stage")
+							return
+						}
+					case "fence":
+						z.Changes[za0002].Fence, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Changes", za0002, "Fence")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Changes", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1371,6 +1944,10 @@
 	for za0001 := range z.Replicas {
 		s += z.Replicas[za0001].Msgsize()
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Changes {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Changes[za0002].Replica) + 6 + msgp.StringPrefixSize + len(z.Changes[za0002].Stage) + 6 + msgp.Uint64Size
+	}
 	return
 }
 
@@ -1614,9 +2191,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "gateway"
-	o = append(o, 0x86, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = append(o, 0x87, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
 	o = msgp.AppendString(o, z.Gateway)
 	// string "address"
 	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
@@ -1630,6 +2207,21 @@
 	// string "list_revision"
 	o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.ListRevision)
+	// string "demand"
+	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+	for za0001 := range z.Demand {
+		// map header, size 3
+		// string "service"
+		o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Demand[za0001].Service)
+		// string "generating"
+		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Demand[za0001].Generating)
+		// string "reading"
+		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Demand[za0001].Reading)
+	}
 	// string "wait"
 	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
 	o = msgp.AppendInt(o, z.WaitMillis)
@@ -1688,6 +2280,68 @@
 				err = msgp.WrapError(err, "ListRevision")
 				return
 			}
+		case "demand":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Demand) >= int(zb0002) {
+				z.Demand = (z.Demand)[:zb0002]
+			} else {
+				z.Demand = make([]ServiceDemand, zb0002)
+			}
+			for za0001 := range z.Demand {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Demand", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Demand", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "service":
+						z.Demand[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0001, "Service")
+							return
+						}
+					case "generating":
+						z.Demand[za0001].Generating, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0001, "Generating")
+							return
+						}
+					case "reading":
+						z.Demand[za0001].Reading, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0001, "Reading")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Demand", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "wait":
 			z.WaitMillis, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1708,6 +2362,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ViewRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 5 + msgp.IntSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Demand {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Demand[za0001].Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+	}
+	s += 5 + msgp.IntSize
 	return
 }
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -151,6 +151,7 @@
 		Gateway:    k.settings.Name,
 		Address:    k.settings.PeerListen,
 		PeersHash:  k.peers.known(),
+		Demand:     k.directory.Demand(),
 		WaitMillis: int(viewWait.Milliseconds()),
 	}
 	if table := k.Table(); table != nil {
--- /dev/null
+++ b/internal/relay/demand.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+// Demand tells what this gateway sees of each service with model replicas.
+func (d *Directory) Demand() []region.ServiceDemand {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	var demand []region.ServiceDemand
+	for service, replicas := range d.services {
+		each := region.ServiceDemand{Service: service, Reading: d.readBusy(service, now)}
+		staged := false
+		for _, replica := range replicas {
+			if replica.Stage == "" {
+				continue
+			}
+			staged = true
+			if replica.Stage != region.StagePrefill {
+				each.Generating += float64(replica.inFlight)
+			}
+		}
+		if staged {
+			demand = append(demand, each)
+		}
+	}
+	return demand
+}
+
+// readMeter smooths the rate of prompt tokens that had to be read.
+type readMeter struct {
+	rate float64
+	at   time.Duration
+}
+
+// readMemory is the time constant of a readMeter.
+const readMemory = 2 * time.Second
+
+func (m *readMeter) add(now time.Duration, tokens int) {
+	m.fade(now)
+	m.rate += float64(tokens) / readMemory.Seconds()
+}
+
+func (m *readMeter) fade(now time.Duration) {
+	m.rate *= max(0, 1-(now-m.at).Seconds()/readMemory.Seconds())
+	m.at = now
+}
+
+// readBusy is the number of replicas that the prompts to be read keep busy. It is
+// called with the mutex held.
+func (d *Directory) readBusy(service string, now time.Duration) float64 {
+	meter, found := d.reads[service]
+	if !found {
+		return 0
+	}
+	meter.fade(now)
+	return meter.rate / d.paces[service].tokensPerSecond()
+}
+
+// noteRead is called with the mutex held.
+func (d *Directory) noteRead(service string, tokens int) {
+	meter, found := d.reads[service]
+	if !found {
+		meter = &readMeter{}
+		d.reads[service] = meter
+	}
+	meter.add(d.clock(), tokens)
+}
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -16,6 +16,7 @@
 	replicas  map[string]*Replica
 	services  map[string][]*Replica
 	paces     map[string]*paceMeter
+	reads     map[string]*readMeter
 	onDropped func(address, instance string)
 }
 
@@ -28,6 +29,7 @@
 		replicas:  map[string]*Replica{},
 		services:  map[string][]*Replica{},
 		paces:     map[string]*paceMeter{},
+		reads:     map[string]*readMeter{},
 		onDropped: onDropped,
 	}
 }
@@ -89,6 +91,9 @@
 func (d *Directory) lease(replica *Replica, tokens int) *Lease {
 	replica.inFlight++
 	replica.readingTokens += tokens
+	if tokens > 0 {
+		d.noteRead(replica.Service, tokens)
+	}
 	return &Lease{Replica: replica, directory: d, begun: d.clock(), tokens: tokens}
 }
 
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -169,7 +169,7 @@
 // PickGenerator leases a replica that generates, near a zone.
 func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
 	rating := loadScore{zone: zone, distance: 0.05}
-	passes := func(r *Replica) bool { return r.Stage != region.StagePrefill }
+	passes := func(r *Replica) bool { return r.Stage == region.StageDecode || r.Stage == "" }
 	return d.pick(service, excluded, passes, rating, noTokens)
 }
 
--- /dev/null
+++ b/internal/stageplan/plan.go
@@ -0,0 +1,163 @@
+// Package stageplan decides how many replicas of a service read prompts and how
+// many generate answers. It is a pure state machine: Step takes what is known and
+// returns at most one change, and never acts itself.
+//
+// Reading is given all replicas that generating does not need: a prompt that
+// waits delays its first token, whereas a batch that is a little fuller hardly
+// slows its members down (Zhong et al., DistServe, OSDI 2024, section 2). Until
+// demand has been seen, a fixed share generates, since empty caches make reading
+// dearest at the start.
+package stageplan
+
+import (
+	"math"
+	"time"
+)
+
+// Replica is a replica as the planner sees it.
+type Replica struct {
+	ID string
+	// Generates is false for replicas that read prompts.
+	Generates bool
+	Slots     int
+	// Changing replicas are on their way to the other stage; Generates is what
+	// they will be.
+	Changing bool
+}
+
+// Input is what Step decides on.
+type Input struct {
+	Replicas []Replica
+	// Generating is the number of answers that are being generated.
+	Generating float64
+	// Reading is the number of replicas that the prompts to be read keep busy.
+	Reading float64
+	// Known is false while the demand has not been told.
+	Known bool
+}
+
+// Change moves one replica to the other stage.
+type Change struct {
+	ReplicaID string
+	Generates bool
+	Reason    string
+}
+
+const (
+	// initialGeneratingShare generates until demand is known.
+	initialGeneratingShare = 0.3
+	// minimumGeneratingShare generates whatever the demand is.
+	minimumGeneratingShare = 0.22
+	// targetOccupancy is the wanted share of slots in use at generating replicas,
+	// and fullOccupancy that from which on another one is needed.
+	targetOccupancy = 0.3
+	fullOccupancy   = 0.5
+	// busyReading is the utilisation of readers from which on another one is
+	// worth a change.
+	busyReading = 0.45
+	// minimumReplicas of each stage are kept if there are as many.
+	minimumReplicas = 2
+	// settleTime is the least time between a change towards one stage and one
+	// towards the other.
+	settleTime = 6 * time.Second
+	// maximumAwayShare bounds the replicas that change at the same time.
+	maximumAwayShare = 0.2
+	// peakMemory is how fast the remembered peak of the demand fades.
+	peakMemory = 5 * time.Second
+)
+
+// Planner plans for one service.
+type Planner struct {
+	peak       float64
+	reading    float64
+	at         time.Duration
+	lastChange time.Duration
+	lastWay    bool
+	changed    bool
+}
+
+// Step takes the input in and returns the next change, or nil.
+func (p *Planner) Step(now time.Duration, input Input) *Change {
+	p.observe(now, input)
+	generating, away := count(input.Replicas)
+	total := len(input.Replicas)
+	if total < minimumReplicas || away >= max(1, int(maximumAwayShare*float64(total))) {
+		return nil
+	}
+	wanted := p.wanted(input, generating)
+	switch {
+	case wanted > generating:
+		return p.change(now, input.Replicas, true, "generating replicas are short")
+	case wanted < generating:
+		return p.change(now, input.Replicas, false, "more replicas can read prompts")
+	}
+	return nil
+}
+
+// observe keeps the peaks of the demand, which fade.
+func (p *Planner) observe(now time.Duration, input Input) {
+	fade := math.Exp(-(now - p.at).Seconds() / peakMemory.Seconds())
+	p.at = now
+	p.peak = max(input.Generating, p.peak*fade)
+	p.reading = max(input.Reading, p.reading*fade)
+}
+
+// wanted is the number of replicas that should generate.
+func (p *Planner) wanted(input Input, generating int) int {
+	total := len(input.Replicas)
+	least := min(minimumReplicas, total-1)
+	most := max(total-minimumReplicas, least)
+	if !input.Known {
+		return min(max(int(math.Ceil(initialGeneratingShare*float64(total))), least), most)
+	}
+	slots := float64(slotsOf(input.Replicas))
+	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
+	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), floor), most)
+	if generating < needed {
+		return needed
+	}
+	comfortable := min(max(int(math.Ceil(p.peak/(slots*targetOccupancy))), floor), most)
+	readers := total - generating
+	if generating > comfortable && p.reading > busyReading*float64(readers) {
+		return comfortable
+	}
+	return generating
+}
+
+// change chooses the replica for a change, unless the last one went the other way
+// a short time ago.
+func (p *Planner) change(now time.Duration, replicas []Replica, generates bool, reason string) *Change {
+	if p.changed && p.lastWay != generates && now-p.lastChange < settleTime {
+		return nil
+	}
+	for _, replica := range replicas {
+		if replica.Generates == generates || replica.Changing {
+			continue
+		}
+		p.changed = true
+		p.lastWay = generates
+		p.lastChange = now
+		return &Change{ReplicaID: replica.ID, Generates: generates, Reason: reason}
+	}
+	return nil
+}
+
+func count(replicas []Replica) (generating, away int) {
+	for _, replica := range replicas {
+		if replica.Generates {
+			generating++
+		}
+		if replica.Changing {
+			away++
+		}
+	}
+	return generating, away
+}
+
+func slotsOf(replicas []Replica) int {
+	slots := 1
+	for _, replica := range replicas {
+		slots = max(slots, replica.Slots)
+	}
+	return slots
+}
