Fetch shared prefixes from replicas that keep them; tell peers of placed prompts

Change: gateways tell each other outstanding tokens and placed prompts; a replica model of kept parts by capacity; Kv-Fetch from the replica that keeps most.

--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -2,6 +2,7 @@
 
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
+//msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart
 
 // Paths of the calls between coordinators and of gateways to them.
 const (
@@ -195,6 +196,23 @@
 	Life     int64             `msg:"life"`
 	Sequence uint64            `msg:"sequence"`
 	Replicas []OutstandingWork `msg:"replicas"`
+	// Prompts are those that the gateway has lately sent to be read; some were
+	// told before.
+	Prompts []PlacedPrompt `msg:"prompts"`
+}
+
+// PlacedPrompt is a prompt that a replica reads and keeps.
+type PlacedPrompt struct {
+	// Sequence grows with each prompt that the gateway places.
+	Sequence uint64       `msg:"sequence"`
+	Replica  string       `msg:"replica"`
+	Parts    []PlacedPart `msg:"parts"`
+}
+
+// PlacedPart is a part of a prompt.
+type PlacedPart struct {
+	ID     string `msg:"id"`
+	Tokens int    `msg:"tokens"`
 }
 
 // OutstandingWork is a gateway's work at one replica.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -840,142 +840,119 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "gateway"
-	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Gateway)
-	// string "life"
-	o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
 	o = msgp.AppendInt64(o, z.Life)
-	// string "sequence"
-	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
-	// string "replicas"
-	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
-		// map header, size 3
-		// string "replica"
-		o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendString(o, z.Replicas[za0001].Replica)
-		// string "requests"
-		o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
 		o = msgp.AppendInt(o, z.Replicas[za0001].Requests)
-		// string "tokens"
-		o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 		o = msgp.AppendInt(o, z.Replicas[za0001].Tokens)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
+	for za0002 := range z.Prompts {
+		o, err = z.Prompts[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Prompts", za0002)
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Outstanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Gateway")
+		return
+	}
+	z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replicas")
+		return
+	}
+	if zb0002 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if cap(z.Replicas) >= int(zb0002) {
+		z.Replicas = (z.Replicas)[:zb0002]
+	} else {
+		z.Replicas = make([]OutstandingWork, zb0002)
+	}
+	for za0001 := range z.Replicas {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Replicas", za0001)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "gateway":
-			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gateway")
-				return
-			}
-		case "life":
-			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Life")
-				return
-			}
-		case "sequence":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "replicas":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replicas")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Replicas) >= int(zb0002) {
-				z.Replicas = (z.Replicas)[:zb0002]
-			} else {
-				z.Replicas = make([]OutstandingWork, zb0002)
-			}
-			for za0001 := range z.Replicas {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0001)
-					return
-				}
-				if zb0003 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Replicas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "replica":
-						z.Replicas[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Replica")
-							return
-						}
-					case "requests":
-						z.Replicas[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Requests")
-							return
-						}
-					case "tokens":
-						z.Replicas[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Tokens")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Replicas[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+			return
+		}
+		z.Replicas[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001, "Requests")
+			return
+		}
+		z.Replicas[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001, "Tokens")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prompts")
+		return
+	}
+	if zb0004 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prompts) >= int(zb0004) {
+		z.Prompts = (z.Prompts)[:zb0004]
+	} else {
+		z.Prompts = make([]PlacedPrompt, zb0004)
+	}
+	for za0002 := range z.Prompts {
+		bts, err = z.Prompts[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Prompts", za0002)
+			return
 		}
 	}
 	o = bts
@@ -984,9 +961,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outstanding) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.Int64Size + 9 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Gateway) + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Replicas[za0001].Replica) + 9 + msgp.IntSize + 7 + msgp.IntSize
+		s += 1 + msgp.StringPrefixSize + len(z.Replicas[za0001].Replica) + msgp.IntSize + msgp.IntSize
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Prompts {
+		s += z.Prompts[za0002].Msgsize()
 	}
 	return
 }
@@ -994,65 +975,167 @@
 // MarshalMsg implements msgp.Marshaler
 func (z OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "replica"
-	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Replica)
-	// string "requests"
-	o = append(o, 0xa8, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74, 0x73)
 	o = msgp.AppendInt(o, z.Requests)
-	// string "tokens"
-	o = append(o, 0xa6, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
 	o = msgp.AppendInt(o, z.Tokens)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *OutstandingWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Replica, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	z.Requests, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OutstandingWork) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PlacedPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PlacedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PlacedPart) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PlacedPrompt) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendString(o, z.Replica)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Parts[za0001].ID)
+		o = msgp.AppendInt(o, z.Parts[za0001].Tokens)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PlacedPrompt) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.Replica, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0002 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]PlacedPart, zb0002)
+	}
+	for za0001 := range z.Parts {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Parts", za0001)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "replica":
-			z.Replica, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		case "requests":
-			z.Requests, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Requests")
-				return
-			}
-		case "tokens":
-			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Parts[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "ID")
+			return
+		}
+		z.Parts[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+			return
 		}
 	}
 	o = bts
@@ -1060,8 +1143,11 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z OutstandingWork) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 9 + msgp.IntSize + 7 + msgp.IntSize
+func (z *PlacedPrompt) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Replica) + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].ID) + msgp.IntSize
+	}
 	return
 }
 
--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -42,16 +42,17 @@
 	return &Budgets{clock: clock, terms: terms, gateways: max(gateways, 1), services: map[string]*retry.Budget{}}
 }
 
-// SetGateways says how many gateways share the slack. Budgets begin anew, empty,
-// when more gateways share it than before.
+// SetGateways says how many gateways share the slack; 0 leaves it as it is.
 func (b *Budgets) SetGateways(gateways int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if gateways <= b.gateways {
+	if gateways == 0 || gateways == b.gateways {
 		return
 	}
 	b.gateways = gateways
-	b.services = map[string]*retry.Budget{}
+	for _, budget := range b.services {
+		budget.SetOptions(b.options())
+	}
 }
 
 // Request counts a request for a service.
@@ -72,13 +73,18 @@
 func (b *Budgets) of(service string) *retry.Budget {
 	budget, found := b.services[service]
 	if !found {
-		share := caution * b.terms.Slack / float64(b.gateways)
-		budget = retry.NewBudget(retry.BudgetOptions{
-			Ratio:            caution * b.terms.Ratio,
-			MinimumPerSecond: (1 - savedShare) * share / b.terms.Window.Seconds(),
-			Maximum:          max(savedShare*share, 1),
-		})
+		budget = retry.NewBudget(b.options())
 		b.services[service] = budget
 	}
 	return budget
 }
+
+// options are those of each service's budget.
+func (b *Budgets) options() retry.BudgetOptions {
+	share := caution * b.terms.Slack / float64(b.gateways)
+	return retry.BudgetOptions{
+		Ratio:            caution * b.terms.Ratio,
+		MinimumPerSecond: (1 - savedShare) * share / b.terms.Window.Seconds(),
+		Maximum:          max(savedShare*share, 1),
+	}
+}
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -34,6 +34,8 @@
 type heardPeer struct {
 	life     int64
 	sequence uint64
+	// prompt is the sequence of the last prompt that it placed.
+	prompt uint64
 }
 
 const (
@@ -42,12 +44,14 @@
 	// refreshInterval is the time after which unchanged work is told again.
 	refreshInterval = 500 * time.Millisecond
 	// requestsInterval is the least time between messages that tell only of
-	// other numbers of requests.
-	requestsInterval = 100 * time.Millisecond
+	// small changes.
+	requestsInterval = 200 * time.Millisecond
+	// urgentTokens is the change of the tokens at a replica that is told at once.
+	urgentTokens = 1000
 	// bytesPerSecond bounds what is sent to all peers, and burstBytes what may be
 	// saved up of it.
-	bytesPerSecond = 8 << 10
-	burstBytes     = 16 << 10
+	bytesPerSecond = 32 << 10
+	burstBytes     = 32 << 10
 	// maximumPeers bounds the peers that are told: each gateway tells those that
 	// follow it in the sorted list.
 	maximumPeers     = 24
@@ -128,6 +132,7 @@
 		}
 		if p.isNewer(&message) {
 			p.directory.TakeOutstanding(message.Gateway, message.Replicas)
+			p.directory.TakePlaced(p.newPrompts(&message))
 		}
 	}
 }
@@ -140,10 +145,27 @@
 	if message.Life < last.life || message.Life == last.life && message.Sequence <= last.sequence {
 		return false
 	}
-	p.heard[message.Gateway] = heardPeer{life: message.Life, sequence: message.Sequence}
+	prompt := last.prompt
+	if message.Life != last.life {
+		prompt = 0
+	}
+	p.heard[message.Gateway] = heardPeer{life: message.Life, sequence: message.Sequence, prompt: prompt}
 	return true
 }
 
+// newPrompts returns the prompts of a message that were not told before.
+func (p *peers) newPrompts(message *region.Outstanding) []region.PlacedPrompt {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	heard := p.heard[message.Gateway]
+	fresh := slices.DeleteFunc(message.Prompts, func(each region.PlacedPrompt) bool { return each.Sequence <= heard.prompt })
+	if len(fresh) > 0 {
+		heard.prompt = fresh[len(fresh)-1].Sequence
+		p.heard[message.Gateway] = heard
+	}
+	return fresh
+}
+
 // tell sends this gateway's work whenever it has changed, within the allowance.
 func (p *peers) tell(ctx context.Context, socket *net.UDPConn) {
 	ticker := time.NewTicker(tellPoll)
@@ -168,6 +190,11 @@
 	toldAt    time.Time
 	allowance float64
 	told      map[string]region.OutstandingWork
+	// prompts and promptsBefore are the last placements told with the last
+	// message and with the one before it: each is told twice, for one datagram
+	// may be lost.
+	prompts       uint64
+	promptsBefore uint64
 }
 
 func (t *teller) step(now time.Time) {
@@ -189,13 +216,13 @@
 	changed := len(work) != len(t.told)
 	for _, each := range work {
 		before, known := t.told[each.Replica]
-		if !known && each.Tokens > 0 || before.Tokens != each.Tokens {
+		if known && before.Tokens-each.Tokens > urgentTokens || each.Tokens-before.Tokens > urgentTokens {
 			return true
 		}
 		changed = changed || before != each
 	}
 	for _, before := range t.told {
-		if before.Tokens > 0 && !slices.ContainsFunc(work, func(each region.OutstandingWork) bool {
+		if before.Tokens > urgentTokens && !slices.ContainsFunc(work, func(each region.OutstandingWork) bool {
 			return each.Replica == before.Replica
 		}) {
 			return true
@@ -206,7 +233,18 @@
 
 func (t *teller) send(now time.Time, work []region.OutstandingWork) {
 	t.sequence++
-	message := &region.Outstanding{Gateway: t.peers.name, Life: t.peers.life, Sequence: t.sequence, Replicas: work}
+	prompts := t.peers.directory.Placed(t.promptsBefore)
+	t.promptsBefore = t.prompts
+	if len(prompts) > 0 {
+		t.prompts = prompts[len(prompts)-1].Sequence
+	}
+	message := &region.Outstanding{
+		Gateway:  t.peers.name,
+		Life:     t.peers.life,
+		Sequence: t.sequence,
+		Replicas: work,
+		Prompts:  prompts,
+	}
 	encoded, err := message.MarshalMsg(nil)
 	if err != nil || len(encoded) > maximumDatagram {
 		return
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -213,6 +213,11 @@
 	if before != nil && before.Configuration.Version >= configuration.Version {
 		return nil
 	}
+	for _, service := range configuration.Services {
+		if service.Engine != nil {
+			k.directory.SetCapacity(service.Name, service.Engine.CacheTokens)
+		}
+	}
 	k.table.Store(traffic.NewTable(configuration, before))
 	k.logger.Info("configuration applied", "version", configuration.Version, "routes", len(configuration.Routes),
 		"age_ms", view.AgeMillis)
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -66,6 +66,9 @@
 	// Source is the address and the handle of the replica that has read the
 	// prompt; empty if there is none.
 	Source string
+	// Fetch is the address of a replica that keeps the prompt's beginning; empty
+	// to have all of it read.
+	Fetch string
 	// LastEvent is the event after which a stream continues.
 	LastEvent string
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -10,27 +10,32 @@
 // Directory holds the replicas of all services, as the list names them, with
 // what this gateway has seen of each. It may be used concurrently.
 type Directory struct {
-	mutex     sync.Mutex
-	clock     func() time.Duration
-	zone      string
-	replicas  map[string]*Replica
-	services  map[string][]*Replica
-	paces     map[string]*paceMeter
-	reads     map[string]*readMeter
-	onDropped func(address, instance string)
+	mutex    sync.Mutex
+	clock    func() time.Duration
+	zone     string
+	replicas map[string]*Replica
+	services map[string][]*Replica
+	paces    map[string]*paceMeter
+	reads    map[string]*readMeter
+	// capacities are the tokens that a replica of a service keeps.
+	capacities map[string]int
+	placed     placements
+	onDropped  func(address, instance string)
 }
 
 // NewDirectory returns an empty directory. onDropped is told of each incarnation
 // that is gone from the list.
 func NewDirectory(clock func() time.Duration, zone string, onDropped func(address, instance string)) *Directory {
 	return &Directory{
-		clock:     clock,
-		zone:      zone,
-		replicas:  map[string]*Replica{},
-		services:  map[string][]*Replica{},
-		paces:     map[string]*paceMeter{},
-		reads:     map[string]*readMeter{},
-		onDropped: onDropped,
+		clock:    clock,
+		zone:     zone,
+		replicas: map[string]*Replica{},
+		services: map[string][]*Replica{},
+		paces:    map[string]*paceMeter{},
+		reads:    map[string]*readMeter{},
+
+		capacities: map[string]int{},
+		onDropped:  onDropped,
 	}
 }
 
@@ -83,18 +88,38 @@
 	Replica   *Replica
 	directory *Directory
 	begun     time.Duration
-	tokens    int
-	released  bool
+	// tokens of the prompt that the replica has yet to read, and the backlog that
+	// it had before them.
+	tokens   int
+	backlog  float64
+	released bool
 }
 
-// lease is called with the mutex held.
-func (d *Directory) lease(replica *Replica, tokens int) *Lease {
-	replica.inFlight++
-	replica.readingTokens += tokens
-	if tokens > 0 {
+// SetCapacity says how many tokens a replica of a service keeps.
+func (d *Directory) SetCapacity(service string, tokens int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.capacities[service] = tokens
+}
+
+// lease is called with the mutex held. With a prompt, the replica is to read it.
+func (d *Directory) lease(replica *Replica, prompt *Prompt) *Lease {
+	tokens := 0
+	backlog := 0.0
+	if prompt != nil {
+		backlog = replica.allTokens(d.clock())
+		now := d.clock()
+		tokens = replica.prefixes.missing(prompt)
+		if _, saved := d.fetchSource(replica, prompt, now); saved > 0 {
+			tokens = max(tokens-saved, 0) + fetchTokens
+		}
 		d.noteRead(replica.Service, tokens)
+		replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], now+readingTime)
+		d.placed.add(replica.ID, prompt)
 	}
-	return &Lease{Replica: replica, directory: d, begun: d.clock(), tokens: tokens}
+	replica.inFlight++
+	replica.readingTokens += tokens
+	return &Lease{Replica: replica, directory: d, begun: d.clock(), tokens: tokens, backlog: backlog}
 }
 
 // Release gives the place back. It may be called more than once.
@@ -109,15 +134,21 @@
 	l.readDone()
 }
 
-// PromptRead notes that the prompt has been read and is kept by the replica.
-func (l *Lease) PromptRead(prompt *Prompt) {
+// PromptRead notes that the prompt has been read.
+func (l *Lease) PromptRead() {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	if l.Replica.Stage == region.StagePrefill {
 		l.directory.paceOf(l.Replica.Service).observe(l.tokens, l.directory.clock()-l.begun)
 	}
 	l.readDone()
-	l.Replica.prefixes.learn(prompt)
+}
+
+// PromptKept notes that the replica now keeps a prompt.
+func (l *Lease) PromptKept(prompt *Prompt) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.Replica.prefixes.learn(prompt.Parts, l.directory.capacities[l.Replica.Service], l.directory.clock())
 }
 
 func (l *Lease) readDone() {
--- /dev/null
+++ b/internal/relay/fetch.go
@@ -0,0 +1,60 @@
+package relay
+
+import "time"
+
+const (
+	// readingTime is after how long a prompt that was placed at a replica is
+	// taken to have been read there, if nothing is known of it.
+	readingTime = 1200 * time.Millisecond
+	// fetchTokens is what fetching a prefix from another replica costs, in
+	// tokens, however long it is: the network is much faster than reading.
+	fetchTokens = 900
+	// leastFetched is the least gain, in tokens, that is worth a fetch.
+	leastFetched = 1500
+)
+
+// fetchSource returns the replica from which another should fetch the beginning
+// of a prompt before it reads the rest, and the tokens that this saves; nil if
+// none keeps enough more of it. One of the same zone is preferred. It is called
+// with the mutex held.
+func (d *Directory) fetchSource(target *Replica, prompt *Prompt, now time.Duration) (source *Replica, saved int) {
+	own := target.prefixes.kept(prompt, now)
+	for _, replica := range d.services[target.Service] {
+		if replica == target || replica.gone || now < replica.avoidUntil {
+			continue
+		}
+		gain := replica.prefixes.kept(prompt, now) - own
+		if gain < leastFetched || gain < saved {
+			continue
+		}
+		if gain == saved && source != nil && (source.Zone == target.Zone || replica.Zone != target.Zone) {
+			continue
+		}
+		source, saved = replica, gain
+	}
+	return source, saved
+}
+
+// mostKept returns the most tokens of a prompt's beginning that a replica of a
+// service has ready. It is called with the mutex held.
+func (d *Directory) mostKept(service string, prompt *Prompt, now time.Duration) int {
+	most := 0
+	for _, replica := range d.services[service] {
+		if !replica.gone && now >= replica.avoidUntil {
+			most = max(most, replica.prefixes.kept(prompt, now))
+		}
+	}
+	return most
+}
+
+// FetchFrom returns the address from which the leased replica should fetch the
+// beginning of a prompt, empty if it should read all itself.
+func (l *Lease) FetchFrom(prompt *Prompt) string {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	source, _ := l.directory.fetchSource(l.Replica, prompt, l.directory.clock())
+	if source == nil {
+		return ""
+	}
+	return source.Address
+}
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -44,6 +44,65 @@
 	}
 }
 
+// placements are the prompts that this gateway has lately had read.
+type placements struct {
+	recent   []region.PlacedPrompt
+	sequence uint64
+}
+
+const (
+	// toldPlacements is how many placements are told at most with one message.
+	toldPlacements = 12
+	// leastPlaced is the size of a prompt, in tokens, from which on its placing is
+	// worth telling.
+	leastPlaced = directTokens
+)
+
+func (p *placements) add(replica string, prompt *Prompt) {
+	if prompt.Tokens <= leastPlaced {
+		return
+	}
+	p.sequence++
+	placed := region.PlacedPrompt{Sequence: p.sequence, Replica: replica}
+	for _, part := range prompt.Parts {
+		placed.Parts = append(placed.Parts, region.PlacedPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	p.recent = append(p.recent, placed)
+	if len(p.recent) > toldPlacements {
+		p.recent = p.recent[len(p.recent)-toldPlacements:]
+	}
+}
+
+// Placed returns the prompts placed after a sequence number, as far as they are
+// still known.
+func (d *Directory) Placed(after uint64) []region.PlacedPrompt {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for index, placed := range d.placed.recent {
+		if placed.Sequence > after {
+			return slices.Clone(d.placed.recent[index:])
+		}
+	}
+	return nil
+}
+
+// TakePlaced notes the prompts that a peer has placed.
+func (d *Directory) TakePlaced(prompts []region.PlacedPrompt) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, placed := range prompts {
+		replica, known := d.replicas[placed.Replica]
+		if !known {
+			continue
+		}
+		parts := make([]PromptPart, 0, len(placed.Parts))
+		for _, part := range placed.Parts {
+			parts = append(parts, PromptPart{ID: part.ID, Tokens: part.Tokens})
+		}
+		replica.prefixes.learn(parts, d.capacities[replica.Service], d.clock()+readingTime)
+	}
+}
+
 // paceMeter learns how fast a service's replicas read prompts, in tokens a
 // second, from prompts that were read with nothing before them. It is guarded by
 // the Directory's mutex.
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,7 +18,7 @@
 
 // pick returns a lease on the best replica of a service that passes a filter, or
 // nil. Replicas in excluded get nothing; avoided ones only if there is no other.
-func (d *Directory) pick(service string, excluded []*Replica, passes func(*Replica) bool, rating scorer, tokens func(*Replica) int) *Lease {
+func (d *Directory) pick(service string, excluded []*Replica, passes func(*Replica) bool, rating scorer, toRead *Prompt) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
@@ -28,7 +29,7 @@
 	if best == nil {
 		return nil
 	}
-	return d.lease(best, tokens(best))
+	return d.lease(best, toRead)
 }
 
 func (d *Directory) best(service string, excluded []*Replica, rating scorer, now time.Duration, passes func(*Replica) bool) *Replica {
@@ -81,19 +82,26 @@
 	prompt *Prompt
 	home   *Replica
 	zone   string
-	// pace of reading, in tokens a second.
-	pace float64
+	// mostKept are the tokens that a replica may fetch from another.
+	mostKept int
 }
 
+// homeBonus, in tokens, is what makes a prompt whose prefix no replica keeps go
+// to the same replica from all gateways.
+const homeBonus = 1000
+
 // crossZoneTokens is what a move of the memory between zones costs, in tokens.
 const crossZoneTokens = 200
 
 func (s readScore) score(replica *Replica, now time.Duration) float64 {
 	own := replica.prefixes.missing(s.prompt)
-	if replica == s.home {
-		own = min(own, s.prompt.ownTokens())
+	if fetched := s.prompt.Tokens - s.mostKept; own > fetched+leastFetched {
+		own = fetched + fetchTokens
+	}
+	if replica == s.home && own > s.prompt.ownTokens() {
+		own -= homeBonus
 	}
-	score := float64(own) + replica.allTokens(now, s.pace) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
+	score := float64(own) + replica.allTokens(now) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
 	if replica.Zone != s.zone {
 		score += crossZoneTokens
 	}
@@ -152,7 +160,7 @@
 // PickAny leases a replica for a request that is not for model engines.
 func (d *Directory) PickAny(service string, excluded []*Replica) *Lease {
 	rating := loadScore{zone: d.zone, distance: 0.2, typicalLatency: d.typicalLatency(service)}
-	return d.pick(service, excluded, anyReplica, rating, noTokens)
+	return d.pick(service, excluded, anyReplica, rating, nil)
 }
 
 // PickReader leases a replica that reads prompts for others, or returns nil.
@@ -161,16 +169,17 @@
 		prompt: prompt,
 		home:   d.home(service, region.StagePrefill, prompt),
 		zone:   d.zone,
-		pace:   d.pace(service),
+
+		mostKept: d.mostKeptNow(service, prompt),
 	}
-	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, func(r *Replica) int { return r.prefixes.missing(prompt) })
+	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, prompt)
 }
 
 // PickGenerator leases a replica that generates, near a zone.
 func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
 	rating := loadScore{zone: zone, distance: 0.05}
 	passes := func(r *Replica) bool { return r.Stage == region.StageDecode || r.Stage == "" }
-	return d.pick(service, excluded, passes, rating, noTokens)
+	return d.pick(service, excluded, passes, rating, nil)
 }
 
 func anyReplica(*Replica) bool { return true }
@@ -179,11 +188,42 @@
 	return func(replica *Replica) bool { return replica.Stage == stage }
 }
 
-func noTokens(*Replica) int { return 0 }
-
 // pace returns how fast a service's replicas read prompts, in tokens a second.
 func (d *Directory) pace(service string) float64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.paces[service].tokensPerSecond()
 }
+
+// readingOutlook is what decides where a prompt is read.
+type readingOutlook struct {
+	// missing are the prompt's tokens that the generating replica does not keep.
+	missing int
+	// backlog is the smallest of the readers', in tokens.
+	backlog float64
+	// pace of the readers, in tokens a second.
+	pace float64
+}
+
+func (d *Directory) readingOutlook(generator *Replica, prompt *Prompt) readingOutlook {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	outlook := readingOutlook{
+		missing: generator.prefixes.missing(prompt),
+		backlog: math.Inf(1),
+		pace:    d.paces[generator.Service].tokensPerSecond(),
+	}
+	for _, replica := range d.services[generator.Service] {
+		if replica.Stage == region.StagePrefill && !replica.Draining && !replica.gone && !replica.avoided(now) {
+			outlook.backlog = min(outlook.backlog, replica.allTokens(now))
+		}
+	}
+	return outlook
+}
+
+func (d *Directory) mostKeptNow(service string, prompt *Prompt) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.mostKept(service, prompt, d.clock())
+}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -15,10 +15,18 @@
 	// generated: it fits into one or two of the pieces in which a generating
 	// replica reads, so that the streams there are hardly held up.
 	directTokens = 1024
+	// trivialTokens are read in less time than they are moved.
+	trivialTokens = 96
+	// freeBacklog is the backlog, in tokens, up to which a reader counts as free.
+	freeBacklog = 2500
+	// A generating replica reads in pieces of directPieceTokens between its steps,
+	// each typicalStep long, at directPaceShare of a reader's pace.
+	directPieceTokens = 512
+	directPaceShare   = 0.5
+	typicalStep       = 6 * time.Millisecond
 	// slowestReading is the pace, in tokens a second, below which a reading
 	// replica is given up.
 	slowestReading = 8000
-	minimumReading = 300 * time.Millisecond
 	freeTimeout    = 500 * time.Millisecond
 )
 
@@ -32,15 +40,31 @@
 func (h *promptHandle) source() string { return h.replica.Address + "/" + h.id }
 
 // readsApart decides whether the prompt is read by another replica than the one
-// that generates: if so much of it is not kept there that reading it would hold
-// up the streams. A call is read apart once; what continues a stream is not.
+// that generates. Reading holds up the streams of a generating replica. A prompt
+// that is mostly kept there does not; a short one does little harm where streams
+// may pause for long, and is read there too while all readers are busy. A call is
+// read apart once, and what continues a stream is not.
 func (r *run) readsApart(generator *Replica) bool {
 	if r.call.Prompt == nil || generator.Stage != region.StageDecode || r.reads > 0 || r.stream != nil {
 		return false
 	}
-	r.directory.mutex.Lock()
-	defer r.directory.mutex.Unlock()
-	return generator.prefixes.missing(r.call.Prompt) > directTokens
+	outlook := r.directory.readingOutlook(generator, r.call.Prompt)
+	switch {
+	case outlook.missing <= trivialTokens:
+		return false
+	case outlook.missing > directTokens:
+		return true
+	default:
+		return outlook.backlog < freeBacklog && !r.directIsHarmless(outlook.pace)
+	}
+}
+
+// directIsHarmless reports whether streams stay within their pauses even while a
+// piece of a prompt is read in each step between their tokens.
+func (r *run) directIsHarmless(pace float64) bool {
+	piece := directPieceTokens / (directPaceShare * pace)
+	event := float64(max(r.call.Service.Engine.EventTokens, 1)) * (piece + typicalStep.Seconds())
+	return event <= r.call.Route.TargetGap.Seconds()
 }
 
 // readPrompt has the prompt read, and returns nil if it could not be.
@@ -51,20 +75,23 @@
 		return nil
 	}
 	defer lease.Release()
-	tokens := r.call.Prompt.Tokens + lease.Replica.readingTokens
-	bound := minimumReading + time.Duration(float64(tokens)/slowestReading*float64(time.Second))
+	missing := lease.tokens
+	tokens := r.call.Prompt.Tokens + missing
+	bound := r.call.Route.TargetLatency/2 + time.Duration(float64(tokens)/slowestReading*float64(time.Second))
 	bounded, cancel := context.WithTimeoutCause(ctx, bound, errSlowReading)
 	defer cancel()
 	handle, err := r.exchangePrompt(bounded, lease)
 	r.logger.V(1).Info("prompt read apart", "request", r.call.ID, "replica", lease.Replica.ID, "for", generator.ID,
-		"tokens", r.call.Prompt.Tokens, "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
+		"tokens", r.call.Prompt.Tokens, "missing", missing,
+		"backlog", int(lease.backlog), "pace", int(r.directory.pace(r.call.Service.Name)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
 	return handle
 }
 
 var errSlowReading = failure.New(failure.DeadlineExceeded, "the prompt was not read in time")
 
 func (r *run) exchangePrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
-	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true}))
+	fetch := lease.FetchFrom(r.call.Prompt)
+	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
 			lease.Unreachable()
@@ -87,7 +114,8 @@
 		return nil, err
 	}
 	lease.Answered(false, nil)
-	lease.PromptRead(r.call.Prompt)
+	lease.PromptRead()
+	lease.PromptKept(r.call.Prompt)
 	return &promptHandle{id: id, replica: lease.Replica}, nil
 }
 
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -50,16 +50,15 @@
 }
 
 // allTokens are the prompt tokens that the replica has yet to read for all
-// gateways. What others told of has shrunk since, at the replica's pace in tokens
-// a second.
-func (r *Replica) allTokens(now time.Duration, pace float64) float64 {
-	sum := float64(r.readingTokens)
+// gateways, as each last told.
+func (r *Replica) allTokens(now time.Duration) float64 {
+	sum := r.readingTokens
 	for _, work := range r.peers {
-		if age := now - work.at; age < peerMemory {
-			sum += max(float64(work.tokens)-pace*age.Seconds(), 0)
+		if now-work.at < peerMemory {
+			sum += work.tokens
 		}
 	}
-	return sum
+	return float64(sum)
 }
 
 const (
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,7 +37,7 @@
 			if first {
 				first = false
 				lease.Answered(false, marks.Load)
-				r.promptWasRead(lease)
+				r.noteKept(lease)
 			}
 			if err := r.forward(answer, whole, events.last); err != nil {
 				return verdictAnswered, nil
@@ -75,10 +75,10 @@
 	return r.stream.writer.Send(whole)
 }
 
-// promptWasRead notes that the replica now keeps the prompt.
-func (r *run) promptWasRead(lease *Lease) {
+// noteKept notes that the generating replica now keeps the prompt.
+func (r *run) noteKept(lease *Lease) {
 	if r.call.Prompt != nil {
-		lease.PromptRead(r.call.Prompt)
+		lease.PromptKept(r.call.Prompt)
 	}
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -33,6 +33,12 @@
 	return &Budget{options: options}
 }
 
+// SetOptions changes the settings; what was saved up is kept as far as it may be.
+func (b *Budget) SetOptions(options BudgetOptions) {
+	b.options = options
+	b.balance = min(b.balance, options.Maximum)
+}
+
 // Request counts a request, not an attempt, and earns its part of a retry.
 func (b *Budget) Request(now time.Duration) {
 	b.advance(now)
--- a/internal/traffic/configuration.go
+++ b/internal/traffic/configuration.go
@@ -76,6 +76,8 @@
 	// HandleLifetime is how long a replica keeps a prompt that was read for
 	// another.
 	HandleLifetime time.Duration
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 	// SwitchTime is how long a change of stage takes.
 	SwitchTime time.Duration
 }
