--- /dev/null
+++ b/internal/stageplan/plan_test.go
@@ -0,0 +1,128 @@
+package stageplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/stageplan"
+)
+
+// fleet has some replicas that read and some that generate.
+func fleet(reading, generating int) []stageplan.Replica {
+	var replicas []stageplan.Replica
+	for index := range reading + generating {
+		replicas = append(replicas, stageplan.Replica{
+			ID: fmt.Sprintf("r%d", index), Slots: 32, Generates: index >= reading,
+		})
+	}
+	return replicas
+}
+
+func count(replicas []stageplan.Replica) (generating int) {
+	for _, replica := range replicas {
+		if replica.Generates {
+			generating++
+		}
+	}
+	return generating
+}
+
+// settle steps until nothing changes for a while, with changes done at once.
+func settle(t *testing.T, planner *stageplan.Planner, from time.Duration, input stageplan.Input) (changes int, now time.Duration) {
+	t.Helper()
+	now = from
+	for quiet := 0; quiet < 40; quiet++ {
+		now += 300 * time.Millisecond
+		change := planner.Step(now, input)
+		if change == nil {
+			continue
+		}
+		quiet = 0
+		changes++
+		require.Less(t, changes, 100, "the planner does not settle")
+		for index := range input.Replicas {
+			if input.Replicas[index].ID == change.ReplicaID {
+				input.Replicas[index].Generates = change.Generates
+			}
+		}
+	}
+	return changes, now
+}
+
+func TestUntilDemandIsKnownAThirdGenerates(t *testing.T) {
+	input := stageplan.Input{Replicas: fleet(7, 11)}
+	changes, _ := settle(t, &stageplan.Planner{}, 0, input)
+	assert.Equal(t, 6, count(input.Replicas))
+	assert.Equal(t, 5, changes)
+}
+
+func TestDemandForGeneratingIsServedFirst(t *testing.T) {
+	input := stageplan.Input{Replicas: fleet(12, 6), Generating: 160, Reading: 9, Known: true}
+	settle(t, &stageplan.Planner{}, 0, input)
+	assert.Equal(t, 10, count(input.Replicas), "160 answers in batches half full")
+}
+
+func TestReadersAreAddedOnlyWhenTheyAreBusy(t *testing.T) {
+	idle := stageplan.Input{Replicas: fleet(4, 14), Generating: 20, Reading: 1, Known: true}
+	changes, _ := settle(t, &stageplan.Planner{}, 0, idle)
+	assert.Zero(t, changes)
+
+	busy := stageplan.Input{Replicas: fleet(4, 14), Generating: 20, Reading: 6, Known: true}
+	settle(t, &stageplan.Planner{}, 0, busy)
+	assert.Less(t, count(busy.Replicas), 14)
+	assert.GreaterOrEqual(t, count(busy.Replicas), 4, "a least share generates")
+}
+
+func TestADemandThatSwingsDoesNotChangeReplicasBackAndForth(t *testing.T) {
+	planner := &stageplan.Planner{}
+	replicas := fleet(9, 9)
+	changes := 0
+	for step := range 400 {
+		input := stageplan.Input{Replicas: replicas, Generating: 60, Reading: 2, Known: true}
+		if step/10%2 == 1 {
+			input.Generating, input.Reading = 20, 6
+		}
+		if change := planner.Step(time.Duration(step)*300*time.Millisecond, input); change != nil {
+			changes++
+			for index := range replicas {
+				if replicas[index].ID == change.ReplicaID {
+					replicas[index].Generates = change.Generates
+				}
+			}
+		}
+	}
+	assert.LessOrEqual(t, changes, 8)
+}
+
+func TestFewReplicasAreAwayAtTheSameTime(t *testing.T) {
+	replicas := fleet(7, 11)
+	planner := &stageplan.Planner{}
+	for step := range 10 {
+		change := planner.Step(time.Duration(step)*300*time.Millisecond, stageplan.Input{Replicas: replicas})
+		if change == nil {
+			continue
+		}
+		for index := range replicas {
+			if replicas[index].ID == change.ReplicaID {
+				replicas[index].Changing = true
+				replicas[index].Generates = change.Generates
+			}
+		}
+	}
+	away := 0
+	for _, replica := range replicas {
+		if replica.Changing {
+			away++
+		}
+	}
+	assert.Equal(t, 3, away)
+}
+
+func TestASingleReplicaIsNeverChanged(t *testing.T) {
+	changes, _ := settle(t, &stageplan.Planner{}, 0, stageplan.Input{Replicas: fleet(0, 1), Reading: 5, Known: true})
+	assert.Zero(t, changes)
+}
