Choose the generator after the prompt has been read; keep generating replicas while others come and go

Ruled out: the slow disk (orders were committed). Change: unreachable replicas are told and don't count, nothing stops generating within 5 s of replicas coming or going, a prompt is read before its generator is chosen.

--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +52,10 @@
 		if sums[index].Service == added.Service {
 			sums[index].Generating += added.Generating
 			sums[index].Reading += added.Reading
+			sums[index].Unreachable = append(sums[index].Unreachable, added.Unreachable...)
 			return sums
 		}
 	}
+	added.Unreachable = slices.Clone(added.Unreachable)
 	return append(sums, added)
 }
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -58,6 +60,12 @@
 	// leaseMargin is added to the time that orders of two holders must lie
 	// apart.
 	leaseMargin = 1200 * time.Millisecond
+	// restlessTime is how long after replicas have come or gone none stops
+	// generating.
+	restlessTime = 5 * time.Second
+	// unreachableReports is how many gateways have to find a replica unreachable
+	// before it does not count.
+	unreachableReports = 2
 	// demandSettle is how long demand must have been told before it is believed.
 	demandSettle = 3 * time.Second
 )
@@ -72,6 +80,10 @@
 	holds    map[string]time.Duration
 	// demandFrom is when demand was first told, by service.
 	demandFrom map[string]time.Duration
+	// moved is when replicas of a service last came, went or began to leave, and
+	// known are those that there were at the last step.
+	moved map[string]time.Duration
+	known map[string]string
 }
 
 // keepStages plans the stages of the model replicas, at the leader.
@@ -100,6 +112,8 @@
 	k.begun = map[string]time.Duration{}
 	k.holds = map[string]time.Duration{}
 	k.demandFrom = map[string]time.Duration{}
+	k.moved = map[string]time.Duration{}
+	k.known = map[string]string{}
 }
 
 // step makes at most one change of each service. A new leader first lets the time
@@ -139,12 +153,19 @@
 
 func (k *stageKeeper) inputFor(now time.Duration, service string, replicas []region.Replica, changes []region.StageChange, demand []region.ServiceDemand) stageplan.Input {
 	var input stageplan.Input
+	unreachable := map[string]int{}
 	for _, each := range demand {
 		if each.Service == service {
 			input.Generating += each.Generating
 			input.Reading += each.Reading
+			for _, replica := range each.Unreachable {
+				unreachable[replica]++
+			}
 		}
 	}
+	k.noteMoves(now, service, replicas)
+	moved, any := k.moved[service]
+	input.Restless = any && now-moved < restlessTime || len(unreachable) > 0
 	if input.Generating > 0 {
 		if _, told := k.demandFrom[service]; !told {
 			k.demandFrom[service] = now
@@ -157,6 +178,7 @@
 			continue
 		}
 		planned := stageplan.Replica{ID: replica.ID, Slots: replica.Slots, Generates: replica.Stage == region.StageDecode}
+		planned.Unsettled = unreachable[replica.ID] >= unreachableReports
 		for _, change := range changes {
 			if change.Replica == replica.ID {
 				planned.Changing = true
@@ -168,6 +190,22 @@
 	return input
 }
 
+// noteMoves notes when the replicas of a service last came or went. Before demand
+// is known all of them are coming.
+func (k *stageKeeper) noteMoves(now time.Duration, service string, replicas []region.Replica) {
+	ids := make([]string, 0, len(replicas))
+	for _, replica := range replicas {
+		ids = append(ids, replica.ID)
+	}
+	slices.Sort(ids)
+	joined := strings.Join(ids, ",")
+	before, found := k.known[service]
+	k.known[service] = joined
+	if _, told := k.demandFrom[service]; found && told && before != joined {
+		k.moved[service] = now
+	}
+}
+
 // endStuckChanges ends changes that the list has not shown in time.
 func (k *stageKeeper) endStuckChanges(ctx context.Context, now time.Duration, state region.State) {
 	under := map[string]bool{}
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -147,6 +147,8 @@
 	Generating float64 `msg:"generating"`
 	// Reading is the number of replicas that the prompts to be read keep busy.
 	Reading float64 `msg:"reading"`
+	// Unreachable are the replicas that did not answer of late.
+	Unreachable []string `msg:"unreachable"`
 }
 
 // ReadIndexReply tells the log position that the asker has to have applied to
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -1268,16 +1268,11 @@
 	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
 	for za0002 := range z.Demand {
-		// map header, size 3
-		// string "service"
-		o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Demand[za0002].Service)
-		// string "generating"
-		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Demand[za0002].Generating)
-		// string "reading"
-		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Demand[za0002].Reading)
+		o, err = z.Demand[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Demand", za0002)
+			return
+		}
 	}
 	return
 }
@@ -1356,50 +1351,11 @@
 				z.Demand = make([]ServiceDemand, zb0003)
 			}
 			for za0002 := range z.Demand {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Demand[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Demand", za0002)
 					return
 				}
-				if zb0004 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Demand", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "service":
-						z.Demand[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0002, "Service")
-							return
-						}
-					case "generating":
-						z.Demand[za0002].Generating, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0002, "Generating")
-							return
-						}
-					case "reading":
-						z.Demand[za0002].Reading, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0002, "Reading")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0002)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1421,7 +1377,7 @@
 	}
 	s += 11 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
 	for za0002 := range z.Demand {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Demand[za0002].Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+		s += z.Demand[za0002].Msgsize()
 	}
 	return
 }
@@ -1683,11 +1639,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "service"
-	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "generating"
 	o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
@@ -1695,6 +1651,12 @@
 	// string "reading"
 	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendFloat64(o, z.Reading)
+	// string "unreachable"
+	o = append(o, 0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+	for za0001 := range z.Unreachable {
+		o = msgp.AppendString(o, z.Unreachable[za0001])
+	}
 	return
 }
 
@@ -1738,6 +1700,29 @@
 				err = msgp.WrapError(err, "Reading")
 				return
 			}
+		case "unreachable":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unreachable")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Unreachable) >= int(zb0002) {
+				z.Unreachable = (z.Unreachable)[:zb0002]
+			} else {
+				z.Unreachable = make([]string, zb0002)
+			}
+			for za0001 := range z.Unreachable {
+				z.Unreachable[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unreachable", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1751,8 +1736,11 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ServiceDemand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+func (z *ServiceDemand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
+	for za0001 := range z.Unreachable {
+		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
+	}
 	return
 }
 
@@ -2297,16 +2285,11 @@
 	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
 	for za0001 := range z.Demand {
-		// map header, size 3
-		// string "service"
-		o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Demand[za0001].Service)
-		// string "generating"
-		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Demand[za0001].Generating)
-		// string "reading"
-		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Demand[za0001].Reading)
+		o, err = z.Demand[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Demand", za0001)
+			return
+		}
 	}
 	// string "wait"
 	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
@@ -2383,50 +2366,11 @@
 				z.Demand = make([]ServiceDemand, zb0002)
 			}
 			for za0001 := range z.Demand {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Demand[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Demand", za0001)
 					return
 				}
-				if zb0003 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Demand", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "service":
-						z.Demand[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0001, "Service")
-							return
-						}
-					case "generating":
-						z.Demand[za0001].Generating, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0001, "Generating")
-							return
-						}
-					case "reading":
-						z.Demand[za0001].Reading, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0001, "Reading")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Demand", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "wait":
 			z.WaitMillis, bts, err = msgp.ReadIntBytes(bts)
@@ -2450,7 +2394,7 @@
 func (z *ViewRequest) Msgsize() (s int) {
 	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Demand[za0001].Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size
+		s += z.Demand[za0001].Msgsize()
 	}
 	s += 5 + msgp.IntSize
 	return
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -20,6 +20,9 @@
 				continue
 			}
 			staged = true
+			if now < replica.avoidUntil {
+				each.Unreachable = append(each.Unreachable, replica.ID)
+			}
 			if replica.Stage != region.StagePrefill {
 				each.Generating += float64(replica.inFlight)
 			}
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -175,11 +175,30 @@
 	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, prompt)
 }
 
-// PickGenerator leases a replica that generates, near a zone.
-func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
-	rating := loadScore{zone: zone, distance: 0.05}
-	passes := func(r *Replica) bool { return r.Stage == region.StageDecode || r.Stage == "" }
-	return d.pick(service, excluded, passes, rating, nil)
+// PickGenerator leases a replica that generates, near a zone. With a prompt, it
+// has to read what it does not keep of it.
+func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string, prompt *Prompt) *Lease {
+	rating := generateScore{loadScore: loadScore{zone: zone, distance: 0.05}, prompt: prompt}
+	return d.pick(service, excluded, ofStage(region.StageDecode), rating, prompt)
+}
+
+// generateScore is a loadScore that adds the share of a full batch's time that
+// reading a prompt takes.
+type generateScore struct {
+	loadScore
+	prompt *Prompt
+}
+
+// tokensPerOccupancy is the number of prompt tokens whose reading weighs as much
+// as a full batch.
+const tokensPerOccupancy = 4096
+
+func (s generateScore) score(replica *Replica, now time.Duration) float64 {
+	score := s.loadScore.score(replica, now)
+	if s.prompt == nil {
+		return score
+	}
+	return score + (float64(replica.prefixes.missing(s.prompt))+replica.allTokens(now))/tokensPerOccupancy
 }
 
 func anyReplica(*Replica) bool { return true }
@@ -197,7 +216,7 @@
 
 // readingOutlook is what decides where a prompt is read.
 type readingOutlook struct {
-	// missing are the prompt's tokens that the generating replica does not keep.
+	// missing are the prompt's tokens that no generating replica keeps.
 	missing int
 	// backlog is the smallest of the readers', in tokens.
 	backlog float64
@@ -205,18 +224,25 @@
 	pace float64
 }
 
-func (d *Directory) readingOutlook(generator *Replica, prompt *Prompt) readingOutlook {
+// readingOutlook looks at a service's replicas for a prompt.
+func (d *Directory) readingOutlook(service string, prompt *Prompt) readingOutlook {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
 	outlook := readingOutlook{
-		missing: generator.prefixes.missing(prompt),
+		missing: prompt.Tokens,
 		backlog: math.Inf(1),
-		pace:    d.paces[generator.Service].tokensPerSecond(),
+		pace:    d.paces[service].tokensPerSecond(),
 	}
-	for _, replica := range d.services[generator.Service] {
-		if replica.Stage == region.StagePrefill && !replica.Draining && !replica.gone && !replica.avoided(now) {
+	for _, replica := range d.services[service] {
+		if replica.Draining || replica.gone || replica.avoided(now) {
+			continue
+		}
+		switch replica.Stage {
+		case region.StagePrefill:
 			outlook.backlog = min(outlook.backlog, replica.allTokens(now))
+		case region.StageDecode:
+			outlook.missing = min(outlook.missing, replica.prefixes.missing(prompt))
 		}
 	}
 	return outlook
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -39,16 +39,25 @@
 
 func (h *promptHandle) source() string { return h.replica.Address + "/" + h.id }
 
+// prepare has the prompt read by another replica than the one that will generate,
+// if that is better; nil if not, or if it could not be done.
+func (r *run) prepare(ctx context.Context) *promptHandle {
+	if !r.isModelCall() || !r.readsApart() {
+		return nil
+	}
+	return r.readPrompt(ctx)
+}
+
 // readsApart decides whether the prompt is read by another replica than the one
 // that generates. Reading holds up the streams of a generating replica. A prompt
 // that is mostly kept there does not; a short one does little harm where streams
 // may pause for long, and is read there too while all readers are busy. A call is
 // read apart once, and what continues a stream is not.
-func (r *run) readsApart(generator *Replica) bool {
-	if r.call.Prompt == nil || generator.Stage != region.StageDecode || r.reads > 0 || r.stream != nil {
+func (r *run) readsApart() bool {
+	if r.reads > 0 || r.stream != nil {
 		return false
 	}
-	outlook := r.directory.readingOutlook(generator, r.call.Prompt)
+	outlook := r.directory.readingOutlook(r.call.Service.Name, r.call.Prompt)
 	switch {
 	case outlook.missing <= trivialTokens:
 		return false
@@ -68,7 +77,7 @@
 }
 
 // readPrompt has the prompt read, and returns nil if it could not be.
-func (r *run) readPrompt(ctx context.Context, generator *Replica) *promptHandle {
+func (r *run) readPrompt(ctx context.Context) *promptHandle {
 	r.reads++
 	lease := r.directory.PickReader(r.call.Service.Name, nil, r.call.Prompt)
 	if lease == nil {
@@ -81,7 +90,7 @@
 	bounded, cancel := context.WithTimeoutCause(ctx, bound, errSlowReading)
 	defer cancel()
 	handle, err := r.exchangePrompt(bounded, lease)
-	r.logger.V(1).Info("prompt read apart", "request", r.call.ID, "replica", lease.Replica.ID, "for", generator.ID,
+	r.logger.V(1).Info("prompt read apart", "request", r.call.ID, "replica", lease.Replica.ID,
 		"tokens", r.call.Prompt.Tokens, "missing", missing,
 		"backlog", int(lease.backlog), "pace", int(r.directory.pace(r.call.Service.Name)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
 	return handle
@@ -129,8 +138,8 @@
 }
 
 // freeUnlessTaken frees the memory of a prompt that no replica has fetched.
-func (h *promptHandle) freeUnlessTaken(r *run) {
-	if h.taken {
+func (h *promptHandle) freeUnlessTaken(r *Runner) {
+	if h == nil || h.taken {
 		return
 	}
 	go r.free(h)
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -102,11 +102,17 @@
 // serve makes attempts until one is answered or no other may be made.
 func (r *run) serve(ctx context.Context) error {
 	for {
-		lease, err := r.next()
-		if err != nil {
+		if err := r.mayGoOn(); err != nil {
 			return err
 		}
-		outcome, cause := r.attempt(ctx, lease)
+		handle := r.prepare(ctx)
+		lease := r.pick(handle)
+		if lease == nil {
+			handle.freeUnlessTaken(r.Runner)
+			return failure.New(failure.NoBackEnd, "no replica of the service is left to try")
+		}
+		r.tried = append(r.tried, lease.Replica)
+		outcome, cause := r.attempt(ctx, lease, handle)
 		lease.Release()
 		if outcome == verdictAnswered {
 			return nil
@@ -122,33 +128,36 @@
 	}
 }
 
-// next leases the replica for the next send, or says why there is none.
-func (r *run) next() (*Lease, error) {
+// mayGoOn returns why no further send may be made, or nil.
+func (r *run) mayGoOn() error {
 	if time.Until(r.deadline) < minimumLeft {
-		return nil, failure.Wrap(errDeadline, failure.DeadlineExceeded)
+		return failure.Wrap(errDeadline, failure.DeadlineExceeded)
 	}
 	if r.unknown && !r.call.Route.Repeatable() {
-		return nil, failure.New(failure.OutcomeUnknown, "the request may have run and may not be repeated")
+		return failure.New(failure.OutcomeUnknown, "the request may have run and may not be repeated")
 	}
 	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends >= maximumSends {
-		return nil, failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
+		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
 	if r.sends > 0 && !r.budgets.Withdraw(r.call.Service.Name) {
-		return nil, failure.New(failure.AttemptsExhausted, "the retry budget is used up")
-	}
-	lease := r.pick()
-	if lease == nil {
-		return nil, failure.New(failure.NoBackEnd, "no replica of the service is left to try")
+		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
 	}
-	r.tried = append(r.tried, lease.Replica)
-	return lease, nil
+	return nil
 }
 
-func (r *run) pick() *Lease {
-	if r.call.Service.Engine == nil || r.call.Prompt == nil {
+// isModelCall reports whether the call is for model engines.
+func (r *run) isModelCall() bool { return r.call.Service.Engine != nil && r.call.Prompt != nil }
+
+// pick leases the replica of the next send, near the one that has read the
+// prompt; nil if there is none.
+func (r *run) pick(handle *promptHandle) *Lease {
+	if !r.isModelCall() {
 		return r.directory.PickAny(r.call.Service.Name, r.tried)
 	}
-	return r.directory.PickGenerator(r.call.Service.Name, r.tried, r.directory.zone)
+	if handle != nil {
+		return r.directory.PickGenerator(r.call.Service.Name, r.tried, handle.replica.Zone, nil)
+	}
+	return r.directory.PickGenerator(r.call.Service.Name, r.tried, r.directory.zone, r.call.Prompt)
 }
 
 // refuse ends a call that no replica has answered. A replica's own failure goes
@@ -205,26 +214,28 @@
 	return request
 }
 
-// attempt sends the request to a replica and hands its answer on.
-func (r *run) attempt(ctx context.Context, lease *Lease) (verdict, error) {
+// attempt sends the request to a replica and hands its answer on. The handle is
+// that of the prompt, nil if the replica is to read it itself.
+func (r *run) attempt(ctx context.Context, lease *Lease, handle *promptHandle) (verdict, error) {
+	defer handle.freeUnlessTaken(r.Runner)
+	if ctx.Err() != nil {
+		return verdictNotRun, context.Cause(ctx)
+	}
 	send := Send{LastEvent: r.call.LastEvent}
 	if r.stream != nil && r.stream.lastEvent != "" {
 		send.LastEvent = r.stream.lastEvent
 	}
-	if r.readsApart(lease.Replica) {
-		handle := r.readPrompt(ctx, lease.Replica)
-		if ctx.Err() != nil {
-			return verdictNotRun, context.Cause(ctx)
-		}
-		if handle != nil {
-			defer handle.freeUnlessTaken(r)
-			send.Source = handle.source()
-			outcome, err := r.exchange(ctx, lease, send)
-			handle.taken = outcome != verdictNotRun
-			return outcome, err
-		}
+	switch {
+	case handle != nil:
+		send.Source = handle.source()
+	case r.isModelCall():
+		send.Fetch = lease.FetchFrom(r.call.Prompt)
+	}
+	outcome, err := r.exchange(ctx, lease, send)
+	if handle != nil {
+		handle.taken = outcome != verdictNotRun
 	}
-	return r.exchange(ctx, lease, send)
+	return outcome, err
 }
 
 // exchange makes one send.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -78,6 +78,7 @@
 // noteKept notes that the generating replica now keeps the prompt.
 func (r *run) noteKept(lease *Lease) {
 	if r.call.Prompt != nil {
+		lease.PromptRead()
 		lease.PromptKept(r.call.Prompt)
 	}
 }
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -23,6 +23,9 @@
 	// Changing replicas are on their way to the other stage; Generates is what
 	// they will be.
 	Changing bool
+	// Unsettled replicas have come a short time ago or do not answer: they count
+	// for nothing and are not changed.
+	Unsettled bool
 }
 
 // Input is what Step decides on.
@@ -34,6 +37,9 @@
 	Reading float64
 	// Known is false while the demand has not been told.
 	Known bool
+	// Restless says that replicas are coming or going: then no replica stops
+	// generating, for what is there may be gone soon.
+	Restless bool
 }
 
 // Change moves one replica to the other stage.
@@ -47,7 +53,7 @@
 	// initialGeneratingShare generates until demand is known.
 	initialGeneratingShare = 0.3
 	// minimumGeneratingShare generates whatever the demand is.
-	minimumGeneratingShare = 0.22
+	minimumGeneratingShare = 0.3
 	// targetOccupancy is the wanted share of slots in use at generating replicas,
 	// and fullOccupancy that from which on another one is needed.
 	targetOccupancy = 0.3
@@ -88,7 +94,7 @@
 	switch {
 	case wanted > generating:
 		return p.change(now, input.Replicas, true, "generating replicas are short")
-	case wanted < generating:
+	case wanted < generating && !input.Restless:
 		return p.change(now, input.Replicas, false, "more replicas can read prompts")
 	}
 	return nil
@@ -131,7 +137,7 @@
 		return nil
 	}
 	for _, replica := range replicas {
-		if replica.Generates == generates || replica.Changing {
+		if replica.Generates == generates || replica.Changing || replica.Unsettled {
 			continue
 		}
 		p.changed = true
@@ -144,7 +150,7 @@
 
 func count(replicas []Replica) (generating, away int) {
 	for _, replica := range replicas {
-		if replica.Generates {
+		if replica.Generates && !replica.Unsettled {
 			generating++
 		}
 		if replica.Changing {
