--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -165,7 +165,7 @@
 	}
 	k.noteMoves(now, service, replicas)
 	moved, any := k.moved[service]
-	input.Restless = any && now-moved < restlessTime || len(unreachable) > 0
+	input.Restless = any && now-moved < restlessTime
 	if input.Generating > 0 {
 		if _, told := k.demandFrom[service]; !told {
 			k.demandFrom[service] = now
@@ -179,6 +179,7 @@
 		}
 		planned := stageplan.Replica{ID: replica.ID, Slots: replica.Slots, Generates: replica.Stage == region.StageDecode}
 		planned.Unsettled = unreachable[replica.ID] >= unreachableReports
+		input.Restless = input.Restless || planned.Unsettled
 		for _, change := range changes {
 			if change.Replica == replica.ID {
 				planned.Changing = true
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -23,9 +23,7 @@
 			if now < replica.avoidUntil {
 				each.Unreachable = append(each.Unreachable, replica.ID)
 			}
-			if replica.Stage != region.StagePrefill {
-				each.Generating += float64(replica.inFlight)
-			}
+			each.Generating += float64(replica.generating)
 		}
 		if staged {
 			demand = append(demand, each)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -93,6 +93,8 @@
 	tokens   int
 	backlog  float64
 	released bool
+	// generating is set once the stream has begun.
+	generating bool
 }
 
 // SetCapacity says how many tokens a replica of a service keeps.
@@ -131,9 +133,20 @@
 	}
 	l.released = true
 	l.Replica.inFlight--
+	if l.generating {
+		l.Replica.generating--
+	}
 	l.readDone()
 }
 
+// StreamBegun notes that the replica generates.
+func (l *Lease) StreamBegun() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.generating = true
+	l.Replica.generating++
+}
+
 // PromptRead notes that the prompt has been read.
 func (l *Lease) PromptRead() {
 	l.directory.mutex.Lock()
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -14,6 +14,8 @@
 	// prompt tokens that it has yet to read for them.
 	inFlight      int
 	readingTokens int
+	// generating counts this gateway's streams there that have begun.
+	generating int
 	// peers is the work that other gateways have placed there.
 	peers  map[string]peerWork
 	load   Load
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,6 +37,7 @@
 			if first {
 				first = false
 				lease.Answered(false, marks.Load)
+				lease.StreamBegun()
 				r.noteKept(lease)
 			}
 			if err := r.forward(answer, whole, events.last); err != nil {
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -56,8 +56,8 @@
 	minimumGeneratingShare = 0.3
 	// targetOccupancy is the wanted share of slots in use at generating replicas,
 	// and fullOccupancy that from which on another one is needed.
-	targetOccupancy = 0.3
-	fullOccupancy   = 0.5
+	targetOccupancy = 0.5
+	fullOccupancy   = 0.75
 	// busyReading is the utilisation of readers from which on another one is
 	// worth a change.
 	busyReading = 0.45
