--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -165,8 +165,8 @@
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
-	closeInternal := runServer(c.newInternalServer(listener), listener)
-	closeOperators := runServer(c.newOperatorServer(operatorListener), operatorListener)
+	closeInternal := rpc.RunServer(c.newInternalServer(listener), listener)
+	closeOperators := rpc.RunServer(c.newOperatorServer(operatorListener), operatorListener)
 	background, endBackground := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	err = c.startGroups(background, &running)
@@ -194,15 +194,15 @@
 	return err
 }
 
-func listen(inherited net.Listener, address string) (*closingListener, error) {
+func listen(inherited net.Listener, address string) (*rpc.ClosingListener, error) {
 	if inherited != nil {
-		return newClosingListener(inherited), nil
+		return rpc.NewClosingListener(inherited), nil
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return newClosingListener(listener), nil
+	return rpc.NewClosingListener(listener), nil
 }
 
 func (c *Controller) startGroups(ctx context.Context, running *sync.WaitGroup) error {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -80,23 +79,3 @@
 	telemetry.Mount(engine, c.health, c.metrics)
 	return engine
 }
-
-// runServer serves until stop is called, which gives calls under way some time
-// to end.
-func runServer(engine *server.Hertz, listener *closingListener) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = engine.Run()
-	}()
-	return func() {
-		ctx, cancel := context.WithTimeout(context.Background(), serverCloseTime)
-		defer cancel()
-		_ = engine.Shutdown(ctx)
-		listener.closeAll()
-		<-done
-	}
-}
-
-// serverCloseTime is how long calls may take to end when the process stops.
-const serverCloseTime = 500 * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -93,8 +93,9 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
-	engine := c.newServer(listener)
-	go func() { _ = engine.Run() }()
+	closing := rpc.NewClosingListener(listener)
+	stopServer := rpc.RunServer(c.newServer(closing), closing)
+	defer stopServer()
 	if err := c.group.Runner.Start(); err != nil {
 		return failure.Wrap(err, failure.StorageFailed)
 	}
--- /dev/null
+++ b/internal/coordinator/group_test.go
@@ -0,0 +1,253 @@
+package coordinator_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-logr/logr/testr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// jsonCodec reads configurations as Go writes them.
+type jsonCodec struct{}
+
+func (jsonCodec) Read(document []byte) (*traffic.Configuration, error) {
+	configuration := &traffic.Configuration{}
+	if err := json.Unmarshal(document, configuration); err != nil {
+		return nil, failure.Wrap(err, failure.InvalidDocument)
+	}
+	return configuration, configuration.Validate()
+}
+
+// fixedList is a list of replicas that tests change.
+type fixedList struct {
+	mutex    sync.Mutex
+	replicas []region.Replica
+}
+
+func (l *fixedList) List(context.Context) ([]region.Replica, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]region.Replica(nil), l.replicas...), nil
+}
+
+func (l *fixedList) set(replicas ...region.Replica) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.replicas = replicas
+}
+
+// group runs coordinators of one region in this process.
+type group struct {
+	t         *testing.T
+	folder    string
+	list      *fixedList
+	addresses []string
+	running   map[string]*process
+}
+
+type process struct {
+	*coordinator.Coordinator
+	stop context.CancelFunc
+	done chan error
+}
+
+func newGroup(t *testing.T) *group {
+	t.Helper()
+	g := &group{t: t, folder: t.TempDir(), list: &fixedList{}, running: map[string]*process{}}
+	for range 3 {
+		g.addresses = append(g.addresses, freeAddress(t))
+	}
+	for _, address := range g.addresses {
+		g.start(address, address, true)
+	}
+	t.Cleanup(func() {
+		for address := range g.running {
+			g.stop(address)
+		}
+	})
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (g *group) start(address, folder string, bootstrap bool) *process {
+	g.t.Helper()
+	created, err := coordinator.New(coordinator.Settings{
+		Name:         address,
+		Zone:         "zone",
+		Address:      address,
+		Seeds:        func() []string { return g.addresses },
+		Bootstrap:    bootstrap,
+		Voters:       3,
+		DataFolder:   filepath.Join(g.folder, folder),
+		FileSystem:   storage.OperatingSystem{},
+		Lister:       g.list,
+		Codec:        jsonCodec{},
+		ListInterval: 50 * time.Millisecond,
+		Logger:       testr.New(g.t),
+	})
+	require.NoError(g.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	started := &process{Coordinator: created, stop: stop, done: make(chan error, 1)}
+	go func() { started.done <- created.Run(ctx) }()
+	g.running[address] = started
+	return started
+}
+
+func (g *group) stop(address string) {
+	g.t.Helper()
+	process := g.running[address]
+	delete(g.running, address)
+	process.stop()
+	assert.NoError(g.t, <-process.done)
+}
+
+// lastError prints an error as it is when it is printed.
+type lastError struct{ err *error }
+
+func (l lastError) String() string { return fmt.Sprint(*l.err) }
+
+// eventually calls a function until it succeeds.
+func eventually(t *testing.T, do func(ctx context.Context) error) {
+	t.Helper()
+	var last error
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		last = do(ctx)
+		return last == nil
+	}, time.Minute, 20*time.Millisecond, "%v", lastError{&last})
+}
+
+func document(version int) []byte {
+	return fmt.Appendf(nil, `{"Version":%d}`, version)
+}
+
+func (g *group) expectEverywhere(version int) {
+	g.t.Helper()
+	for _, each := range g.running {
+		eventually(g.t, func(ctx context.Context) error {
+			current, err := each.Current(ctx)
+			if err == nil && string(current) != string(document(version)) {
+				err = fmt.Errorf("in force is %s", current)
+			}
+			return err
+		})
+	}
+}
+
+func (g *group) replace(address string, version int) {
+	g.t.Helper()
+	eventually(g.t, func(ctx context.Context) error { return g.running[address].Replace(ctx, document(version)) })
+}
+
+func TestAConfigurationIsReadBackAtEveryCoordinatorAndNeverGoesBack(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	g.expectEverywhere(3)
+	g.replace(g.addresses[1], 7)
+	g.replace(g.addresses[2], 5)
+	g.expectEverywhere(7)
+}
+
+func TestAnInvalidConfigurationIsRefusedAlsoIfItIsOld(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	err := g.running[g.addresses[1]].Replace(t.Context(), []byte(`{"Version":1,"Routes":[{"Name":"r"}]}`))
+	assert.Equal(t, failure.InvalidDocument, failure.KindOf(err))
+}
+
+func TestAConfigurationSurvivesTheRestartOfAllAndWithoutAMajorityNothingIsRead(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	for _, address := range g.addresses {
+		g.stop(address)
+	}
+	alone := g.start(g.addresses[0], g.addresses[0], false)
+	_, err := alone.Current(t.Context())
+	assert.Error(t, err)
+	assert.Error(t, alone.Replace(t.Context(), document(4)))
+	g.start(g.addresses[1], g.addresses[1], false)
+	g.expectEverywhere(3)
+}
+
+// awaitVote waits until a coordinator votes.
+func (g *group) awaitVote(address string) {
+	g.t.Helper()
+	eventually(g.t, func(context.Context) error {
+		if !g.running[address].IsVoter() {
+			return errors.New("it does not vote yet")
+		}
+		return nil
+	})
+}
+
+func TestAMachineWithAnEmptyDiskTakesItsPlaceAgain(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	g.stop(g.addresses[2])
+	g.start(g.addresses[2], "empty", false)
+	g.expectEverywhere(3)
+	// The group now stands the loss of another one.
+	g.awaitVote(g.addresses[2])
+	g.stop(g.addresses[0])
+	g.replace(g.addresses[2], 4)
+	g.expectEverywhere(4)
+}
+
+func TestASuccessorAtAnotherAddressStepsInForAVoterThatIsGone(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	g.stop(g.addresses[2])
+	successor := freeAddress(t)
+	g.start(successor, "successor", false)
+	g.awaitVote(successor)
+	g.expectEverywhere(3)
+}
+
+func TestAViewCarriesTheListAndItsAge(t *testing.T) {
+	g := newGroup(t)
+	g.list.set(region.Replica{ID: "a", Service: "s", Address: "127.0.0.1:1"})
+	g.replace(g.addresses[0], 3)
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	for _, address := range g.addresses {
+		eventually(t, func(ctx context.Context) error {
+			var view region.View
+			err := client.Call(ctx, address, region.PathView, &region.ViewRequest{Address: "127.0.0.1:2"}, &view)
+			switch {
+			case err != nil:
+				return err
+			case view.AgeMillis < 0 || view.Version != 3 || len(view.Replicas) != 1 || view.Gateways != 1:
+				return fmt.Errorf("view %+v", view)
+			}
+			return nil
+		})
+	}
+}
+
+func init() { hlog.SetLevel(hlog.LevelError) }
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -46,6 +46,13 @@
 	return status.Stage == storage.StageMember && listed
 }
 
+// IsVoter reports whether this coordinator votes, as far as it knows.
+func (c *Coordinator) IsVoter() bool {
+	status := c.group.Runner.Status()
+	self, listed := status.Member(status.ID)
+	return listed && !self.Learner
+}
+
 // askToJoin asks the seeds in turn, and the leader that they name.
 func (c *Coordinator) askToJoin(ctx context.Context) error {
 	request := &region.JoinRequest{
--- /dev/null
+++ b/internal/relay/runner_test.go
@@ -0,0 +1,438 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/upstream"
+)
+
+// testDialect is the smallest dialect: one field for each mark.
+type testDialect struct{}
+
+func (testDialect) ReadTerms(func(string) string) relay.Terms { return relay.Terms{} }
+func (testDialect) Sets(string) bool                          { return false }
+
+func (testDialect) Fields(send relay.Send) []upstream.Field {
+	return []upstream.Field{
+		{Name: "Left", Value: strconv.FormatInt(send.Left.Milliseconds(), 10)},
+		{Name: "Instance", Value: send.Instance},
+		{Name: "Read-Only", Value: strconv.FormatBool(send.ReadOnly)},
+		{Name: "Source", Value: send.Source},
+		{Name: "Last-Event", Value: send.LastEvent},
+	}
+}
+
+func (testDialect) ReadMarks(header http.Header) relay.Marks {
+	return relay.Marks{
+		RequestID: header.Get("Request"),
+		NotRun:    header.Get("Not-Run") != "",
+		Sealed:    header.Get("Sealed") != "",
+	}
+}
+
+func (testDialect) ReadHandle(body []byte) (string, error) { return string(body), nil }
+func (testDialect) FreeHandle(id string) (string, string)  { return http.MethodDelete, "/free/" + id }
+
+// recorder is a responder that keeps what it was told.
+type recorder struct {
+	status  int
+	body    bytes.Buffer
+	err     error
+	ended   bool
+	aborted bool
+}
+
+func (r *recorder) Answer(status int, _ http.Header, body []byte) {
+	r.status = status
+	r.body.Write(body)
+	r.ended = true
+}
+
+func (r *recorder) Refuse(err error) { r.err = err }
+
+func (r *recorder) Stream(status int, _ http.Header) relay.StreamWriter {
+	r.status = status
+	return r
+}
+
+func (r *recorder) Send(events []byte) error {
+	r.body.Write(events)
+	return nil
+}
+
+func (r *recorder) End()   { r.ended = true }
+func (r *recorder) Abort() { r.aborted = true }
+
+// world is a runner with replicas that tests write as handlers.
+type world struct {
+	t         *testing.T
+	directory *relay.Directory
+	runner    *relay.Runner
+	replicas  []region.Replica
+	mutex     sync.Mutex
+	seen      map[string]int
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	began := time.Now()
+	clock := func() time.Duration { return time.Since(began) }
+	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20})
+	directory := relay.NewDirectory(clock, "zone", client.Forget)
+	budgets := relay.NewBudgets(clock, relay.BudgetTerms{Ratio: 5, Window: time.Second, Slack: 100}, 1)
+	return &world{
+		t:         t,
+		directory: directory,
+		runner:    relay.NewRunner(directory, client, testDialect{}, budgets, logr.Discard()),
+		seen:      map[string]int{},
+	}
+}
+
+func (w *world) add(id, stage string, handler http.HandlerFunc) {
+	w.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		w.mutex.Lock()
+		w.seen[id]++
+		w.mutex.Unlock()
+		_, _ = io.Copy(io.Discard, request.Body)
+		handler(writer, request)
+	}))
+	w.t.Cleanup(server.Close)
+	w.list(id, stage, server.Listener.Addr().String())
+}
+
+func (w *world) list(id, stage, address string) {
+	w.replicas = append(w.replicas, region.Replica{
+		ID: id, Service: "service", Address: address, Zone: "zone", Slots: 4, Stage: stage,
+	})
+	w.directory.Replace(w.replicas)
+}
+
+func (w *world) visits(id string) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.seen[id]
+}
+
+func (w *world) run(call *relay.Call) *recorder {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(w.t.Context(), 30*time.Second)
+	defer cancel()
+	answer := &recorder{}
+	w.runner.Run(ctx, call, answer)
+	return answer
+}
+
+func callOf(kind traffic.Kind, attempts int) *relay.Call {
+	return &relay.Call{
+		Terms:   relay.Terms{ID: "r-1", Wait: 20 * time.Second},
+		Method:  http.MethodPost,
+		Target:  "/a/b?c",
+		Host:    "h",
+		Body:    []byte("body"),
+		Arrived: time.Now(),
+		Route:   &traffic.Route{Name: "route", Kind: kind, MaximumAttempts: attempts},
+		Service: &traffic.Service{Name: "service"},
+	}
+}
+
+func sealed(status int, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Sealed", "yes")
+		writer.WriteHeader(status)
+		_, _ = io.WriteString(writer, body)
+	}
+}
+
+func refusing(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Not-Run", "yes")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// dropping closes the connection after the request was read.
+func dropping(writer http.ResponseWriter, _ *http.Request) {
+	connection, _, err := writer.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = connection.Close()
+	}
+}
+
+// events streams some events, then breaks off in the middle of another if told to.
+func events(from, to int, breakOff bool) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Sealed", "yes")
+		writer.Header().Set("Content-Type", "text/event-stream")
+		for number := from; number <= to; number++ {
+			_, _ = fmt.Fprintf(writer, "id: %d\ndata: %d\n\n", number, number)
+			writer.(http.Flusher).Flush()
+		}
+		if !breakOff {
+			return
+		}
+		_, _ = fmt.Fprintf(writer, "id: %d\nda", to+1)
+		writer.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func text(from, to int) string {
+	var all bytes.Buffer
+	for number := from; number <= to; number++ {
+		_, _ = fmt.Fprintf(&all, "id: %d\ndata: %d\n\n", number, number)
+	}
+	return all.String()
+}
+
+func TestAReplicasAnswerIsHandedOn(t *testing.T) {
+	w := newWorld(t)
+	w.add("a", "", func(writer http.ResponseWriter, request *http.Request) {
+		assert.Equal(t, "a", request.Header.Get("Instance"))
+		assert.Equal(t, "/a/b?c", request.RequestURI)
+		left, err := strconv.Atoi(request.Header.Get("Left"))
+		require.NoError(t, err)
+		assert.LessOrEqual(t, left, 20_000)
+		sealed(http.StatusCreated, "answer")(writer, request)
+	})
+	answer := w.run(callOf(traffic.KindOnce, 1))
+	assert.Equal(t, http.StatusCreated, answer.status)
+	assert.Equal(t, "answer", answer.body.String())
+}
+
+func TestARequestThatMayHaveRunIsRepeatedOnlyIfItMayBe(t *testing.T) {
+	for _, test := range []struct {
+		kind     traffic.Kind
+		attempts int
+		sends    int
+		failure  failure.Kind
+	}{
+		{traffic.KindOnce, 3, 1, failure.OutcomeUnknown},
+		{traffic.KindStream, 3, 1, failure.OutcomeUnknown},
+		{traffic.KindRepeatable, 1, 1, failure.OutcomeUnknown},
+		{traffic.KindRepeatable, 2, 2, failure.OutcomeUnknown},
+	} {
+		t.Run(fmt.Sprint(test.kind, test.attempts), func(t *testing.T) {
+			w := newWorld(t)
+			for _, id := range []string{"a", "b", "c"} {
+				w.add(id, "", dropping)
+			}
+			answer := w.run(callOf(test.kind, test.attempts))
+			require.Error(t, answer.err)
+			assert.Equal(t, test.failure, failure.KindOf(answer.err))
+			assert.NotEqual(t, http.StatusServiceUnavailable, failure.AnswerFor(answer.err).Status, "not run would be false")
+			assert.Equal(t, test.sends, w.visits("a")+w.visits("b")+w.visits("c"))
+		})
+	}
+}
+
+func TestARefusalByTheReplicaIsTakenElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.add("full", "", refusing)
+	w.add("free", "", sealed(http.StatusOK, "answer"))
+	for range 10 {
+		answer := w.run(callOf(traffic.KindOnce, 1))
+		require.NoError(t, answer.err)
+		assert.Equal(t, "answer", answer.body.String())
+	}
+}
+
+func TestARequestThatNoReplicaTakesIsRefusedAsNotRunAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.add("a", "", refusing)
+	w.add("b", "", refusing)
+	answer := w.run(callOf(traffic.KindOnce, 1))
+	told := failure.AnswerFor(answer.err)
+	assert.Equal(t, http.StatusServiceUnavailable, told.Status)
+	assert.Equal(t, failure.RanNo, told.Ran)
+	assert.Positive(t, told.RetryAfter)
+}
+
+func TestAnotherIncarnationsRefusalEndsTheUseOfTheListedOne(t *testing.T) {
+	w := newWorld(t)
+	w.add("old", "", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	assert.Error(t, w.run(callOf(traffic.KindOnce, 1)).err)
+	assert.Error(t, w.run(callOf(traffic.KindOnce, 1)).err)
+	assert.Equal(t, 1, w.visits("old"))
+}
+
+func TestAReplicasOwnFailureIsRepeatedElsewhereAndElseHandedOn(t *testing.T) {
+	w := newWorld(t)
+	w.add("failing", "", sealed(http.StatusInternalServerError, "failed"))
+	answer := w.run(callOf(traffic.KindRepeatable, 2))
+	assert.Equal(t, http.StatusInternalServerError, answer.status)
+	assert.Equal(t, "failed", answer.body.String())
+
+	w.add("sound", "", sealed(http.StatusOK, "answer"))
+	for range 10 {
+		assert.Equal(t, "answer", w.run(callOf(traffic.KindRepeatable, 2)).body.String())
+	}
+}
+
+func TestASuccessWithoutTheReplicasMarkIsNoAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.add("a", "", func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "forged") })
+	answer := w.run(callOf(traffic.KindOnce, 1))
+	assert.Equal(t, failure.OutcomeUnknown, failure.KindOf(answer.err))
+	assert.Empty(t, answer.body.String())
+}
+
+func TestAStreamIsHandedOnWhole(t *testing.T) {
+	w := newWorld(t)
+	w.add("a", "", events(1, 5, false))
+	answer := w.run(callOf(traffic.KindStream, 1))
+	assert.True(t, answer.ended)
+	assert.Equal(t, text(1, 5), answer.body.String())
+}
+
+func TestABrokenStreamIsBrokenOffAfterItsLastWholeEvent(t *testing.T) {
+	w := newWorld(t)
+	w.add("a", "", events(1, 3, true))
+	w.add("b", "", events(1, 3, true))
+	answer := w.run(callOf(traffic.KindStream, 2))
+	assert.True(t, answer.aborted)
+	assert.False(t, answer.ended)
+	assert.Equal(t, text(1, 3), answer.body.String())
+	assert.Equal(t, 1, w.visits("a")+w.visits("b"))
+}
+
+func TestAResumableStreamIsContinuedAfterItsLastWholeEvent(t *testing.T) {
+	w := newWorld(t)
+	continued := func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Last-Event") == "3" {
+			events(4, 6, false)(writer, request)
+			return
+		}
+		events(1, 3, true)(writer, request)
+	}
+	w.add("a", "", continued)
+	w.add("b", "", continued)
+	call := callOf(traffic.KindStream, 2)
+	call.Route.Resumable = true
+	answer := w.run(call)
+	assert.True(t, answer.ended)
+	assert.Equal(t, text(1, 6), answer.body.String())
+}
+
+func TestTheTimeOutOfTheRouteEndsAWaitWithAFinalAnswer(t *testing.T) {
+	w := newWorld(t)
+	stopped := make(chan struct{})
+	w.add("a", "", func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(stopped)
+	})
+	call := callOf(traffic.KindOnce, 1)
+	call.Route.Timeout = 50 * time.Millisecond
+	answer := w.run(call)
+	assert.Equal(t, failure.DeadlineExceeded, failure.KindOf(answer.err))
+	select {
+	case <-stopped:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the replica still works on it")
+	}
+}
+
+func TestACallerThatLeavesStopsTheReplicasWork(t *testing.T) {
+	w := newWorld(t)
+	begun, stopped := make(chan struct{}), make(chan struct{})
+	w.add("a", "", func(_ http.ResponseWriter, request *http.Request) {
+		close(begun)
+		<-request.Context().Done()
+		close(stopped)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		leave()
+	}()
+	answer := &recorder{}
+	w.runner.Run(ctx, callOf(traffic.KindRepeatable, 2), answer)
+	assert.NoError(t, answer.err)
+	<-stopped
+}
+
+func TestAnUnreachableReplicaIsAvoided(t *testing.T) {
+	w := newWorld(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	w.list("dead", "", listener.Addr().String())
+	w.add("sound", "", sealed(http.StatusOK, "answer"))
+	for range 20 {
+		require.NoError(t, w.run(callOf(traffic.KindOnce, 1)).err)
+	}
+	assert.Equal(t, 20, w.visits("sound"))
+}
+
+// modelCall is a call with a prompt of some tokens.
+func modelCall(tokens int, part string) *relay.Call {
+	call := callOf(traffic.KindStream, 1)
+	call.Service = &traffic.Service{Name: "service", Engine: &traffic.Engine{Slots: 4, CacheTokens: 100_000, EventTokens: 1}}
+	call.Prompt = &relay.Prompt{Tokens: tokens, Parts: []relay.PromptPart{
+		{ID: "shared", Tokens: tokens / 2}, {ID: part, Tokens: tokens - tokens/2},
+	}}
+	return call
+}
+
+func TestALongPromptIsReadApartAndHandedOver(t *testing.T) {
+	w := newWorld(t)
+	w.add("reader", region.StagePrefill, func(writer http.ResponseWriter, request *http.Request) {
+		if assert.Equal(t, "true", request.Header.Get("Read-Only")) {
+			_, _ = io.WriteString(writer, "handle-1")
+		}
+	})
+	w.add("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+		assert.Equal(t, w.replicas[0].Address+"/handle-1", request.Header.Get("Source"))
+		events(1, 2, false)(writer, request)
+	})
+	answer := w.run(modelCall(8000, "own"))
+	assert.Equal(t, text(1, 2), answer.body.String())
+}
+
+func TestAPromptThatCanNotBeReadApartIsReadByTheGenerator(t *testing.T) {
+	w := newWorld(t)
+	w.add("reader", region.StagePrefill, refusing)
+	w.add("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+		assert.Empty(t, request.Header.Get("Source"))
+		events(1, 2, false)(writer, request)
+	})
+	assert.Equal(t, text(1, 2), w.run(modelCall(8000, "own")).body.String())
+}
+
+func TestAHandleThatNobodyTakesIsFreed(t *testing.T) {
+	w := newWorld(t)
+	freed := make(chan string, 1)
+	w.add("reader", region.StagePrefill, func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodDelete {
+			freed <- request.URL.Path
+			return
+		}
+		_, _ = io.WriteString(writer, "handle-1")
+	})
+	w.add("generator", region.StageDecode, refusing)
+	assert.Error(t, w.run(modelCall(8000, "own")).err)
+	select {
+	case path := <-freed:
+		assert.Equal(t, "/free/handle-1", path)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the handle was not freed")
+	}
+}
--- a/internal/controller/listener.go
+++ b/internal/rpc/serve.go
@@ -1,14 +1,18 @@
-package controller
+package rpc
 
 import (
+	"context"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
 )
 
-// closingListener closes the connections that it has accepted when it is told
+// ClosingListener closes the connections that it has accepted when it is told
 // to. The HTTP library's shutdown leaves kept-alive connections open and would
-// go on answering on them for a controller that has stopped.
-type closingListener struct {
+// go on answering on them for a process that has stopped.
+type ClosingListener struct {
 	net.Listener
 
 	mutex       sync.Mutex
@@ -16,12 +20,13 @@
 	closed      bool
 }
 
-func newClosingListener(listener net.Listener) *closingListener {
-	return &closingListener{Listener: listener, connections: map[*trackedConnection]struct{}{}}
+// NewClosingListener wraps a listener.
+func NewClosingListener(listener net.Listener) *ClosingListener {
+	return &ClosingListener{Listener: listener, connections: map[*trackedConnection]struct{}{}}
 }
 
 // Accept implements net.Listener.
-func (l *closingListener) Accept() (net.Conn, error) {
+func (l *ClosingListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -38,7 +43,7 @@
 }
 
 // closeAll closes the accepted connections and those that come yet.
-func (l *closingListener) closeAll() {
+func (l *ClosingListener) closeAll() {
 	l.mutex.Lock()
 	l.closed = true
 	open := l.connections
@@ -51,7 +56,7 @@
 
 type trackedConnection struct {
 	net.Conn
-	listener *closingListener
+	listener *ClosingListener
 }
 
 // Close implements net.Conn.
@@ -61,3 +66,23 @@
 	c.listener.mutex.Unlock()
 	return c.Conn.Close()
 }
+
+// RunServer serves until stop is called, which gives calls under way some time
+// to end.
+func RunServer(engine *server.Hertz, listener *ClosingListener) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = engine.Run()
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), serverCloseTime)
+		defer cancel()
+		_ = engine.Shutdown(ctx)
+		listener.closeAll()
+		<-done
+	}
+}
+
+// serverCloseTime is how long calls may take to end when the process stops.
+const serverCloseTime = 500 * time.Millisecond
