--- /dev/null
+++ b/internal/relay/daemon/daemon_test.go
@@ -0,0 +1,316 @@
+package daemon_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/relay/daemon"
+	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/upstream"
+)
+
+func init() { hlog.SetLevel(hlog.LevelError) }
+
+type testDialect struct{}
+
+func (testDialect) ReadTerms(get func(string) string) relay.Terms {
+	return relay.Terms{ID: get("Request"), Wait: 20 * time.Second}
+}
+func (testDialect) Sets(name string) bool              { return name == "Instance" }
+func (testDialect) ReadHandle([]byte) (string, error)  { return "", nil }
+func (testDialect) FreeHandle(string) (string, string) { return "", "" }
+func (testDialect) RetryAfter(after time.Duration) (string, string) {
+	return "Retry-After", after.String()
+}
+func (testDialect) Fields(send relay.Send) []upstream.Field {
+	return []upstream.Field{{Name: "Instance", Value: send.Instance}}
+}
+func (testDialect) ReadMarks(header http.Header) relay.Marks {
+	return relay.Marks{Sealed: header.Get("Sealed") != ""}
+}
+
+type jsonCodec struct{}
+
+func (jsonCodec) Read(document []byte) (*traffic.Configuration, error) {
+	configuration := &traffic.Configuration{}
+	err := json.Unmarshal(document, configuration)
+	return configuration, err
+}
+
+// emptyList is a platform's list that can't be reached.
+type emptyList struct{}
+
+func (emptyList) List(context.Context) ([]region.Replica, error) {
+	return nil, failure.New(failure.NoBackEnd, "the list can't be reached")
+}
+
+// fakeCoordinator shows one view.
+type fakeCoordinator struct {
+	address string
+	mutex   sync.Mutex
+	view    region.View
+	polls   int
+}
+
+func startCoordinator(t *testing.T, view region.View) *fakeCoordinator {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	fake := &fakeCoordinator{address: listener.Addr().String(), view: view}
+	closing := rpc.NewClosingListener(listener)
+	engine := server.New(append(rpc.ServerOptions(), server.WithListener(closing),
+		server.WithTransport(standard.NewTransporter), server.WithExitWaitTime(0))...)
+	rpc.Handle(engine, region.PathView, func(context.Context, *region.ViewRequest) (*region.View, error) {
+		time.Sleep(time.Millisecond)
+		fake.mutex.Lock()
+		defer fake.mutex.Unlock()
+		fake.polls++
+		shown := fake.view
+		return &shown, nil
+	})
+	t.Cleanup(rpc.RunServer(engine, closing))
+	return fake
+}
+
+func (f *fakeCoordinator) show(change func(*region.View)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change(&f.view)
+}
+
+func (f *fakeCoordinator) asked() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.polls
+}
+
+// viewOf is a fresh view of one service with one replica.
+func viewOf(t *testing.T, version uint64, replica string) region.View {
+	t.Helper()
+	document, err := json.Marshal(&traffic.Configuration{
+		Version: version,
+		Routes: []traffic.Route{{
+			Name: "route", Host: "h.example", PathPrefix: fmt.Sprintf("/v%d/", version),
+			Kind: traffic.KindStream, MaximumAttempts: 1,
+			Split: []traffic.Part{{Service: "service", Weight: 1}},
+		}},
+		Services: []traffic.Service{{Name: "service"}},
+	})
+	require.NoError(t, err)
+	var deflated bytes.Buffer
+	writer, err := flate.NewWriter(&deflated, flate.BestSpeed)
+	require.NoError(t, err)
+	_, err = writer.Write(document)
+	require.NoError(t, err)
+	require.NoError(t, writer.Close())
+	return region.View{
+		Zone: "zone", Version: version, Document: deflated.Bytes(), HasList: true, ListRevision: version, Gateways: 1,
+		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
+	}
+}
+
+// gateway is a daemon that runs in this process.
+type gateway struct {
+	t     *testing.T
+	front string
+	ready string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func startGateway(t *testing.T, coordinators ...*fakeCoordinator) *gateway {
+	t.Helper()
+	var seeds []string
+	for _, each := range coordinators {
+		seeds = append(seeds, each.address)
+	}
+	g := &gateway{t: t, front: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1)}
+	created, err := daemon.New(daemon.Settings{
+		Name: "gateway", Zone: "zone", Listen: g.front, ReadyListen: g.ready, ReadyPath: "/ready",
+		PeerListen: freeAddress(t), Seeds: func() []string { return seeds },
+		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
+		StopTime: 10 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
+		Logger: logr.Discard(),
+	})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	go func() { g.done <- created.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-g.done
+	})
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (g *gateway) readiness() int {
+	answer, err := http.Get("http://" + g.ready + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+func (g *gateway) awaitReadiness(status int) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool { return g.readiness() == status }, 30*time.Second, 5*time.Millisecond)
+}
+
+func (g *gateway) get(path string) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.front+path, bytes.NewBufferString("body"))
+	require.NoError(g.t, err)
+	request.Host = "h.example"
+	request.Header.Set("Request", "r-1")
+	return http.DefaultClient.Do(request)
+}
+
+// status asks until the gateway listens.
+func (g *gateway) status(path string) int {
+	g.t.Helper()
+	status := 0
+	require.Eventually(g.t, func() bool {
+		answer, err := g.get(path)
+		if err != nil {
+			return false
+		}
+		_ = answer.Body.Close()
+		status = answer.StatusCode
+		return true
+	}, 30*time.Second, 5*time.Millisecond)
+	return status
+}
+
+func startReplica(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	replica := httptest.NewServer(handler)
+	t.Cleanup(replica.Close)
+	return replica.Listener.Addr().String()
+}
+
+func streaming(events int, breakOff bool) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("Sealed", "yes")
+		writer.Header().Set("Content-Type", "text/event-stream")
+		for number := range events {
+			_, _ = fmt.Fprintf(writer, "id: %d\ndata: x\n\n", number)
+			writer.(http.Flusher).Flush()
+		}
+		if breakOff {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func TestAGatewayIsReadyOnlyWithAFreshView(t *testing.T) {
+	replica := startReplica(t, streaming(2, false))
+	coordinator := startCoordinator(t, viewOf(t, 3, replica))
+	coordinator.show(func(view *region.View) { view.AgeMillis = -1 })
+	g := startGateway(t, coordinator)
+	require.Eventually(t, func() bool { return coordinator.asked() > 3 }, 30*time.Second, time.Millisecond)
+	assert.Equal(t, http.StatusServiceUnavailable, g.readiness())
+	assert.Equal(t, http.StatusServiceUnavailable, g.status("/unknown/"), "a newer configuration may have the route")
+
+	coordinator.show(func(view *region.View) { view.AgeMillis = 10 })
+	g.awaitReadiness(http.StatusOK)
+	assert.Equal(t, http.StatusOK, g.status("/v3/x"))
+	assert.Equal(t, http.StatusNotFound, g.status("/unknown/"))
+}
+
+func TestAGatewayLeavesACoordinatorWhoseViewIsOld(t *testing.T) {
+	replica := startReplica(t, streaming(1, false))
+	old := startCoordinator(t, viewOf(t, 3, replica))
+	old.show(func(view *region.View) { view.AgeMillis = 60_000 })
+	fresh := startCoordinator(t, viewOf(t, 4, replica))
+	g := startGateway(t, old, fresh)
+	g.awaitReadiness(http.StatusOK)
+	assert.Equal(t, http.StatusOK, g.status("/v4/x"))
+	before := fresh.asked()
+	require.Eventually(t, func() bool { return fresh.asked() > before+20 }, 30*time.Second, time.Millisecond)
+}
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	replica := startReplica(t, streaming(1, false))
+	coordinator := startCoordinator(t, viewOf(t, 4, replica))
+	g := startGateway(t, coordinator)
+	g.awaitReadiness(http.StatusOK)
+	older := viewOf(t, 3, replica)
+	coordinator.show(func(view *region.View) { *view = older })
+	before := coordinator.asked()
+	require.Eventually(t, func() bool { return coordinator.asked() > before+5 }, 30*time.Second, time.Millisecond)
+	assert.Equal(t, http.StatusOK, g.status("/v4/x"))
+	assert.Equal(t, http.StatusNotFound, g.status("/v3/x"))
+}
+
+func TestABrokenStreamDoesNotLookComplete(t *testing.T) {
+	for _, breakOff := range []bool{false, true} {
+		g := startGateway(t, startCoordinator(t, viewOf(t, 3, startReplica(t, streaming(3, breakOff)))))
+		g.awaitReadiness(http.StatusOK)
+		answer, err := g.get("/v3/x")
+		require.NoError(t, err)
+		body, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		assert.Equal(t, 3, bytes.Count(body, []byte("data: x\n\n")))
+		assert.Equal(t, breakOff, err != nil)
+	}
+}
+
+func TestAPlannedStopAnswersWhatWasTakenAndRefusesWhatComesLate(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	replica := startReplica(t, func(writer http.ResponseWriter, request *http.Request) {
+		close(begun)
+		<-finish
+		streaming(1, false)(writer, request)
+	})
+	g := startGateway(t, startCoordinator(t, viewOf(t, 3, replica)))
+	g.awaitReadiness(http.StatusOK)
+	answered := make(chan string, 1)
+	go func() {
+		answer, err := g.get("/v3/x")
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		body, err := io.ReadAll(answer.Body)
+		answered <- fmt.Sprint(string(body), err, answer.Close)
+	}()
+	<-begun
+	g.stop()
+	g.awaitReadiness(http.StatusServiceUnavailable)
+	require.Eventually(t, func() bool { return g.status("/unknown/") == http.StatusServiceUnavailable }, 30*time.Second, 10*time.Millisecond)
+	close(finish)
+	assert.Equal(t, "id: 0\ndata: x\n\n<nil> true", <-answered)
+	err := <-g.done
+	g.done <- err
+	assert.NoError(t, err)
+}
