--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -251,6 +251,7 @@
 	}
 	err := k.order(ctx, replica, stage)
 	k.logger.Info("order", "replica", replica.ID, "stage", stage, "reason", change.Reason, "term", k.term,
+		"generating", change.Generating, "reading", change.Reading, "generators", change.Generators, "replicas", len(replicas),
 		"error", errorText(err))
 	switch {
 	case err == nil:
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -20,7 +20,7 @@
 				continue
 			}
 			staged = true
-			if now < replica.avoidUntil {
+			if replica.unconnected && now < replica.avoidUntil {
 				each.Unreachable = append(each.Unreachable, replica.ID)
 			}
 			each.Generating += float64(replica.generating)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -179,11 +179,12 @@
 	return meter
 }
 
-// Unreachable notes that the replica did not answer.
-func (l *Lease) Unreachable() {
+// Unreachable notes that the replica did not answer, after the request was handed
+// over or before.
+func (l *Lease) Unreachable(handedOver bool) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.Replica.unreachable(l.directory.clock())
+	l.Replica.unreachable(l.directory.clock(), !handedOver)
 }
 
 // Full notes that the replica refused the request because it was full.
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -103,14 +103,14 @@
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
-			lease.Unreachable()
+			lease.Unreachable(upstream.HandedOver(err))
 		}
 		return nil, err
 	}
 	defer answer.Close()
 	body, err := answer.ReadAll()
 	if err != nil {
-		lease.Unreachable()
+		lease.Unreachable(true)
 		return nil, err
 	}
 	if answer.Status != http.StatusOK {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -23,11 +23,13 @@
 	// failures in a row, and the time until which the replica is avoided.
 	failures   int
 	avoidUntil time.Duration
-	fullUntil  time.Duration
-	latency    float64
-	errorRate  float64
-	gone       bool
-	prefixes   *prefixMemory
+	// unconnected says that the last failure was that of making a connection.
+	unconnected bool
+	fullUntil   time.Duration
+	latency     float64
+	errorRate   float64
+	gone        bool
+	prefixes    *prefixMemory
 }
 
 // peerWork is what another gateway told of its work at a replica.
@@ -83,8 +85,9 @@
 }
 
 // unreachable notes a failure of the connection or a silence.
-func (r *Replica) unreachable(now time.Duration) {
+func (r *Replica) unreachable(now time.Duration, unconnected bool) {
 	r.failures++
+	r.unconnected = unconnected
 	pause := min(firstAvoidance<<min(r.failures-1, 8), maximumAvoidance)
 	r.avoidUntil = now + pause
 	r.observeError(1)
@@ -97,6 +100,7 @@
 // answered notes an answer of the replica's own.
 func (r *Replica) answered(now time.Duration, latency time.Duration, failed bool) {
 	r.failures = 0
+	r.unconnected = false
 	r.avoidUntil = 0
 	if failed {
 		r.observeError(1)
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -268,7 +268,7 @@
 func (r *run) connectionFailed(ctx context.Context, lease *Lease, err error) (verdict, error) {
 	handedOver := upstream.HandedOver(err)
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadline) {
-		lease.Unreachable()
+		lease.Unreachable(handedOver)
 		r.client.Forget(lease.Replica.Address, lease.Replica.ID)
 	}
 	if !handedOver {
@@ -292,7 +292,7 @@
 func (r *run) relayWhole(lease *Lease, answer *upstream.Exchange, marks Marks) (verdict, error) {
 	body, err := answer.ReadAll()
 	if err != nil {
-		lease.Unreachable()
+		lease.Unreachable(true)
 		return verdictUnknown, err
 	}
 	failed := answer.Status >= http.StatusInternalServerError
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,7 +50,7 @@
 			r.stream.writer.End()
 			return verdictAnswered, nil
 		default:
-			lease.Unreachable()
+			lease.Unreachable(true)
 			return verdictUnknown, brokenStream(err)
 		}
 	}
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -47,12 +47,19 @@
 	ReplicaID string
 	Generates bool
 	Reason    string
+	// Generating and Reading are the demand that decided: the peak of the answers
+	// being generated, and the replicas that reading keeps busy.
+	Generating float64
+	Reading    float64
+	// Generators is the number of replicas that generated before.
+	Generators int
 }
 
 const (
 	// initialGeneratingShare generates until demand is known.
 	initialGeneratingShare = 0.3
-	// minimumGeneratingShare generates whatever the demand is.
+	// minimumGeneratingShare is left when replicas stop generating, whatever the
+	// demand is. If it is lost otherwise, only demand brings it back.
 	minimumGeneratingShare = 0.3
 	// targetOccupancy is the wanted share of slots in use at generating replicas,
 	// and fullOccupancy that from which on another one is needed.
@@ -118,7 +125,7 @@
 	}
 	slots := float64(slotsOf(input.Replicas))
 	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
-	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), floor), most)
+	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), least), most)
 	if generating < needed {
 		return needed
 	}
@@ -143,7 +150,15 @@
 		p.changed = true
 		p.lastWay = generates
 		p.lastChange = now
-		return &Change{ReplicaID: replica.ID, Generates: generates, Reason: reason}
+		generators, _ := count(replicas)
+		return &Change{
+			ReplicaID:  replica.ID,
+			Generates:  generates,
+			Reason:     reason,
+			Generating: p.peak,
+			Reading:    p.reading,
+			Generators: generators,
+		}
 	}
 	return nil
 }
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -126,3 +126,13 @@
 	changes, _ := settle(t, &stageplan.Planner{}, 0, stageplan.Input{Replicas: fleet(0, 1), Reading: 5, Known: true})
 	assert.Zero(t, changes)
 }
+
+func TestALostGeneratorIsNotReplacedByABusyReader(t *testing.T) {
+	replicas := fleet(12, 6)
+	for index := 12; index < 15; index++ {
+		replicas[index].Unsettled = true
+	}
+	input := stageplan.Input{Replicas: replicas, Generating: 40, Reading: 20, Known: true, Restless: true}
+	changes, _ := settle(t, &stageplan.Planner{}, 0, input)
+	assert.Zero(t, changes, "3 generators are enough for 40 answers, and readers are short")
+}
