--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
@@ -19,6 +21,7 @@
 	"github.com/pierhaven/pierhaven/internal/linelog"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/platform"
 )
 
@@ -40,6 +43,7 @@
 type regionalProcess struct {
 	settings *regional.Settings
 	seeds    *regional.Seeds
+	metrics  *telemetry.Metrics
 	logger   logr.Logger
 }
 
@@ -69,8 +73,15 @@
 			started := regionalProcess{
 				settings: settings,
 				seeds:    regional.NewSeeds(path, process, settings, logger),
+				metrics:  telemetry.NewMetrics(name),
 				logger:   logger,
 			}
+			started.metrics.GaugeFunc("log_lines_dropped", "Log lines that were not written since the start.", func() float64 {
+				return float64(log.Dropped())
+			})
+			if err := serveMetrics(started); err != nil {
+				return err
+			}
 			tuneMemory()
 			err = runUntilStopped(started, run)
 			logger.Info("stop", "error", errorTextOf(err))
@@ -81,6 +92,25 @@
 	return command
 }
 
+// serveMetrics serves the metrics page, if it has an address.
+func serveMetrics(process regionalProcess) error {
+	if process.settings.MetricsListen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", process.settings.MetricsListen)
+	if err != nil {
+		return err
+	}
+	page := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+	)
+	telemetry.Mount(page, telemetry.NewHealth(), process.metrics)
+	go func() { _ = page.Run() }()
+	return nil
+}
+
 // collectionPercent has the collector run often: the processes are many and
 // small, and their memory costs more than their processor time.
 const collectionPercent = 50
@@ -121,6 +151,7 @@
 		Prefixes: platform.NewEngines(),
 		Codec:    platform.Codec{},
 		Dialect:  platform.Dialect{},
+		Metrics:  process.metrics,
 		Logger:   process.logger,
 	})
 	if err != nil {
@@ -148,6 +179,7 @@
 		Engines:    platform.NewEngines(),
 		Lease:      settings.Lease(),
 		Codec:      platform.Codec{},
+		Metrics:    process.metrics,
 		Logger:     process.logger,
 	})
 	if err != nil {
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -33,7 +33,9 @@
 	ReadyListen string `yaml:"ready_listen"`
 	// OperatorListen is the coordinators' address for operators.
 	OperatorListen string `yaml:"operator_listen"`
-	DataFolder     string `yaml:"data_folder"`
+	// MetricsListen is the address of the metrics page; empty serves none.
+	MetricsListen string `yaml:"metrics_listen"`
+	DataFolder    string `yaml:"data_folder"`
 	// IgnoreFileIdentity is for machines whose files get new numbers when they
 	// are restored after a loss of power. No data folder may then ever be
 	// restored from a copy: it would not be noticed.
@@ -114,6 +116,9 @@
 		needAddress("seeds", seed)
 	}
 	needAddress("replica_list", s.ReplicaList)
+	if s.MetricsListen != "" {
+		needAddress("metrics_listen", s.MetricsListen)
+	}
 	if s.StopSeconds <= 0 {
 		report("stop_seconds must be above 0")
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.registerMetrics(settings.Metrics)
 	if reason := c.group.Runner.Status().Quarantined; reason != nil {
 		c.logger.Info("data folder can't be used", "folder", settings.DataFolder, "reason", reason.Error())
 	}
--- /dev/null
+++ b/internal/coordinator/metrics.go
@@ -0,0 +1,41 @@
+package coordinator
+
+import (
+	"github.com/pierhaven/pierhaven/internal/telemetry"
+)
+
+// registerMetrics registers what is read when it is asked for.
+func (c *Coordinator) registerMetrics(registry *telemetry.Metrics) {
+	if registry == nil {
+		return
+	}
+	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.group.Leads)
+	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
+	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
+	registry.GaugeFunc("applied_index", "Last position of the log that is applied.", func() float64 {
+		return float64(c.group.Runner.Status().AppliedIndex)
+	})
+	registry.GaugeFunc("copy_age_seconds", "Age of the copy of the state, -1 before it was confirmed.", func() float64 {
+		age := c.freshness.age(c.now())
+		if age < 0 {
+			return -1
+		}
+		return age.Seconds()
+	})
+	registry.GaugeFunc("configuration_version", "Version in force, 0 before there is one.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(state.Version)
+	})
+	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(len(state.Replicas))
+	})
+	registry.GaugeFunc("stage_changes", "Stage changes under way.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(len(state.Changes))
+	})
+	registry.GaugeFunc("gateways", "Gateways of the region.", func() float64 {
+		gateways, _ := c.gateways.known()
+		return float64(len(gateways))
+	})
+}
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -36,7 +37,9 @@
 	Codec traffic.Codec
 	// ListInterval is the time between two polls of the list.
 	ListInterval time.Duration
-	Logger       logr.Logger
+	// Metrics is the process's registry; nil keeps none.
+	Metrics *telemetry.Metrics
+	Logger  logr.Logger
 }
 
 // Lister asks the platform which replicas there are.
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
@@ -41,14 +42,38 @@
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
 	peers := newPeers(settings, directory)
 	keeper := newViewKeeper(settings, client, directory, budgets, peers)
-	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, settings.Logger)
-	return &Daemon{
+	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
+	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
 		directory: directory,
 		client:    client,
 		front:     &front{settings: settings, keeper: keeper, runner: runner},
-	}, nil
+	}
+	created.registerGauges(settings.Metrics)
+	return created, nil
+}
+
+// registerGauges registers what is read when it is asked for.
+func (d *Daemon) registerGauges(registry *telemetry.Metrics) {
+	registry.Flag("ready", "1 while callers should come here.", d.isReady)
+	registry.GaugeFunc("requests_in_flight", "Requests that are being served.", func() float64 {
+		return float64(d.front.inFlight.Load())
+	})
+	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
+	registry.GaugeFunc("view_age_seconds", "Age of the view of the region, -1 before there is one.", func() float64 {
+		age, known := d.keeper.age()
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
+	registry.GaugeFunc("configuration_version", "Version in force, 0 before there is one.", func() float64 {
+		if table := d.keeper.Table(); table != nil {
+			return float64(table.Configuration.Version)
+		}
+		return 0
+	})
 }
 
 // Run serves until a planned stop has begun and all requests are answered, or
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -26,6 +26,7 @@
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -151,7 +152,7 @@
 		PeerListen: freeAddress(t), Seeds: func() []string { return seeds },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTime: 10 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
-		Logger: logr.Discard(),
+		Metrics: telemetry.NewMetrics("test"), Logger: logr.Discard(),
 	})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -31,7 +32,9 @@
 	Prefixes PrefixSource
 	Codec    traffic.Codec
 	Dialect  FrontDialect
-	Logger   logr.Logger
+	// Metrics is the process's registry.
+	Metrics *telemetry.Metrics
+	Logger  logr.Logger
 }
 
 // FrontDialect is a relay.Dialect with what concerns callers alone.
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -81,9 +81,11 @@
 	r.reads++
 	lease := r.directory.PickReader(r.call.Service.Name, nil, r.call.Prompt)
 	if lease == nil {
+		r.metrics.promptRead(readNobody, 0)
 		return nil
 	}
 	defer lease.Release()
+	begun := time.Now()
 	missing := lease.tokens
 	tokens := r.call.Prompt.Tokens + missing
 	bound := r.call.Route.TargetLatency/2 + time.Duration(float64(tokens)/slowestReading*float64(time.Second))
@@ -93,6 +95,11 @@
 	r.logger.V(1).Info("prompt read apart", "request", r.call.ID, "replica", lease.Replica.ID,
 		"tokens", r.call.Prompt.Tokens, "missing", missing,
 		"backlog", int(lease.backlog), "pace", int(r.directory.pace(r.call.Service.Name)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
+	outcome := readDone
+	if err != nil {
+		outcome = readFailed
+	}
+	r.metrics.promptRead(outcome, time.Since(begun))
 	return handle
 }
 
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -19,12 +19,20 @@
 	client    *upstream.Client
 	dialect   Dialect
 	budgets   *Budgets
+	metrics   *Metrics
 	logger    logr.Logger
 }
 
 // NewRunner returns a runner.
-func NewRunner(directory *Directory, client *upstream.Client, dialect Dialect, budgets *Budgets, logger logr.Logger) *Runner {
-	return &Runner{directory: directory, client: client, dialect: dialect, budgets: budgets, logger: logger}
+func NewRunner(directory *Directory, client *upstream.Client, dialect Dialect, budgets *Budgets, metrics *Metrics, logger logr.Logger) *Runner {
+	return &Runner{
+		directory: directory,
+		client:    client,
+		dialect:   dialect,
+		budgets:   budgets,
+		metrics:   metrics,
+		logger:    logger,
+	}
 }
 
 const (
@@ -89,12 +97,15 @@
 	if ctx.Err() != nil {
 		r.logger.Info("caller gone", "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
 			"sends", state.sends)
+		r.metrics.request(call, outcomeGone)
 		state.breakOff()
 		return
 	}
 	if err != nil {
 		state.refuse(err)
+		return
 	}
+	r.metrics.request(call, outcomeAnswered)
 }
 
 var errDeadline = errors.New("the time of the request has ended")
@@ -114,6 +125,7 @@
 		r.tried = append(r.tried, lease.Replica)
 		outcome, cause := r.attempt(ctx, lease, handle)
 		lease.Release()
+		r.metrics.attempt(outcome)
 		if outcome == verdictAnswered {
 			return nil
 		}
@@ -165,11 +177,13 @@
 func (r *run) refuse(err error) {
 	if r.stream != nil {
 		r.logger.Info("stream broken off", "request", r.call.ID, "events", r.stream.events, "cause", err.Error())
+		r.metrics.request(r.call, outcomeBroken)
 		r.breakOff()
 		return
 	}
 	if answer := r.lastFailure; answer != nil {
 		r.logger.Info("replica's failure handed on", "request", r.call.ID, "status", answer.status, "cause", err.Error())
+		r.metrics.request(r.call, outcomeFailed)
 		r.responder.Answer(answer.status, answer.header, answer.body)
 		return
 	}
@@ -182,6 +196,7 @@
 	answer := failure.AnswerFor(err)
 	r.logger.Info("request refused", "request", r.call.ID, "kind", string(answer.Kind), "status", answer.Status,
 		"cause", err.Error(), "sends", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
+	r.metrics.request(r.call, string(answer.Kind))
 	r.responder.Refuse(err)
 }
 
@@ -304,6 +319,7 @@
 	if r.stream != nil {
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the stream was not continued")
 	}
+	r.metrics.firstAnswer(r.call)
 	r.responder.Answer(answer.Status, answer.Header, body)
 	return verdictAnswered, nil
 }
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -20,6 +20,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -101,8 +102,9 @@
 	return &world{
 		t:         t,
 		directory: directory,
-		runner:    relay.NewRunner(directory, client, testDialect{}, budgets, logr.Discard()),
-		seen:      map[string]int{},
+		runner: relay.NewRunner(directory, client, testDialect{}, budgets,
+			relay.NewMetrics(telemetry.NewMetrics("test")), logr.Discard()),
+		seen: map[string]int{},
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -67,6 +67,7 @@
 // says that the caller has gone.
 func (r *run) forward(answer *upstream.Exchange, whole []byte, last string) error {
 	if r.stream == nil {
+		r.metrics.firstAnswer(r.call)
 		r.stream = &streamState{writer: r.responder.Stream(answer.Status, answer.Header)}
 	}
 	if last != "" {
