--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -17,6 +17,7 @@
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/config/regional"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/linelog"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -69,7 +70,7 @@
 			})
 			defer log.Close(logCloseTime)
 			logger := log.Logger()
-			logger.Info("start", "settings", path, "zone", settings.Zone, "address", settings.Address, "seeds", settings.Seeds)
+			logger.Info(event.Start, "settings", path, "zone", settings.Zone, "address", settings.Address, "seeds", settings.Seeds)
 			started := regionalProcess{
 				settings: settings,
 				seeds:    regional.NewSeeds(path, process, settings, logger),
@@ -84,7 +85,7 @@
 			}
 			tuneMemory()
 			err = runUntilStopped(started, run)
-			logger.Info("stop", "error", errorTextOf(err))
+			logger.Info(event.Stop, "error", errorTextOf(err))
 			return err
 		},
 	}
@@ -125,7 +126,7 @@
 	defer signal.Stop(hangups)
 	go func() {
 		for range hangups {
-			process.logger.Info("reload", "seeds", process.seeds.Addresses())
+			process.logger.Info(event.Reload, "seeds", process.seeds.Addresses())
 		}
 	}()
 	return run(process)
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -87,6 +87,7 @@
 		a.statusCommand(),
 		a.relayCommand(),
 		a.coordinatorCommand(),
+		a.explainCommand(),
 		a.policyCommand(),
 		documentCommand[dynamic.Tenant](a, dynamic.KindTenant),
 		documentCommand[dynamic.Model](a, dynamic.KindModel),
--- a/internal/config/regional/seeds.go
+++ b/internal/config/regional/seeds.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/event"
 )
 
 // rereadInterval is the least time between two looks at the file.
@@ -36,7 +38,7 @@
 	s.readAt = time.Now()
 	settings, err := Load(s.path, s.process)
 	if err != nil {
-		s.logger.Info("settings can't be read again", "error", err.Error())
+		s.logger.Info(event.SettingsUnreadable, "error", err.Error())
 		return s.current
 	}
 	s.current = settings.SeedAddresses()
--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -24,7 +25,7 @@
 func (c *Coordinator) Replace(ctx context.Context, document []byte) error {
 	configuration, err := c.settings.Codec.Read(document)
 	if err != nil {
-		c.logger.Info("configuration refused", "reason", err.Error(), "bytes", len(document))
+		c.logger.Info(event.ConfigurationRefused, "reason", err.Error(), "bytes", len(document))
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
@@ -41,7 +42,7 @@
 		}
 		return c.client.Call(ctx, leader, region.PathReplace, request, &taken)
 	})
-	c.logger.Info("configuration received", "version", configuration.Version, "in_force", taken.Version,
+	c.logger.Info(event.ConfigurationReceived, "version", configuration.Version, "in_force", taken.Version,
 		"routes", len(configuration.Routes), "error", errorText(err))
 	return err
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
@@ -80,7 +81,7 @@
 	}
 	c.registerMetrics(settings.Metrics)
 	if reason := c.group.Runner.Status().Quarantined; reason != nil {
-		c.logger.Info("data folder can't be used", "folder", settings.DataFolder, "reason", reason.Error())
+		c.logger.Info(event.DataUnusable, "folder", settings.DataFolder, "reason", reason.Error())
 	}
 	return c, nil
 }
@@ -128,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*electionTimeout)
 	defer cancel()
 	err := c.group.Runner.Transfer(ctx)
-	c.logger.Info("handed leadership over", "error", errorText(err))
+	c.logger.Info(event.LeadershipHandedOver, "error", errorText(err))
 }
 
 func errorText(err error) string {
@@ -145,7 +146,7 @@
 		case <-ctx.Done():
 			return
 		case change := <-c.group.Runner.LeadershipChanges():
-			c.logger.Info("leader changed", "term", change.Term, "leader", change.Address, "self", change.IsSelf)
+			c.logger.Info(event.LeaderChanged, "term", change.Term, "leader", change.Address, "self", change.IsSelf)
 		}
 	}
 }
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -45,7 +46,7 @@
 		err := c.confirmOnce(ctx)
 		if fresh := err == nil; fresh != known {
 			known = fresh
-			c.logger.Info("copy's freshness changed", "fresh", fresh, "leader", c.group.LeaderAddress(),
+			c.logger.Info(event.CopyFreshness, "fresh", fresh, "leader", c.group.LeaderAddress(),
 				"applied", c.group.Runner.Status().AppliedIndex, "error", errorText(err))
 		}
 	}
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
@@ -20,7 +21,7 @@
 		err := c.pollList(ctx)
 		if reached := err == nil; reached != reachable {
 			reachable = reached
-			c.logger.Info("list of replicas", "reachable", reached, "error", errorText(err))
+			c.logger.Info(event.ListReachable, "reachable", reached, "error", errorText(err))
 		}
 	}
 }
@@ -51,12 +52,12 @@
 	}
 	for _, replica := range after {
 		if known, found := old[replica.ID]; !found || known != replica {
-			c.logger.Info("replica listed", "replica", replica.ID, "service", replica.Service,
+			c.logger.Info(event.ReplicaListed, "replica", replica.ID, "service", replica.Service,
 				"address", replica.Address, "draining", replica.Draining, "stage", replica.Stage)
 		}
 		delete(old, replica.ID)
 	}
 	for _, replica := range old {
-		c.logger.Info("replica gone from the list", "replica", replica.ID, "address", replica.Address)
+		c.logger.Info(event.ReplicaGone, "replica", replica.ID, "address", replica.Address)
 	}
 }
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -9,6 +9,7 @@
 	"github.com/pierhaven/pierhaven/coordination/replica"
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
@@ -33,7 +34,7 @@
 		err := c.askToJoin(ctx)
 		if !asked || err == nil {
 			asked = true
-			c.logger.Info("asked to join the group", "replica", uint64(c.group.Runner.Status().ID), "error", errorText(err))
+			c.logger.Info(event.JoinAsked, "replica", uint64(c.group.Runner.Status().ID), "error", errorText(err))
 		}
 	}
 }
@@ -96,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.group.Runner.AddLearner(ctx, consensus.Member{ID: id, Address: request.Address})
-	c.logger.Info("replica joins", "replica", request.Replica, "address", request.Address, "error", errorText(err))
+	c.logger.Info(event.ReplicaJoins, "replica", request.Replica, "address", request.Address, "error", errorText(err))
 	return &peer.Empty{}, c.group.Translate(err)
 }
 
@@ -137,7 +138,7 @@
 			continue
 		}
 		err := c.carryOut(ctx, change)
-		c.logger.Info("membership change", "change", change.kind, "replica", uint64(change.replica),
+		c.logger.Info(event.MembershipChanged, "change", change.kind, "replica", uint64(change.replica),
 			"old", uint64(change.old), "error", errorText(err))
 	}
 }
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -218,7 +219,7 @@
 			continue
 		}
 		if now-begun > changeTimeout {
-			k.logger.Info("stage change has not ended", "replica", change.Replica, "stage", change.Stage)
+			k.logger.Info(event.ChangeStuck, "replica", change.Replica, "stage", change.Stage)
 			k.endChange(ctx, change.Replica, unclearHold)
 		}
 	}
@@ -235,7 +236,7 @@
 	delete(k.begun, replica)
 	command := &region.Command{ChangeEnd: &region.ChangeEndCommand{Replica: replica}}
 	if _, err := k.commit(ctx, command); err != nil {
-		k.logger.Info("end of a stage change not committed", "replica", replica, "error", err.Error())
+		k.logger.Info(event.ChangeEndLost, "replica", replica, "error", err.Error())
 	}
 }
 
@@ -250,7 +251,7 @@
 		stage = region.StageDecode
 	}
 	err := k.order(ctx, replica, stage)
-	k.logger.Info("order", "replica", replica.ID, "stage", stage, "reason", change.Reason, "term", k.term,
+	k.logger.Info(event.Order, "replica", replica.ID, "stage", stage, "reason", change.Reason, "term", k.term,
 		"generating", change.Generating, "reading", change.Reading, "generators", change.Generators, "replicas", len(replicas),
 		"error", errorText(err))
 	switch {
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,152 @@
+// Package event is the closed list of the events that the processes of a region
+// write to their logs. docs/OPERATIONS.md has a table of them with the fields of
+// each, which a test holds against this list.
+package event
+
+// Event is the message of a log line.
+type Event = string
+
+// Events.
+const (
+	// Start: a process starts.
+	Start Event = "start"
+	// Stop: a process has ended.
+	Stop Event = "stop"
+	// Reload: the settings file was read again on a hangup.
+	Reload Event = "reload"
+	// SettingsUnreadable: a changed settings file is not taken over.
+	SettingsUnreadable Event = "settings can't be read again"
+	// Ready: callers may come here.
+	Ready Event = "ready"
+	// NotReady: callers should not come here any more.
+	NotReady Event = "not ready"
+	// Stopped: all requests in flight are answered, or the time for it is over.
+	Stopped Event = "stopped"
+	// RequestTaken: a route and a part of its split were chosen.
+	RequestTaken Event = "request taken"
+	// RequestSent: a replica was chosen.
+	RequestSent Event = "request sent"
+	// PromptRead: a prompt was read by a replica that does not generate.
+	PromptRead Event = "prompt read apart"
+	// AttemptEnded: a send did not lead to the answer.
+	AttemptEnded Event = "attempt ended"
+	// RequestAnswered: the caller has its whole answer.
+	RequestAnswered Event = "request answered"
+	// RequestRefused: the caller got a failure of the gateway.
+	RequestRefused Event = "request refused"
+	// FailureHandedOn: the caller got a failure of a replica.
+	FailureHandedOn Event = "replica's failure handed on"
+	// StreamBrokenOff: a stream ended before its end.
+	StreamBrokenOff Event = "stream broken off"
+	// CallerGone: the caller left before its answer.
+	CallerGone Event = "caller gone"
+	// HandleNotFreed: the memory of a prompt may stay until it lapses.
+	HandleNotFreed Event = "handle not freed"
+	// ConfigurationReceived: an operator's configuration was handled.
+	ConfigurationReceived Event = "configuration received"
+	// ConfigurationRefused: an operator's configuration is invalid.
+	ConfigurationRefused Event = "configuration refused"
+	// ConfigurationApplied: a gateway has a configuration in force.
+	ConfigurationApplied Event = "configuration applied"
+	// ViewFreshness: a gateway's view became fresh or old.
+	ViewFreshness Event = "view's freshness changed"
+	// CopyFreshness: a coordinator's copy became fresh or old.
+	CopyFreshness Event = "copy's freshness changed"
+	// ListTaken: a gateway has a new list.
+	ListTaken Event = "list of replicas taken over"
+	// ListTakenDirectly: a gateway without a fresh view asked the platform's list.
+	ListTakenDirectly Event = "list of replicas taken from the platform"
+	// ListUnreadable: the platform's list did not answer a gateway.
+	ListUnreadable Event = "list of replicas can't be read"
+	// ListReachable: the platform's list was lost or regained by the leader.
+	ListReachable Event = "list of replicas"
+	// ReplicaListed: a replica has come or changed.
+	ReplicaListed Event = "replica listed"
+	// ReplicaGone: a replica has gone.
+	ReplicaGone Event = "replica gone from the list"
+	// ReplicaAvoided: a replica gets no requests for a time.
+	ReplicaAvoided Event = "replica avoided"
+	// PrefixesLearned: a replica told what it keeps.
+	PrefixesLearned Event = "kept prefixes learned"
+	// PrefixesUnknown: a replica did not tell what it keeps.
+	PrefixesUnknown Event = "kept prefixes unknown"
+	// PeersUnreachable: load is not shared with other gateways.
+	PeersUnreachable Event = "peers can't be told"
+	// LeaderChanged: this coordinator follows another leader, or leads.
+	LeaderChanged Event = "leader changed"
+	// LeadershipHandedOver: a leader stops by plan.
+	LeadershipHandedOver Event = "handed leadership over"
+	// GroupFounded: the seeds have founded the group.
+	GroupFounded Event = "founded group"
+	// FoundingUntold: a founder learns of the group from its leader.
+	FoundingUntold Event = "founding was not told"
+	// FoundingRetried: a founder is missing.
+	FoundingRetried Event = "group is not founded yet"
+	// JoinAsked: this coordinator is no member yet.
+	JoinAsked Event = "asked to join the group"
+	// ReplicaJoins: the leader has taken a coordinator in, without a vote.
+	ReplicaJoins Event = "replica joins"
+	// MembershipChanged: the leader has changed the voters.
+	MembershipChanged Event = "membership change"
+	// DataUnusable: the replica takes no part until its folder is replaced.
+	DataUnusable Event = "data folder can't be used"
+	// BatchFailed: messages to a coordinator were lost.
+	BatchFailed Event = "consensus batch failed"
+	// Order: an order was given to a replica.
+	Order Event = "order"
+	// ChangeStuck: the list has not shown an ordered stage in time.
+	ChangeStuck Event = "stage change has not ended"
+	// ChangeEndLost: the end of a stage change is tried again.
+	ChangeEndLost Event = "end of a stage change not committed"
+)
+
+// All lists the events.
+func All() []Event {
+	return []Event{
+		Start,
+		Stop,
+		Reload,
+		SettingsUnreadable,
+		Ready,
+		NotReady,
+		Stopped,
+		RequestTaken,
+		RequestSent,
+		PromptRead,
+		AttemptEnded,
+		RequestAnswered,
+		RequestRefused,
+		FailureHandedOn,
+		StreamBrokenOff,
+		CallerGone,
+		HandleNotFreed,
+		ConfigurationReceived,
+		ConfigurationRefused,
+		ConfigurationApplied,
+		ViewFreshness,
+		CopyFreshness,
+		ListTaken,
+		ListTakenDirectly,
+		ListUnreadable,
+		ListReachable,
+		ReplicaListed,
+		ReplicaGone,
+		ReplicaAvoided,
+		PrefixesLearned,
+		PrefixesUnknown,
+		PeersUnreachable,
+		LeaderChanged,
+		LeadershipHandedOver,
+		GroupFounded,
+		FoundingUntold,
+		FoundingRetried,
+		JoinAsked,
+		ReplicaJoins,
+		MembershipChanged,
+		DataUnusable,
+		BatchFailed,
+		Order,
+		ChangeStuck,
+		ChangeEndLost,
+	}
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,54 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/explain"
+)
+
+func explained(t *testing.T, logs ...string) explain.Explanation {
+	t.Helper()
+	var lines []explain.Line
+	for _, log := range logs {
+		var err error
+		lines, err = explain.Read(strings.NewReader(log), "r-1", lines)
+		require.NoError(t, err)
+	}
+	return explain.Explain("r-1", lines)
+}
+
+const (
+	taken   = `{"ts":"2026-12-02T10:00:00.001Z","msg":"request taken","process":"relay a","request":"r-1","route":"x"}`
+	other   = `{"ts":"2026-12-02T10:00:00.002Z","msg":"request taken","process":"relay a","request":"r-12","route":"x"}`
+	attempt = `{"ts":"2026-12-02T10:00:00.300Z","msg":"attempt ended","process":"relay a","request":"r-1","replica":"i-1","verdict":"unknown","cause":"reset"}`
+	refused = `{"ts":"2026-12-02T10:00:00.301Z","msg":"request refused","process":"relay a","request":"r-1","kind":"outcome_unknown","status":502,"cause":"it may have run"}`
+)
+
+func TestLinesOfSeveralLogsAreOrderedAndTheCauseIsStated(t *testing.T) {
+	got := explained(t, refused+"\nnot a line\n"+taken, "  12.3 front-1 "+attempt+"\n"+other)
+	require.Len(t, got.Lines, 3)
+	assert.Equal(t, "request taken", got.Lines[0].Event)
+	assert.Equal(t, "Request r-1 was refused with status 502 (outcome_unknown) because it may have run; "+
+		"its attempts ended at i-1 unknown (reset).", got.Cause)
+}
+
+func TestARequestWithoutAnEndIsSaidSo(t *testing.T) {
+	assert.Contains(t, explained(t, taken).Cause, "has no end in the logs")
+	assert.Contains(t, explained(t, other).Cause, "is in none of the logs")
+}
+
+func TestEachEndingIsExplained(t *testing.T) {
+	for line, says := range map[string]string{
+		`{"msg":"request answered","request":"r-1","after_ms":12,"sends":2}`:                     "answered after 12 ms, in 2 sends",
+		`{"msg":"caller gone","request":"r-1","after_ms":2400}`:                                  "left by its caller after 2400 ms",
+		`{"msg":"replica's failure handed on","request":"r-1","status":500,"cause":"no budget"}`: "own status 500, and was not repeated because no budget",
+		`{"msg":"stream broken off","request":"r-1","events":3,"cause":"reset"}`:                 "broken off after 3 parts because reset",
+		`{"msg":"request refused","request":"r-1","reason":"no route"}`:                          "refused because no route",
+	} {
+		assert.Contains(t, explained(t, line).Cause, says)
+	}
+}
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -38,7 +39,7 @@
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes})
-	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget)
+	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
 	peers := newPeers(settings, directory)
 	keeper := newViewKeeper(settings, client, directory, budgets, peers)
@@ -116,7 +117,7 @@
 func (d *Daemon) stop(callers *listener.Listener) {
 	begun := time.Now()
 	d.front.leave(begun.Add(min(lingerTime, d.settings.StopTime/2)))
-	d.settings.Logger.Info("not ready", "reason", "leaving", "in_flight", d.front.inFlight.Load())
+	d.settings.Logger.Info(event.NotReady, "reason", "leaving", "in_flight", d.front.inFlight.Load())
 	end := begun.Add(d.settings.StopTime)
 	for time.Now().Before(end) {
 		if d.front.inFlight.Load() == 0 && d.front.closed() {
@@ -126,7 +127,7 @@
 	}
 	// Answers are flushed after their handlers have returned.
 	time.Sleep(stopPoll)
-	d.settings.Logger.Info("stopped", "in_flight", d.front.inFlight.Load(), "connections", callers.Open(),
+	d.settings.Logger.Info(event.Stopped, "in_flight", d.front.inFlight.Load(), "connections", callers.Open(),
 		"after_ms", time.Since(begun).Milliseconds())
 	callers.CloseConnections()
 }
@@ -164,7 +165,7 @@
 	age, known := d.keeper.age()
 	ready := known && age < staleAge && d.keeper.Table() != nil && d.directory.Count() > 0
 	if ready && d.ready.CompareAndSwap(false, true) {
-		d.settings.Logger.Info("ready", "version", d.keeper.Table().Configuration.Version, "replicas", d.directory.Count(),
+		d.settings.Logger.Info(event.Ready, "version", d.keeper.Table().Configuration.Version, "replicas", d.directory.Count(),
 			"age_ms", age.Milliseconds())
 	}
 	return ready
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -120,7 +121,7 @@
 		Route:   route.Route,
 		Service: table.Service(service),
 	}
-	f.settings.Logger.V(1).Info("request taken", "request", terms.ID, "route", route.Name, "service", service,
+	f.settings.Logger.V(1).Info(event.RequestTaken, "request", terms.ID, "route", route.Name, "service", service,
 		"version", table.Configuration.Version, "wait_ms", terms.Wait.Milliseconds())
 	return call, nil
 }
@@ -130,7 +131,7 @@
 const unreadyRetryAfter = 300 * time.Millisecond
 
 func (f *front) logRefusal(id, reason string) {
-	f.settings.Logger.Info("request refused", "request", id, "reason", reason)
+	f.settings.Logger.Info(event.RequestRefused, "request", id, "reason", reason)
 }
 
 // pathOf returns a request's target without its query.
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 )
@@ -104,12 +105,12 @@
 func (p *peers) run(ctx context.Context) {
 	bound, err := net.ResolveUDPAddr("udp4", p.address)
 	if err != nil {
-		p.logger.Info("peers can't be told", "address", p.address, "error", err.Error())
+		p.logger.Info(event.PeersUnreachable, "address", p.address, "error", err.Error())
 		return
 	}
 	socket, err := net.ListenUDP("udp4", bound)
 	if err != nil {
-		p.logger.Info("peers can't be told", "address", p.address, "error", err.Error())
+		p.logger.Info(event.PeersUnreachable, "address", p.address, "error", err.Error())
 		return
 	}
 	_ = socket.SetReadBuffer(receiveBuffer)
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -49,7 +49,7 @@
 	// there are.
 	initialGateways = 16
 
-	dialTimeout        = 400 * time.Millisecond
+	dialTimeout        = 250 * time.Millisecond
 	maximumBodyBytes   = 32 << 20
 	maximumHeaderBytes = 64 << 10
 	// headerTimeout bounds the arrival of a request's head and body.
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -85,7 +86,7 @@
 		age, known := k.age()
 		if isFresh := known && age < staleAge; isFresh != fresh {
 			fresh = isFresh
-			k.logger.Info("view's freshness changed", "fresh", fresh, "coordinator", coordinator,
+			k.logger.Info(event.ViewFreshness, "fresh", fresh, "coordinator", coordinator,
 				"age_ms", age.Milliseconds(), "error", errorText(err))
 		}
 		if err == nil && age < staleAge {
@@ -179,7 +180,7 @@
 	if view.HasList && view.ListRevision > k.listRevision {
 		k.listRevision = view.ListRevision
 		k.directory.Replace(view.Replicas)
-		k.logger.Info("list of replicas taken over", "revision", view.ListRevision, "replicas", len(view.Replicas),
+		k.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(view.Replicas),
 			"age_ms", view.AgeMillis)
 	}
 	k.zones[coordinator] = view.Zone
@@ -219,7 +220,7 @@
 		}
 	}
 	k.table.Store(traffic.NewTable(configuration, before))
-	k.logger.Info("configuration applied", "version", configuration.Version, "routes", len(configuration.Routes),
+	k.logger.Info(event.ConfigurationApplied, "version", configuration.Version, "routes", len(configuration.Routes),
 		"age_ms", view.AgeMillis)
 	return nil
 }
@@ -233,7 +234,7 @@
 			continue
 		}
 		if err := k.pollList(ctx); err != nil {
-			k.logger.Info("list of replicas can't be read", "error", err.Error())
+			k.logger.Info(event.ListUnreadable, "error", err.Error())
 		}
 	}
 }
@@ -246,7 +247,7 @@
 		return err
 	}
 	k.directory.Replace(replicas)
-	k.logger.Info("list of replicas taken from the platform", "replicas", len(replicas))
+	k.logger.Info(event.ListTakenDirectly, "replicas", len(replicas))
 	return nil
 }
 
--- a/internal/relay/daemon/warmup.go
+++ b/internal/relay/daemon/warmup.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -56,9 +57,9 @@
 	defer cancel()
 	parts, err := d.settings.Prefixes.Kept(ctx, replica)
 	if err != nil {
-		d.settings.Logger.V(1).Info("kept prefixes unknown", "replica", replica.ID, "error", err.Error())
+		d.settings.Logger.V(1).Info(event.PrefixesUnknown, "replica", replica.ID, "error", err.Error())
 		return
 	}
 	d.directory.LearnKept(replica.ID, parts)
-	d.settings.Logger.V(1).Info("kept prefixes learned", "replica", replica.ID, "parts", len(parts))
+	d.settings.Logger.V(1).Info(event.PrefixesLearned, "replica", replica.ID, "parts", len(parts))
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -21,11 +24,12 @@
 	capacities map[string]int
 	placed     placements
 	onDropped  func(address, instance string)
+	logger     logr.Logger
 }
 
 // NewDirectory returns an empty directory. onDropped is told of each incarnation
 // that is gone from the list.
-func NewDirectory(clock func() time.Duration, zone string, onDropped func(address, instance string)) *Directory {
+func NewDirectory(clock func() time.Duration, zone string, onDropped func(address, instance string), logger logr.Logger) *Directory {
 	return &Directory{
 		clock:    clock,
 		zone:     zone,
@@ -36,6 +40,7 @@
 
 		capacities: map[string]int{},
 		onDropped:  onDropped,
+		logger:     logger,
 	}
 }
 
@@ -184,7 +189,10 @@
 func (l *Lease) Unreachable(handedOver bool) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.Replica.unreachable(l.directory.clock(), !handedOver)
+	now := l.directory.clock()
+	l.Replica.unreachable(now, !handedOver)
+	l.directory.logger.Info(event.ReplicaAvoided, "replica", l.Replica.ID, "for_ms", (l.Replica.avoidUntil - now).Milliseconds(),
+		"failures", l.Replica.failures, "connected", handedOver)
 }
 
 // Full notes that the replica refused the request because it was full.
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -40,10 +42,11 @@
 func (h *promptHandle) source() string { return h.replica.Address + "/" + h.id }
 
 // prepare has the prompt read by another replica than the one that will generate,
-// if that is better; nil if not, or if it could not be done.
-func (r *run) prepare(ctx context.Context) *promptHandle {
+// if that is better; nil if not, or if it could not be done. An error says that
+// the request may go to no other replica.
+func (r *run) prepare(ctx context.Context) (*promptHandle, error) {
 	if !r.isModelCall() || !r.readsApart() {
-		return nil
+		return nil, nil
 	}
 	return r.readPrompt(ctx)
 }
@@ -76,31 +79,49 @@
 	return event <= r.call.Route.TargetGap.Seconds()
 }
 
-// readPrompt has the prompt read, and returns nil if it could not be.
-func (r *run) readPrompt(ctx context.Context) *promptHandle {
+// readPrompt has the prompt read, and returns nil if it could not be. A reader that
+// took the request and did not read it makes the next send a repeated one, which
+// the retry budget has to allow: a reader that is slow is given up only then.
+func (r *run) readPrompt(ctx context.Context) (*promptHandle, error) {
 	r.reads++
-	lease := r.directory.PickReader(r.call.Service.Name, nil, r.call.Prompt)
+	service := r.call.Service.Name
+	lease := r.directory.PickReader(service, nil, r.call.Prompt)
 	if lease == nil {
 		r.metrics.promptRead(readNobody, 0)
-		return nil
+		return nil, nil
 	}
 	defer lease.Release()
 	begun := time.Now()
 	missing := lease.tokens
-	tokens := r.call.Prompt.Tokens + missing
-	bound := r.call.Route.TargetLatency/2 + time.Duration(float64(tokens)/slowestReading*float64(time.Second))
-	bounded, cancel := context.WithTimeoutCause(ctx, bound, errSlowReading)
-	defer cancel()
+	bounded, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	var paid atomic.Bool
+	timer := time.AfterFunc(r.readingBound(missing), func() {
+		if r.budgets.Withdraw(service) {
+			paid.Store(true)
+			giveUp(errSlowReading)
+		}
+	})
 	handle, err := r.exchangePrompt(bounded, lease)
-	r.logger.V(1).Info("prompt read apart", "request", r.call.ID, "replica", lease.Replica.ID,
-		"tokens", r.call.Prompt.Tokens, "missing", missing,
-		"backlog", int(lease.backlog), "pace", int(r.directory.pace(r.call.Service.Name)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
-	outcome := readDone
-	if err != nil {
-		outcome = readFailed
+	timer.Stop()
+	r.logger.V(1).Info(event.PromptRead, "request", r.call.ID, "replica", lease.Replica.ID,
+		"tokens", r.call.Prompt.Tokens, "missing", missing, "backlog", int(lease.backlog),
+		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
+	if err == nil {
+		r.metrics.promptRead(readDone, time.Since(begun))
+		return handle, nil
 	}
-	r.metrics.promptRead(outcome, time.Since(begun))
-	return handle
+	r.metrics.promptRead(readFailed, time.Since(begun))
+	if upstream.HandedOver(err) && !paid.Load() && !r.budgets.Withdraw(service) {
+		return nil, failure.New(failure.BackEndRefused, "the prompt was not read, and the retry budget is used up")
+	}
+	return nil, nil
+}
+
+// readingBound is how long a reader is waited for.
+func (r *run) readingBound(missing int) time.Duration {
+	tokens := float64(r.call.Prompt.Tokens + missing)
+	return r.call.Route.TargetLatency/2 + time.Duration(tokens/slowestReading*float64(time.Second))
 }
 
 var errSlowReading = failure.New(failure.DeadlineExceeded, "the prompt was not read in time")
@@ -164,7 +185,7 @@
 		Host:     handle.replica.Address,
 	})
 	if err != nil {
-		r.logger.V(1).Info("handle not freed", "replica", handle.replica.ID, "error", err.Error())
+		r.logger.V(1).Info(event.HandleNotFreed, "replica", handle.replica.ID, "error", err.Error())
 		return
 	}
 	_, _ = answer.ReadAll()
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -57,6 +58,8 @@
 	// attempts are the sends that a replica may have run; sends are all.
 	attempts int
 	sends    int
+	// arrivals are the sends that may have reached a replica.
+	arrivals int
 	tried    []*Replica
 	// reads are the calls that read the prompt apart.
 	reads int
@@ -95,7 +98,7 @@
 	defer cancel()
 	err := state.serve(bounded)
 	if ctx.Err() != nil {
-		r.logger.Info("caller gone", "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
+		r.logger.Info(event.CallerGone, "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
 			"sends", state.sends)
 		r.metrics.request(call, outcomeGone)
 		state.breakOff()
@@ -106,6 +109,16 @@
 		return
 	}
 	r.metrics.request(call, outcomeAnswered)
+	r.logger.V(1).Info(event.RequestAnswered, "request", call.ID, "sends", state.sends, "events", state.eventCount(),
+		"after_ms", time.Since(call.Arrived).Milliseconds())
+}
+
+// eventCount is the number of event batches handed on.
+func (r *run) eventCount() int {
+	if r.stream == nil {
+		return 0
+	}
+	return r.stream.events
 }
 
 var errDeadline = errors.New("the time of the request has ended")
@@ -116,7 +129,10 @@
 		if err := r.mayGoOn(); err != nil {
 			return err
 		}
-		handle := r.prepare(ctx)
+		handle, err := r.prepare(ctx)
+		if err != nil {
+			return err
+		}
 		lease := r.pick(handle)
 		if lease == nil {
 			handle.freeUnlessTaken(r.Runner)
@@ -129,7 +145,7 @@
 		if outcome == verdictAnswered {
 			return nil
 		}
-		r.logger.Info("attempt ended", "request", r.call.ID, "replica", lease.Replica.ID, "verdict", outcome.String(),
+		r.logger.Info(event.AttemptEnded, "request", r.call.ID, "replica", lease.Replica.ID, "verdict", outcome.String(),
 			"cause", errorText(cause), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "sends", r.sends)
 		if outcome == verdictUnknown || outcome == verdictFailed {
 			r.unknown = true
@@ -151,7 +167,7 @@
 	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends >= maximumSends {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.sends > 0 && !r.budgets.Withdraw(r.call.Service.Name) {
+	if r.arrivals > 0 && !r.budgets.Withdraw(r.call.Service.Name) {
 		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
 	}
 	return nil
@@ -176,13 +192,13 @@
 // before the gateway's.
 func (r *run) refuse(err error) {
 	if r.stream != nil {
-		r.logger.Info("stream broken off", "request", r.call.ID, "events", r.stream.events, "cause", err.Error())
+		r.logger.Info(event.StreamBrokenOff, "request", r.call.ID, "events", r.stream.events, "cause", err.Error())
 		r.metrics.request(r.call, outcomeBroken)
 		r.breakOff()
 		return
 	}
 	if answer := r.lastFailure; answer != nil {
-		r.logger.Info("replica's failure handed on", "request", r.call.ID, "status", answer.status, "cause", err.Error())
+		r.logger.Info(event.FailureHandedOn, "request", r.call.ID, "status", answer.status, "cause", err.Error())
 		r.metrics.request(r.call, outcomeFailed)
 		r.responder.Answer(answer.status, answer.header, answer.body)
 		return
@@ -194,7 +210,7 @@
 		err = failure.Wrap(err, failure.OutcomeUnknown)
 	}
 	answer := failure.AnswerFor(err)
-	r.logger.Info("request refused", "request", r.call.ID, "kind", string(answer.Kind), "status", answer.Status,
+	r.logger.Info(event.RequestRefused, "request", r.call.ID, "kind", string(answer.Kind), "status", answer.Status,
 		"cause", err.Error(), "sends", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	r.metrics.request(r.call, string(answer.Kind))
 	r.responder.Refuse(err)
@@ -256,13 +272,14 @@
 // exchange makes one send.
 func (r *run) exchange(ctx context.Context, lease *Lease, send Send) (verdict, error) {
 	r.sends++
-	r.logger.V(1).Info("request sent", "request", r.call.ID, "route", r.call.Route.Name, "replica", lease.Replica.ID,
+	r.logger.V(1).Info(event.RequestSent, "request", r.call.ID, "route", r.call.Route.Name, "replica", lease.Replica.ID,
 		"address", lease.Replica.Address, "source", send.Source, "in_flight", lease.Replica.inFlight, "send", r.sends)
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, send))
 	if err != nil {
 		return r.connectionFailed(ctx, lease, err)
 	}
 	defer answer.Close()
+	r.arrivals++
 	marks := r.dialect.ReadMarks(answer.Header)
 	if marks.NotRun || answer.Status == http.StatusMisdirectedRequest {
 		r.noteRefusal(lease, answer, marks)
@@ -289,6 +306,7 @@
 	if !handedOver {
 		return verdictNotRun, err
 	}
+	r.arrivals++
 	r.attempts++
 	return verdictUnknown, err
 }
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -93,12 +93,17 @@
 }
 
 func newWorld(t *testing.T) *world {
+	t.Helper()
+	return newWorldWith(t, relay.BudgetTerms{Ratio: 5, Window: time.Second, Slack: 100})
+}
+
+func newWorldWith(t *testing.T, terms relay.BudgetTerms) *world {
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
 	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20})
-	directory := relay.NewDirectory(clock, "zone", client.Forget)
-	budgets := relay.NewBudgets(clock, relay.BudgetTerms{Ratio: 5, Window: time.Second, Slack: 100}, 1)
+	directory := relay.NewDirectory(clock, "zone", client.Forget, logr.Discard())
+	budgets := relay.NewBudgets(clock, terms, 1)
 	return &world{
 		t:         t,
 		directory: directory,
@@ -438,3 +443,51 @@
 		t.Fatal("the handle was not freed")
 	}
 }
+
+func TestAPromptThatAReaderRefusedGoesOnOnlyWithinTheBudget(t *testing.T) {
+	w := newWorldWith(t, relay.BudgetTerms{Window: time.Second})
+	w.add("reader", region.StagePrefill, refusing)
+	w.add("generator", region.StageDecode, events(1, 2, false))
+	answer := w.run(modelCall(8000, "own"))
+	assert.Equal(t, failure.RanNo, failure.AnswerFor(answer.err).Ran)
+	assert.Zero(t, w.visits("generator"))
+}
+
+func TestASlowReaderIsWaitedForIfTheBudgetAllowsNothingElse(t *testing.T) {
+	for name, test := range map[string]struct {
+		terms   relay.BudgetTerms
+		aborted bool
+	}{
+		"no budget": {relay.BudgetTerms{Window: time.Second}, false},
+		"budget":    {relay.BudgetTerms{Ratio: 5, Window: time.Second, Slack: 100}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorldWith(t, test.terms)
+			w.add("reader", region.StagePrefill, func(writer http.ResponseWriter, request *http.Request) {
+				if test.aborted {
+					<-request.Context().Done()
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+				_, _ = io.WriteString(writer, "handle-1")
+			})
+			w.add("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+				assert.Equal(t, test.aborted, request.Header.Get("Source") == "")
+				events(1, 2, false)(writer, request)
+			})
+			assert.Equal(t, text(1, 2), w.run(modelCall(1200, "own")).body.String())
+		})
+	}
+}
+
+func TestAConnectionThatCanNotBeMadeCostsNoBudget(t *testing.T) {
+	w := newWorldWith(t, relay.BudgetTerms{Window: time.Second})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	w.list("dead", "", listener.Addr().String())
+	w.add("sound", "", sealed(http.StatusOK, "answer"))
+	for range 20 {
+		require.NoError(t, w.run(callOf(traffic.KindOnce, 1)).err)
+	}
+}
--- a/internal/replication/founding.go
+++ b/internal/replication/founding.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/coordination/replica"
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/rpc"
@@ -44,11 +45,11 @@
 	for f.isNew() {
 		founding, err := f.tryFounding(ctx, voters)
 		if err == nil {
-			f.Logger.Info("founded group", "group", f.Group.Name, "members", len(founding.Members))
+			f.Logger.Info(event.GroupFounded, "group", f.Group.Name, "members", len(founding.Members))
 			f.spreadFounding(ctx, founding)
 			return
 		}
-		f.Logger.V(1).Info("group is not founded yet", "group", f.Group.Name, "error", err.Error())
+		f.Logger.V(1).Info(event.FoundingRetried, "group", f.Group.Name, "error", err.Error())
 		if !lifecycle.Sleep(ctx, foundingRetryInterval) {
 			return
 		}
@@ -104,7 +105,7 @@
 			continue
 		}
 		if err := f.tellFounding(ctx, member.Address, founding); err != nil {
-			f.Logger.V(1).Info("founding was not told", "peer", member.Address, "error", err.Error())
+			f.Logger.V(1).Info(event.FoundingUntold, "peer", member.Address, "error", err.Error())
 		}
 	}
 }
--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -10,6 +10,7 @@
 
 	"github.com/pierhaven/pierhaven/coordination/consensus"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/eventlog"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/wire"
@@ -120,7 +121,7 @@
 			return
 		}
 		if err := t.post(address, batch); err != nil {
-			t.logger.V(1).Info("consensus batch failed", "peer", address, "messages", len(batch), "error", err.Error())
+			t.logger.V(1).Info(event.BatchFailed, "peer", address, "messages", len(batch), "error", err.Error())
 			t.clear(box)
 		}
 	}
