--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -162,10 +162,14 @@
 	l.readDone()
 }
 
-// PromptKept notes that the replica now keeps a prompt.
+// PromptKept notes that the replica now keeps a prompt, for peers too if the
+// replica generates: they were told of readers when the prompt was placed.
 func (l *Lease) PromptKept(prompt *Prompt) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
+	if l.Replica.Stage == region.StageDecode {
+		l.directory.placed.add(l.Replica.ID, prompt)
+	}
 	l.Replica.prefixes.learn(prompt.Parts, l.directory.capacities[l.Replica.Service], l.directory.clock())
 }
 
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -57,10 +57,10 @@
 
 const (
 	// initialGeneratingShare generates until demand is known.
-	initialGeneratingShare = 0.3
+	initialGeneratingShare = 0.25
 	// minimumGeneratingShare is left when replicas stop generating, whatever the
 	// demand is. If it is lost otherwise, only demand brings it back.
-	minimumGeneratingShare = 0.3
+	minimumGeneratingShare = 0.25
 	// targetOccupancy is the wanted share of slots in use at generating replicas,
 	// and fullOccupancy that from which on another one is needed.
 	targetOccupancy = 0.5
