--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -35,6 +35,9 @@
 	// savedShare of a gateway's slack can be saved up; the rest flows in evenly
 	// over a window.
 	savedShare = 0.5
+	// initialShare of what can be saved up is there from the start. It is granted
+	// again at each start, so a gateway that restarts often must not get much.
+	initialShare = 0.5
 )
 
 // NewBudgets returns budgets for a number of gateways.
@@ -86,5 +89,6 @@
 		Ratio:            caution * b.terms.Ratio,
 		MinimumPerSecond: (1 - savedShare) * share / b.terms.Window.Seconds(),
 		Maximum:          max(savedShare*share, 1),
+		Initial:          initialShare * savedShare * share,
 	}
 }
--- /dev/null
+++ b/internal/relay/budgets_test.go
@@ -0,0 +1,58 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// withdrawn counts what gateways together withdraw in each second, asking for as
+// much as they get.
+func withdrawn(gateways, seconds, requests int, terms relay.BudgetTerms, restartEvery int) []int {
+	now := time.Duration(0)
+	clock := func() time.Duration { return now }
+	budgets := make([]*relay.Budgets, gateways)
+	var each []int
+	for second := range seconds {
+		count := 0
+		for index := range budgets {
+			if budgets[index] == nil || restartEvery > 0 && second%restartEvery == index%restartEvery {
+				budgets[index] = relay.NewBudgets(clock, terms, gateways)
+			}
+			for range requests {
+				budgets[index].Request("s")
+			}
+			for budgets[index].Withdraw("s") {
+				count++
+			}
+		}
+		each = append(each, count)
+		now += time.Second
+	}
+	return each
+}
+
+func TestAllGatewaysTogetherStayWithinTheTermsInEveryWindow(t *testing.T) {
+	terms := relay.BudgetTerms{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	for name, test := range map[string]struct{ gateways, requests, restartEvery int }{
+		"few":       {7, 5, 0},
+		"quiet":     {9, 0, 0},
+		"many":      {59, 5, 0},
+		"restarted": {9, 5, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			each := withdrawn(test.gateways, 60, test.requests, terms, test.restartEvery)
+			for from := 0; from+10 <= len(each); from++ {
+				sum := 0
+				for _, count := range each[from : from+10] {
+					sum += count
+				}
+				allowed := terms.Ratio*float64(10*test.gateways*test.requests) + terms.Slack
+				assert.LessOrEqual(t, float64(sum), allowed, "window from second %d", from)
+			}
+		})
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -10,6 +10,8 @@
 	MinimumPerSecond float64
 	// Maximum bounds the retries that can be saved up.
 	Maximum float64
+	// Initial is what a new budget holds.
+	Initial float64
 }
 
 // DefaultBudgetOptions returns the settings that the experiments use. The ratio
@@ -28,9 +30,9 @@
 	refused uint64
 }
 
-// NewBudget returns an empty budget.
+// NewBudget returns a budget that holds what the options say.
 func NewBudget(options BudgetOptions) *Budget {
-	return &Budget{options: options}
+	return &Budget{options: options, balance: min(options.Initial, options.Maximum)}
 }
 
 // SetOptions changes the settings; what was saved up is kept as far as it may be.
