Don't spin while the transport closes

Ruled out: closed channels of the runner. Change: the transport waits for its own senders and releases the pool without waiting.

--- a/internal/replication/transport.go
+++ b/internal/replication/transport.go
@@ -42,6 +42,8 @@
 	mutex  sync.Mutex
 	peers  map[string]*outbox
 	closed bool
+	// senders are the drains under way.
+	senders sync.WaitGroup
 }
 
 // outbox is the queue of one peer.
@@ -107,7 +109,9 @@
 	if box.sending || len(box.messages) == 0 {
 		return
 	}
+	t.senders.Add(1)
 	if err := t.pool.Submit(func() { t.drain(address, box) }); err != nil {
+		t.senders.Done()
 		return
 	}
 	box.sending = true
@@ -115,6 +119,7 @@
 
 // drain sends batches until the queue is empty.
 func (t *Transport) drain(address string, box *outbox) {
+	defer t.senders.Done()
 	for {
 		batch := t.take(box)
 		if len(batch) == 0 {
@@ -165,12 +170,16 @@
 	return t.client.Call(ctx, address, wire.PathConsensus, request, &peer.Empty{})
 }
 
-// Close stops the sending.
+// Close stops the sending and waits for the batch under way to each peer, which
+// the transport's timeout bounds. The pool's own waiting release is not used: in
+// ants v2.12.1 it spins until its other goroutines have run, which on a single
+// processor without preemption they never do.
 func (t *Transport) Close() {
 	t.mutex.Lock()
 	t.closed = true
 	t.mutex.Unlock()
-	_ = t.pool.ReleaseTimeout(t.timeout)
+	t.senders.Wait()
+	t.pool.Release()
 }
 
 // Dropped counts the messages that were not sent, over all peers.
