--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,14 +1,13 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
-
-	"bufio"
 )
 
 // Options bound the exchanges of a Client.
@@ -65,14 +64,12 @@
 	if err != nil {
 		return nil, &Error{Cause: causeOf(ctx, err)}
 	}
-	reused := conn.used
-	conn.used = true
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sent := send(conn, request)
 	exchange := &Exchange{client: c, request: request, connection: conn, stopWatch: stopWatch, sent: sent, ctx: ctx}
 	if err := exchange.readHead(); err != nil {
 		exchange.abandon()
-		return nil, &Error{HandedOver: sent.handedOver(), Reused: reused, Cause: causeOf(ctx, err)}
+		return nil, &Error{HandedOver: sent.handedOver(), Cause: causeOf(ctx, err)}
 	}
 	return exchange, nil
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -28,7 +28,6 @@
 	// idleSince and idleUntil bound its rest in the pool.
 	idleSince time.Time
 	idleUntil time.Time
-	used      bool
 }
 
 // newDialer returns a dialer whose connections notice a peer that has fallen
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -9,9 +9,7 @@
 type Error struct {
 	// HandedOver is false only if no byte of the request was handed over.
 	HandedOver bool
-	// Reused says that the connection had carried other requests before.
-	Reused bool
-	Cause  error
+	Cause      error
 }
 
 // Error implements error.
