--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -201,6 +201,9 @@
 	// Prompts are those that the gateway has lately sent to be read; some were
 	// told before.
 	Prompts []PlacedPrompt `msg:"prompts"`
+	// Unreachable are the replicas that take no connection from the gateway, or
+	// have fallen silent.
+	Unreachable []string `msg:"unreachable"`
 }
 
 // PlacedPrompt is a prompt that a replica reads and keeps.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -840,8 +840,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Gateway)
 	o = msgp.AppendInt64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -861,6 +861,10 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+	for za0003 := range z.Unreachable {
+		o = msgp.AppendString(o, z.Unreachable[za0003])
+	}
 	return
 }
 
@@ -872,8 +876,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
@@ -955,6 +959,28 @@
 			return
 		}
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unreachable")
+		return
+	}
+	if zb0005 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Unreachable) >= int(zb0005) {
+		z.Unreachable = (z.Unreachable)[:zb0005]
+	} else {
+		z.Unreachable = make([]string, zb0005)
+	}
+	for za0003 := range z.Unreachable {
+		z.Unreachable[za0003], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unreachable", za0003)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -969,6 +995,10 @@
 	for za0002 := range z.Prompts {
 		s += z.Prompts[za0002].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Unreachable {
+		s += msgp.StringPrefixSize + len(z.Unreachable[za0003])
+	}
 	return
 }
 
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -134,6 +134,7 @@
 		if p.isNewer(&message) {
 			p.directory.TakeOutstanding(message.Gateway, message.Replicas)
 			p.directory.TakePlaced(p.newPrompts(&message))
+			p.directory.TakeUnreachable(message.Unreachable)
 		}
 	}
 }
@@ -191,6 +192,8 @@
 	toldAt    time.Time
 	allowance float64
 	told      map[string]region.OutstandingWork
+	// unreachable are the replicas last told of as such.
+	unreachable []string
 	// prompts and promptsBefore are the last placements told with the last
 	// message and with the one before it: each is told twice, for one datagram
 	// may be lost.
@@ -205,9 +208,11 @@
 		return
 	}
 	work := t.peers.directory.Outstanding()
-	if !t.worthTelling(now, work) {
+	unreachable := t.peers.directory.Unreachable()
+	if slices.Equal(unreachable, t.unreachable) && !t.worthTelling(now, work) {
 		return
 	}
+	t.unreachable = unreachable
 	t.send(now, work)
 }
 
@@ -245,6 +250,8 @@
 		Sequence: t.sequence,
 		Replicas: work,
 		Prompts:  prompts,
+
+		Unreachable: t.unreachable,
 	}
 	encoded, err := message.MarshalMsg(nil)
 	if err != nil || len(encoded) > maximumDatagram {
--- /dev/null
+++ b/internal/relay/directory_test.go
@@ -0,0 +1,142 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// directory is a directory on a clock that tests move.
+type directory struct {
+	*relay.Directory
+	now     time.Duration
+	dropped []string
+}
+
+func newDirectory(replicas ...region.Replica) *directory {
+	d := &directory{}
+	d.Directory = relay.NewDirectory(func() time.Duration { return d.now }, "z", func(_, instance string) {
+		d.dropped = append(d.dropped, instance)
+	}, logr.Discard())
+	d.Replace(replicas)
+	return d
+}
+
+func replica(id, stage string) region.Replica {
+	return region.Replica{ID: id, Service: "s", Address: id + ":1", Zone: "z", Slots: 4, Stage: stage}
+}
+
+func prompt(parts ...relay.PromptPart) *relay.Prompt {
+	whole := &relay.Prompt{Parts: parts}
+	for _, part := range parts {
+		whole.Tokens += part.Tokens
+	}
+	return whole
+}
+
+func TestADrainingReplicaStaysSoUnderAnOlderList(t *testing.T) {
+	d := newDirectory(replica("a", ""))
+	draining := replica("a", "")
+	draining.Draining = true
+	d.Replace([]region.Replica{draining})
+	assert.Nil(t, d.PickAny("s", nil))
+	d.Replace([]region.Replica{replica("a", "")})
+	assert.Nil(t, d.PickAny("s", nil))
+}
+
+func TestAReplicaThatIsGoneIsDroppedAndItsAddressMayComeAgain(t *testing.T) {
+	d := newDirectory(replica("a", ""))
+	reused := replica("b", "")
+	reused.Address = "a:1"
+	d.Replace([]region.Replica{reused})
+	assert.Equal(t, []string{"a"}, d.dropped)
+	assert.Equal(t, "b", d.PickAny("s", nil).Replica.ID)
+}
+
+func TestPeersWorkDecidesAmongEqualReplicas(t *testing.T) {
+	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, Tokens: 20_000}})
+	for range 10 {
+		lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "own", Tokens: 100}))
+		assert.Equal(t, "b", lease.Replica.ID)
+		lease.Release()
+	}
+	d.now += time.Minute
+	picked := map[string]bool{}
+	for range 50 {
+		lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "other", Tokens: 100}))
+		picked[lease.Replica.ID] = true
+		lease.Release()
+	}
+	assert.True(t, picked["a"] || picked["b"])
+}
+
+func TestAPromptGoesWhereItsPrefixIsKept(t *testing.T) {
+	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("c", region.StagePrefill))
+	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
+	first := d.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "1", Tokens: 500}))
+	first.PromptRead()
+	first.Release()
+	for _, own := range []string{"2", "3", "4"} {
+		next := d.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: own, Tokens: 500}))
+		assert.Equal(t, first.Replica.ID, next.Replica.ID)
+		next.Release()
+	}
+}
+
+func TestABusyReplicasPrefixIsFetchedByAnother(t *testing.T) {
+	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
+	d.LearnKept("a", []relay.PromptPart{shared})
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 30_000}})
+	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
+	lease := d.PickReader("s", nil, whole)
+	require.Equal(t, "b", lease.Replica.ID)
+	assert.Equal(t, "a:1", lease.FetchFrom(whole))
+}
+
+func TestWhatDoesNotFitIsForgotten(t *testing.T) {
+	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d.SetCapacity("s", 15_000)
+	d.LearnKept("a", []relay.PromptPart{{ID: "old", Tokens: 10_000}})
+	d.LearnKept("a", []relay.PromptPart{{ID: "new", Tokens: 10_000}})
+	lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "x", Tokens: 10}))
+	lease.Release()
+	old := prompt(relay.PromptPart{ID: "old", Tokens: 10_000}, relay.PromptPart{ID: "own", Tokens: 10})
+	picked := d.PickReader("s", nil, old)
+	assert.Empty(t, picked.FetchFrom(old), "no replica keeps it any more")
+}
+
+func TestAReplicaThatAPeerCanNotReachIsAvoidedForAWhile(t *testing.T) {
+	d := newDirectory(replica("a", ""), replica("b", ""))
+	d.TakeUnreachable([]string{"a", "unknown"})
+	for range 20 {
+		lease := d.PickAny("s", nil)
+		assert.Equal(t, "b", lease.Replica.ID)
+		lease.Release()
+	}
+	only := newDirectory(replica("a", ""))
+	only.TakeUnreachable([]string{"a"})
+	assert.NotNil(t, only.PickAny("s", nil), "it is still better than none")
+}
+
+func TestDemandCountsStreamsThatHaveBegunAndPromptsToBeRead(t *testing.T) {
+	d := newDirectory(replica("r", region.StagePrefill), replica("g", region.StageDecode), replica("x", ""))
+	lease := d.PickGenerator("s", nil, "z", nil)
+	demand := d.Demand()
+	require.Len(t, demand, 1)
+	assert.Zero(t, demand[0].Generating)
+	lease.StreamBegun()
+	assert.EqualValues(t, 1, d.Demand()[0].Generating)
+	lease.Release()
+	lease.Release()
+	assert.Zero(t, d.Demand()[0].Generating)
+	d.PickReader("s", nil, prompt(relay.PromptPart{ID: "p", Tokens: 60_000}))
+	assert.Positive(t, d.Demand()[0].Reading)
+}
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -24,6 +24,37 @@
 	return work
 }
 
+// Unreachable lists the replicas that this gateway can't reach.
+func (d *Directory) Unreachable() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	var ids []string
+	for id, replica := range d.replicas {
+		if replica.unconnected && now < replica.avoidUntil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// hearsayAvoidance is how long a replica is avoided that a peer can't reach. It
+// is short: the fault may be the peer's.
+const hearsayAvoidance = 700 * time.Millisecond
+
+// TakeUnreachable notes the replicas that a peer can't reach.
+func (d *Directory) TakeUnreachable(ids []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	until := d.clock() + hearsayAvoidance
+	for _, id := range ids {
+		if replica, known := d.replicas[id]; known {
+			replica.avoidUntil = max(replica.avoidUntil, until)
+		}
+	}
+}
+
 // TakeOutstanding notes a peer's whole work at replicas.
 func (d *Directory) TakeOutstanding(gateway string, work []region.OutstandingWork) {
 	d.mutex.Lock()
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -131,7 +131,7 @@
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
-			lease.Unreachable(upstream.HandedOver(err))
+			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
 		}
 		return nil, err
 	}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -300,7 +300,7 @@
 func (r *run) connectionFailed(ctx context.Context, lease *Lease, err error) (verdict, error) {
 	handedOver := upstream.HandedOver(err)
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadline) {
-		lease.Unreachable(handedOver)
+		lease.Unreachable(handedOver && !upstream.Silent(err))
 		r.client.Forget(lease.Replica.Address, lease.Replica.ID)
 	}
 	if !handedOver {
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 )
 
 // Error is the failure of an exchange.
@@ -29,6 +30,10 @@
 	return !errors.As(err, &failed) || failed.HandedOver
 }
 
+// Silent reports whether the peer's machine has acknowledged nothing for so long
+// that the system gave the connection up.
+func Silent(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // The causes of errors that are found in an answer.
 var (
 	errForeignAnswers = errors.New("only answers to other requests came")
