A randomized soak of a region's real processes

pierbench soak starts 3 coordinators and 2 gateways with stand-ins of the platform's list, replicas, operators and callers (platform/platformtest), draws kills, stops, freezes, hang-ups, whole-group kills and wiped disks from a seed, and checks while it runs: acknowledged configurations, at most once, true 'not run', whole answers, recovery. Each check is proved by a planted break.

--- /dev/null
+++ b/bench/soak/fleet.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+// process is one real process of the fleet.
+type process struct {
+	name     string
+	role     string
+	settings string
+	// address takes callers at gateways and operators at coordinators.
+	address string
+	folder  string
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	log     *os.File
+}
+
+// start starts the process.
+func (p *process) start(binary string) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	command := exec.Command(binary, p.role, "--settings", p.settings)
+	command.Stdout = p.log
+	command.Stderr = p.log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.command, p.done = command, done
+	go func() {
+		_ = command.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this soak has started.
+func (p *process) signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// end sends a signal and waits for the process's end.
+func (p *process) end(signal syscall.Signal) {
+	p.signal(signal)
+	p.mutex.Lock()
+	done := p.done
+	p.mutex.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
+const (
+	coordinators = 3
+	gateways     = 2
+	replicas     = 3
+
+	internalPort = 17400
+	operatorPort = 17401
+	callerPort   = 17402
+	readyPort    = 17403
+)
+
+// fleet is a region: coordinators, gateways, and stand-ins for the rest.
+type fleet struct {
+	binary       string
+	folder       string
+	subnet       int
+	coordinators []*process
+	gateways     []*process
+	servers      []*httptest.Server
+	list         []platformtest.Listed
+}
+
+// newFleet lays a region out on the loopback network. Each seed has a subnet of its
+// own, so that several may run.
+func newFleet(binary, folder string, subnet int, run func(replica int, request platformtest.Request) platformtest.Reply) (*fleet, error) {
+	f := &fleet{binary: binary, folder: folder, subnet: subnet}
+	for number := range replicas {
+		id := fmt.Sprintf("i-%d", number)
+		server := httptest.NewServer(platformtest.ReplicaHandler(id, func(request platformtest.Request) platformtest.Reply {
+			return run(number, request)
+		}))
+		f.servers = append(f.servers, server)
+		f.list = append(f.list, platformtest.Listed{
+			ID: id, Service: "service", Address: server.Listener.Addr().String(), Zone: "zone", Slots: 16, State: "ready",
+		})
+	}
+	list := httptest.NewServer(platformtest.ListHandler(func() []platformtest.Listed { return f.list }))
+	f.servers = append(f.servers, list)
+	for number := range coordinators + gateways {
+		if err := f.lay(number, list.Listener.Addr().String()); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) ip(number int) string { return fmt.Sprintf("127.77.%d.%d", f.subnet, number+1) }
+
+// lay writes the settings of one process.
+func (f *fleet) lay(number int, list string) error {
+	var seeds []string
+	for seed := range coordinators {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(seed), operatorPort)))
+	}
+	ip := f.ip(number)
+	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number))}
+	common := fmt.Sprintf("name: p%d\nzone: zone\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\n",
+		number, ip, internalPort, strings.Join(seeds, ","), list)
+	if number < coordinators {
+		laid.role = "coordinator"
+		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
+		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\n", laid.address, laid.folder)
+		f.coordinators = append(f.coordinators, laid)
+	} else {
+		laid.role = "relay"
+		laid.address = fmt.Sprintf("%s:%d", ip, callerPort)
+		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\n",
+			laid.address, ip, readyPort)
+		f.gateways = append(f.gateways, laid)
+	}
+	laid.settings = filepath.Join(f.folder, laid.name+".yaml")
+	if err := os.WriteFile(laid.settings, []byte(common), 0o600); err != nil {
+		return err
+	}
+	var err error
+	laid.log, err = os.Create(filepath.Join(f.folder, laid.name+".log"))
+	return err
+}
+
+func (f *fleet) all() []*process {
+	return append(append([]*process(nil), f.coordinators...), f.gateways...)
+}
+
+func (f *fleet) start() error {
+	for _, each := range f.all() {
+		if err := each.start(f.binary); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop ends everything that the fleet has started.
+func (f *fleet) stop() {
+	for _, each := range f.all() {
+		each.signal(syscall.SIGCONT)
+		each.end(syscall.SIGKILL)
+		_ = each.log.Close()
+	}
+	for _, server := range f.servers {
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
+
+// newClient returns a client that opens a connection for each request.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
--- /dev/null
+++ b/bench/soak/soak.go
@@ -0,0 +1,365 @@
+// Package soak runs a region's real processes on the loopback network, does random
+// harm to them by signals and to their replicas by defects, and checks the promises
+// while it runs: what was acknowledged is never lost or shown older, a request that
+// may not be repeated runs at most once, an answer "not run" is true, every answer is
+// the whole answer to its request, and service comes back.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+// Options describe one soak.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	// Binary is the pierhaven program.
+	Binary string
+	// Folder takes settings, data and logs.
+	Folder string
+	Log    io.Writer
+}
+
+// Result is what a soak has found.
+type Result struct {
+	Seed       uint64
+	Violations []string
+	Served     int
+	Faults     int
+	Changes    uint64
+}
+
+const (
+	callers         = 6
+	callWait        = 2 * time.Second
+	operatorTimeout = 2 * time.Second
+	recoverTimeout  = time.Minute
+	host            = "h.example"
+	onceRoute       = "/once/"
+	repeatRoute     = "/repeat/"
+)
+
+// soak is one run.
+type soak struct {
+	options Options
+	random  *rand.Rand
+	truth   *truth
+	fleet   *fleet
+	client  *http.Client
+	faults  int
+
+	mutex sync.Mutex
+	dice  *rand.Rand
+}
+
+// Run runs a soak.
+func Run(ctx context.Context, options Options) (Result, error) {
+	s := &soak{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		dice:    rand.New(rand.NewPCG(options.Seed, 2)),
+		truth:   newTruth(),
+		client:  newClient(),
+	}
+	var err error
+	s.fleet, err = newFleet(options.Binary, options.Folder, int(options.Seed%250), s.runAtReplica)
+	if s.fleet != nil {
+		defer s.fleet.stop()
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	if err := s.fleet.start(); err != nil {
+		return Result{}, err
+	}
+	work, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { s.operate(work) })
+	running.Go(func() { s.readBack(work) })
+	for number := range callers {
+		running.Go(func() { s.call(work, number) })
+	}
+	s.awaitService(ctx, "at the start")
+	s.harm(ctx)
+	s.awaitService(ctx, "after the last fault")
+	cancel()
+	running.Wait()
+	violations, served := s.truth.broken()
+	return Result{Seed: options.Seed, Violations: violations, Served: served, Faults: s.faults, Changes: s.truth.newest()}, nil
+}
+
+// roll reports whether something of a probability happens.
+func (s *soak) roll(probability float64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.dice.Float64() < probability
+}
+
+// runAtReplica is what the replicas do: mostly run and answer, sometimes refuse,
+// lose the answer, or drop the connection before they run.
+func (s *soak) runAtReplica(_ int, request platformtest.Request) platformtest.Reply {
+	switch {
+	case s.roll(0.03):
+		return platformtest.Reply{Status: http.StatusServiceUnavailable, NotRun: true}
+	case s.roll(0.02):
+		return platformtest.Reply{Drop: true}
+	}
+	s.truth.ran(request.ID)
+	time.Sleep(5 * time.Millisecond)
+	if s.roll(0.02) {
+		return platformtest.Reply{Drop: true}
+	}
+	return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
+}
+
+// operate sends configurations, each until it is acknowledged or the next comes.
+func (s *soak) operate(ctx context.Context) {
+	routes := []platformtest.Route{
+		{Name: "once", Host: host, Prefix: onceRoute, Service: "service"},
+		{Name: "repeat", Host: host, Prefix: repeatRoute, Service: "service", Repeatable: true},
+	}
+	for version := uint64(1); ctx.Err() == nil; version++ {
+		changed := append(routes[:2:2], platformtest.Route{
+			Name: "changing", Host: host, Prefix: fmt.Sprintf("/v%d/", version), Service: "service",
+		})
+		document := platformtest.Configuration(version, changed)
+		s.truth.sends(version, document)
+		for range 8 {
+			if s.replace(ctx, document) {
+				s.truth.acknowledged(version)
+				break
+			}
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+}
+
+func (s *soak) replace(ctx context.Context, document []byte) bool {
+	bounded, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	status, err := platformtest.Replace(bounded, s.client, s.coordinator(), document)
+	if err != nil || status != http.StatusOK {
+		pause(ctx, 50*time.Millisecond)
+		return false
+	}
+	return true
+}
+
+func (s *soak) coordinator() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fleet.coordinators[s.dice.IntN(coordinators)].address
+}
+
+// readBack reads the configuration at any coordinator, all the time.
+func (s *soak) readBack(ctx context.Context) {
+	for ctx.Err() == nil {
+		address := s.coordinator()
+		before := s.truth.newest()
+		bounded, cancel := context.WithTimeout(ctx, operatorTimeout)
+		status, document, err := platformtest.Current(bounded, s.client, address)
+		cancel()
+		if err == nil && status == http.StatusOK {
+			s.truth.readBack(address, before, document)
+		}
+		pause(ctx, 30*time.Millisecond)
+	}
+}
+
+// call sends requests one after the other.
+func (s *soak) call(ctx context.Context, caller int) {
+	for number := 0; ctx.Err() == nil; number++ {
+		once := number%2 == 0
+		path := repeatRoute
+		if once {
+			path = onceRoute
+		}
+		id := fmt.Sprintf("c%d-%d", caller, number)
+		s.truth.begin(id, once)
+		gateway := s.fleet.gateways[(caller+number)%gateways].address
+		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
+		answer, err := platformtest.Call(bounded, s.client, gateway, host, path+"x", id, callWait)
+		cancel()
+		if err == nil {
+			s.truth.answered(id, answer)
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+}
+
+// awaitService waits until requests are served again.
+func (s *soak) awaitService(ctx context.Context, when string) {
+	_, before := s.truth.broken()
+	acked := s.truth.newest()
+	deadline := time.Now().Add(recoverTimeout)
+	for ctx.Err() == nil {
+		_, served := s.truth.broken()
+		if served > before+50 && s.truth.newest() > acked {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.truth.mutex.Lock()
+			s.truth.violate("%s: %d requests served and version %d acknowledged in %s", when, served-before, s.truth.acked, recoverTimeout)
+			s.truth.mutex.Unlock()
+			return
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// Command returns the command that runs soaks.
+func Command() *cobra.Command {
+	var seed uint64
+	var runs int
+	var duration time.Duration
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run a region's real processes under random faults and check the promises",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runAll(command.Context(), command.OutOrStdout(), seed, runs, duration)
+		},
+	}
+	command.Flags().Uint64Var(&seed, "seed", 0, "first seed; 0 draws one")
+	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
+	command.Flags().DurationVar(&duration, "duration", 30*time.Second, "time of faults in each")
+	return command
+}
+
+func runAll(ctx context.Context, out io.Writer, seed uint64, runs int, duration time.Duration) error {
+	if seed == 0 {
+		seed = rand.Uint64N(1 << 32)
+	}
+	folder, err := os.MkdirTemp("", "pierhaven-soak")
+	if err != nil {
+		return err
+	}
+	binary := filepath.Join(folder, "pierhaven")
+	if output, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/pierhaven").CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w: %s", err, output)
+	}
+	broken := 0
+	for run := range runs {
+		own := filepath.Join(folder, fmt.Sprint(seed+uint64(run)))
+		if err := os.Mkdir(own, 0o700); err != nil {
+			return err
+		}
+		result, err := Run(ctx, Options{Seed: seed + uint64(run), Duration: duration, Binary: binary, Folder: own, Log: out})
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d faults, %d changes, %d violations\n",
+			result.Seed, result.Served, result.Faults, result.Changes, len(result.Violations))
+		for _, violation := range result.Violations {
+			_, _ = fmt.Fprintln(out, "  "+violation)
+		}
+		if len(result.Violations) > 0 {
+			broken++
+			_, _ = fmt.Fprintln(out, "  logs: "+own)
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d of %d soaks broke a promise", broken, runs)
+	}
+	return os.RemoveAll(folder)
+}
+
+// harmful is one kind of fault.
+type harmful struct {
+	name string
+	do   func(s *soak, ctx context.Context)
+}
+
+// kinds are the faults that a soak draws from.
+var kinds = []harmful{
+	{"kill a coordinator", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.coordinators), syscall.SIGKILL) }},
+	{"kill a gateway", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.gateways), syscall.SIGKILL) }},
+	{"stop a coordinator", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.coordinators), syscall.SIGTERM) }},
+	{"stop a gateway", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.gateways), syscall.SIGTERM) }},
+	{"freeze a coordinator", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.coordinators)) }},
+	{"freeze a gateway", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.gateways)) }},
+	{"hang up", func(s *soak, _ context.Context) { s.anyOf(s.fleet.all()).signal(syscall.SIGHUP) }},
+	{"kill all coordinators", (*soak).killAll},
+	{"wipe a disk", (*soak).wipe},
+}
+
+// harm draws faults until the duration is over.
+func (s *soak) harm(ctx context.Context) {
+	end := time.Now().Add(s.options.Duration)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		kind := kinds[s.random.IntN(len(kinds))]
+		s.faults++
+		_, _ = fmt.Fprintf(s.options.Log, "seed %d: %s\n", s.options.Seed, kind.name)
+		kind.do(s, ctx)
+		pause(ctx, time.Duration(s.random.IntN(900))*time.Millisecond)
+	}
+}
+
+func (s *soak) anyOf(processes []*process) *process { return processes[s.random.IntN(len(processes))] }
+
+func (s *soak) restart(ctx context.Context, harmed *process, signal syscall.Signal) {
+	harmed.end(signal)
+	pause(ctx, time.Duration(s.random.IntN(800))*time.Millisecond)
+	s.startAgain(harmed)
+}
+
+func (s *soak) startAgain(harmed *process) {
+	if err := harmed.start(s.options.Binary); err != nil {
+		s.truth.mutex.Lock()
+		s.truth.violate("%s does not start: %v", harmed.name, err)
+		s.truth.mutex.Unlock()
+	}
+}
+
+func (s *soak) freeze(ctx context.Context, harmed *process) {
+	harmed.signal(syscall.SIGSTOP)
+	pause(ctx, time.Duration(200+s.random.IntN(2500))*time.Millisecond)
+	harmed.signal(syscall.SIGCONT)
+}
+
+func (s *soak) killAll(context.Context) {
+	for _, each := range s.fleet.coordinators {
+		each.end(syscall.SIGKILL)
+	}
+	for _, each := range s.fleet.coordinators {
+		s.startAgain(each)
+	}
+}
+
+// wipe empties one coordinator's disk. The deployment tolerates the loss of one at a
+// time, so it waits until the others are well before and this one is again after.
+func (s *soak) wipe(ctx context.Context) {
+	s.awaitService(ctx, "before a disk is wiped")
+	pause(ctx, settleTime)
+	harmed := s.anyOf(s.fleet.coordinators)
+	harmed.end(syscall.SIGKILL)
+	if err := os.RemoveAll(harmed.folder); err != nil {
+		return
+	}
+	s.startAgain(harmed)
+	pause(ctx, settleTime)
+}
+
+// settleTime is how long a lost machine still counts as lost after its return.
+const settleTime = 4 * time.Second
--- /dev/null
+++ b/bench/soak/truth.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+// truth is what the stand-ins, the callers and the operators have seen, and
+// checks the promises against it while the soak runs.
+type truth struct {
+	mutex      sync.Mutex
+	once       map[string]bool
+	runs       map[string]int
+	promised   map[string]bool
+	sent       map[uint64]string
+	acked      uint64
+	served     int
+	violations []string
+}
+
+func newTruth() *truth {
+	return &truth{
+		once:     map[string]bool{},
+		runs:     map[string]int{},
+		promised: map[string]bool{},
+		sent:     map[uint64]string{},
+	}
+}
+
+func (t *truth) violate(format string, arguments ...any) {
+	t.violations = append(t.violations, fmt.Sprintf(format, arguments...))
+}
+
+// begin notes a caller's request before it is sent.
+func (t *truth) begin(id string, once bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.once[id] = once
+}
+
+// ran notes that a replica runs a request.
+func (t *truth) ran(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	once, known := t.once[id]
+	t.runs[id]++
+	switch {
+	case !known:
+		t.violate("request %s was run and never sent", id)
+	case once && t.runs[id] > 1:
+		t.violate("request %s ran %d times", id, t.runs[id])
+	case once && t.promised[id]:
+		t.violate("request %s ran after an answer that it had not", id)
+	}
+}
+
+// answered notes what a caller got.
+func (t *truth) answered(id string, answer platformtest.Answer) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if answer.Status < 300 {
+		t.served++
+		if !answer.Sealed || answer.Body != bodyFor(id) {
+			t.violate("request %s got a wrong answer: %q", id, answer.Body)
+		}
+	}
+	if answer.Promises() && t.once[id] {
+		t.promised[id] = true
+		if t.runs[id] > 0 {
+			t.violate("request %s was answered %d as not run, and had run", id, answer.Status)
+		}
+	}
+}
+
+// bodyFor is the answer of a replica to a request.
+func bodyFor(id string) string { return "answer to " + id }
+
+// sends notes a configuration before it is sent.
+func (t *truth) sends(version uint64, document []byte) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.sent[version] = string(document)
+}
+
+// acknowledged notes that a configuration was acknowledged.
+func (t *truth) acknowledged(version uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.acked = max(t.acked, version)
+}
+
+// newest is the newest configuration acknowledged.
+func (t *truth) newest() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.acked
+}
+
+// readBack notes a configuration that was read, and what had been acknowledged
+// before the reading.
+func (t *truth) readBack(coordinator string, before uint64, document []byte) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	version, err := platformtest.Version(document)
+	switch {
+	case err != nil:
+		t.violate("%s shows a configuration that can't be read: %v", coordinator, err)
+	case version < before:
+		t.violate("%s shows version %d after %d was acknowledged", coordinator, version, before)
+	case t.sent[version] != string(document):
+		t.violate("%s shows version %d with other content", coordinator, version)
+	}
+}
+
+// broken lists the violations, and the number of requests served.
+func (t *truth) broken() ([]string, int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return append([]string(nil), t.violations...), t.served
+}
--- /dev/null
+++ b/bench/soak/truth_test.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+func TestTheCheckerCatchesEachPlantedBreak(t *testing.T) {
+	good := platformtest.Answer{Status: 200, Body: bodyFor("a"), Sealed: true}
+	refused := platformtest.Answer{Status: 503}
+	for name, test := range map[string]struct {
+		events func(*truth)
+		says   string
+	}{
+		"nothing wrong": {func(t *truth) { t.begin("a", true); t.ran("a"); t.answered("a", good) }, ""},
+		"repeatable twice": {func(t *truth) {
+			t.begin("a", false)
+			t.ran("a")
+			t.ran("a")
+			t.answered("a", refused)
+		}, ""},
+		"run twice":        {func(t *truth) { t.begin("a", true); t.ran("a"); t.ran("a") }, "ran 2 times"},
+		"never sent":       {func(t *truth) { t.ran("a") }, "never sent"},
+		"false not run":    {func(t *truth) { t.begin("a", true); t.ran("a"); t.answered("a", refused) }, "had run"},
+		"run later":        {func(t *truth) { t.begin("a", true); t.answered("a", refused); t.ran("a") }, "after an answer"},
+		"another's answer": {func(t *truth) { t.begin("b", true); t.ran("b"); t.answered("b", good) }, "wrong answer"},
+		"forged": {func(t *truth) {
+			t.begin("a", true)
+			t.answered("a", platformtest.Answer{Status: 200, Body: bodyFor("a")})
+		}, "wrong answer"},
+		"read back": {func(t *truth) {
+			document := platformtest.Configuration(3, nil)
+			t.sends(3, document)
+			t.acknowledged(3)
+			t.readBack("c", 3, document)
+		}, ""},
+		"gone back": {func(t *truth) {
+			t.sends(2, platformtest.Configuration(2, nil))
+			t.acknowledged(3)
+			t.readBack("c", 3, platformtest.Configuration(2, nil))
+		}, "after 3 was acknowledged"},
+		"other content": {func(t *truth) {
+			t.sends(3, []byte(`{"Version":3,"Routes":null}`))
+			t.readBack("c", 3, []byte(`{"Version":3}`))
+		}, "other content"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := newTruth()
+			test.events(seen)
+			violations, _ := seen.broken()
+			if test.says == "" {
+				assert.Empty(t, violations)
+				return
+			}
+			if assert.Len(t, violations, 1) {
+				assert.Contains(t, violations[0], test.says)
+			}
+		})
+	}
+}
--- a/cmd/pierbench/main.go
+++ b/cmd/pierbench/main.go
@@ -24,6 +24,7 @@
 	"github.com/pierhaven/pierhaven/bench/scale"
 	"github.com/pierhaven/pierhaven/bench/scale/hollow"
 	"github.com/pierhaven/pierhaven/bench/simulation"
+	"github.com/pierhaven/pierhaven/bench/soak"
 )
 
 func main() {
@@ -60,6 +61,7 @@
 		scale.Command(),
 		hollow.Command(),
 		simulation.Command(),
+		soak.Command(),
 		engine.Command(),
 		application.Command(),
 		platform.MachineListCommand(),
