Help full generators before demand has settled

Ruled out: readers (backlog 0). Change: a shortage of generators is acted on from the first word of demand; a third generates until then.

--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -57,7 +57,7 @@
 
 const (
 	// initialGeneratingShare generates until demand is known.
-	initialGeneratingShare = 0.25
+	initialGeneratingShare = 0.33
 	// minimumGeneratingShare is left when replicas stop generating, whatever the
 	// demand is. If it is lost otherwise, only demand brings it back.
 	minimumGeneratingShare = 0.25
@@ -120,15 +120,16 @@
 	total := len(input.Replicas)
 	least := min(minimumReplicas, total-1)
 	most := max(total-minimumReplicas, least)
-	if !input.Known {
-		return min(max(int(math.Ceil(initialGeneratingShare*float64(total))), least), most)
-	}
 	slots := float64(slotsOf(input.Replicas))
-	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
 	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), least), most)
+	if !input.Known {
+		initial := int(math.Ceil(initialGeneratingShare * float64(total)))
+		return min(max(initial, needed), most)
+	}
 	if generating < needed {
 		return needed
 	}
+	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
 	comfortable := min(max(int(math.Ceil(p.peak/(slots*targetOccupancy))), floor), most)
 	readers := total - generating
 	if generating > comfortable && p.reading > busyReading*float64(readers) {
