--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -13,6 +13,12 @@
 	leastFetched = 1500
 )
 
+// offers reports whether others may fetch from the replica: one whose answers were
+// lost may, one that takes no connection may not.
+func (r *Replica) offers(now time.Duration) bool {
+	return !r.gone && !(r.unconnected && now < r.avoidUntil)
+}
+
 // fetchSource returns the replica from which another should fetch the beginning
 // of a prompt before it reads the rest, and the tokens that this saves; nil if
 // none keeps enough more of it. One of the same zone is preferred. It is called
@@ -20,7 +26,7 @@
 func (d *Directory) fetchSource(target *Replica, prompt *Prompt, now time.Duration) (source *Replica, saved int) {
 	own := target.prefixes.kept(prompt, now)
 	for _, replica := range d.services[target.Service] {
-		if replica == target || replica.gone || now < replica.avoidUntil {
+		if replica == target || !replica.offers(now) {
 			continue
 		}
 		gain := replica.prefixes.kept(prompt, now) - own
@@ -40,7 +46,7 @@
 func (d *Directory) mostKept(service string, prompt *Prompt, now time.Duration) int {
 	most := 0
 	for _, replica := range d.services[service] {
-		if !replica.gone && now >= replica.avoidUntil {
+		if replica.offers(now) {
 			most = max(most, replica.prefixes.kept(prompt, now))
 		}
 	}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -112,12 +112,19 @@
 		return handle, nil
 	}
 	r.metrics.promptRead(readFailed, time.Since(begun))
+	if upstream.HandedOver(err) && !paid.Load() && !isRefusal(err) {
+		// The answer was lost, not the prompt: the generator may fetch it there.
+		lease.PromptKept(r.call.Prompt)
+	}
 	if upstream.HandedOver(err) && !paid.Load() && !r.budgets.Withdraw(service) {
 		return nil, failure.New(failure.BackEndRefused, "the prompt was not read, and the retry budget is used up")
 	}
 	return nil, nil
 }
 
+// isRefusal reports whether a reader has said that it did not read.
+func isRefusal(err error) bool { return failure.KindOf(err) == failure.BackEndRefused }
+
 // readingBound is how long a reader is waited for.
 func (r *run) readingBound(missing int) time.Duration {
 	tokens := float64(r.call.Prompt.Tokens + missing)
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -37,6 +37,7 @@
 		{Name: "Instance", Value: send.Instance},
 		{Name: "Read-Only", Value: strconv.FormatBool(send.ReadOnly)},
 		{Name: "Source", Value: send.Source},
+		{Name: "Fetch", Value: send.Fetch},
 		{Name: "Last-Event", Value: send.LastEvent},
 	}
 }
@@ -491,3 +492,13 @@
 		require.NoError(t, w.run(callOf(traffic.KindOnce, 1)).err)
 	}
 }
+
+func TestAPromptWhoseReadingWasNotAnsweredIsFetchedFromItsReader(t *testing.T) {
+	w := newWorld(t)
+	w.add("reader", region.StagePrefill, dropping)
+	w.add("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+		assert.Equal(t, w.replicas[0].Address, request.Header.Get("Fetch"))
+		events(1, 2, false)(writer, request)
+	})
+	assert.Equal(t, text(1, 2), w.run(modelCall(8000, "own")).body.String())
+}
