--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -31,7 +31,7 @@
 const (
 	// caution is the part of the allowance that is used: gateways come and go,
 	// and a window begins anywhere.
-	caution = 0.8
+	caution = 0.9
 	// savedShare of a gateway's slack can be saved up; the rest flows in evenly
 	// over a window.
 	savedShare = 0.5
