--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -18,6 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/config/regional"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/linelog"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -83,9 +84,9 @@
 			if err := serveMetrics(started); err != nil {
 				return err
 			}
-			tuneMemory()
+			tuneMemory(settings)
 			err = runUntilStopped(started, run)
-			logger.Info(event.Stop, "error", errorTextOf(err))
+			logger.Info(event.Stop, "error", failure.Text(err))
 			return err
 		},
 	}
@@ -116,7 +117,16 @@
 // small, and their memory costs more than their processor time.
 const collectionPercent = 50
 
-func tuneMemory() { debug.SetGCPercent(collectionPercent) }
+// memoryShare of what the process may use is where the collector works harder
+// instead of letting the heap grow: the rest is for stacks and sockets.
+const memoryShare = 0.6
+
+func tuneMemory(settings *regional.Settings) {
+	debug.SetGCPercent(collectionPercent)
+	if settings.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes<<20)))
+	}
+}
 
 // runUntilStopped runs a process; a hangup only has the settings read again,
 // which happens when they are used.
@@ -198,10 +208,3 @@
 	options := lifecycle.Options{Deadline: process.settings.StopTime(), Logger: process.logger}
 	return lifecycle.Run(options, func(scope *lifecycle.Scope) error { return run(scope.Stopping()) })
 }
-
-func errorTextOf(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -43,7 +43,7 @@
 		return c.client.Call(ctx, leader, region.PathReplace, request, &taken)
 	})
 	c.logger.Info(event.ConfigurationReceived, "version", configuration.Version, "in_force", taken.Version,
-		"routes", len(configuration.Routes), "error", errorText(err))
+		"routes", len(configuration.Routes), "error", failure.Text(err))
 	return err
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -129,14 +129,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*electionTimeout)
 	defer cancel()
 	err := c.group.Runner.Transfer(ctx)
-	c.logger.Info(event.LeadershipHandedOver, "error", errorText(err))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	c.logger.Info(event.LeadershipHandedOver, "error", failure.Text(err))
 }
 
 // logLeadership writes a line for each change of the leader.
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -47,7 +47,7 @@
 		if fresh := err == nil; fresh != known {
 			known = fresh
 			c.logger.Info(event.CopyFreshness, "fresh", fresh, "leader", c.group.LeaderAddress(),
-				"applied", c.group.Runner.Status().AppliedIndex, "error", errorText(err))
+				"applied", c.group.Runner.Status().AppliedIndex, "error", failure.Text(err))
 		}
 	}
 }
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -251,3 +252,20 @@
 }
 
 func init() { hlog.SetLevel(hlog.LevelError) }
+
+func TestAReplicaWithoutAnIdentityIsNotTakenIn(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	eventually(t, func(ctx context.Context) error {
+		for _, address := range g.addresses {
+			err := client.Call(ctx, address, region.PathJoin, &region.JoinRequest{Address: "127.0.0.1:1"}, &peer.Empty{})
+			if failure.KindOf(err) == failure.InvalidDocument {
+				return nil
+			}
+		}
+		return errors.New("no leader has refused it")
+	})
+}
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
@@ -21,7 +22,7 @@
 		err := c.pollList(ctx)
 		if reached := err == nil; reached != reachable {
 			reachable = reached
-			c.logger.Info(event.ListReachable, "reachable", reached, "error", errorText(err))
+			c.logger.Info(event.ListReachable, "reachable", reached, "error", failure.Text(err))
 		}
 	}
 }
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -10,6 +10,7 @@
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
@@ -28,13 +29,13 @@
 	}
 	asked := false
 	for lifecycle.Sleep(ctx, joinInterval) {
-		if c.isMember() {
+		if c.isMember() || c.group.Runner.Status().Quarantined != nil {
 			continue
 		}
 		err := c.askToJoin(ctx)
 		if !asked || err == nil {
 			asked = true
-			c.logger.Info(event.JoinAsked, "replica", uint64(c.group.Runner.Status().ID), "error", errorText(err))
+			c.logger.Info(event.JoinAsked, "replica", uint64(c.group.Runner.Status().ID), "error", failure.Text(err))
 		}
 	}
 }
@@ -90,6 +91,9 @@
 	if status.Role != consensus.RoleLeader {
 		return nil, rpc.NotLeader(c.group.LeaderAddress())
 	}
+	if request.Replica == 0 {
+		return nil, failure.New(failure.InvalidDocument, "replica 0 is none: its data folder can't be used")
+	}
 	id := consensus.ReplicaID(request.Replica)
 	if _, known := status.Member(id); known {
 		return &peer.Empty{}, nil
@@ -97,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.group.Runner.AddLearner(ctx, consensus.Member{ID: id, Address: request.Address})
-	c.logger.Info(event.ReplicaJoins, "replica", request.Replica, "address", request.Address, "error", errorText(err))
+	c.logger.Info(event.ReplicaJoins, "replica", request.Replica, "address", request.Address, "error", failure.Text(err))
 	return &peer.Empty{}, c.group.Translate(err)
 }
 
@@ -139,7 +143,7 @@
 		}
 		err := c.carryOut(ctx, change)
 		c.logger.Info(event.MembershipChanged, "change", change.kind, "replica", uint64(change.replica),
-			"old", uint64(change.old), "error", errorText(err))
+			"old", uint64(change.old), "error", failure.Text(err))
 	}
 }
 
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -253,7 +253,7 @@
 	err := k.order(ctx, replica, stage)
 	k.logger.Info(event.Order, "replica", replica.ID, "stage", stage, "reason", change.Reason, "term", k.term,
 		"generating", change.Generating, "reading", change.Reading, "generators", change.Generators, "replicas", len(replicas),
-		"error", errorText(err))
+		"error", failure.Text(err))
 	switch {
 	case err == nil:
 	case errors.Is(err, ErrOrderRefused):
--- a/internal/failure/error.go
+++ b/internal/failure/error.go
@@ -109,3 +109,11 @@
 		RequestID:        requestID,
 	}}
 }
+
+// Text returns an error's message for a log line, empty if there is none.
+func Text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -87,7 +88,7 @@
 		if isFresh := known && age < staleAge; isFresh != fresh {
 			fresh = isFresh
 			k.logger.Info(event.ViewFreshness, "fresh", fresh, "coordinator", coordinator,
-				"age_ms", age.Milliseconds(), "error", errorText(err))
+				"age_ms", age.Milliseconds(), "error", failure.Text(err))
 		}
 		if err == nil && age < staleAge {
 			continue
@@ -250,10 +251,3 @@
 	k.logger.Info(event.ListTakenDirectly, "replicas", len(replicas))
 	return nil
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -106,7 +106,7 @@
 	timer.Stop()
 	r.logger.V(1).Info(event.PromptRead, "request", r.call.ID, "replica", lease.Replica.ID,
 		"tokens", r.call.Prompt.Tokens, "missing", missing, "backlog", int(lease.backlog),
-		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", errorText(err))
+		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", failure.Text(err))
 	if err == nil {
 		r.metrics.promptRead(readDone, time.Since(begun))
 		return handle, nil
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -146,7 +146,7 @@
 			return nil
 		}
 		r.logger.Info(event.AttemptEnded, "request", r.call.ID, "replica", lease.Replica.ID, "verdict", outcome.String(),
-			"cause", errorText(cause), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "sends", r.sends)
+			"cause", failure.Text(cause), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "sends", r.sends)
 		if outcome == verdictUnknown || outcome == verdictFailed {
 			r.unknown = true
 		}
@@ -354,10 +354,3 @@
 		return "failed"
 	}
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
