--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -1,9 +1,7 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
-	"slices"
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -34,31 +32,23 @@
 	if err != nil {
 		return err
 	}
-	slices.SortFunc(listed, func(a, b region.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	state, _ := c.machine.read()
-	if slices.Equal(state.Replicas, listed) {
+	change := listChange(state.Replicas, listed)
+	if change == nil {
 		return nil
 	}
-	c.logChanges(state.Replicas, listed)
-	_, err = c.commit(ctx, &region.Command{List: &region.ListCommand{Replicas: listed}})
+	c.logChanges(change)
+	_, err = c.commit(ctx, &region.Command{List: change})
 	return err
 }
 
-// logChanges writes a line for each replica that has come, gone or begun to
-// drain.
-func (c *Coordinator) logChanges(before, after []region.Replica) {
-	old := make(map[string]region.Replica, len(before))
-	for _, replica := range before {
-		old[replica.ID] = replica
+// logChanges writes a line for each replica that has come, gone or changed.
+func (c *Coordinator) logChanges(change *region.ListCommand) {
+	for _, replica := range change.Changed {
+		c.logger.Info(event.ReplicaListed, "replica", replica.ID, "service", replica.Service,
+			"address", replica.Address, "draining", replica.Draining, "stage", replica.Stage)
 	}
-	for _, replica := range after {
-		if known, found := old[replica.ID]; !found || known != replica {
-			c.logger.Info(event.ReplicaListed, "replica", replica.ID, "service", replica.Service,
-				"address", replica.Address, "draining", replica.Draining, "stage", replica.Stage)
-		}
-		delete(old, replica.ID)
-	}
-	for _, replica := range old {
-		c.logger.Info(event.ReplicaGone, "replica", replica.ID, "address", replica.Address)
+	for _, id := range change.Removed {
+		c.logger.Info(event.ReplicaGone, "replica", id)
 	}
 }
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/flate"
 	"io"
-	"slices"
 	"sync"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -45,55 +44,19 @@
 		m.state.Document = change.Document
 	}
 	if change := command.List; change != nil {
-		m.state.Replicas = change.Replicas
-		m.state.ListRevision = index
-		m.dropChanges(func(each region.StageChange) bool { return hasEnded(each, change.Replicas) })
+		m.applyList(index, change)
 	}
 	if change := command.Change; change != nil {
-		m.dropChanges(func(each region.StageChange) bool { return each.Replica == change.Replica })
+		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 		begun := region.StageChange{Replica: change.Replica, Stage: change.Stage, Fence: index}
 		m.state.Changes = append(m.state.Changes, begun)
-		m.state.ListRevision = index
+		m.touch(index, change.Replica)
 	}
 	if change := command.ChangeEnd; change != nil {
-		m.dropChanges(func(each region.StageChange) bool { return each.Replica == change.Replica })
-		m.state.ListRevision = index
+		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 	}
 }
 
-// dropChanges ends stage changes. The slice is replaced, since readers hold it.
-func (m *machine) dropChanges(ended func(region.StageChange) bool) {
-	m.state.Changes = slices.DeleteFunc(slices.Clone(m.state.Changes), ended)
-}
-
-// hasEnded reports whether the list shows the stage that was ordered, or no such
-// replica any more.
-func hasEnded(change region.StageChange, replicas []region.Replica) bool {
-	for _, replica := range replicas {
-		if replica.ID == change.Replica {
-			return replica.Stage == change.Stage
-		}
-	}
-	return true
-}
-
-// shown returns the replicas as gateways should see them: those that change their
-// stage take no work.
-func shown(state region.State) []region.Replica {
-	if len(state.Changes) == 0 {
-		return state.Replicas
-	}
-	replicas := slices.Clone(state.Replicas)
-	for index := range replicas {
-		for _, change := range state.Changes {
-			if change.Replica == replicas[index].ID {
-				replicas[index].Stage = region.StageChanging
-			}
-		}
-	}
-	return replicas
-}
-
 // Snapshot implements replica.StateMachine.
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mutex.Lock()
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -1,6 +1,10 @@
 package coordinator
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -20,6 +24,69 @@
 	return region.Command{Configuration: &region.ConfigurationCommand{Version: version, Document: []byte(document)}}
 }
 
+func listed(replicas ...region.Replica) region.Command {
+	return region.Command{List: &region.ListCommand{Changed: replicas}}
+}
+
+// follower keeps a list by what it is shown, as a gateway does.
+type follower struct {
+	revision uint64
+	list     map[string]region.Replica
+	whole    int
+}
+
+func newFollower() *follower { return &follower{list: map[string]region.Replica{}} }
+
+func (f *follower) follow(m *machine) {
+	state, _ := m.read()
+	if state.ListRevision <= f.revision {
+		return
+	}
+	var view region.View
+	shownSince(state, f.revision, &view)
+	if view.WholeList {
+		f.whole++
+		f.list = map[string]region.Replica{}
+	}
+	for _, replica := range view.Replicas {
+		f.list[replica.ID] = replica
+	}
+	for _, id := range view.Removed {
+		delete(f.list, id)
+	}
+	f.revision = state.ListRevision
+}
+
+func TestGatewaysThatFollowChangesHaveTheWholeList(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 1))
+	m := newMachine()
+	current := map[string]region.Replica{}
+	often, rarely := newFollower(), newFollower()
+	for index := uint64(1); index < 5000; index++ {
+		for range random.IntN(4) {
+			id := fmt.Sprint("i-", random.IntN(60))
+			if random.IntN(3) == 0 {
+				delete(current, id)
+				continue
+			}
+			current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
+		}
+		after := slices.Collect(maps.Values(current))
+		state, _ := m.read()
+		if change := listChange(state.Replicas, after); change != nil {
+			apply(t, m, index, region.Command{List: change})
+		}
+		often.follow(m)
+		if index%800 == 0 {
+			rarely.follow(m)
+			require.Equal(t, current, rarely.list, "at %d", index)
+		}
+		require.Equal(t, current, often.list, "at %d", index)
+	}
+	assert.Equal(t, 1, often.whole)
+	assert.Greater(t, rarely.whole, 1, "who is far behind gets the whole list")
+}
+
 func TestTheHighestVersionHolds(t *testing.T) {
 	m := newMachine()
 	apply(t, m, 1, configuration(5, "five"))
@@ -36,7 +103,7 @@
 func TestAStateComesBackFromItsSnapshot(t *testing.T) {
 	m := newMachine()
 	apply(t, m, 1, configuration(5, "five"))
-	apply(t, m, 2, region.Command{List: &region.ListCommand{Replicas: []region.Replica{{ID: "a", Stage: region.StageDecode}}}})
+	apply(t, m, 2, listed(region.Replica{ID: "a", Stage: region.StageDecode}))
 	apply(t, m, 3, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
 	snapshot, err := m.Snapshot()
 	require.NoError(t, err)
@@ -53,12 +120,11 @@
 
 func TestAReplicaThatChangesItsStageIsShownSoUntilTheListShowsTheNewOne(t *testing.T) {
 	m := newMachine()
-	list := func(stage string) region.Command {
-		return region.Command{List: &region.ListCommand{Replicas: []region.Replica{{ID: "a", Stage: stage}}}}
-	}
+	list := func(stage string) region.Command { return listed(region.Replica{ID: "a", Stage: stage}) }
+	gateway := newFollower()
 	stage := func() string {
-		state, _ := m.read()
-		return shown(state)[0].Stage
+		gateway.follow(m)
+		return gateway.list["a"].Stage
 	}
 	apply(t, m, 1, list(region.StageDecode))
 	assert.Equal(t, region.StageDecode, stage())
@@ -78,9 +144,9 @@
 
 func TestAChangeEndsWithItsReplica(t *testing.T) {
 	m := newMachine()
-	apply(t, m, 1, region.Command{List: &region.ListCommand{Replicas: []region.Replica{{ID: "a"}}}})
+	apply(t, m, 1, listed(region.Replica{ID: "a"}))
 	apply(t, m, 2, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
-	apply(t, m, 3, region.Command{List: &region.ListCommand{}})
+	apply(t, m, 3, region.Command{List: &region.ListCommand{Removed: []string{"a"}}})
 	state, _ := m.read()
 	assert.Empty(t, state.Changes)
 }
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -144,7 +144,8 @@
 // service.
 func modelReplicas(state region.State) map[string][]region.Replica {
 	services := map[string][]region.Replica{}
-	for _, replica := range state.Replicas {
+	for _, listed := range state.Replicas {
+		replica := listed.Replica
 		if replica.Stage != "" && !replica.Draining {
 			services[replica.Service] = append(services[replica.Service], replica)
 		}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -55,8 +55,7 @@
 		view.Document = state.Document
 	}
 	if state.ListRevision > request.ListRevision {
-		view.HasList = true
-		view.Replicas = shown(state)
+		shownSince(state, request.ListRevision, view)
 	}
 	return view
 }
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -43,12 +43,28 @@
 	// Document is the configuration as the operator sent it.
 	Document []byte `msg:"document,limit=67108864"`
 	// ListRevision is the log position of the last change of Replicas.
-	ListRevision uint64    `msg:"list_revision"`
-	Replicas     []Replica `msg:"replicas"`
+	ListRevision uint64 `msg:"list_revision"`
+	// Replicas are sorted by their ids.
+	Replicas []ListedReplica `msg:"replicas"`
+	// Removed are the replicas that have gone, oldest first, after RemovedSince.
+	Removed      []RemovedReplica `msg:"removed"`
+	RemovedSince uint64           `msg:"removed_since"`
 	// Changes are the stage changes under way.
 	Changes []StageChange `msg:"changes"`
 }
 
+// ListedReplica is a replica with the log position at which it last changed.
+type ListedReplica struct {
+	Replica  Replica `msg:"replica"`
+	Revision uint64  `msg:"revision"`
+}
+
+// RemovedReplica is a replica that has gone, with the log position of its going.
+type RemovedReplica struct {
+	ID       string `msg:"id"`
+	Revision uint64 `msg:"revision"`
+}
+
 // StageChange is an order to a replica to take another stage.
 type StageChange struct {
 	Replica string `msg:"replica"`
@@ -83,9 +99,12 @@
 	Document []byte `msg:"document,limit=67108864"`
 }
 
-// ListCommand replaces the list of replicas.
+// ListCommand changes the list of replicas.
 type ListCommand struct {
-	Replicas []Replica `msg:"replicas"`
+	// Changed are replicas that have come or changed, Removed those that have
+	// gone.
+	Changed []Replica `msg:"changed"`
+	Removed []string  `msg:"removed"`
 }
 
 // ViewRequest is a gateway's long poll.
@@ -113,10 +132,14 @@
 	// Version is in force; Document is set only if the gateway has an older one.
 	Version  uint64 `msg:"version"`
 	Document []byte `msg:"document,limit=67108864"`
-	// ListRevision is that of the list; Replicas is set only if HasList.
+	// ListRevision is that of the list. HasList says that something has changed
+	// since the request's: Replicas are those that have come or changed and
+	// Removed those that have gone, or, if WholeList is set, Replicas are all.
 	ListRevision uint64    `msg:"list_revision"`
 	HasList      bool      `msg:"has_list"`
+	WholeList    bool      `msg:"whole_list"`
 	Replicas     []Replica `msg:"replicas"`
+	Removed      []string  `msg:"removed"`
 	// Gateways is the number of gateways of the region, as far as known.
 	Gateways int `msg:"gateways"`
 	// PeersHash is that of the region's gateways; Peers are their addresses, set
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -155,16 +155,10 @@
 	if z.List == nil {
 		o = msgp.AppendNil(o)
 	} else {
-		// map header, size 1
-		// string "replicas"
-		o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.List.Replicas)))
-		for za0001 := range z.List.Replicas {
-			o, err = z.List.Replicas[za0001].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "List", "Replicas", za0001)
-				return
-			}
+		o, err = z.List.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List")
+			return
 		}
 	}
 	// string "change"
@@ -292,55 +286,11 @@
 				if z.List == nil {
 					z.List = new(ListCommand)
 				}
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.List.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "List")
 					return
 				}
-				if zb0004 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "replicas":
-						var zb0005 uint32
-						zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", "Replicas")
-							return
-						}
-						if zb0005 > z2c18a699limitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.List.Replicas) >= int(zb0005) {
-							z.List.Replicas = (z.List.Replicas)[:zb0005]
-						} else {
-							z.List.Replicas = make([]Replica, zb0005)
-						}
-						for za0001 := range z.List.Replicas {
-							bts, err = z.List.Replicas[za0001].UnmarshalMsg(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "List", "Replicas", za0001)
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List")
-							return
-						}
-					}
-				}
 			}
 		case "change":
 			if msgp.IsNil(bts) {
@@ -353,18 +303,18 @@
 				if z.Change == nil {
 					z.Change = new(ChangeCommand)
 				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Change")
 					return
 				}
-				if zb0006 > z2c18a699limitMaps {
+				if zb0004 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Change")
@@ -403,18 +353,18 @@
 				if z.ChangeEnd == nil {
 					z.ChangeEnd = new(ChangeEndCommand)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "ChangeEnd")
 					return
 				}
-				if zb0007 > z2c18a699limitMaps {
+				if zb0005 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "ChangeEnd")
@@ -460,10 +410,7 @@
 	if z.List == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 9 + msgp.ArrayHeaderSize
-		for za0001 := range z.List.Replicas {
-			s += z.List.Replicas[za0001].Msgsize()
-		}
+		s += z.List.Msgsize()
 	}
 	s += 7
 	if z.Change == nil {
@@ -629,17 +576,23 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "replicas"
-	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		o, err = z.Replicas[za0001].MarshalMsg(o)
+	// map header, size 2
+	// string "changed"
+	o = append(o, 0x82, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
+	for za0001 := range z.Changed {
+		o, err = z.Changed[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001)
+			err = msgp.WrapError(err, "Changed", za0001)
 			return
 		}
 	}
+	// string "removed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, z.Removed[za0002])
+	}
 	return
 }
 
@@ -665,26 +618,49 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "replicas":
+		case "changed":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Replicas")
+				err = msgp.WrapError(err, "Changed")
 				return
 			}
 			if zb0002 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Replicas) >= int(zb0002) {
-				z.Replicas = (z.Replicas)[:zb0002]
+			if cap(z.Changed) >= int(zb0002) {
+				z.Changed = (z.Changed)[:zb0002]
 			} else {
-				z.Replicas = make([]Replica, zb0002)
+				z.Changed = make([]Replica, zb0002)
 			}
-			for za0001 := range z.Replicas {
-				bts, err = z.Replicas[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Changed {
+				bts, err = z.Changed[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0001)
+					err = msgp.WrapError(err, "Changed", za0001)
+					return
+				}
+			}
+		case "removed":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
+			} else {
+				z.Removed = make([]string, zb0003)
+			}
+			for za0002 := range z.Removed {
+				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
 					return
 				}
 			}
@@ -702,13 +678,86 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListCommand) Msgsize() (s int) {
-	s = 1 + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Replicas {
-		s += z.Replicas[za0001].Msgsize()
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Changed {
+		s += z.Changed[za0001].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Removed {
+		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ListedReplica) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "replica"
+	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o, err = z.Replica.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListedReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			bts, err = z.Replica.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ListedReplica) Msgsize() (s int) {
+	s = 1 + 8 + z.Replica.Msgsize() + 9 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *MembersReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1412,6 +1461,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RemovedReplica) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "id"
+	o = append(o, 0x82, 0xa2, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ID)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RemovedReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RemovedReplica) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 9 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ReplaceReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1851,9 +1965,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "version"
-	o = append(o, 0x85, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x87, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -1865,26 +1979,47 @@
 	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
-		o, err = z.Replicas[za0001].MarshalMsg(o)
+		// map header, size 2
+		// string "replica"
+		o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001)
+			err = msgp.WrapError(err, "Replicas", za0001, "Replica")
 			return
 		}
-	}
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
+	}
+	// string "removed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		// map header, size 2
+		// string "id"
+		o = append(o, 0x82, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.Removed[za0002].ID)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Removed[za0002].Revision)
+	}
+	// string "removed_since"
+	o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.RemovedSince)
 	// string "changes"
 	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
-	for za0002 := range z.Changes {
+	for za0003 := range z.Changes {
 		// map header, size 3
 		// string "replica"
 		o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-		o = msgp.AppendString(o, z.Changes[za0002].Replica)
+		o = msgp.AppendString(o, z.Changes[za0003].Replica)
 		// string "stage"
 		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-		o = msgp.AppendString(o, z.Changes[za0002].Stage)
+		o = msgp.AppendString(o, z.Changes[za0003].Stage)
 		// string "fence"
 		o = append(o, 0xa5, 0x66, 0x65, 0x6e, 0x63, 0x65)
-		o = msgp.AppendUint64(o, z.Changes[za0002].Fence)
+		o = msgp.AppendUint64(o, z.Changes[za0003].Fence)
 	}
 	return
 }
@@ -1959,72 +2094,167 @@
 			if cap(z.Replicas) >= int(zb0003) {
 				z.Replicas = (z.Replicas)[:zb0003]
 			} else {
-				z.Replicas = make([]Replica, zb0003)
+				z.Replicas = make([]ListedReplica, zb0003)
 			}
 			for za0001 := range z.Replicas {
-				bts, err = z.Replicas[za0001].UnmarshalMsg(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Replicas", za0001)
 					return
 				}
+				if zb0004 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replicas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						bts, err = z.Replicas[za0001].Replica.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+							return
+						}
+					case "revision":
+						z.Replicas[za0001].Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Revision")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "removed":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Removed) >= int(zb0005) {
+				z.Removed = (z.Removed)[:zb0005]
+			} else {
+				z.Removed = make([]RemovedReplica, zb0005)
+			}
+			for za0002 := range z.Removed {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
+					return
+				}
+				if zb0006 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Removed", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "id":
+						z.Removed[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Removed", za0002, "ID")
+							return
+						}
+					case "revision":
+						z.Removed[za0002].Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Removed", za0002, "Revision")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Removed", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "removed_since":
+			z.RemovedSince, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RemovedSince")
+				return
 			}
 		case "changes":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
-			if zb0004 > z2c18a699limitArrays {
+			if zb0007 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Changes) >= int(zb0004) {
-				z.Changes = (z.Changes)[:zb0004]
+			if cap(z.Changes) >= int(zb0007) {
+				z.Changes = (z.Changes)[:zb0007]
 			} else {
-				z.Changes = make([]StageChange, zb0004)
+				z.Changes = make([]StageChange, zb0007)
 			}
-			for za0002 := range z.Changes {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0003 := range z.Changes {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Changes", za0002)
+					err = msgp.WrapError(err, "Changes", za0003)
 					return
 				}
-				if zb0005 > z2c18a699limitMaps {
+				if zb0008 > z2c18a699limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0008 > 0 {
+					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Changes", za0002)
+						err = msgp.WrapError(err, "Changes", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "replica":
-						z.Changes[za0002].Replica, bts, err = msgp.ReadStringBytes(bts)
+						z.Changes[za0003].Replica, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Changes", za0002, "Replica")
+							err = msgp.WrapError(err, "Changes", za0003, "Replica")
 							return
 						}
 					case "stage":
-						z.Changes[za0002].Stage, bts, err = msgp.ReadStringBytes(bts)
+						z.Changes[za0003].Stage, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Changes", za0002, "Stage")
+							err = msgp.WrapError(err, "Changes", za0003, "Stage")
 							return
 						}
 					case "fence":
-						z.Changes[za0002].Fence, bts, err = msgp.ReadUint64Bytes(bts)
+						z.Changes[za0003].Fence, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Changes", za0002, "Fence")
+							err = msgp.WrapError(err, "Changes", za0003, "Fence")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Changes", za0002)
+							err = msgp.WrapError(err, "Changes", za0003)
 							return
 						}
 					}
@@ -2046,11 +2276,15 @@
 func (z *State) Msgsize() (s int) {
 	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
-		s += z.Replicas[za0001].Msgsize()
+		s += 1 + 8 + z.Replicas[za0001].Replica.Msgsize() + 9 + msgp.Uint64Size
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Changes {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Changes[za0002].Replica) + 6 + msgp.StringPrefixSize + len(z.Changes[za0002].Stage) + 6 + msgp.Uint64Size
+	for za0002 := range z.Removed {
+		s += 1 + 3 + msgp.StringPrefixSize + len(z.Removed[za0002].ID) + 9 + msgp.Uint64Size
+	}
+	s += 14 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Changes {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Changes[za0003].Replica) + 6 + msgp.StringPrefixSize + len(z.Changes[za0003].Stage) + 6 + msgp.Uint64Size
 	}
 	return
 }
@@ -2058,9 +2292,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 13
 	// string "age"
-	o = append(o, 0x8b, 0xa3, 0x61, 0x67, 0x65)
+	o = append(o, 0x8d, 0xa3, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
@@ -2077,6 +2311,9 @@
 	// string "has_list"
 	o = append(o, 0xa8, 0x68, 0x61, 0x73, 0x5f, 0x6c, 0x69, 0x73, 0x74)
 	o = msgp.AppendBool(o, z.HasList)
+	// string "whole_list"
+	o = append(o, 0xaa, 0x77, 0x68, 0x6f, 0x6c, 0x65, 0x5f, 0x6c, 0x69, 0x73, 0x74)
+	o = msgp.AppendBool(o, z.WholeList)
 	// string "replicas"
 	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
@@ -2087,6 +2324,12 @@
 			return
 		}
 	}
+	// string "removed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, z.Removed[za0002])
+	}
 	// string "gateways"
 	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 	o = msgp.AppendInt(o, z.Gateways)
@@ -2096,14 +2339,14 @@
 	// string "peers"
 	o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0002 := range z.Peers {
-		o = msgp.AppendString(o, z.Peers[za0002])
+	for za0003 := range z.Peers {
+		o = msgp.AppendString(o, z.Peers[za0003])
 	}
 	// string "coordinators"
 	o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
-	for za0003 := range z.Coordinators {
-		o = msgp.AppendString(o, z.Coordinators[za0003])
+	for za0004 := range z.Coordinators {
+		o = msgp.AppendString(o, z.Coordinators[za0004])
 	}
 	return
 }
@@ -2182,6 +2425,12 @@
 				err = msgp.WrapError(err, "HasList")
 				return
 			}
+		case "whole_list":
+			z.WholeList, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WholeList")
+				return
+			}
 		case "replicas":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2205,6 +2454,29 @@
 					return
 				}
 			}
+		case "removed":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Removed) >= int(zb0004) {
+				z.Removed = (z.Removed)[:zb0004]
+			} else {
+				z.Removed = make([]string, zb0004)
+			}
+			for za0002 := range z.Removed {
+				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
+					return
+				}
+			}
 		case "gateways":
 			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2218,48 +2490,48 @@
 				return
 			}
 		case "peers":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			if zb0004 > z2c18a699limitArrays {
+			if zb0005 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Peers) >= int(zb0004) {
-				z.Peers = (z.Peers)[:zb0004]
+			if cap(z.Peers) >= int(zb0005) {
+				z.Peers = (z.Peers)[:zb0005]
 			} else {
-				z.Peers = make([]string, zb0004)
+				z.Peers = make([]string, zb0005)
 			}
-			for za0002 := range z.Peers {
-				z.Peers[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.Peers {
+				z.Peers[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0002)
+					err = msgp.WrapError(err, "Peers", za0003)
 					return
 				}
 			}
 		case "coordinators":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Coordinators")
 				return
 			}
-			if zb0005 > z2c18a699limitArrays {
+			if zb0006 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Coordinators) >= int(zb0005) {
-				z.Coordinators = (z.Coordinators)[:zb0005]
+			if cap(z.Coordinators) >= int(zb0006) {
+				z.Coordinators = (z.Coordinators)[:zb0006]
 			} else {
-				z.Coordinators = make([]string, zb0005)
+				z.Coordinators = make([]string, zb0006)
 			}
-			for za0003 := range z.Coordinators {
-				z.Coordinators[za0003], bts, err = msgp.ReadStringBytes(bts)
+			for za0004 := range z.Coordinators {
+				z.Coordinators[za0004], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coordinators", za0003)
+					err = msgp.WrapError(err, "Coordinators", za0004)
 					return
 				}
 			}
@@ -2277,17 +2549,21 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *View) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
 		s += z.Replicas[za0001].Msgsize()
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Removed {
+		s += msgp.StringPrefixSize + len(z.Removed[za0002])
+	}
 	s += 9 + msgp.IntSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
-	for za0002 := range z.Peers {
-		s += msgp.StringPrefixSize + len(z.Peers[za0002])
+	for za0003 := range z.Peers {
+		s += msgp.StringPrefixSize + len(z.Peers[za0003])
 	}
 	s += 13 + msgp.ArrayHeaderSize
-	for za0003 := range z.Coordinators {
-		s += msgp.StringPrefixSize + len(z.Coordinators[za0003])
+	for za0004 := range z.Coordinators {
+		s += msgp.StringPrefixSize + len(z.Coordinators[za0004])
 	}
 	return
 }
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -126,7 +126,7 @@
 	require.NoError(t, err)
 	require.NoError(t, writer.Close())
 	return region.View{
-		Zone: "zone", Version: version, Document: deflated.Bytes(), HasList: true, ListRevision: version, Gateways: 1,
+		Zone: "zone", Version: version, Document: deflated.Bytes(), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
 		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
 	}
 }
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,6 +38,8 @@
 
 	mutex        sync.Mutex
 	listRevision uint64
+	// list is the list of replicas at listRevision, by id.
+	list map[string]region.Replica
 	// freshAt is the time up to which the view is known to be complete; it is
 	// meaningful once confirmed is set.
 	freshAt   time.Duration
@@ -179,10 +182,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if view.HasList && view.ListRevision > k.listRevision {
-		k.listRevision = view.ListRevision
-		k.directory.Replace(view.Replicas)
-		k.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(view.Replicas),
-			"age_ms", view.AgeMillis)
+		k.takeList(view)
 	}
 	k.zones[coordinator] = view.Zone
 	if len(view.Coordinators) > 0 {
@@ -202,6 +202,23 @@
 	return nil
 }
 
+// takeList takes the changes of the list over. It is called with the mutex held.
+func (k *viewKeeper) takeList(view *region.View) {
+	if view.WholeList || k.list == nil {
+		k.list = make(map[string]region.Replica, len(view.Replicas))
+	}
+	for _, replica := range view.Replicas {
+		k.list[replica.ID] = replica
+	}
+	for _, id := range view.Removed {
+		delete(k.list, id)
+	}
+	k.listRevision = view.ListRevision
+	k.directory.Replace(slices.Collect(maps.Values(k.list)))
+	k.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(k.list),
+		"changed", len(view.Replicas), "removed", len(view.Removed), "age_ms", view.AgeMillis)
+}
+
 func (k *viewKeeper) takeConfiguration(view *region.View) error {
 	document, err := io.ReadAll(flate.NewReader(bytes.NewReader(view.Document)))
 	if err != nil {
