--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,32 @@
+package soak
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// regressionSeeds are played in every run of the tests: a first one, and each seed
+// that ever broke a promise.
+var regressionSeeds = []uint64{11}
+
+func TestRegressionSeedsBreakNoPromise(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "pierhaven")
+	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/pierhaven").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	for _, seed := range regressionSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			result, err := Run(t.Context(), Options{
+				Seed: seed, Duration: 5 * time.Second, Binary: binary, Folder: t.TempDir(), Log: t.Output(),
+			})
+			require.NoError(t, err)
+			require.Empty(t, result.Violations)
+			require.Positive(t, result.Served)
+		})
+	}
+}
