Let a coordinator count as a voter only once that is committed

The test's condition was wrong (a second loss before the first had been made good); IsVoter, which only it and a metric use, now asks for the commit, which is stricter.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -48,11 +48,12 @@
 	return status.Stage == storage.StageMember && listed
 }
 
-// IsVoter reports whether this coordinator votes, as far as it knows.
+// IsVoter reports whether this coordinator votes and knows that the change that
+// made it a voter is committed: only then does its vote outlive another's loss.
 func (c *Coordinator) IsVoter() bool {
 	status := c.group.Runner.Status()
 	self, listed := status.Member(status.ID)
-	return listed && !self.Learner
+	return listed && !self.Learner && status.CommitIndex >= status.MembershipIndex
 }
 
 // askToJoin asks the seeds in turn, and the leader that they name.
