--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -77,6 +77,7 @@
 	operatorPort = 17401
 	callerPort   = 17402
 	readyPort    = 17403
+	metricsPort  = 17404
 )
 
 // fleet is a region: coordinators, gateways, and stand-ins for the rest.
@@ -124,8 +125,8 @@
 	}
 	ip := f.ip(number)
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number))}
-	common := fmt.Sprintf("name: p%d\nzone: zone\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\n",
-		number, ip, internalPort, strings.Join(seeds, ","), list)
+	common := fmt.Sprintf("name: p%d\nzone: zone\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\n",
+		number, ip, internalPort, strings.Join(seeds, ","), list, ip, metricsPort)
 	if number < coordinators {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -15,10 +13,7 @@
 var regressionSeeds = []uint64{11}
 
 func TestRegressionSeedsBreakNoPromise(t *testing.T) {
-	folder := t.TempDir()
-	binary := filepath.Join(folder, "pierhaven")
-	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/pierhaven").CombinedOutput()
-	require.NoError(t, err, "%s", output)
+	binary := buildProgram(t, t.TempDir())
 	for _, seed := range regressionSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			result, err := Run(t.Context(), Options{
