--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -85,7 +85,7 @@
 
 // world is a runner with replicas that tests write as handlers.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	directory *relay.Directory
 	runner    *relay.Runner
 	replicas  []region.Replica
@@ -99,17 +99,27 @@
 }
 
 func newWorldWith(t *testing.T, terms relay.BudgetTerms) *world {
+	t.Helper()
+	return makeWorld(t, terms, logr.Discard())
+}
+
+func newLoggedWorld(t testing.TB, logger logr.Logger) *world {
+	t.Helper()
+	return makeWorld(t, relay.BudgetTerms{Ratio: 5, Window: time.Second, Slack: 100}, logger)
+}
+
+func makeWorld(t testing.TB, terms relay.BudgetTerms, logger logr.Logger) *world {
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
 	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20})
-	directory := relay.NewDirectory(clock, "zone", client.Forget, logr.Discard())
+	directory := relay.NewDirectory(clock, "zone", client.Forget, logger)
 	budgets := relay.NewBudgets(clock, terms, 1)
 	return &world{
 		t:         t,
 		directory: directory,
 		runner: relay.NewRunner(directory, client, testDialect{}, budgets,
-			relay.NewMetrics(telemetry.NewMetrics("test")), logr.Discard()),
+			relay.NewMetrics(telemetry.NewMetrics("test")), logger),
 		seen: map[string]int{},
 	}
 }
