Find a prompt's fetch source once; one deflate; drop messages that nothing sends

Second reading: the fetch source was looked up at the lease and again at the send; the gateway inflated documents by itself, without the coordinator's bound; the members' messages had no sender.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
-	request := &region.ReplaceRequest{Version: configuration.Version, Document: deflate(document)}
+	request := &region.ReplaceRequest{Version: configuration.Version, Document: region.Deflate(document)}
 	var taken region.ReplaceReply
 	err = c.atLeader(ctx, func(ctx context.Context, leader string) error {
 		if leader == c.settings.Address {
@@ -106,5 +106,5 @@
 	if state.Version == 0 {
 		return nil, nil
 	}
-	return inflate(state.Document)
+	return region.Inflate(state.Document)
 }
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -1,9 +1,6 @@
 package coordinator
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -87,23 +84,3 @@
 	defer m.mutex.Unlock()
 	return m.state, m.changed
 }
-
-// deflate makes a document small for the log and the network.
-func deflate(document []byte) []byte {
-	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
-		panic(err)
-	}
-	_, _ = writer.Write(document)
-	_ = writer.Close()
-	return buffer.Bytes()
-}
-
-// maximumDocument bounds a document that is inflated, in bytes.
-const maximumDocument = 64 << 20
-
-// inflate undoes deflate.
-func inflate(compressed []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maximumDocument))
-}
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -153,7 +153,7 @@
 
 func TestADocumentSurvivesItsDeflation(t *testing.T) {
 	document := []byte(`{"Version":7,"Routes":[]}`)
-	got, err := inflate(deflate(document))
+	got, err := region.Inflate(region.Deflate(document))
 	require.NoError(t, err)
 	assert.Equal(t, document, got)
 }
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -10,7 +10,6 @@
 	PathReadIndex = "/internal/v1/region/read-index"
 	PathReplace   = "/internal/v1/region/replace"
 	PathJoin      = "/internal/v1/region/join"
-	PathMembers   = "/internal/v1/region/members"
 )
 
 // Stages of a model replica.
@@ -205,14 +204,6 @@
 	Replica uint64 `msg:"replica"`
 }
 
-// MembersRequest asks a coordinator for the group's members.
-type MembersRequest struct{}
-
-// MembersReply lists the addresses of the group's members.
-type MembersReply struct {
-	Addresses []string `msg:"addresses"`
-}
-
 // Outstanding is what a gateway tells its peers: the work that it has placed at
 // replicas and that is not done yet. Newer ones replace older ones.
 type Outstanding struct {
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -119,14 +118,8 @@
 		Services: []traffic.Service{{Name: "service"}},
 	})
 	require.NoError(t, err)
-	var deflated bytes.Buffer
-	writer, err := flate.NewWriter(&deflated, flate.BestSpeed)
-	require.NoError(t, err)
-	_, err = writer.Write(document)
-	require.NoError(t, err)
-	require.NoError(t, writer.Close())
 	return region.View{
-		Zone: "zone", Version: version, Document: deflated.Bytes(), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
+		Zone: "zone", Version: version, Document: region.Deflate(document), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
 		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
 	}
 }
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -1,10 +1,7 @@
 package daemon
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -220,7 +217,7 @@
 }
 
 func (k *viewKeeper) takeConfiguration(view *region.View) error {
-	document, err := io.ReadAll(flate.NewReader(bytes.NewReader(view.Document)))
+	document, err := region.Inflate(view.Document)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -95,9 +95,12 @@
 	begun     time.Duration
 	// tokens of the prompt that the replica has yet to read, and the backlog that
 	// it had before them.
-	tokens   int
-	backlog  float64
-	released bool
+	tokens  int
+	backlog float64
+	// fetchFrom is the replica from which this one should fetch the prompt's
+	// beginning, nil if it should read all itself.
+	fetchFrom *Replica
+	released  bool
 	// generating is set once the stream has begun.
 	generating bool
 }
@@ -111,22 +114,29 @@
 
 // lease is called with the mutex held. With a prompt, the replica is to read it.
 func (d *Directory) lease(replica *Replica, prompt *Prompt) *Lease {
-	tokens := 0
-	backlog := 0.0
+	lease := &Lease{Replica: replica, directory: d, begun: d.clock()}
+	replica.inFlight++
 	if prompt != nil {
-		backlog = replica.allTokens(d.clock())
-		now := d.clock()
-		tokens = replica.prefixes.missing(prompt)
-		if _, saved := d.fetchSource(replica, prompt, now); saved > 0 {
-			tokens = max(tokens-saved, 0) + fetchTokens
-		}
-		d.noteRead(replica.Service, tokens)
-		replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], now+readingTime)
-		d.placed.add(replica.ID, prompt)
+		lease.readPrompt(prompt)
 	}
-	replica.inFlight++
-	replica.readingTokens += tokens
-	return &Lease{Replica: replica, directory: d, begun: d.clock(), tokens: tokens, backlog: backlog}
+	return lease
+}
+
+// readPrompt notes that the replica is to read a prompt. It is called with the
+// mutex held.
+func (l *Lease) readPrompt(prompt *Prompt) {
+	d, replica := l.directory, l.Replica
+	l.backlog = replica.allTokens(l.begun)
+	l.tokens = replica.prefixes.missing(prompt)
+	source, saved := d.fetchSource(replica, prompt, l.begun)
+	if source != nil {
+		l.fetchFrom = source
+		l.tokens = max(l.tokens-saved, 0) + fetchTokens
+	}
+	d.noteRead(replica.Service, l.tokens)
+	replica.readingTokens += l.tokens
+	replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], l.begun+readingTime)
+	d.placed.add(replica.ID, prompt)
 }
 
 // Release gives the place back. It may be called more than once.
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -98,7 +98,7 @@
 	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
 	lease := d.PickReader("s", nil, whole)
 	require.Equal(t, "b", lease.Replica.ID)
-	assert.Equal(t, "a:1", lease.FetchFrom(whole))
+	assert.Equal(t, "a:1", lease.FetchFrom())
 }
 
 func TestWhatDoesNotFitIsForgotten(t *testing.T) {
@@ -110,7 +110,7 @@
 	lease.Release()
 	old := prompt(relay.PromptPart{ID: "old", Tokens: 10_000}, relay.PromptPart{ID: "own", Tokens: 10})
 	picked := d.PickReader("s", nil, old)
-	assert.Empty(t, picked.FetchFrom(old), "no replica keeps it any more")
+	assert.Empty(t, picked.FetchFrom(), "no replica keeps it any more")
 }
 
 func TestAReplicaThatAPeerCanNotReachIsAvoidedForAWhile(t *testing.T) {
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -42,8 +42,11 @@
 }
 
 // mostKept returns the most tokens of a prompt's beginning that a replica of a
-// service has ready. It is called with the mutex held.
-func (d *Directory) mostKept(service string, prompt *Prompt, now time.Duration) int {
+// service has ready.
+func (d *Directory) mostKept(service string, prompt *Prompt) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
 	most := 0
 	for _, replica := range d.services[service] {
 		if replica.offers(now) {
@@ -54,13 +57,10 @@
 }
 
 // FetchFrom returns the address from which the leased replica should fetch the
-// beginning of a prompt, empty if it should read all itself.
-func (l *Lease) FetchFrom(prompt *Prompt) string {
-	l.directory.mutex.Lock()
-	defer l.directory.mutex.Unlock()
-	source, _ := l.directory.fetchSource(l.Replica, prompt, l.directory.clock())
-	if source == nil {
+// beginning of its prompt, empty if it should read all itself.
+func (l *Lease) FetchFrom() string {
+	if l.fetchFrom == nil {
 		return ""
 	}
-	return source.Address
+	return l.fetchFrom.Address
 }
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -170,7 +170,7 @@
 		home:   d.home(service, region.StagePrefill, prompt),
 		zone:   d.zone,
 
-		mostKept: d.mostKeptNow(service, prompt),
+		mostKept: d.mostKept(service, prompt),
 	}
 	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, prompt)
 }
@@ -247,9 +247,3 @@
 	}
 	return outlook
 }
-
-func (d *Directory) mostKeptNow(service string, prompt *Prompt) int {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.mostKept(service, prompt, d.clock())
-}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -134,7 +134,7 @@
 var errSlowReading = failure.New(failure.DeadlineExceeded, "the prompt was not read in time")
 
 func (r *run) exchangePrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
-	fetch := lease.FetchFrom(r.call.Prompt)
+	fetch := lease.FetchFrom()
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -260,7 +260,7 @@
 	case handle != nil:
 		send.Source = handle.source()
 	case r.isModelCall():
-		send.Fetch = lease.FetchFrom(r.call.Prompt)
+		send.Fetch = lease.FetchFrom()
 	}
 	outcome, err := r.exchange(ctx, lease, send)
 	if handle != nil {
