Let a new leader's orders wait for the lease of the last order alone

Ruled out: the election (0.6 s), the list (fresh). Fences, not this, keep orders safe. Tests: orderlease_test.go.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
 	}
+	started := time.Now()
 	transport, err := replication.NewTransport(client, settings.Address, transportTimeout, settings.Logger)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
@@ -55,11 +56,11 @@
 		logger:    settings.Logger,
 		client:    client,
 		transport: transport,
-		machine:   newMachine(),
+		machine:   newMachine(func() time.Duration { return time.Since(started) }),
 		gateways:  newGatewayList(),
 		demand:    newDemandTable(),
 		reported:  newDemandTable(),
-		started:   time.Now(),
+		started:   started,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 	}
 	c.group, err = replication.Open(replication.Options{
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pierhaven/pierhaven/internal/region"
 )
@@ -10,13 +11,15 @@
 // goroutine; its readers take a copy under the lock.
 type machine struct {
 	mutex   sync.Mutex
+	clock   func() time.Duration
 	state   region.State
 	applied uint64
+	orders  orderMark
 	changed chan struct{}
 }
 
-func newMachine() *machine {
-	return &machine{changed: make(chan struct{})}
+func newMachine(clock func() time.Duration) *machine {
+	return &machine{clock: clock, changed: make(chan struct{})}
 }
 
 // Apply implements replica.StateMachine. The result is the version in force.
@@ -44,6 +47,7 @@
 		m.applyList(index, change)
 	}
 	if change := command.Change; change != nil {
+		m.orders.note(m.clock())
 		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 		begun := region.StageChange{Replica: change.Replica, Stage: change.Stage, Fence: index}
 		m.state.Changes = append(m.state.Changes, begun)
@@ -72,6 +76,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.state = state
+	if len(data) > 0 {
+		m.orders.note(m.clock())
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
@@ -84,3 +91,10 @@
 	defer m.mutex.Unlock()
 	return m.state, m.changed
 }
+
+// lastOrder returns the mark of the last order that is known here.
+func (m *machine) lastOrder() orderMark {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.orders
+}
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -20,6 +21,8 @@
 	m.Apply(index, encoded)
 }
 
+func newTestMachine() *machine { return newMachine(func() time.Duration { return 0 }) }
+
 func configuration(version uint64, document string) region.Command {
 	return region.Command{Configuration: &region.ConfigurationCommand{Version: version, Document: []byte(document)}}
 }
@@ -59,7 +62,7 @@
 
 func TestGatewaysThatFollowChangesHaveTheWholeList(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 1))
-	m := newMachine()
+	m := newTestMachine()
 	current := map[string]region.Replica{}
 	often, rarely := newFollower(), newFollower()
 	for index := uint64(1); index < 5000; index++ {
@@ -88,7 +91,7 @@
 }
 
 func TestTheHighestVersionHolds(t *testing.T) {
-	m := newMachine()
+	m := newTestMachine()
 	apply(t, m, 1, configuration(5, "five"))
 	apply(t, m, 2, configuration(3, "three"))
 	apply(t, m, 3, configuration(5, "other content"))
@@ -101,14 +104,14 @@
 }
 
 func TestAStateComesBackFromItsSnapshot(t *testing.T) {
-	m := newMachine()
+	m := newTestMachine()
 	apply(t, m, 1, configuration(5, "five"))
 	apply(t, m, 2, listed(region.Replica{ID: "a", Stage: region.StageDecode}))
 	apply(t, m, 3, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
 	snapshot, err := m.Snapshot()
 	require.NoError(t, err)
 
-	restored := newMachine()
+	restored := newTestMachine()
 	require.NoError(t, restored.Restore(snapshot))
 	want, _ := m.read()
 	got, _ := restored.read()
@@ -119,7 +122,7 @@
 }
 
 func TestAReplicaThatChangesItsStageIsShownSoUntilTheListShowsTheNewOne(t *testing.T) {
-	m := newMachine()
+	m := newTestMachine()
 	list := func(stage string) region.Command { return listed(region.Replica{ID: "a", Stage: stage}) }
 	gateway := newFollower()
 	stage := func() string {
@@ -143,7 +146,7 @@
 }
 
 func TestAChangeEndsWithItsReplica(t *testing.T) {
-	m := newMachine()
+	m := newTestMachine()
 	apply(t, m, 1, listed(region.Replica{ID: "a"}))
 	apply(t, m, 2, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
 	apply(t, m, 3, region.Command{List: &region.ListCommand{Removed: []string{"a"}}})
@@ -159,7 +162,7 @@
 }
 
 func TestWaitersHearOfEachChange(t *testing.T) {
-	m := newMachine()
+	m := newTestMachine()
 	_, changed := m.read()
 	apply(t, m, 1, configuration(1, "one"))
 	select {
--- /dev/null
+++ b/internal/coordinator/orderlease_test.go
@@ -0,0 +1,50 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+const testLease = 3 * time.Second
+
+func TestANewLeaderWaitsForTheLeaseOfTheLastOrderOnly(t *testing.T) {
+	elected := 100 * time.Second
+	cases := []struct {
+		name string
+		last orderMark
+		want time.Duration
+	}{
+		{"no order was ever given", orderMark{}, elected},
+		{"the last order is old", orderMark{known: true, at: 80 * time.Second}, elected},
+		{"the last order is young", orderMark{known: true, at: 99 * time.Second}, 99*time.Second + testLease + leaseMargin},
+		{"an order was applied while the leader was elected", orderMark{known: true, at: elected}, elected + testLease + leaseMargin},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			assert.Equal(t, each.want, earliestOrder(elected, each.last, testLease))
+		})
+	}
+	assert.Greater(t, leaseMargin, commitToSend, "an order may be sent that late after its commit")
+}
+
+func TestAnOrderIsMarkedWhenItIsAppliedAndWhenASnapshotMayHideOne(t *testing.T) {
+	now := time.Second
+	m := newMachine(func() time.Duration { return now })
+	apply(t, m, 1, listed(region.Replica{ID: "a", Stage: region.StageDecode}))
+	assert.False(t, m.lastOrder().known)
+
+	apply(t, m, 2, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
+	assert.Equal(t, orderMark{known: true, at: now}, m.lastOrder())
+
+	snapshot, err := m.Snapshot()
+	assert.NoError(t, err)
+	now = 5 * time.Second
+	restored := newMachine(func() time.Duration { return now })
+	assert.NoError(t, restored.Restore(snapshot))
+	assert.Equal(t, orderMark{known: true, at: now}, restored.lastOrder())
+	assert.NoError(t, restored.Restore(nil))
+}
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -48,9 +48,6 @@
 const (
 	stageInterval = 300 * time.Millisecond
 	orderTimeout  = 800 * time.Millisecond
-	// commitToSend bounds the time between the commit of an order and its
-	// sending: later, this coordinator may have lost its leadership.
-	commitToSend = 500 * time.Millisecond
 	// changeTimeout is how long a change may take before the replica counts as
 	// what the list says it is.
 	changeTimeout = 8 * time.Second
@@ -58,9 +55,6 @@
 	// answer, which may be carried out late.
 	unclearHold = 14 * time.Second
 	refusedHold = 3 * time.Second
-	// leaseMargin is added to the time that orders of two holders must lie
-	// apart.
-	leaseMargin = 1200 * time.Millisecond
 	// restlessTime is how long after replicas have come or gone none stops
 	// generating.
 	restlessTime = 5 * time.Second
@@ -74,11 +68,12 @@
 // stageKeeper is the leader's work on the stages of replicas.
 type stageKeeper struct {
 	*Coordinator
-	term     uint64
-	leadFrom time.Duration
-	planners map[string]*stageplan.Planner
-	begun    map[string]time.Duration
-	holds    map[string]time.Duration
+	term uint64
+	// orderFrom is from when on this leader may give orders.
+	orderFrom time.Duration
+	planners  map[string]*stageplan.Planner
+	begun     map[string]time.Duration
+	holds     map[string]time.Duration
 	// demandFrom is when demand was first told, by service.
 	demandFrom map[string]time.Duration
 	// moved is when replicas of a service last came, went or began to leave, and
@@ -99,16 +94,32 @@
 			keeper.term = 0
 			continue
 		}
-		if keeper.term != status.Term {
-			keeper.reset(status.Term)
+		if keeper.term != status.Term && !keeper.begin(ctx, status.Term) {
+			continue
 		}
 		keeper.step(ctx)
 	}
 }
 
+// begin takes a term's work up once all earlier orders are applied here, and
+// reports whether they are.
+func (k *stageKeeper) begin(ctx context.Context, term uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
+	defer cancel()
+	if err := k.group.ReadBarrier(ctx); err != nil {
+		return false
+	}
+	now := k.now()
+	last := k.machine.lastOrder()
+	k.reset(term)
+	k.orderFrom = earliestOrder(now, last, k.settings.Lease)
+	k.logger.Info(event.OrdersBegin, "term", term, "in_ms", (k.orderFrom - now).Milliseconds(),
+		"order_known", last.known, "order_age_ms", (now - last.at).Milliseconds())
+	return true
+}
+
 func (k *stageKeeper) reset(term uint64) {
 	k.term = term
-	k.leadFrom = k.now()
 	k.planners = map[string]*stageplan.Planner{}
 	k.begun = map[string]time.Duration{}
 	k.holds = map[string]time.Duration{}
@@ -117,13 +128,13 @@
 	k.known = map[string]string{}
 }
 
-// step makes at most one change of each service. A new leader first lets the time
-// pass in which another's orders may still arrive.
+// step makes at most one change of each service. A new leader first lets the lease
+// of the last order run out.
 func (k *stageKeeper) step(ctx context.Context) {
 	now := k.now()
 	state, _ := k.machine.read()
 	k.endStuckChanges(ctx, now, state)
-	if now-k.leadFrom < k.settings.Lease+leaseMargin {
+	if now < k.orderFrom {
 		return
 	}
 	demand := append(k.demand.sum(now), k.reported.sum(now)...)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,8 @@
 	DataUnusable Event = "data folder can't be used"
 	// BatchFailed: messages to a coordinator were lost.
 	BatchFailed Event = "consensus batch failed"
+	// OrdersBegin: a new leader may give orders, from a time on.
+	OrdersBegin Event = "orders may begin"
 	// Order: an order was given to a replica.
 	Order Event = "order"
 	// ChangeStuck: the list has not shown an ordered stage in time.
@@ -145,6 +147,7 @@
 		MembershipChanged,
 		DataUnusable,
 		BatchFailed,
+		OrdersBegin,
 		Order,
 		ChangeStuck,
 		ChangeEndLost,
