Count an order's way from its proposal, not from its commit

Cause (reading): the time that an order may take from its commit to its sending was measured from when the leader learned of the commit; a process frozen in between would have sent an order of a lost leadership under a fresh measure. Change: it is measured from the proposal, 300 ms at most, and the margin on the lease shrinks from 1.2 s to 0.6 s.

--- a/internal/coordinator/orderlease.go
+++ b/internal/coordinator/orderlease.go
@@ -17,12 +17,14 @@
 }
 
 const (
-	// commitToSend bounds the time between the commit of an order and its
-	// sending: later, this coordinator may have lost its leadership.
-	commitToSend = 500 * time.Millisecond
+	// proposalToSend bounds the time between the proposal of an order and its
+	// sending: later, this coordinator may have lost its leadership. The proposal,
+	// not the commit, is where it begins: the process may freeze before it learns
+	// of the commit.
+	proposalToSend = 300 * time.Millisecond
 	// leaseMargin is added to the time that orders of two holders must lie apart.
-	// It covers commitToSend and the way to the replica.
-	leaseMargin = commitToSend + 700*time.Millisecond
+	// It covers proposalToSend and the way to the replica.
+	leaseMargin = proposalToSend + 300*time.Millisecond
 )
 
 // earliestOrder is from when on a new leader may give orders: once the lease of
