Hold requests for a starting gateway's first configuration; demand of silent gateways; ready times

Changes: (a) a request is held for the first configuration, 600 ms and a third of its caller's wait at most; (b) demand is scaled by the known gateways that tell nothing; (c) no withdrawal; (d) placements tell when they are read; a prefix of unknown place is fetched from its home; the pace is learned from prompts with nothing before them. Tests fail without.

--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -47,11 +47,25 @@
 	return sums
 }
 
+// maximumSilent bounds what is concluded from gateways that tell nothing.
+const maximumSilent = 3
+
+// silentShare is the factor by which demand is greater than what is told, if the
+// known gateways that tell nothing have as much as the others: they may serve their
+// callers though no coordinator hears of them.
+func silentShare(telling, known int) float64 {
+	if telling == 0 || known <= telling {
+		return 1
+	}
+	return min(float64(known)/float64(telling), maximumSilent)
+}
+
 func addDemand(sums []region.ServiceDemand, added region.ServiceDemand) []region.ServiceDemand {
 	for index := range sums {
 		if sums[index].Service == added.Service {
 			sums[index].Generating += added.Generating
 			sums[index].Reading += added.Reading
+			sums[index].Gateways += added.Gateways
 			sums[index].Unreachable = append(sums[index].Unreachable, added.Unreachable...)
 			return sums
 		}
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -167,15 +167,20 @@
 func (k *stageKeeper) inputFor(now time.Duration, service string, replicas []region.Replica, changes []region.StageChange, demand []region.ServiceDemand) stageplan.Input {
 	var input stageplan.Input
 	unreachable := map[string]int{}
+	telling := 0
 	for _, each := range demand {
 		if each.Service == service {
 			input.Generating += each.Generating
 			input.Reading += each.Reading
+			telling += each.Gateways
 			for _, replica := range each.Unreachable {
 				unreachable[replica]++
 			}
 		}
 	}
+	silent := silentShare(telling, len(k.gateways.all(now)))
+	input.Generating *= silent
+	input.Reading *= silent
 	k.noteMoves(now, service, replicas)
 	moved, any := k.moved[service]
 	input.Restless = any && now-moved < restlessTime
@@ -300,13 +305,14 @@
 	if report.Changing {
 		return ErrOrderRefused
 	}
+	proposed := k.now()
 	fence, err := k.commit(ctx, &region.Command{Change: &region.ChangeCommand{Replica: replica.ID, Stage: stage}})
 	if err != nil {
 		return err
 	}
 	committed := k.now()
 	k.begun[replica.ID] = committed
-	if !k.group.Leads() || k.now()-committed > commitToSend {
+	if !k.group.Leads() || committed-proposed > proposalToSend {
 		return errors.Join(ErrOrderRefused, errOrderLate)
 	}
 	return k.settings.Engines.Order(ctx, replica, EngineOrder{
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -171,6 +171,8 @@
 	Reading float64 `msg:"reading"`
 	// Unreachable are the replicas that did not answer of late.
 	Unreachable []string `msg:"unreachable"`
+	// Gateways is the number of gateways whose demand is summed up here.
+	Gateways int `msg:"gateways"`
 }
 
 // ReadIndexReply tells the log position that the asker has to have applied to
@@ -226,6 +228,8 @@
 	Sequence uint64       `msg:"sequence"`
 	Replica  string       `msg:"replica"`
 	Parts    []PlacedPart `msg:"parts"`
+	// ReadyMillis is in how long the replica is expected to have read it.
+	ReadyMillis int `msg:"ready_ms"`
 }
 
 // PlacedPart is a part of a prompt.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -1016,8 +1016,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PlacedPrompt) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendString(o, z.Replica)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -1027,6 +1027,7 @@
 		o = msgp.AppendString(o, z.Parts[za0001].ID)
 		o = msgp.AppendInt(o, z.Parts[za0001].Tokens)
 	}
+	o = msgp.AppendInt(o, z.ReadyMillis)
 	return
 }
 
@@ -1038,8 +1039,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1089,6 +1090,11 @@
 			return
 		}
 	}
+	z.ReadyMillis, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadyMillis")
+		return
+	}
 	o = bts
 	return
 }
@@ -1099,6 +1105,7 @@
 	for za0001 := range z.Parts {
 		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].ID) + msgp.IntSize
 	}
+	s += msgp.IntSize
 	return
 }
 
@@ -1657,9 +1664,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "service"
-	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x85, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "generating"
 	o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
@@ -1673,6 +1680,9 @@
 	for za0001 := range z.Unreachable {
 		o = msgp.AppendString(o, z.Unreachable[za0001])
 	}
+	// string "gateways"
+	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+	o = msgp.AppendInt(o, z.Gateways)
 	return
 }
 
@@ -1739,6 +1749,12 @@
 					return
 				}
 			}
+		case "gateways":
+			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateways")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1757,6 +1773,7 @@
 	for za0001 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
 	}
+	s += 9 + msgp.IntSize
 	return
 }
 
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -75,7 +75,7 @@
 	defer f.inFlight.Add(-1)
 	responder := &responder{front: f, request: request}
 	defer responder.finish()
-	call, err := f.callOf(request)
+	call, err := f.callOf(ctx, request)
 	if err != nil {
 		responder.Refuse(err)
 		return
@@ -84,7 +84,7 @@
 }
 
 // callOf finds the route of a request and reads what its caller says.
-func (f *front) callOf(request *app.RequestContext) (*relay.Call, error) {
+func (f *front) callOf(ctx context.Context, request *app.RequestContext) (*relay.Call, error) {
 	arrived := time.Now()
 	terms := f.settings.Dialect.ReadTerms(func(name string) string {
 		return string(request.Request.Header.Peek(name))
@@ -93,7 +93,7 @@
 		f.logRefusal(terms.ID, "the gateway is leaving")
 		return nil, failure.New(failure.Leaving, "the gateway is leaving", failure.WithRetryAfter(unreadyRetryAfter))
 	}
-	table := f.keeper.Table()
+	table := f.keeper.awaitTable(ctx, firstTableHold(terms.Wait))
 	if table == nil {
 		f.logRefusal(terms.ID, "no configuration is known yet")
 		return nil, failure.New(failure.NotReady, "no configuration is known yet", failure.WithRetryAfter(unreadyRetryAfter))
@@ -126,6 +126,23 @@
 	return call, nil
 }
 
+// A request that comes before the first configuration is held for it for
+// firstTableWait at most, and for no more than this part of its caller's wait: a
+// process that has just started gets it within that time.
+const (
+	firstTableWait  = 600 * time.Millisecond
+	firstTableShare = 3
+)
+
+// firstTableHold is for how long a request whose caller waits for a time, 0 if it
+// does not say, is held for the first configuration.
+func firstTableHold(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return firstTableWait
+	}
+	return min(firstTableWait, wait/firstTableShare)
+}
+
 // unreadyRetryAfter is the advice to callers of a gateway without a
 // configuration.
 const unreadyRetryAfter = 300 * time.Millisecond
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -32,6 +32,8 @@
 	started   time.Time
 
 	table atomic.Pointer[traffic.Table]
+	// configured is closed once there is a table.
+	configured chan struct{}
 
 	mutex        sync.Mutex
 	listRevision uint64
@@ -57,6 +59,8 @@
 		peers:     peers,
 		started:   time.Now(),
 		zones:     map[string]string{},
+
+		configured: make(chan struct{}),
 	}
 }
 
@@ -65,6 +69,22 @@
 // Table returns the configuration in force, nil if none is known yet.
 func (k *viewKeeper) Table() *traffic.Table { return k.table.Load() }
 
+// awaitTable returns the configuration in force, waiting for one for a time if none
+// is known yet; nil if none came.
+func (k *viewKeeper) awaitTable(ctx context.Context, limit time.Duration) *traffic.Table {
+	if table := k.Table(); table != nil {
+		return table
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-k.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return k.Table()
+}
+
 // age returns the view's age, and whether there ever was a view.
 func (k *viewKeeper) age() (time.Duration, bool) {
 	k.mutex.Lock()
@@ -235,6 +255,9 @@
 		}
 	}
 	k.table.Store(traffic.NewTable(configuration, before))
+	if before == nil {
+		close(k.configured)
+	}
 	k.logger.Info(event.ConfigurationApplied, "version", configuration.Version, "routes", len(configuration.Routes),
 		"age_ms", view.AgeMillis)
 	return nil
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -13,7 +13,7 @@
 	now := d.clock()
 	var demand []region.ServiceDemand
 	for service, replicas := range d.services {
-		each := region.ServiceDemand{Service: service, Reading: d.readBusy(service, now)}
+		each := region.ServiceDemand{Service: service, Reading: d.readBusy(service, now), Gateways: 1}
 		staged := false
 		for _, replica := range replicas {
 			if replica.Stage == "" {
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -129,14 +129,18 @@
 	l.backlog = replica.allTokens(l.begun)
 	l.tokens = replica.prefixes.missing(prompt)
 	source, saved := d.fetchSource(replica, prompt, l.begun)
-	if source != nil {
+	switch {
+	case source != nil:
 		l.fetchFrom = source
 		l.tokens = max(l.tokens-saved, 0) + fetchTokens
+	case l.tokens > prompt.ownTokens()+leastFetched:
+		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
 	}
 	d.noteRead(replica.Service, l.tokens)
 	replica.readingTokens += l.tokens
-	replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], l.begun+readingTime)
-	d.placed.add(replica.ID, prompt)
+	readyAt := l.begun + d.readingTime(replica.Service, l.backlog+float64(l.tokens))
+	replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], readyAt)
+	d.placed.add(replica.ID, prompt, readyAt)
 }
 
 // Release gives the place back. It may be called more than once.
@@ -166,9 +170,7 @@
 func (l *Lease) PromptRead() {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	if l.Replica.Stage == region.StagePrefill {
-		l.directory.paceOf(l.Replica.Service).observe(l.tokens, l.directory.clock()-l.begun)
-	}
+	l.notePace()
 	l.readDone()
 }
 
@@ -178,7 +180,7 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	if l.Replica.Stage == region.StageDecode {
-		l.directory.placed.add(l.Replica.ID, prompt)
+		l.directory.placed.add(l.Replica.ID, prompt, l.directory.clock())
 	}
 	l.Replica.prefixes.learn(prompt.Parts, l.directory.capacities[l.Replica.Service], l.directory.clock())
 }
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -101,6 +101,45 @@
 	assert.Equal(t, "a:1", lease.FetchFrom())
 }
 
+func TestAPrefixThatIsStillReadIsFetchedOnceItIsThere(t *testing.T) {
+	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
+	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d.TakePlaced([]region.PlacedPrompt{{
+		Sequence: 1, Replica: "a", ReadyMillis: 300, Parts: []region.PlacedPart{{ID: shared.ID, Tokens: shared.Tokens}},
+	}})
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}})
+	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
+	early := d.PickReader("s", nil, whole)
+	require.Equal(t, "b", early.Replica.ID)
+	early.Release()
+
+	told := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	placer := newDirectory(replica("a", region.StagePrefill))
+	lease := placer.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "2", Tokens: 20_000}))
+	require.Equal(t, "a", lease.Replica.ID)
+	placed := placer.Placed(0)
+	require.Len(t, placed, 1)
+	assert.Greater(t, placed[0].ReadyMillis, 500, "30,000 tokens take longer")
+	placer.now += time.Minute
+	assert.Zero(t, placer.Placed(0)[0].ReadyMillis, "it has been read since")
+	told.TakePlaced(placer.Placed(0))
+	told.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}})
+	next := told.PickReader("s", nil, whole)
+	require.Equal(t, "b", next.Replica.ID)
+	assert.Equal(t, "a:1", next.FetchFrom())
+}
+
+func TestAPrefixOfUnknownPlaceIsFetchedFromItsHome(t *testing.T) {
+	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
+	idle := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	home := idle.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})).Replica
+	busy := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	busy.TakeOutstanding("peer", []region.OutstandingWork{{Replica: home.ID, Requests: 3, Tokens: 90_000}})
+	lease := busy.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "2", Tokens: 500}))
+	require.NotEqual(t, home.ID, lease.Replica.ID)
+	assert.Equal(t, home.Address, lease.FetchFrom())
+}
+
 func TestWhatDoesNotFitIsForgotten(t *testing.T) {
 	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
 	d.SetCapacity("s", 15_000)
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	// readingTime is after how long a prompt that was placed at a replica is
-	// taken to have been read there, if nothing is known of it.
-	readingTime = 1200 * time.Millisecond
+	// readingOverhead is what the reading of a prompt takes beside its tokens.
+	readingOverhead = 50 * time.Millisecond
 	// fetchTokens is what fetching a prefix from another replica costs, in
 	// tokens, however long it is: the network is much faster than reading.
 	fetchTokens = 1500
@@ -13,6 +12,12 @@
 	leastFetched = 1500
 )
 
+// readingTime is after how long a number of tokens is expected to have been read by
+// a replica of a service. It is called with the mutex held.
+func (d *Directory) readingTime(service string, tokens float64) time.Duration {
+	return readingOverhead + time.Duration(tokens/d.paces[service].tokensPerSecond()*float64(time.Second))
+}
+
 // offers reports whether others may fetch from the replica: one whose answers were
 // lost may, one that takes no connection may not.
 func (r *Replica) offers(now time.Duration) bool {
@@ -41,6 +46,18 @@
 	return source, saved
 }
 
+// unknownSource returns the replica that keeps a prompt's shared beginning if the
+// gateway that first had it read chose its home, as all do that find it idle: this
+// gateway may not have heard of it. A fetch that finds nothing costs next to
+// nothing. It is called with the mutex held.
+func (d *Directory) unknownSource(target *Replica, prompt *Prompt, now time.Duration) *Replica {
+	home := d.homeOf(target.Service, target.Stage, prompt, now)
+	if home == nil || home == target || !home.offers(now) {
+		return nil
+	}
+	return home
+}
+
 // mostKept returns the most tokens of a prompt's beginning that a replica of a
 // service has ready.
 func (d *Directory) mostKept(service string, prompt *Prompt) int {
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -75,9 +75,10 @@
 }
 
 // readScore rates replicas that read prompts by the tokens to be read there
-// before the prompt is: those of other prompts, and the prompt's own that the
-// replica does not keep. Prompts with equal prefixes prefer the same replica, by
-// rendezvous hashing of the longest shared prefix, on all gateways alike.
+// before the prompt is, from 0 upwards: those of other prompts, and the prompt's own
+// that the replica does not keep. Prompts with equal prefixes prefer the same
+// replica, by rendezvous hashing of the longest shared prefix, on all gateways
+// alike.
 type readScore struct {
 	prompt *Prompt
 	home   *Replica
@@ -116,16 +117,29 @@
 	return p.Parts[len(p.Parts)-1].Tokens
 }
 
+// sharedPart is the id of the last part that other prompts may share, empty if
+// there is none.
+func (p *Prompt) sharedPart() string {
+	if len(p.Parts) < 2 {
+		return ""
+	}
+	return p.Parts[len(p.Parts)-2].ID
+}
+
 // home returns the replica of a stage at which a prompt's shared prefix belongs,
 // nil if it has none. The choice depends on the incarnations alone.
 func (d *Directory) home(service, stage string, prompt *Prompt) *Replica {
-	if len(prompt.Parts) < 2 {
-		return nil
-	}
-	key := prompt.Parts[len(prompt.Parts)-2].ID
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	now := d.clock()
+	return d.homeOf(service, stage, prompt, d.clock())
+}
+
+// homeOf is home, called with the mutex held.
+func (d *Directory) homeOf(service, stage string, prompt *Prompt, now time.Duration) *Replica {
+	key := prompt.sharedPart()
+	if key == "" {
+		return nil
+	}
 	var home *Replica
 	var highest uint64
 	for _, replica := range d.services[service] {
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -105,7 +105,8 @@
 	handle, err := r.exchangePrompt(bounded, lease)
 	timer.Stop()
 	r.logger.V(1).Info(event.PromptRead, "request", r.call.ID, "replica", lease.Replica.ID,
-		"tokens", r.call.Prompt.Tokens, "missing", missing, "backlog", int(lease.backlog),
+		"tokens", r.call.Prompt.Tokens, "missing", missing, "prefix", r.call.Prompt.sharedPart(),
+		"fetch", lease.FetchFrom(), "backlog", int(lease.backlog),
 		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", failure.Text(err))
 	if err == nil {
 		r.metrics.promptRead(readDone, time.Since(begun))
@@ -113,10 +114,12 @@
 	}
 	r.metrics.promptRead(readFailed, time.Since(begun))
 	if upstream.HandedOver(err) && !paid.Load() && !isRefusal(err) {
-		// The answer was lost, not the prompt: the generator may fetch it there.
+		// The answer was lost, not the prompt: the generator may fetch it there. A
+		// prompt that was taken up costs nothing, whatever became of its answer.
 		lease.PromptKept(r.call.Prompt)
+		return nil, nil
 	}
-	if upstream.HandedOver(err) && !paid.Load() && !r.budgets.Withdraw(service) {
+	if isRefusal(err) && !r.budgets.Withdraw(service) {
 		return nil, failure.New(failure.BackEndRefused, "the prompt was not read, and the retry budget is used up")
 	}
 	return nil, nil
