--- a/bench/platformdays/main.go
+++ b/bench/platformdays/main.go
@@ -2,6 +2,9 @@
 // the users' platform, with the users' bench, and prints a table.
 //
 //	go run ./bench/platformdays --bench PATH SITE...
+//	go run ./bench/platformdays varied --bench PATH SITE...
+//
+// The second form hunts on deployments that are varied from the given ones.
 //
 // A day is made from the site's own quiet one when the command runs: nothing of the
 // users' files is kept here. Each kind is played in each of its variants, twice in
@@ -41,12 +44,13 @@
 		},
 		SilenceUsage: true,
 	}
-	command.Flags().StringVar(&flags.bench, "bench", "", "the users' bench program")
-	command.Flags().StringVar(&flags.only, "only", "", "play only disruptions whose name begins so")
-	command.Flags().IntVar(&flags.jobs, "jobs", 4, "days played at the same time")
-	command.Flags().StringVar(&flags.why, "why", "a day for every kind of disruption", "a line for the journal")
-	command.Flags().Int64Var(&flags.seed, "seed", 1, "seed of the days")
-	_ = command.MarkFlagRequired("bench")
+	command.AddCommand(newVariedCommand(&flags))
+	command.PersistentFlags().StringVar(&flags.bench, "bench", "", "the users' bench program")
+	command.PersistentFlags().StringVar(&flags.only, "only", "", "play only disruptions, or variations, whose name begins so")
+	command.PersistentFlags().IntVar(&flags.jobs, "jobs", 4, "days played at the same time")
+	command.PersistentFlags().StringVar(&flags.why, "why", "a day for every kind of disruption", "a line for the journal")
+	command.PersistentFlags().Int64Var(&flags.seed, "seed", 1, "seed of the days")
+	_ = command.MarkPersistentFlagRequired("bench")
 	if command.Execute() != nil {
 		os.Exit(1)
 	}
--- a/bench/soak/deaflog_test.go
+++ b/bench/soak/deaflog_test.go
@@ -29,7 +29,7 @@
 func TestALogThatNobodyReadsHoldsNoRequestUp(t *testing.T) {
 	folder := t.TempDir()
 	const subnet = 252
-	f, err := newFleet(buildProgram(t, folder), folder, subnet, func(_ int, request platformtest.Request) platformtest.Reply {
+	f, err := newFleet(Options{Seed: subnet, Binary: buildProgram(t, folder), Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
 		return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
 	})
 	defer f.stop()
--- a/bench/soak/explain_test.go
+++ b/bench/soak/explain_test.go
@@ -40,7 +40,7 @@
 	folder := t.TempDir()
 	binary := buildProgram(t, folder)
 	const subnet = 251
-	f, err := newFleet(binary, folder, subnet, func(_ int, request platformtest.Request) platformtest.Reply {
+	f, err := newFleet(Options{Seed: subnet, Binary: binary, Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
 		if reply, found := failures[request.ID]; found {
 			return reply
 		}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/pierhaven/pierhaven/bench/faultproxy"
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
 
@@ -78,6 +80,11 @@
 	callerPort   = 17402
 	readyPort    = 17403
 	metricsPort  = 17404
+
+	// listName is the platform's list, for the proxy.
+	listName = "list"
+	// subnets is the number of different loopback subnets for fleets.
+	subnets = 254
 )
 
 // fleet is a region: coordinators, gateways, and stand-ins for the rest.
@@ -88,27 +95,39 @@
 	coordinators []*process
 	gateways     []*process
 	servers      []*httptest.Server
-	list         []platformtest.Listed
+	// proxy stands before the coordinators' internal addresses, the replicas and
+	// the platform's list.
+	proxy *faultproxy.Proxy
+	list  []platformtest.Listed
 }
 
 // newFleet lays a region out on the loopback network. Each seed has a subnet of its
 // own, so that several may run.
-func newFleet(binary, folder string, subnet int, run func(replica int, request platformtest.Request) platformtest.Reply) (*fleet, error) {
-	f := &fleet{binary: binary, folder: folder, subnet: subnet}
+func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply) (*fleet, error) {
+	f := &fleet{binary: options.Binary, folder: options.Folder, subnet: int(options.Seed % subnets)}
+	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
 		id := fmt.Sprintf("i-%d", number)
 		server := httptest.NewServer(platformtest.ReplicaHandler(id, func(request platformtest.Request) platformtest.Reply {
 			return run(number, request)
 		}))
 		f.servers = append(f.servers, server)
+		address, err := f.proxy.ListenTCP(id, "127.0.0.1:0", server.Listener.Addr().String())
+		if err != nil {
+			return f, err
+		}
 		f.list = append(f.list, platformtest.Listed{
-			ID: id, Service: "service", Address: server.Listener.Addr().String(), Zone: "zone", Slots: 16, State: "ready",
+			ID: id, Service: "service", Address: address, Zone: "zone", Slots: 16, State: "ready",
 		})
 	}
 	list := httptest.NewServer(platformtest.ListHandler(func() []platformtest.Listed { return f.list }))
 	f.servers = append(f.servers, list)
+	listed, err := f.proxy.ListenTCP(listName, "127.0.0.1:0", list.Listener.Addr().String())
+	if err != nil {
+		return f, err
+	}
 	for number := range coordinators + gateways {
-		if err := f.lay(number, list.Listener.Addr().String()); err != nil {
+		if err := f.lay(number, listed); err != nil {
 			return f, err
 		}
 	}
@@ -117,6 +136,22 @@
 
 func (f *fleet) ip(number int) string { return fmt.Sprintf("127.77.%d.%d", f.subnet, number+1) }
 
+// hiddenIP is where a coordinator listens behind the proxy.
+func (f *fleet) hiddenIP(number int) string { return fmt.Sprintf("127.78.%d.%d", f.subnet, number+1) }
+
+// numbers names the running processes by their numbers, for the proxy.
+func (f *fleet) numbers() map[int]string {
+	numbers := map[int]string{}
+	for _, each := range f.all() {
+		each.mutex.Lock()
+		if each.command != nil {
+			numbers[each.command.Process.Pid] = each.name
+		}
+		each.mutex.Unlock()
+	}
+	return numbers
+}
+
 // lay writes the settings of one process.
 func (f *fleet) lay(number int, list string) error {
 	var seeds []string
@@ -130,6 +165,11 @@
 	if number < coordinators {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
+		hidden := fmt.Sprintf("%s:%d", f.hiddenIP(number), internalPort)
+		if _, err := f.proxy.ListenTCP(laid.name, fmt.Sprintf("%s:%d", ip, internalPort), hidden); err != nil {
+			return err
+		}
+		common += "internal_listen: " + hidden + "\n"
 		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\n", laid.address, laid.folder)
 		f.coordinators = append(f.coordinators, laid)
 	} else {
@@ -168,6 +208,7 @@
 		each.end(syscall.SIGKILL)
 		_ = each.log.Close()
 	}
+	f.proxy.Close()
 	for _, server := range f.servers {
 		server.CloseClientConnections()
 		server.Close()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -1,6 +1,6 @@
 // Package soak runs a region's real processes on the loopback network, does random
-// harm to them by signals and to their replicas by defects, and checks the promises
-// while it runs: what was acknowledged is never lost or shown older, a request that
+// harm to them by signals, to their links by a proxy and to their replicas by defects,
+// and checks the promises while it runs: what was acknowledged is never lost or shown older, a request that
 // may not be repeated runs at most once, an answer "not run" is true, every answer is
 // the whole answer to its request, and service comes back.
 package soak
@@ -15,7 +15,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -76,7 +75,7 @@
 		client:  newClient(),
 	}
 	var err error
-	s.fleet, err = newFleet(options.Binary, options.Folder, int(options.Seed%250), s.runAtReplica)
+	s.fleet, err = newFleet(options, s.runAtReplica)
 	if s.fleet != nil {
 		defer s.fleet.stop()
 	}
@@ -284,82 +283,3 @@
 	}
 	return os.RemoveAll(folder)
 }
-
-// harmful is one kind of fault.
-type harmful struct {
-	name string
-	do   func(s *soak, ctx context.Context)
-}
-
-// kinds are the faults that a soak draws from.
-var kinds = []harmful{
-	{"kill a coordinator", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.coordinators), syscall.SIGKILL) }},
-	{"kill a gateway", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.gateways), syscall.SIGKILL) }},
-	{"stop a coordinator", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.coordinators), syscall.SIGTERM) }},
-	{"stop a gateway", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.gateways), syscall.SIGTERM) }},
-	{"freeze a coordinator", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.coordinators)) }},
-	{"freeze a gateway", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.gateways)) }},
-	{"hang up", func(s *soak, _ context.Context) { s.anyOf(s.fleet.all()).signal(syscall.SIGHUP) }},
-	{"kill all coordinators", (*soak).killAll},
-	{"wipe a disk", (*soak).wipe},
-}
-
-// harm draws faults until the duration is over.
-func (s *soak) harm(ctx context.Context) {
-	end := time.Now().Add(s.options.Duration)
-	for ctx.Err() == nil && time.Now().Before(end) {
-		kind := kinds[s.random.IntN(len(kinds))]
-		s.faults++
-		_, _ = fmt.Fprintf(s.options.Log, "seed %d: %s\n", s.options.Seed, kind.name)
-		kind.do(s, ctx)
-		pause(ctx, time.Duration(s.random.IntN(900))*time.Millisecond)
-	}
-}
-
-func (s *soak) anyOf(processes []*process) *process { return processes[s.random.IntN(len(processes))] }
-
-func (s *soak) restart(ctx context.Context, harmed *process, signal syscall.Signal) {
-	harmed.end(signal)
-	pause(ctx, time.Duration(s.random.IntN(800))*time.Millisecond)
-	s.startAgain(harmed)
-}
-
-func (s *soak) startAgain(harmed *process) {
-	if err := harmed.start(s.options.Binary); err != nil {
-		s.truth.mutex.Lock()
-		s.truth.violate("%s does not start: %v", harmed.name, err)
-		s.truth.mutex.Unlock()
-	}
-}
-
-func (s *soak) freeze(ctx context.Context, harmed *process) {
-	harmed.signal(syscall.SIGSTOP)
-	pause(ctx, time.Duration(200+s.random.IntN(2500))*time.Millisecond)
-	harmed.signal(syscall.SIGCONT)
-}
-
-func (s *soak) killAll(context.Context) {
-	for _, each := range s.fleet.coordinators {
-		each.end(syscall.SIGKILL)
-	}
-	for _, each := range s.fleet.coordinators {
-		s.startAgain(each)
-	}
-}
-
-// wipe empties one coordinator's disk. The deployment tolerates the loss of one at a
-// time, so it waits until the others are well before and this one is again after.
-func (s *soak) wipe(ctx context.Context) {
-	s.awaitService(ctx, "before a disk is wiped")
-	pause(ctx, settleTime)
-	harmed := s.anyOf(s.fleet.coordinators)
-	harmed.end(syscall.SIGKILL)
-	if err := os.RemoveAll(harmed.folder); err != nil {
-		return
-	}
-	s.startAgain(harmed)
-	pause(ctx, settleTime)
-}
-
-// settleTime is how long a lost machine still counts as lost after its return.
-const settleTime = 4 * time.Second
--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -181,6 +181,7 @@
 		Name:       settings.Name,
 		Zone:       settings.Zone,
 		Address:    settings.InternalAddress(),
+		Listen:     settings.InternalListenAddress(),
 		Seeds:      process.seeds.Addresses,
 		Bootstrap:  settings.Bootstrap,
 		Voters:     settings.Voters(),
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -23,6 +23,9 @@
 	Address string `yaml:"address"`
 	// InternalPort is the coordinators' port for each other and for gateways.
 	InternalPort int `yaml:"internal_port"`
+	// InternalListen is the IP:port that a coordinator listens on if others reach
+	// it through something that stands before it; empty for its internal address.
+	InternalListen string `yaml:"internal_listen"`
 	// Seeds are addresses (IP:port of any port) of coordinators to begin with.
 	Seeds []string `yaml:"seeds"`
 	// Bootstrap allows the seeds to found the group.
@@ -124,6 +127,9 @@
 	}
 	if process == ProcessCoordinator {
 		needAddress("operator_listen", s.OperatorListen)
+		if s.InternalListen != "" {
+			needAddress("internal_listen", s.InternalListen)
+		}
 		needText("data_folder", s.DataFolder)
 		if s.ToleratedLosses < 0 {
 			report("tolerated_losses must not be negative")
@@ -156,6 +162,15 @@
 	return fmt.Sprintf("%s:%d", s.Address, s.InternalPort)
 }
 
+// InternalListenAddress is where a coordinator listens for coordinators and
+// gateways.
+func (s *Settings) InternalListenAddress() string {
+	if s.InternalListen != "" {
+		return s.InternalListen
+	}
+	return s.InternalAddress()
+}
+
 // Voters is the number of coordinators that vote, so that a majority is left
 // after the tolerated losses.
 func (s *Settings) Voters() int { return 2*s.ToleratedLosses + 1 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -39,6 +39,9 @@
 
 // New opens the data folder; Run starts the work.
 func New(settings Settings) (*Coordinator, error) {
+	if settings.Listen == "" {
+		settings.Listen = settings.Address
+	}
 	if settings.ListInterval == 0 {
 		settings.ListInterval = defaultListInterval
 	}
@@ -92,7 +95,7 @@
 
 // Run works until the context ends. It hands leadership over before it returns.
 func (c *Coordinator) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.settings.Address)
+	listener, err := net.Listen("tcp", c.settings.Listen)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -18,6 +18,8 @@
 	Zone string
 	// Address is the IP:port for other coordinators and for gateways.
 	Address string
+	// Listen is the IP:port to listen on for them; empty for Address.
+	Listen string
 	// Seeds are the internal addresses of coordinators to begin with; it is
 	// asked anew each time, since settings change.
 	Seeds func() []string
