Soak model replicas: prompts handed over, streams whole, orders fenced and in turns

platformtest's engines speak stages, handles, reports and orders (fence, count of orders, one at a time); the soak sends model requests through them, and checks that a stream is whole, runs once, is never continued from another's prompt, and that orders of two holders bear growing fences and lie a lease apart. Each check is proved by a planted break.

--- a/bench/soak/deaflog_test.go
+++ b/bench/soak/deaflog_test.go
@@ -31,7 +31,7 @@
 	const subnet = 252
 	f, err := newFleet(Options{Seed: subnet, Binary: buildProgram(t, folder), Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
 		return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
-	})
+	}, platformtest.EngineWatch{})
 	defer f.stop()
 	require.NoError(t, err)
 	deaf := f.gateways[0]
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -74,6 +75,7 @@
 	coordinators = 3
 	gateways     = 2
 	replicas     = 3
+	engines      = 6
 
 	internalPort = 17400
 	operatorPort = 17401
@@ -81,6 +83,11 @@
 	readyPort    = 17403
 	metricsPort  = 17404
 
+	// leaseMillis is how far orders of two coordinators lie apart.
+	leaseMillis = 1000
+
+	// engineService is the service of the model replicas.
+	engineService = "model"
 	// listName is the platform's list, for the proxy.
 	listName = "list"
 	// subnets is the number of different loopback subnets for fleets.
@@ -97,13 +104,14 @@
 	servers      []*httptest.Server
 	// proxy stands before the coordinators' internal addresses, the replicas and
 	// the platform's list.
-	proxy *faultproxy.Proxy
-	list  []platformtest.Listed
+	proxy   *faultproxy.Proxy
+	list    []platformtest.Listed
+	engines *platformtest.Engines
 }
 
 // newFleet lays a region out on the loopback network. Each seed has a subnet of its
 // own, so that several may run.
-func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply) (*fleet, error) {
+func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply, engineWatch platformtest.EngineWatch) (*fleet, error) {
 	f := &fleet{binary: options.Binary, folder: options.Folder, subnet: int(options.Seed % subnets)}
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
@@ -120,8 +128,11 @@
 			ID: id, Service: "service", Address: address, Zone: "zone", Slots: 16, State: "ready",
 		})
 	}
-	list := httptest.NewServer(platformtest.ListHandler(func() []platformtest.Listed { return f.list }))
+	list := httptest.NewServer(platformtest.ListHandler(f.listed))
 	f.servers = append(f.servers, list)
+	if err := f.addEngines(engineWatch); err != nil {
+		return f, err
+	}
 	listed, err := f.proxy.ListenTCP(listName, "127.0.0.1:0", list.Listener.Addr().String())
 	if err != nil {
 		return f, err
@@ -134,6 +145,40 @@
 	return f, nil
 }
 
+// addEngines adds model replicas, of which one reads prompts at first.
+func (f *fleet) addEngines(watch platformtest.EngineWatch) error {
+	f.engines = platformtest.NewEngines(watch)
+	for number := range engines {
+		id := fmt.Sprintf("e-%d", number)
+		stage := platformtest.StageDecode
+		if number == 0 {
+			stage = platformtest.StagePrefill
+		}
+		server := httptest.NewServer(f.engines.Add(id, stage))
+		f.servers = append(f.servers, server)
+		address, err := f.proxy.ListenTCP(id, "127.0.0.1:0", server.Listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		f.engines.Reach(id, address)
+		f.list = append(f.list, platformtest.Listed{
+			ID: id, Service: engineService, Address: address, Zone: "zone", Slots: 16, State: "ready", Stage: stage,
+		})
+	}
+	return nil
+}
+
+// listed is the platform's list, with the engines' stages as they are.
+func (f *fleet) listed() []platformtest.Listed {
+	list := slices.Clone(f.list)
+	for index := range list {
+		if list[index].Stage != "" {
+			list[index].Stage = f.engines.Stage(list[index].ID)
+		}
+	}
+	return list
+}
+
 func (f *fleet) ip(number int) string { return fmt.Sprintf("127.77.%d.%d", f.subnet, number+1) }
 
 // hiddenIP is where a coordinator listens behind the proxy.
@@ -170,7 +215,7 @@
 			return err
 		}
 		common += "internal_listen: " + hidden + "\n"
-		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\n", laid.address, laid.folder)
+		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\n", laid.address, laid.folder, leaseMillis)
 		f.coordinators = append(f.coordinators, laid)
 	} else {
 		laid.role = "relay"
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -40,6 +40,9 @@
 	Served     int
 	Faults     int
 	Changes    uint64
+	// Streams are those of model replicas, and Orders what these obeyed.
+	Streams int
+	Orders  int
 }
 
 const (
@@ -50,6 +53,7 @@
 	host            = "h.example"
 	onceRoute       = "/once/"
 	repeatRoute     = "/repeat/"
+	modelRoute      = "/model/"
 )
 
 // soak is one run.
@@ -75,7 +79,7 @@
 		client:  newClient(),
 	}
 	var err error
-	s.fleet, err = newFleet(options, s.runAtReplica)
+	s.fleet, err = newFleet(options, s.runAtReplica, s.engineWatch())
 	if s.fleet != nil {
 		defer s.fleet.stop()
 	}
@@ -97,8 +101,7 @@
 	s.awaitService(ctx, "after the last fault")
 	cancel()
 	running.Wait()
-	violations, served := s.truth.broken()
-	return Result{Seed: options.Seed, Violations: violations, Served: served, Faults: s.faults, Changes: s.truth.newest()}, nil
+	return s.truth.result(options.Seed, s.faults), nil
 }
 
 // roll reports whether something of a probability happens.
@@ -125,14 +128,28 @@
 	return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
 }
 
+// engineWatch is what the model replicas do, and what is checked of them.
+func (s *soak) engineWatch() platformtest.EngineWatch {
+	return platformtest.EngineWatch{
+		Runs: func(_, request string) platformtest.Reply {
+			s.truth.ran(request)
+			time.Sleep(5 * time.Millisecond)
+			return platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Drop: s.roll(0.02)}
+		},
+		Crossed: s.truth.crossed,
+		Ordered: s.truth.ordered,
+	}
+}
+
 // operate sends configurations, each until it is acknowledged or the next comes.
 func (s *soak) operate(ctx context.Context) {
 	routes := []platformtest.Route{
 		{Name: "once", Host: host, Prefix: onceRoute, Service: "service"},
 		{Name: "repeat", Host: host, Prefix: repeatRoute, Service: "service", Repeatable: true},
+		{Name: "model", Host: host, Prefix: modelRoute, Service: engineService, Streaming: true, Engine: true},
 	}
 	for version := uint64(1); ctx.Err() == nil; version++ {
-		changed := append(routes[:2:2], platformtest.Route{
+		changed := append(routes[:len(routes):len(routes)], platformtest.Route{
 			Name: "changing", Host: host, Prefix: fmt.Sprintf("/v%d/", version), Service: "service",
 		})
 		document := platformtest.Configuration(version, changed)
@@ -182,16 +199,18 @@
 // call sends requests one after the other.
 func (s *soak) call(ctx context.Context, caller int) {
 	for number := 0; ctx.Err() == nil; number++ {
-		once := number%2 == 0
-		path := repeatRoute
-		if once {
-			path = onceRoute
-		}
+		path := []string{onceRoute, repeatRoute, modelRoute}[number%3]
 		id := fmt.Sprintf("c%d-%d", caller, number)
-		s.truth.begin(id, once)
-		gateway := s.fleet.gateways[(caller+number)%gateways].address
+		wanted := bodyFor(id)
+		var prompt *platformtest.Prompt
+		if path == modelRoute {
+			prompt = &platformtest.Prompt{Tokens: 4000, Shared: fmt.Sprint("s", number%7), Own: id}
+			wanted = platformtest.Streamed(eventsFor(id))
+		}
+		s.truth.begin(id, path != repeatRoute, wanted)
+		gateway := s.fleet.gateways[(caller+number/3)%gateways].address
 		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
-		answer, err := platformtest.Call(bounded, s.client, gateway, host, path+"x", id, callWait)
+		answer, err := platformtest.CallModel(bounded, s.client, gateway, host, path+"x", id, callWait, prompt)
 		cancel()
 		if err == nil {
 			s.truth.answered(id, answer)
@@ -268,8 +287,8 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d faults, %d changes, %d violations\n",
-			result.Seed, result.Served, result.Faults, result.Changes, len(result.Violations))
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d faults, %d changes, %d orders, %d violations\n",
+			result.Seed, result.Served, result.Streams, result.Faults, result.Changes, result.Orders, len(result.Violations))
 		for _, violation := range result.Violations {
 			_, _ = fmt.Fprintln(out, "  "+violation)
 		}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
@@ -12,17 +14,21 @@
 type truth struct {
 	mutex      sync.Mutex
 	once       map[string]bool
+	wanted     map[string]string
 	runs       map[string]int
 	promised   map[string]bool
 	sent       map[uint64]string
 	acked      uint64
 	served     int
+	streams    int
+	orders     int
 	violations []string
 }
 
 func newTruth() *truth {
 	return &truth{
 		once:     map[string]bool{},
+		wanted:   map[string]string{},
 		runs:     map[string]int{},
 		promised: map[string]bool{},
 		sent:     map[uint64]string{},
@@ -33,11 +39,35 @@
 	t.violations = append(t.violations, fmt.Sprintf(format, arguments...))
 }
 
-// begin notes a caller's request before it is sent.
-func (t *truth) begin(id string, once bool) {
+// begin notes a caller's request before it is sent, and the one answer to it.
+func (t *truth) begin(id string, once bool, wanted string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.once[id] = once
+	t.wanted[id] = wanted
+}
+
+// crossed notes that a request was continued from another's prompt.
+func (t *truth) crossed(request, other string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.violate("request %s was continued from the prompt of %s", request, other)
+}
+
+// ordered notes an order that an engine obeys.
+func (t *truth) ordered(engine string, order, before platformtest.Order, since time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.orders++
+	if before.Holder == "" || before.Holder == order.Holder {
+		return
+	}
+	if order.FencingToken <= before.FencingToken {
+		t.violate("%s obeys %s with fence %d after %s with %d", engine, order.Holder, order.FencingToken, before.Holder, before.FencingToken)
+	}
+	if since < leaseMillis*time.Millisecond {
+		t.violate("%s obeys %s only %s after %s", engine, order.Holder, since, before.Holder)
+	}
 }
 
 // ran notes that a replica runs a request.
@@ -62,7 +92,10 @@
 	defer t.mutex.Unlock()
 	if answer.Status < 300 {
 		t.served++
-		if !answer.Sealed || answer.Body != bodyFor(id) {
+		if t.wanted[id] != bodyFor(id) {
+			t.streams++
+		}
+		if !answer.Sealed || answer.Body != t.wanted[id] {
 			t.violate("request %s got a wrong answer: %q", id, answer.Body)
 		}
 	}
@@ -74,6 +107,9 @@
 	}
 }
 
+// eventsFor are the events of a model replica's answer to a request.
+func eventsFor(id string) []string { return []string{"answer", "to", id} }
+
 // bodyFor is the answer of a replica to a request.
 func bodyFor(id string) string { return "answer to " + id }
 
@@ -120,3 +156,18 @@
 	defer t.mutex.Unlock()
 	return append([]string(nil), t.violations...), t.served
 }
+
+// result sums a soak up.
+func (t *truth) result(seed uint64, faults int) Result {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return Result{
+		Seed:       seed,
+		Violations: slices.Clone(t.violations),
+		Served:     t.served,
+		Faults:     faults,
+		Changes:    t.acked,
+		Streams:    t.streams,
+		Orders:     t.orders,
+	}
+}
--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -15,20 +16,20 @@
 		events func(*truth)
 		says   string
 	}{
-		"nothing wrong": {func(t *truth) { t.begin("a", true); t.ran("a"); t.answered("a", good) }, ""},
+		"nothing wrong": {func(t *truth) { t.begin("a", true, bodyFor("a")); t.ran("a"); t.answered("a", good) }, ""},
 		"repeatable twice": {func(t *truth) {
-			t.begin("a", false)
+			t.begin("a", false, bodyFor("a"))
 			t.ran("a")
 			t.ran("a")
 			t.answered("a", refused)
 		}, ""},
-		"run twice":        {func(t *truth) { t.begin("a", true); t.ran("a"); t.ran("a") }, "ran 2 times"},
+		"run twice":        {func(t *truth) { t.begin("a", true, bodyFor("a")); t.ran("a"); t.ran("a") }, "ran 2 times"},
 		"never sent":       {func(t *truth) { t.ran("a") }, "never sent"},
-		"false not run":    {func(t *truth) { t.begin("a", true); t.ran("a"); t.answered("a", refused) }, "had run"},
-		"run later":        {func(t *truth) { t.begin("a", true); t.answered("a", refused); t.ran("a") }, "after an answer"},
-		"another's answer": {func(t *truth) { t.begin("b", true); t.ran("b"); t.answered("b", good) }, "wrong answer"},
+		"false not run":    {func(t *truth) { t.begin("a", true, bodyFor("a")); t.ran("a"); t.answered("a", refused) }, "had run"},
+		"run later":        {func(t *truth) { t.begin("a", true, bodyFor("a")); t.answered("a", refused); t.ran("a") }, "after an answer"},
+		"another's answer": {func(t *truth) { t.begin("b", true, bodyFor("b")); t.ran("b"); t.answered("b", good) }, "wrong answer"},
 		"forged": {func(t *truth) {
-			t.begin("a", true)
+			t.begin("a", true, bodyFor("a"))
 			t.answered("a", platformtest.Answer{Status: 200, Body: bodyFor("a")})
 		}, "wrong answer"},
 		"read back": {func(t *truth) {
@@ -42,6 +43,20 @@
 			t.acknowledged(3)
 			t.readBack("c", 3, platformtest.Configuration(2, nil))
 		}, "after 3 was acknowledged"},
+		"a prompt of another": {func(t *truth) { t.crossed("a", "b") }, "the prompt of b"},
+		"a part of a stream": {func(t *truth) {
+			t.begin("a", true, platformtest.Streamed(eventsFor("a")))
+			t.answered("a", platformtest.Answer{Status: 200, Body: platformtest.Streamed(eventsFor("a")[:2]), Sealed: true})
+		}, "wrong answer"},
+		"orders of one holder": {func(t *truth) {
+			t.ordered("e", platformtest.Order{Holder: "x", FencingToken: 4}, platformtest.Order{Holder: "x", FencingToken: 3}, 1)
+		}, ""},
+		"orders in turns": {func(t *truth) {
+			t.ordered("e", platformtest.Order{Holder: "y", FencingToken: 4}, platformtest.Order{Holder: "x", FencingToken: 3}, 1)
+		}, "only 1ns after x"},
+		"orders with one fence": {func(t *truth) {
+			t.ordered("e", platformtest.Order{Holder: "y", FencingToken: 3}, platformtest.Order{Holder: "x", FencingToken: 3}, time.Minute)
+		}, "with fence 3 after"},
 		"other content": {func(t *truth) {
 			t.sends(3, []byte(`{"Version":3,"Routes":null}`))
 			t.readBack("c", 3, []byte(`{"Version":3}`))
