--- a/coordination/consensus/status.go
+++ b/coordination/consensus/status.go
@@ -3,6 +3,8 @@
 // Status is a replica's view of itself.
 type Status struct {
 	SoftState
+	// Vote is the replica that this one has voted for in its term, 0 for none.
+	Vote   ReplicaID
 	Commit uint64
 	// FirstIndex is the first position that the log holds in memory; it is
 	// LastIndex+1 for an empty one.
@@ -37,6 +39,7 @@
 func (c *Core) Status() Status {
 	status := Status{
 		SoftState:     c.SoftState(),
+		Vote:          c.vote,
 		Commit:        c.log.committed,
 		FirstIndex:    c.log.baseIndex + 1,
 		LastIndex:     c.log.lastIndex(),
--- a/coordination/replica/node.go
+++ b/coordination/replica/node.go
@@ -183,6 +183,7 @@
 		Role:            core.Role,
 		Term:            core.Term,
 		Leader:          core.Leader,
+		Vote:            core.Vote,
 		CommitIndex:     core.Commit,
 		AppliedIndex:    n.applied,
 		LastIndex:       core.LastIndex,
--- a/coordination/replica/runner_status.go
+++ b/coordination/replica/runner_status.go
@@ -13,9 +13,29 @@
 // leader; a change that was not read is replaced by the next.
 func (r *Runner) LeadershipChanges() <-chan LeadershipChange { return r.changes }
 
+// Messages of log lines.
+const (
+	LogVoteCast      = "vote cast"
+	LogSnapshotTaken = "snapshot taken"
+)
+
+// logProgress writes a line for each vote and each snapshot since a status.
+func (r *Runner) logProgress(before, status *Status) {
+	if before == nil {
+		return
+	}
+	if status.Term != before.Term || status.Vote != before.Vote {
+		r.config.Logger.Info(LogVoteCast, "group", r.config.Group, "term", status.Term,
+			"candidate", fmt.Sprintf("%x", uint64(status.Vote)), "commit", status.CommitIndex, "last", status.LastIndex)
+	}
+	if status.SnapshotIndex != before.SnapshotIndex {
+		r.config.Logger.Info(LogSnapshotTaken, "group", r.config.Group, "index", status.SnapshotIndex, "applied", status.AppliedIndex)
+	}
+}
+
 func (r *Runner) publishStatus() {
 	status := r.node.Status()
-	r.status.Store(&status)
+	r.logProgress(r.status.Swap(&status), &status)
 	change := LeadershipChange{
 		Leader: status.Leader,
 		Term:   status.Term,
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -104,8 +104,10 @@
 	Role          consensus.Role
 	Term          uint64
 	Leader        consensus.ReplicaID
-	CommitIndex   uint64
-	AppliedIndex  uint64
+	// Vote is the replica that this one has voted for in Term, 0 for none.
+	Vote         consensus.ReplicaID
+	CommitIndex  uint64
+	AppliedIndex uint64
 	// LastIndex is the last position of the log.
 	LastIndex     uint64
 	SnapshotIndex uint64
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,6 +3,8 @@
 // each, which a test holds against this list.
 package event
 
+import "github.com/pierhaven/pierhaven/coordination/replica"
+
 // Event is the message of a log line.
 type Event = string
 
@@ -36,6 +38,8 @@
 	RequestRefused Event = "request refused"
 	// FailureHandedOn: the caller got a failure of a replica.
 	FailureHandedOn Event = "replica's failure handed on"
+	// StreamContinued: a stream goes on behind its last whole event.
+	StreamContinued Event = "stream continued"
 	// StreamBrokenOff: a stream ended before its end.
 	StreamBrokenOff Event = "stream broken off"
 	// CallerGone: the caller left before its answer.
@@ -74,6 +78,11 @@
 	PeersUnreachable Event = "peers can't be told"
 	// LeaderChanged: this coordinator follows another leader, or leads.
 	LeaderChanged Event = "leader changed"
+	// VoteCast: this coordinator has voted in an election, or has begun a term
+	// without a vote.
+	VoteCast Event = replica.LogVoteCast
+	// SnapshotTaken: the log up to a position is replaced by the state.
+	SnapshotTaken Event = replica.LogSnapshotTaken
 	// LeadershipHandedOver: a leader stops by plan.
 	LeadershipHandedOver Event = "handed leadership over"
 	// GroupFounded: the seeds have founded the group.
@@ -119,6 +128,7 @@
 		RequestAnswered,
 		RequestRefused,
 		FailureHandedOn,
+		StreamContinued,
 		StreamBrokenOff,
 		CallerGone,
 		HandleNotFreed,
@@ -138,6 +148,8 @@
 		PrefixesUnknown,
 		PeersUnreachable,
 		LeaderChanged,
+		VoteCast,
+		SnapshotTaken,
 		LeadershipHandedOver,
 		GroupFounded,
 		FoundingUntold,
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -90,7 +90,9 @@
 
 // Lease is a place that a request takes up at a replica.
 type Lease struct {
-	Replica   *Replica
+	Replica *Replica
+	// Choice is what was known when the replica was chosen.
+	Choice    Choice
 	directory *Directory
 	begun     time.Duration
 	// tokens of the prompt that the replica has yet to read, and the backlog that
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -77,6 +77,25 @@
 	assert.True(t, picked["a"] || picked["b"])
 }
 
+func TestAChoiceTellsWhatItWasMadeOn(t *testing.T) {
+	d := newDirectory(replica("a", ""), replica("b", ""), replica("c", ""))
+	d.TakeOutstanding("peer", []region.OutstandingWork{
+		{Replica: "a", Requests: 2}, {Replica: "b", Requests: 9}, {Replica: "c", Requests: 9},
+	})
+	d.now += 300 * time.Millisecond
+	first := d.PickAny("s", nil)
+	require.Equal(t, "a", first.Replica.ID)
+	assert.Equal(t, relay.Choice{
+		Candidates: 3, InFlight: 2, PeersAge: 300 * time.Millisecond, Occupancy: 0.5, LoadAge: -time.Millisecond,
+	}, first.Choice)
+	first.Answered(false, &relay.Load{Running: 3, Slots: 4})
+	d.now += 100 * time.Millisecond
+	again := d.PickAny("s", []*relay.Replica{d.PickAny("s", []*relay.Replica{first.Replica}).Replica})
+	require.Equal(t, "a", again.Replica.ID)
+	assert.Equal(t, 2, again.Choice.Candidates)
+	assert.Equal(t, 100*time.Millisecond, again.Choice.LoadAge)
+}
+
 func TestAPromptGoesWhereItsPrefixIsKept(t *testing.T) {
 	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("c", region.StagePrefill))
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -22,31 +22,74 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	best := d.best(service, excluded, rating, now, func(r *Replica) bool { return passes(r) && !r.avoided(now) })
-	if best == nil {
-		best = d.best(service, excluded, rating, now, passes)
+	candidates := d.candidates(service, excluded, passes)
+	sound := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
+	if len(sound) > 0 {
+		candidates = sound
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return nil
 	}
-	return d.lease(best, toRead)
+	best := lowest(candidates, rating, now)
+	choice := best.choice(now, len(candidates))
+	lease := d.lease(best, toRead)
+	lease.Choice = choice
+	return lease
 }
 
-func (d *Directory) best(service string, excluded []*Replica, rating scorer, now time.Duration, passes func(*Replica) bool) *Replica {
-	var best *Replica
-	var lowest float64
+// candidates are the replicas of a service that may get a request. It is called
+// with the mutex held.
+func (d *Directory) candidates(service string, excluded []*Replica, passes func(*Replica) bool) []*Replica {
+	var candidates []*Replica
 	for _, replica := range d.services[service] {
-		if replica.Draining || replica.gone || !passes(replica) || slices.Contains(excluded, replica) {
-			continue
+		if !replica.Draining && !replica.gone && passes(replica) && !slices.Contains(excluded, replica) {
+			candidates = append(candidates, replica)
 		}
-		score := rating.score(replica, now)
-		if best == nil || score < lowest {
-			best, lowest = replica, score
+	}
+	return candidates
+}
+
+// lowest returns the candidate with the lowest score.
+func lowest(candidates []*Replica, rating scorer, now time.Duration) *Replica {
+	best := candidates[0]
+	bestScore := rating.score(best, now)
+	for _, replica := range candidates[1:] {
+		if score := rating.score(replica, now); score < bestScore {
+			best, bestScore = replica, score
 		}
 	}
 	return best
 }
 
+// Choice is what was known when a replica was chosen for a send.
+type Choice struct {
+	// Candidates is the number of replicas that could have been chosen.
+	Candidates int
+	// InFlight are the requests there, of all gateways, and PeersAge is how old the
+	// oldest word of another gateway that counts is.
+	InFlight int
+	PeersAge time.Duration
+	// Occupancy is the estimated share of its slots in use.
+	Occupancy float64
+	// LoadAge is how old the replica's own account is, negative if it counts for
+	// nothing.
+	LoadAge time.Duration
+}
+
+// choice notes what is known of a replica that is chosen.
+func (r *Replica) choice(now time.Duration, candidates int) Choice {
+	chosen := Choice{Candidates: candidates, InFlight: r.allInFlight(now), Occupancy: r.occupancy(now), LoadAge: now - r.loadAt}
+	if r.load.Slots == 0 || chosen.LoadAge > loadMemory {
+		chosen.LoadAge = -time.Millisecond
+	}
+	for _, work := range r.peers {
+		if age := now - work.at; age < peerMemory {
+			chosen.PeersAge = max(chosen.PeersAge, age)
+		}
+	}
+	return chosen
+}
+
 // loadScore rates by the estimated occupancy, from 0 (idle) upwards; 1 is a full
 // replica. Distance, failures and slowness add to it.
 type loadScore struct {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -272,8 +273,15 @@
 // exchange makes one send.
 func (r *run) exchange(ctx context.Context, lease *Lease, send Send) (verdict, error) {
 	r.sends++
+	choice := lease.Choice
 	r.logger.V(1).Info(event.RequestSent, "request", r.call.ID, "route", r.call.Route.Name, "replica", lease.Replica.ID,
-		"address", lease.Replica.Address, "source", send.Source, "in_flight", lease.Replica.inFlight, "send", r.sends)
+		"address", lease.Replica.Address, "source", send.Source, "fetch", send.Fetch, "send", r.sends,
+		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
+		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds())
+	if send.LastEvent != "" {
+		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
+			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
+	}
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, send))
 	if err != nil {
 		return r.connectionFailed(ctx, lease, err)
