Refuse requests with ambiguous framing; hold callers to the configured sizes

Ruled out: bad lengths, bad chunks, spaces before colons, header floods (hertz refuses these and closes). Change: the raw header fields are checked before anything else; 400 and the connection ends. A configuration's MaxHeaderBytes and MaxBodyBytes are enforced: 431 and 413. The OpenAI door takes such requests still (it relays nothing as it came): open.

--- /dev/null
+++ b/internal/relay/daemon/framing_test.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+func TestOnlyOneFramingIsAccepted(t *testing.T) {
+	for raw, sound := range map[string]bool{
+		"":                                 true,
+		"Host: h\r\nX: a:b\r\n\r\n":        true,
+		"Host: h\r\nContent-Length: 5\r\n": true,
+		"Transfer-Encoding: Chunked\r\n":   true,
+		"content-length: 5\r\ncontent-LENGTH: 5\r\n":          false,
+		"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n": false,
+		"Transfer-Encoding: gzip, chunked\r\n":                false,
+		"Transfer-Encoding:\r\n":                              false,
+		"Host: a\r\nHost: b\r\n":                              false,
+		"X: a\r\n Content-Length: 3\r\n":                      false,
+	} {
+		err := checkFraming([]byte(raw))
+		assert.Equal(t, sound, err == nil, "%q", raw)
+		if !sound {
+			assert.Equal(t, failure.MalformedRequest, failure.KindOf(err))
+		}
+	}
+}
+
+func TestLimitsOfTheConfigurationHold(t *testing.T) {
+	limits := traffic.Limits{MaximumHeaderBytes: 100, MaximumBodyBytes: 1000}
+	assert.NoError(t, checkLimits(limits, 100, 1000))
+	assert.Equal(t, failure.HeadersTooLarge, failure.KindOf(checkLimits(limits, 101, 0)))
+	assert.Equal(t, failure.BodyTooLarge, failure.KindOf(checkLimits(limits, 0, 1001)))
+	assert.NoError(t, checkLimits(traffic.Limits{}, 1<<20, 1<<30))
+}
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -76,6 +76,10 @@
 	responder := &responder{front: f, request: request}
 	defer responder.finish()
 	call, err := f.callOf(ctx, request)
+	if failure.KindOf(err) == failure.MalformedRequest {
+		// What follows may have been meant as a part of this request.
+		request.Response.Header.SetConnectionClose(true)
+	}
 	if err != nil {
 		responder.Refuse(err)
 		return
@@ -89,6 +93,10 @@
 	terms := f.settings.Dialect.ReadTerms(func(name string) string {
 		return string(request.Request.Header.Peek(name))
 	})
+	if err := checkFraming(request.Request.Header.RawHeaders()); err != nil {
+		f.logRefusal(terms.ID, err.Error())
+		return nil, err
+	}
 	if f.closed() {
 		f.logRefusal(terms.ID, "the gateway is leaving")
 		return nil, failure.New(failure.Leaving, "the gateway is leaving", failure.WithRetryAfter(unreadyRetryAfter))
@@ -98,6 +106,11 @@
 		f.logRefusal(terms.ID, "no configuration is known yet")
 		return nil, failure.New(failure.NotReady, "no configuration is known yet", failure.WithRetryAfter(unreadyRetryAfter))
 	}
+	limits := table.Configuration.Limits
+	if err := checkLimits(limits, len(request.Request.Header.RawHeaders()), len(request.Request.Body())); err != nil {
+		f.logRefusal(terms.ID, err.Error())
+		return nil, err
+	}
 	target := string(request.Request.Header.RequestURI())
 	route := table.Find(string(request.Request.Host()), pathOf(target))
 	if _, confirmed := f.keeper.age(); route == nil && !confirmed {
