Let a prompt's home count as keeping half of its prefix

Change: the home by rendezvous hashing, the same from all gateways, counts as keeping half of the prefix instead of 1,000 tokens of it.

--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -130,9 +130,14 @@
 	mostKept int
 }
 
-// homeBonus, in tokens, is what makes a prompt whose prefix no replica keeps go
-// to the same replica from all gateways.
-const homeBonus = 1000
+// A prompt whose prefix is not known to be kept by a replica goes to its home, so
+// that prompts with one prefix meet there from all gateways, also from those that do
+// not hear of each other: the home counts as keeping homeShare of the prefix, and
+// homeBonus tokens at least.
+const (
+	homeShare = 0.5
+	homeBonus = 1000
+)
 
 // crossZoneTokens is what a move of the memory between zones costs, in tokens.
 const crossZoneTokens = 200
@@ -142,8 +147,8 @@
 	if fetched := s.prompt.Tokens - s.mostKept; own > fetched+leastFetched {
 		own = fetched + fetchTokens
 	}
-	if replica == s.home && own > s.prompt.ownTokens() {
-		own -= homeBonus
+	if shared := own - s.prompt.ownTokens(); replica == s.home && shared > 0 {
+		own -= max(homeBonus, int(homeShare*float64(shared)))
 	}
 	score := float64(own) + replica.allTokens(now) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
 	if replica.Zone != s.zone {
