Change stages by a policy of the operators, too

A coordinator now reads a policy from a file (setting policy, deploy/stages.yaml), in the product's own form: role_change's condition, dwell and bound hold over what the planner proposes. The file is read again when it changes; an invalid text is refused with file and field, at the start and later.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -177,6 +177,10 @@
 	if settings.IgnoreFileIdentity {
 		fileSystem = storage.Unidentified{FileSystem: fileSystem}
 	}
+	stagePolicy, err := regional.OpenPolicy(settings.Policy, process.logger)
+	if err != nil {
+		return invalidError{err.Error()}
+	}
 	created, err := coordinator.New(coordinator.Settings{
 		Name:       settings.Name,
 		Zone:       settings.Zone,
@@ -190,6 +194,7 @@
 		Lister:     platform.NewLister(settings.ReplicaList),
 		Engines:    platform.NewEngines(),
 		Lease:      settings.Lease(),
+		Policy:     stagePolicy.Program,
 		Codec:      platform.Codec{},
 		Metrics:    process.metrics,
 		Logger:     process.logger,
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -50,6 +50,9 @@
 	// LeaseMillis is how far the orders of two coordinators to a replica must lie
 	// apart.
 	LeaseMillis int `yaml:"lease_ms"`
+	// Policy is the file of the policy by which replicas change their stage, relative
+	// to the folder that the process starts in; empty for the built-in rule alone.
+	Policy string `yaml:"policy"`
 	// StopSeconds bounds a planned stop.
 	StopSeconds float64 `yaml:"stop_seconds"`
 	// RetryRatio, RetryWindowSeconds and RetrySlack bound the repeated sends of
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/policy"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -34,6 +35,9 @@
 	Lister Lister
 	// Engines gives orders to model replicas; nil gives none.
 	Engines Engines
+	// Policy returns the policy by which replicas change their stage, nil for the
+	// built-in rule alone. It is asked anew each time. nil is no policy.
+	Policy func() *policy.Program
 	// Lease is how far the orders of two holders must lie apart.
 	Lease time.Duration
 	Codec traffic.Codec
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -76,6 +76,9 @@
 	holds     map[string]time.Duration
 	// demandFrom is when demand was first told, by service.
 	demandFrom map[string]time.Duration
+	// leads is since when this coordinator leads, and heard when demand was last told.
+	leads time.Duration
+	heard map[string]time.Duration
 	// moved is when replicas of a service last came, went or began to leave, and
 	// known are those that there were at the last step.
 	moved map[string]time.Duration
@@ -124,6 +127,8 @@
 	k.begun = map[string]time.Duration{}
 	k.holds = map[string]time.Duration{}
 	k.demandFrom = map[string]time.Duration{}
+	k.leads = k.now()
+	k.heard = map[string]time.Duration{}
 	k.moved = map[string]time.Duration{}
 	k.known = map[string]string{}
 }
@@ -145,6 +150,7 @@
 			k.planners[service] = planner
 		}
 		input := k.inputFor(now, service, replicas, state.Changes, demand)
+		input.Rules = k.rulesFor(now, service, input)
 		if change := planner.Step(now, input); change != nil {
 			k.carryOutStage(ctx, replicas, change)
 		}
@@ -173,6 +179,7 @@
 			input.Generating += each.Generating
 			input.Reading += each.Reading
 			telling += each.Gateways
+			k.heard[service] = now
 			for _, replica := range each.Unreachable {
 				unreachable[replica]++
 			}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -103,6 +103,10 @@
 	BatchFailed Event = "consensus batch failed"
 	// OrdersBegin: a new leader may give orders, from a time on.
 	OrdersBegin Event = "orders may begin"
+	// PolicyInForce: a policy's file was read.
+	PolicyInForce Event = "policy in force"
+	// PolicyRefused: a changed policy is not valid; the one before stays.
+	PolicyRefused Event = "policy refused"
 	// Order: an order was given to a replica.
 	Order Event = "order"
 	// ChangeStuck: the list has not shown an ordered stage in time.
@@ -160,6 +164,8 @@
 		DataUnusable,
 		BatchFailed,
 		OrdersBegin,
+		PolicyInForce,
+		PolicyRefused,
 		Order,
 		ChangeStuck,
 		ChangeEndLost,
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -40,6 +40,19 @@
 	// Restless says that replicas are coming or going: then no replica stops
 	// generating, for what is there may be gone soon.
 	Restless bool
+	Rules    Rules
+}
+
+// Rules are what a policy adds to the plan.
+type Rules struct {
+	// Bounded says that MaximumAway holds.
+	Bounded bool
+	// MaximumAway bounds the replicas that change at the same time; 0 forbids changes.
+	MaximumAway int
+	// MinimumDwell is how long a replica keeps a stage at least.
+	MinimumDwell time.Duration
+	// Permits decides on a change; nil permits every one.
+	Permits func(Change) bool
 }
 
 // Change moves one replica to the other stage.
@@ -53,6 +66,8 @@
 	Reading    float64
 	// Generators is the number of replicas that generated before.
 	Generators int
+	// SinceLast is the time since the last change of the service.
+	SinceLast time.Duration
 }
 
 const (
@@ -87,6 +102,8 @@
 	lastChange time.Duration
 	lastWay    bool
 	changed    bool
+	// changedAt is when each replica was last changed.
+	changedAt map[string]time.Duration
 }
 
 // Step takes the input in and returns the next change, or nil.
@@ -94,15 +111,15 @@
 	p.observe(now, input)
 	generating, away := count(input.Replicas)
 	total := len(input.Replicas)
-	if total < minimumReplicas || away >= max(1, int(maximumAwayShare*float64(total))) {
+	if total < minimumReplicas || away >= input.Rules.maximumAway(total) {
 		return nil
 	}
 	wanted := p.wanted(input, generating)
 	switch {
 	case wanted > generating:
-		return p.change(now, input.Replicas, true, "generating replicas are short")
+		return p.change(now, input, true, "generating replicas are short")
 	case wanted < generating && !input.Restless:
-		return p.change(now, input.Replicas, false, "more replicas can read prompts")
+		return p.change(now, input, false, "more replicas can read prompts")
 	}
 	return nil
 }
@@ -138,32 +155,61 @@
 	return generating
 }
 
+// maximumAway is how many of a number of replicas may change at the same time.
+func (r Rules) maximumAway(total int) int {
+	most := max(1, int(maximumAwayShare*float64(total)))
+	if r.Bounded {
+		return min(most, r.MaximumAway)
+	}
+	return most
+}
+
 // change chooses the replica for a change, unless the last one went the other way
-// a short time ago.
-func (p *Planner) change(now time.Duration, replicas []Replica, generates bool, reason string) *Change {
+// a short time ago or the policy does not permit it.
+func (p *Planner) change(now time.Duration, input Input, generates bool, reason string) *Change {
 	if p.changed && p.lastWay != generates && now-p.lastChange < settleTime {
 		return nil
 	}
-	for _, replica := range replicas {
-		if replica.Generates == generates || replica.Changing || replica.Unsettled {
+	generators, _ := count(input.Replicas)
+	for _, replica := range input.Replicas {
+		if replica.Generates == generates || replica.Changing || replica.Unsettled || p.dwells(now, replica.ID, input.Rules) {
 			continue
 		}
-		p.changed = true
-		p.lastWay = generates
-		p.lastChange = now
-		generators, _ := count(replicas)
-		return &Change{
+		change := Change{
 			ReplicaID:  replica.ID,
 			Generates:  generates,
 			Reason:     reason,
 			Generating: p.peak,
 			Reading:    p.reading,
 			Generators: generators,
+			SinceLast:  now - p.lastChange,
 		}
+		if input.Rules.Permits != nil && !input.Rules.Permits(change) {
+			return nil
+		}
+		p.note(now, replica.ID, generates)
+		return &change
 	}
 	return nil
 }
 
+// dwells reports whether a replica has to keep its stage for now.
+func (p *Planner) dwells(now time.Duration, id string, rules Rules) bool {
+	changed, known := p.changedAt[id]
+	return known && now-changed < rules.MinimumDwell
+}
+
+// note remembers a change.
+func (p *Planner) note(now time.Duration, id string, generates bool) {
+	p.changed = true
+	p.lastWay = generates
+	p.lastChange = now
+	if p.changedAt == nil {
+		p.changedAt = map[string]time.Duration{}
+	}
+	p.changedAt[id] = now
+}
+
 func count(replicas []Replica) (generating, away int) {
 	for _, replica := range replicas {
 		if replica.Generates && !replica.Unsettled {
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -142,3 +142,37 @@
 	settle(t, &stageplan.Planner{}, 0, input)
 	assert.Equal(t, 8, count(input.Replicas))
 }
+
+func TestAPolicyBoundsAndForbidsChanges(t *testing.T) {
+	step := func(rules stageplan.Rules) (changes int) {
+		input := stageplan.Input{Replicas: fleet(2, 16), Rules: rules}
+		changes, _ = settle(t, &stageplan.Planner{}, 0, input)
+		return changes
+	}
+	assert.Equal(t, 10, step(stageplan.Rules{}), "the built-in rule leaves a third")
+	assert.Zero(t, step(stageplan.Rules{Bounded: true}), "a bound of 0 forbids changes")
+	assert.Equal(t, 10, step(stageplan.Rules{Bounded: true, MaximumAway: 1}))
+	var asked []stageplan.Change
+	assert.Zero(t, step(stageplan.Rules{Permits: func(change stageplan.Change) bool {
+		asked = append(asked, change)
+		return false
+	}}))
+	if assert.NotEmpty(t, asked) {
+		assert.Equal(t, 16, asked[0].Generators)
+		assert.False(t, asked[0].Generates)
+	}
+}
+
+func TestAReplicaKeepsItsStageForTheDwellOfThePolicy(t *testing.T) {
+	planner := &stageplan.Planner{}
+	rules := stageplan.Rules{MinimumDwell: time.Minute}
+	input := stageplan.Input{Replicas: fleet(1, 3), Rules: rules}
+	_, now := settle(t, planner, 0, input)
+	assert.Equal(t, 2, count(input.Replicas))
+	input.Generating = 32 * 3
+	changes, now := settle(t, planner, now, input)
+	assert.Equal(t, 0, changes, "both readers are kept: one by the least number, one by its dwell")
+	input.Replicas = append(input.Replicas, fleet(3, 0)[2])
+	changes, _ = settle(t, planner, now+time.Minute, input)
+	assert.Positive(t, changes)
+}
