Tell peers what has changed, and all of it once a second

Change: between whole messages, one a second, only changed entries are told. Tests: changes add up, a whole message forgets.

--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -220,6 +220,9 @@
 	// Unreachable are the replicas that take no connection from the gateway, or
 	// have fallen silent.
 	Unreachable []string `msg:"unreachable"`
+	// Whole says that Replicas holds all of the gateway's work. Else it holds what has
+	// changed since the message before; work that has ended is told as none.
+	Whole bool `msg:"whole"`
 }
 
 // PlacedPrompt is a prompt that a replica reads and keeps.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -761,8 +761,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.Gateway)
 	o = msgp.AppendInt64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -786,6 +786,7 @@
 	for za0003 := range z.Unreachable {
 		o = msgp.AppendString(o, z.Unreachable[za0003])
 	}
+	o = msgp.AppendBool(o, z.Whole)
 	return
 }
 
@@ -797,8 +798,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
@@ -902,6 +903,11 @@
 			return
 		}
 	}
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
 	o = bts
 	return
 }
@@ -920,6 +926,7 @@
 	for za0003 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0003])
 	}
+	s += msgp.BoolSize
 	return
 }
 
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -42,8 +43,9 @@
 const (
 	// tellPoll is the pause between two looks for something to tell.
 	tellPoll = 10 * time.Millisecond
-	// refreshInterval is the time after which unchanged work is told again.
-	refreshInterval = 500 * time.Millisecond
+	// wholeInterval is the time after which all work is told again, since datagrams
+	// are lost.
+	wholeInterval = time.Second
 	// requestsInterval is the least time between messages that tell only of
 	// small changes.
 	requestsInterval = 200 * time.Millisecond
@@ -132,7 +134,7 @@
 			continue
 		}
 		if p.isNewer(&message) {
-			p.directory.TakeOutstanding(message.Gateway, message.Replicas)
+			p.directory.TakeOutstanding(message.Gateway, message.Replicas, message.Whole)
 			p.directory.TakePlaced(p.newPrompts(&message))
 			p.directory.TakeUnreachable(message.Unreachable)
 		}
@@ -191,7 +193,9 @@
 	last      time.Time
 	toldAt    time.Time
 	allowance float64
-	told      map[string]region.OutstandingWork
+	// wholeAt is when all work was last told.
+	wholeAt time.Time
+	told    map[string]region.OutstandingWork
 	// unreachable are the replicas last told of as such.
 	unreachable []string
 	// prompts and promptsBefore are the last placements told with the last
@@ -234,7 +238,7 @@
 			return true
 		}
 	}
-	return changed && since >= requestsInterval || len(work) > 0 && since >= refreshInterval
+	return changed && since >= requestsInterval || len(work) > 0 && now.Sub(t.wholeAt) >= wholeInterval
 }
 
 func (t *teller) send(now time.Time, work []region.OutstandingWork) {
@@ -244,11 +248,17 @@
 	if len(prompts) > 0 {
 		t.prompts = prompts[len(prompts)-1].Sequence
 	}
+	whole := now.Sub(t.wholeAt) >= wholeInterval
+	told := work
+	if !whole {
+		told = changedWork(t.told, work)
+	}
 	message := &region.Outstanding{
 		Gateway:  t.peers.name,
 		Life:     t.peers.life,
 		Sequence: t.sequence,
-		Replicas: work,
+		Whole:    whole,
+		Replicas: told,
 		Prompts:  prompts,
 
 		Unreachable: t.unreachable,
@@ -262,8 +272,27 @@
 		t.allowance -= float64(len(encoded) + datagramOverhead)
 	}
 	t.toldAt = now
+	if whole {
+		t.wholeAt = now
+	}
 	t.told = make(map[string]region.OutstandingWork, len(work))
 	for _, each := range work {
 		t.told[each.Replica] = each
 	}
 }
+
+// changedWork lists the work that is not as it was told, and what has ended as none.
+func changedWork(told map[string]region.OutstandingWork, work []region.OutstandingWork) []region.OutstandingWork {
+	var changed []region.OutstandingWork
+	ended := maps.Clone(told)
+	for _, each := range work {
+		if told[each.Replica] != each {
+			changed = append(changed, each)
+		}
+		delete(ended, each.Replica)
+	}
+	for replica := range ended {
+		changed = append(changed, region.OutstandingWork{Replica: replica})
+	}
+	return changed
+}
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -61,7 +61,7 @@
 
 func TestPeersWorkDecidesAmongEqualReplicas(t *testing.T) {
 	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, Tokens: 20_000}})
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, Tokens: 20_000}}, true)
 	for range 10 {
 		lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "own", Tokens: 100}))
 		assert.Equal(t, "b", lease.Replica.ID)
@@ -77,11 +77,22 @@
 	assert.True(t, picked["a"] || picked["b"])
 }
 
+func TestAPeersChangesAddToWhatItToldBefore(t *testing.T) {
+	d := newDirectory(replica("a", ""), replica("b", ""), replica("c", ""))
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 5}, {Replica: "b", Requests: 5}}, true)
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "b"}, {Replica: "c", Requests: 5}}, false)
+	lease := d.PickAny("s", nil)
+	assert.Equal(t, "b", lease.Replica.ID, "its work has ended, that at a still counts")
+	lease.Release()
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "b", Requests: 5}, {Replica: "c", Requests: 5}}, true)
+	assert.Equal(t, "a", d.PickAny("s", nil).Replica.ID, "a whole message forgets what it does not name")
+}
+
 func TestAChoiceTellsWhatItWasMadeOn(t *testing.T) {
 	d := newDirectory(replica("a", ""), replica("b", ""), replica("c", ""))
 	d.TakeOutstanding("peer", []region.OutstandingWork{
 		{Replica: "a", Requests: 2}, {Replica: "b", Requests: 9}, {Replica: "c", Requests: 9},
-	})
+	}, true)
 	d.now += 300 * time.Millisecond
 	first := d.PickAny("s", nil)
 	require.Equal(t, "a", first.Replica.ID)
@@ -113,7 +124,7 @@
 	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
 	d.LearnKept("a", []relay.PromptPart{shared})
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 30_000}})
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 30_000}}, true)
 	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
 	lease := d.PickReader("s", nil, whole)
 	require.Equal(t, "b", lease.Replica.ID)
@@ -126,7 +137,7 @@
 	d.TakePlaced([]region.PlacedPrompt{{
 		Sequence: 1, Replica: "a", ReadyMillis: 300, Parts: []region.PlacedPart{{ID: shared.ID, Tokens: shared.Tokens}},
 	}})
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}})
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}}, true)
 	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
 	early := d.PickReader("s", nil, whole)
 	require.Equal(t, "b", early.Replica.ID)
@@ -142,7 +153,7 @@
 	placer.now += time.Minute
 	assert.Zero(t, placer.Placed(0)[0].ReadyMillis, "it has been read since")
 	told.TakePlaced(placer.Placed(0))
-	told.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}})
+	told.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}}, true)
 	next := told.PickReader("s", nil, whole)
 	require.Equal(t, "b", next.Replica.ID)
 	assert.Equal(t, "a:1", next.FetchFrom())
@@ -153,7 +164,7 @@
 	idle := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
 	home := idle.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})).Replica
 	busy := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	busy.TakeOutstanding("peer", []region.OutstandingWork{{Replica: home.ID, Requests: 3, Tokens: 90_000}})
+	busy.TakeOutstanding("peer", []region.OutstandingWork{{Replica: home.ID, Requests: 3, Tokens: 90_000}}, true)
 	lease := busy.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "2", Tokens: 500}))
 	require.NotEqual(t, home.ID, lease.Replica.ID)
 	assert.Equal(t, home.Address, lease.FetchFrom())
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -55,19 +55,25 @@
 	}
 }
 
-// TakeOutstanding notes a peer's whole work at replicas.
-func (d *Directory) TakeOutstanding(gateway string, work []region.OutstandingWork) {
+// TakeOutstanding notes a peer's work at replicas: all of it, or what has changed.
+func (d *Directory) TakeOutstanding(gateway string, work []region.OutstandingWork, whole bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	for _, replica := range d.replicas {
-		delete(replica.peers, gateway)
+	if whole {
+		for _, replica := range d.replicas {
+			delete(replica.peers, gateway)
+		}
 	}
 	for _, each := range work {
 		replica, known := d.replicas[each.Replica]
 		if !known {
 			continue
 		}
+		if each.Requests == 0 && each.Tokens == 0 {
+			delete(replica.peers, gateway)
+			continue
+		}
 		if replica.peers == nil {
 			replica.peers = map[string]peerWork{}
 		}
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -39,8 +39,9 @@
 	at       time.Duration
 }
 
-// peerMemory is how long a gateway's word on its work counts.
-const peerMemory = 2 * time.Second
+// peerMemory is how long a gateway's word on its work counts: longer than the time
+// between two messages that tell all of it.
+const peerMemory = 3 * time.Second
 
 // allInFlight counts the requests of all gateways.
 func (r *Replica) allInFlight(now time.Duration) int {
