Tell all gateways of placed prompts, and only the near ones of work

Cause: a gateway told 24 of 55 others; the rest had shared parts read again. Change: placed prompts go to 96 others, work to 24 as before. The small sites have fewer than 24 gateways.

--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -55,12 +55,14 @@
 	// saved up of it.
 	bytesPerSecond = 32 << 10
 	burstBytes     = 32 << 10
-	// maximumPeers bounds the peers that are told: each gateway tells those that
-	// follow it in the sorted list.
-	maximumPeers     = 24
-	maximumDatagram  = 8 << 10
-	receiveBuffer    = 64 << 10
-	datagramOverhead = 28
+	// maximumPeers bounds the peers that are told of work, and maximumPromptPeers
+	// those that are told of placed prompts, which are fewer and stay true for longer:
+	// each gateway tells those that follow it in the sorted list.
+	maximumPeers       = 24
+	maximumPromptPeers = 96
+	maximumDatagram    = 8 << 10
+	receiveBuffer      = 64 << 10
+	datagramOverhead   = 28
 )
 
 func newPeers(settings Settings, directory *relay.Directory) *peers {
@@ -84,7 +86,7 @@
 	for offset := range addresses {
 		address := addresses[(self+offset)%len(addresses)]
 		parsed, err := netip.ParseAddrPort(address)
-		if err == nil && address != p.address && len(p.addresses) < maximumPeers {
+		if err == nil && address != p.address && len(p.addresses) < maximumPromptPeers {
 			p.addresses = append(p.addresses, parsed)
 		}
 	}
@@ -263,13 +265,14 @@
 
 		Unreachable: t.unreachable,
 	}
-	encoded, err := message.MarshalMsg(nil)
-	if err != nil || len(encoded) > maximumDatagram {
+	targets := t.peers.targets()
+	near := min(len(targets), maximumPeers)
+	if !t.write(message, targets[:near]) {
 		return
 	}
-	for _, target := range t.peers.targets() {
-		_, _ = t.socket.WriteToUDPAddrPort(encoded, target)
-		t.allowance -= float64(len(encoded) + datagramOverhead)
+	if len(prompts) > 0 {
+		message.Replicas, message.Whole, message.Unreachable = nil, false, nil
+		t.write(message, targets[near:])
 	}
 	t.toldAt = now
 	if whole {
@@ -281,6 +284,19 @@
 	}
 }
 
+// write sends a message to peers, and reports whether it could be sent.
+func (t *teller) write(message *region.Outstanding, targets []netip.AddrPort) bool {
+	encoded, err := message.MarshalMsg(nil)
+	if err != nil || len(encoded) > maximumDatagram {
+		return false
+	}
+	for _, target := range targets {
+		_, _ = t.socket.WriteToUDPAddrPort(encoded, target)
+		t.allowance -= float64(len(encoded) + datagramOverhead)
+	}
+	return true
+}
+
 // changedWork lists the work that is not as it was told, and what has ended as none.
 func changedWork(told map[string]region.OutstandingWork, work []region.OutstandingWork) []region.OutstandingWork {
 	var changed []region.OutstandingWork
