--- a/bench/platformdays/vary.go
+++ b/bench/platformdays/vary.go
@@ -30,7 +30,9 @@
 	{"one-front", func(s site) { s.machines("front", func(m site) { m["count"] = int64(1) }) }},
 	{"five-cores", func(s site) { s.cores(5, 2) }},
 	{"seven-cores", func(s site) { s.cores(7, 3) }},
-	{"few-slots", func(s site) { s.services(func(m site) { m["slots"] = int64(4); m.engine(func(e site) { e["batch"] = int64(4) }) }) }},
+	{"few-slots", func(s site) {
+		s.services(func(m site) { m["slots"] = int64(4); m.engine(func(e site) { e["batch"] = int64(4) }) })
+	}},
 	{"little-memory", func(s site) { s.services(func(m site) { m.engine(func(e site) { e["kv_tokens"] = int64(90_000) }) }) }},
 	{"few-readers", func(s site) { s.services(func(m site) { m.engine(func(e site) { e["prefill"] = 0.15 }) }) }},
 	{"many-readers", func(s site) { s.services(func(m site) { m.engine(func(e site) { e["prefill"] = 0.8 }) }) }},
--- a/internal/relay/daemon/framing.go
+++ b/internal/framing/framing.go
@@ -1,18 +1,18 @@
-package daemon
+// Package framing refuses requests of which it is open where they end.
+package framing
 
 import (
 	"bytes"
 	"strings"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
-	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
-// checkFraming returns an error if a request's header fields leave it open where its
+// Check returns an error if a request's header fields leave it open where its
 // body ends, or to whom it goes: what stands behind such a request may be a part of it
 // for the one and a request of its own for the other (RFC 9112, sections 3.2, 5.2, 6.1
 // and 6.3). hertz (v0.10.4) accepts these.
-func checkFraming(raw []byte) error {
+func Check(raw []byte) error {
 	lengths, codings, hosts := 0, 0, 0
 	for line := range bytes.Lines(raw) {
 		if line[0] == ' ' || line[0] == '\t' {
@@ -39,15 +39,3 @@
 	}
 	return nil
 }
-
-// checkLimits returns an error if a request is larger than the operators allow; a
-// limit of 0 allows any size.
-func checkLimits(limits traffic.Limits, headerBytes, bodyBytes int) error {
-	if limits.MaximumHeaderBytes > 0 && headerBytes > limits.MaximumHeaderBytes {
-		return failure.New(failure.HeadersTooLarge, "the header fields are larger than the configuration allows")
-	}
-	if limits.MaximumBodyBytes > 0 && bodyBytes > limits.MaximumBodyBytes {
-		return failure.New(failure.BodyTooLarge, "the body is larger than the configuration allows")
-	}
-	return nil
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,7 +71,7 @@
 		server.WithDisablePreParseMultipartForm(true),
 	)
 	recovery := middleware.NewRecovery(g.logger, g.settings.Times.WriteTimeout)
-	created.Use(recovery.Handle, middleware.NewRequestID().Handle)
+	created.Use(recovery.Handle, middleware.NewRequestID().Handle, middleware.NewFraming().Handle)
 	created.NoRoute(refuseAlways(failure.NotFound))
 	created.NoMethod(refuseAlways(failure.MethodNotAllowed))
 	return created
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/framing"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -93,7 +94,7 @@
 	terms := f.settings.Dialect.ReadTerms(func(name string) string {
 		return string(request.Request.Header.Peek(name))
 	})
-	if err := checkFraming(request.Request.Header.RawHeaders()); err != nil {
+	if err := framing.Check(request.Request.Header.RawHeaders()); err != nil {
 		f.logRefusal(terms.ID, err.Error())
 		return nil, err
 	}
--- /dev/null
+++ b/internal/relay/daemon/limits.go
@@ -0,0 +1,18 @@
+package daemon
+
+import (
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// checkLimits returns an error if a request is larger than the operators allow; a
+// limit of 0 allows any size.
+func checkLimits(limits traffic.Limits, headerBytes, bodyBytes int) error {
+	if limits.MaximumHeaderBytes > 0 && headerBytes > limits.MaximumHeaderBytes {
+		return failure.New(failure.HeadersTooLarge, "the header fields are larger than the configuration allows")
+	}
+	if limits.MaximumBodyBytes > 0 && bodyBytes > limits.MaximumBodyBytes {
+		return failure.New(failure.BodyTooLarge, "the body is larger than the configuration allows")
+	}
+	return nil
+}
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -58,7 +58,7 @@
 	// maximumPeers bounds the peers that are told of work, and maximumPromptPeers
 	// those that are told of placed prompts, which are fewer and stay true for longer:
 	// each gateway tells those that follow it in the sorted list.
-	maximumPeers       = 24
+	maximumPeers       = 12
 	maximumPromptPeers = 96
 	maximumDatagram    = 8 << 10
 	receiveBuffer      = 64 << 10
