--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -70,6 +70,8 @@
 	ReplicaGone Event = "replica gone from the list"
 	// ReplicaAvoided: a replica gets no requests for a time.
 	ReplicaAvoided Event = "replica avoided"
+	// ReplicaBack: a replica that had not been reached answers again.
+	ReplicaBack Event = "replica back"
 	// PrefixesLearned: a replica told what it keeps.
 	PrefixesLearned Event = "kept prefixes learned"
 	// PrefixesUnknown: a replica did not tell what it keeps.
@@ -148,6 +150,7 @@
 		ReplicaListed,
 		ReplicaGone,
 		ReplicaAvoided,
+		ReplicaBack,
 		PrefixesLearned,
 		PrefixesUnknown,
 		PeersUnreachable,
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -225,6 +225,9 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	now := l.directory.clock()
+	if l.Replica.failures > 0 {
+		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
+	}
 	l.Replica.answered(now, now-l.begun, failed)
 	if load != nil {
 		l.Replica.load = *load
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -503,6 +505,26 @@
 	}
 }
 
+func TestAReplicaThatAnswersAgainIsLoggedAsBack(t *testing.T) {
+	var lines []string
+	logger := funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logger)
+	directory.Replace([]region.Replica{{ID: "a", Service: "s", Address: "a:1", Zone: "z", Slots: 1}})
+	for range 2 {
+		lease := directory.PickAny("s", nil)
+		lease.Unreachable(false)
+		lease.Release()
+	}
+	for range 2 {
+		lease := directory.PickAny("s", nil)
+		lease.Answered(false, nil)
+		lease.Release()
+	}
+	require.Len(t, lines, 3)
+	assert.Contains(t, lines[2], event.ReplicaBack)
+	assert.Contains(t, lines[2], `"failures"=2`)
+}
+
 func TestAPromptWhoseReadingWasNotAnsweredIsFetchedFromItsReader(t *testing.T) {
 	// A prompt that was taken up is no repeated send, so no budget is needed.
 	w := newWorldWith(t, relay.BudgetTerms{Window: time.Second})
