--- a/bench/platformdays/vary.go
+++ b/bench/platformdays/vary.go
@@ -24,7 +24,7 @@
 
 // variations are deployments that nobody has tuned for.
 var variations = []variation{
-	{"one-zone", func(s site) { s.renameZones(func(zones []string) map[string]string { return mergeAll(zones) }) }},
+	{"one-zone", func(s site) { s.mergeZones() }},
 	{"two-regions", func(s site) { s.splitRegions() }},
 	{"two-fronts", func(s site) { s.machines("front", func(m site) { m["count"] = int64(2) }) }},
 	{"one-front", func(s site) { s.machines("front", func(m site) { m["count"] = int64(1) }) }},
@@ -150,13 +150,8 @@
 // cores spreads a number of core machines over the zones, and sets how many of them
 // may be lost.
 func (s site) cores(number, tolerated int) {
-	var machines, cores []site
-	for _, machine := range s.list("machines") {
-		if machine["class"] == "core" {
-			cores = append(cores, machine)
-		}
-		machines = append(machines, machine)
-	}
+	var cores []site
+	s.machines("core", func(machine site) { cores = append(cores, machine) })
 	for index, core := range cores {
 		share := number / len(cores)
 		if index < number%len(cores) {
@@ -164,36 +159,18 @@
 		}
 		core["count"] = int64(share)
 	}
-	s.setList("machines", machines)
 	s.table("tolerate")["machines"] = int64(tolerated)
 }
 
-func (s site) zoneNames() []string {
-	var names []string
-	for _, zone := range s.list("zones") {
-		names = append(names, fmt.Sprint(zone["name"]))
-	}
-	return names
-}
-
-func mergeAll(zones []string) map[string]string {
+// mergeZones makes one zone of all, by giving them the first one's name everywhere.
+func (s site) mergeZones() {
+	zones := s.list("zones")
+	first := fmt.Sprint(zones[0]["name"])
 	names := map[string]string{}
 	for _, zone := range zones {
-		names[zone] = zones[0]
-	}
-	return names
-}
-
-// renameZones gives zones other names everywhere; zones of one name become one.
-func (s site) renameZones(choose func([]string) map[string]string) {
-	names := choose(s.zoneNames())
-	var zones []site
-	for _, zone := range s.list("zones") {
-		if names[fmt.Sprint(zone["name"])] == zone["name"] {
-			zones = append(zones, zone)
-		}
+		names[fmt.Sprint(zone["name"])] = first
 	}
-	s.setList("zones", zones)
+	s.setList("zones", zones[:1])
 	for _, key := range slices.Collect(maps.Keys(s)) {
 		if key != "zones" {
 			s[key] = renamed(s[key], names)
@@ -229,7 +206,6 @@
 	zones := s.list("zones")
 	last := zones[len(zones)-1]
 	last["region"] = fmt.Sprint(last["region"]) + "-far"
-	s.setList("zones", zones)
 }
 
 // chosenVariations are those whose name begins so.
--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -185,7 +185,7 @@
 		Name:       settings.Name,
 		Zone:       settings.Zone,
 		Address:    settings.InternalAddress(),
-		Listen:     settings.InternalListenAddress(),
+		Listen:     settings.InternalListen,
 		Seeds:      process.seeds.Addresses,
 		Bootstrap:  settings.Bootstrap,
 		Voters:     settings.Voters(),
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -165,15 +165,6 @@
 	return fmt.Sprintf("%s:%d", s.Address, s.InternalPort)
 }
 
-// InternalListenAddress is where a coordinator listens for coordinators and
-// gateways.
-func (s *Settings) InternalListenAddress() string {
-	if s.InternalListen != "" {
-		return s.InternalListen
-	}
-	return s.InternalAddress()
-}
-
 // Voters is the number of coordinators that vote, so that a majority is left
 // after the tolerated losses.
 func (s *Settings) Voters() int { return 2*s.ToleratedLosses + 1 }
