--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -28,7 +28,8 @@
 )
 
 const (
-	logCloseTime = 200 * time.Millisecond
+	logCloseTime   = 200 * time.Millisecond
+	bitsPerMegabit = 1e6
 	// stopReserve is kept of the time for a planned stop, for the end itself.
 	stopReserve = 400 * time.Millisecond
 )
@@ -145,8 +146,11 @@
 func runRelay(process regionalProcess) error {
 	settings := process.settings
 	created, err := daemon.New(daemon.Settings{
-		Name:        settings.Name,
-		Zone:        settings.Zone,
+		Name: settings.Name,
+		Zone: settings.Zone,
+
+		LinkBitsPerSecond: settings.LinkMegabits * bitsPerMegabit,
+
 		Listen:      settings.Listen,
 		ReadyListen: settings.ReadyListen,
 		ReadyPath:   platform.ReadyPath,
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -60,6 +60,9 @@
 	RetryRatio         float64 `yaml:"retry_ratio"`
 	RetryWindowSeconds float64 `yaml:"retry_window_seconds"`
 	RetrySlack         float64 `yaml:"retry_slack"`
+	// LinkMegabits is the speed of the machine's network link in Mbit/s, 0 if it is not
+	// known. What gateways tell each other takes a small share of it.
+	LinkMegabits float64 `yaml:"link_megabits"`
 	// MemoryMegabytes is what the process may use, 0 for no bound.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
 	LogVerbosity    int `yaml:"log_verbosity"`
@@ -144,6 +147,9 @@
 	if s.RetryWindowSeconds <= 0 {
 		report("retry_window_seconds must be above 0")
 	}
+	if s.LinkMegabits < 0 {
+		report("link_megabits must not be negative")
+	}
 	return problems
 }
 
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart
+//msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart EngineCost
 
 // Paths of the calls between coordinators and of gateways to them.
 const (
@@ -223,6 +223,18 @@
 	// Whole says that Replicas holds all of the gateway's work. Else it holds what has
 	// changed since the message before; work that has ended is told as none.
 	Whole bool `msg:"whole"`
+	// Costs are what the gateway has learned of the engines of services.
+	Costs []EngineCost `msg:"costs"`
+}
+
+// EngineCost is what a gateway has learned of a service's engines from a number of
+// prompts: the weights of costmodel.Weights, in seconds.
+type EngineCost struct {
+	Service string  `msg:"service"`
+	Samples int     `msg:"samples"`
+	Fixed   float64 `msg:"fixed"`
+	Token   float64 `msg:"token"`
+	Pair    float64 `msg:"pair"`
 }
 
 // PlacedPrompt is a prompt that a replica reads and keeps.
@@ -245,6 +257,9 @@
 type OutstandingWork struct {
 	Replica  string `msg:"replica"`
 	Requests int    `msg:"requests"`
-	// Tokens of prompts that the replica has yet to read.
-	Tokens int `msg:"tokens"`
+	// InTimeMicros and LateMicros are for how long prompts keep the replica busy that
+	// it has yet to read, in microseconds: those that are expected to be answered
+	// within their objectives, and the others, which it reads after these.
+	InTimeMicros int64 `msg:"in_time_us"`
+	LateMicros   int64 `msg:"late_us"`
 }
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -508,6 +508,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *EngineCost) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt(o, z.Samples)
+	o = msgp.AppendFloat64(o, z.Fixed)
+	o = msgp.AppendFloat64(o, z.Token)
+	o = msgp.AppendFloat64(o, z.Pair)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EngineCost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Samples, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Samples")
+		return
+	}
+	z.Fixed, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fixed")
+		return
+	}
+	z.Token, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	z.Pair, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pair")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EngineCost) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -761,18 +821,18 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.Gateway)
 	o = msgp.AppendInt64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Replicas[za0001].Replica)
-		o = msgp.AppendInt(o, z.Replicas[za0001].Requests)
-		o = msgp.AppendInt(o, z.Replicas[za0001].Tokens)
+		o, err = z.Replicas[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001)
+			return
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
 	for za0002 := range z.Prompts {
@@ -787,6 +847,14 @@
 		o = msgp.AppendString(o, z.Unreachable[za0003])
 	}
 	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
+	for za0004 := range z.Costs {
+		o, err = z.Costs[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -798,8 +866,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
@@ -833,46 +901,26 @@
 		z.Replicas = make([]OutstandingWork, zb0002)
 	}
 	for za0001 := range z.Replicas {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Replicas[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Replicas", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Replicas[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001, "Replica")
-			return
-		}
-		z.Replicas[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001, "Requests")
-			return
-		}
-		z.Replicas[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001, "Tokens")
-			return
-		}
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Prompts")
 		return
 	}
-	if zb0004 > z2c18a699limitArrays {
+	if zb0003 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Prompts) >= int(zb0004) {
-		z.Prompts = (z.Prompts)[:zb0004]
+	if cap(z.Prompts) >= int(zb0003) {
+		z.Prompts = (z.Prompts)[:zb0003]
 	} else {
-		z.Prompts = make([]PlacedPrompt, zb0004)
+		z.Prompts = make([]PlacedPrompt, zb0003)
 	}
 	for za0002 := range z.Prompts {
 		bts, err = z.Prompts[za0002].UnmarshalMsg(bts)
@@ -881,20 +929,20 @@
 			return
 		}
 	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Unreachable")
 		return
 	}
-	if zb0005 > z2c18a699limitArrays {
+	if zb0004 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Unreachable) >= int(zb0005) {
-		z.Unreachable = (z.Unreachable)[:zb0005]
+	if cap(z.Unreachable) >= int(zb0004) {
+		z.Unreachable = (z.Unreachable)[:zb0004]
 	} else {
-		z.Unreachable = make([]string, zb0005)
+		z.Unreachable = make([]string, zb0004)
 	}
 	for za0003 := range z.Unreachable {
 		z.Unreachable[za0003], bts, err = msgp.ReadStringBytes(bts)
@@ -908,6 +956,28 @@
 		err = msgp.WrapError(err, "Whole")
 		return
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Costs")
+		return
+	}
+	if zb0005 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Costs) >= int(zb0005) {
+		z.Costs = (z.Costs)[:zb0005]
+	} else {
+		z.Costs = make([]EngineCost, zb0005)
+	}
+	for za0004 := range z.Costs {
+		bts, err = z.Costs[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0004)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -916,7 +986,7 @@
 func (z *Outstanding) Msgsize() (s int) {
 	s = 1 + msgp.StringPrefixSize + len(z.Gateway) + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
-		s += 1 + msgp.StringPrefixSize + len(z.Replicas[za0001].Replica) + msgp.IntSize + msgp.IntSize
+		s += z.Replicas[za0001].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Prompts {
@@ -926,18 +996,22 @@
 	for za0003 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0003])
 	}
-	s += msgp.BoolSize
+	s += msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0004 := range z.Costs {
+		s += z.Costs[za0004].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Replica)
 	o = msgp.AppendInt(o, z.Requests)
-	o = msgp.AppendInt(o, z.Tokens)
+	o = msgp.AppendInt64(o, z.InTimeMicros)
+	o = msgp.AppendInt64(o, z.LateMicros)
 	return
 }
 
@@ -949,8 +1023,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Replica, bts, err = msgp.ReadStringBytes(bts)
@@ -963,9 +1037,14 @@
 		err = msgp.WrapError(err, "Requests")
 		return
 	}
-	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+	z.InTimeMicros, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
+		err = msgp.WrapError(err, "InTimeMicros")
+		return
+	}
+	z.LateMicros, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LateMicros")
 		return
 	}
 	o = bts
@@ -973,8 +1052,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z OutstandingWork) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.IntSize + msgp.IntSize
+func (z *OutstandingWork) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -57,5 +57,17 @@
 	return c.Arrived.Add(wait)
 }
 
+// objective is the time up to the first event in which the operators want the call
+// answered; a part of the caller's wait if they do not say.
+func (c *Call) objective() time.Duration {
+	if c.Route.TargetLatency > 0 {
+		return c.Route.TargetLatency
+	}
+	return c.deadline().Sub(c.Arrived) / defaultObjectiveShare
+}
+
+// defaultObjectiveShare of the caller's wait is the objective of a route without one.
+const defaultObjectiveShare = 4
+
 // defaultWait is for callers that don't say how long they wait.
 const defaultWait = 30 * time.Second
--- a/internal/relay/daemon/peers.go
+++ b/internal/relay/daemon/peers.go
@@ -25,6 +25,8 @@
 	directory *relay.Directory
 	logger    logr.Logger
 	life      int64
+	// bytesPerSecond bounds what is sent to all peers.
+	bytesPerSecond float64
 
 	mutex     sync.Mutex
 	hash      uint64
@@ -49,12 +51,16 @@
 	// requestsInterval is the least time between messages that tell only of
 	// small changes.
 	requestsInterval = 200 * time.Millisecond
-	// urgentTokens is the change of the tokens at a replica that is told at once.
-	urgentTokens = 1000
-	// bytesPerSecond bounds what is sent to all peers, and burstBytes what may be
-	// saved up of it.
-	bytesPerSecond = 32 << 10
-	burstBytes     = 32 << 10
+	// urgentWork is the change of what a replica has yet to read that is told at once:
+	// less is done before others hear of it.
+	urgentWork = tellPoll
+	// linkShare of the machine's link is what is sent to all peers at most; unknownRate
+	// is for links of unknown speed, and maximumRate bounds the processor's time for it.
+	// All are in bytes a second. What burstTime allows may be saved up.
+	linkShare   = 0.05
+	unknownRate = 64 << 10
+	maximumRate = 512 << 10
+	burstTime   = 250 * time.Millisecond
 	// maximumPeers bounds the peers that are told of work, and maximumPromptPeers
 	// those that are told of placed prompts, which are fewer and stay true for longer:
 	// each gateway tells those that follow it in the sorted list.
@@ -73,7 +79,17 @@
 		logger:    settings.Logger,
 		life:      time.Now().UnixNano(),
 		heard:     map[string]heardPeer{},
+
+		bytesPerSecond: tellingRate(settings.LinkBitsPerSecond),
+	}
+}
+
+// tellingRate is how many bytes a second may be told over a link.
+func tellingRate(linkBitsPerSecond float64) float64 {
+	if linkBitsPerSecond <= 0 {
+		return unknownRate
 	}
+	return min(linkShare*linkBitsPerSecond/8, maximumRate)
 }
 
 // take takes the list of the region's gateways over.
@@ -139,6 +155,7 @@
 			p.directory.TakeOutstanding(message.Gateway, message.Replicas, message.Whole)
 			p.directory.TakePlaced(p.newPrompts(&message))
 			p.directory.TakeUnreachable(message.Unreachable)
+			p.directory.TakeCosts(message.Costs)
 		}
 	}
 }
@@ -176,7 +193,7 @@
 func (p *peers) tell(ctx context.Context, socket *net.UDPConn) {
 	ticker := time.NewTicker(tellPoll)
 	defer ticker.Stop()
-	state := teller{peers: p, socket: socket, last: time.Now(), allowance: burstBytes}
+	state := teller{peers: p, socket: socket, last: time.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -208,7 +225,8 @@
 }
 
 func (t *teller) step(now time.Time) {
-	t.allowance = min(burstBytes, t.allowance+now.Sub(t.last).Seconds()*bytesPerSecond)
+	rate := t.peers.bytesPerSecond
+	t.allowance = min(rate*burstTime.Seconds(), t.allowance+now.Sub(t.last).Seconds()*rate)
 	t.last = now
 	if t.allowance <= 0 {
 		return
@@ -227,14 +245,14 @@
 	since := now.Sub(t.toldAt)
 	changed := len(work) != len(t.told)
 	for _, each := range work {
-		before, known := t.told[each.Replica]
-		if known && before.Tokens-each.Tokens > urgentTokens || each.Tokens-before.Tokens > urgentTokens {
+		before := t.told[each.Replica]
+		if readingChange(before, each) > urgentWork {
 			return true
 		}
 		changed = changed || before != each
 	}
 	for _, before := range t.told {
-		if before.Tokens > urgentTokens && !slices.ContainsFunc(work, func(each region.OutstandingWork) bool {
+		if readingChange(before, region.OutstandingWork{}) > urgentWork && !slices.ContainsFunc(work, func(each region.OutstandingWork) bool {
 			return each.Replica == before.Replica
 		}) {
 			return true
@@ -243,6 +261,13 @@
 	return changed && since >= requestsInterval || len(work) > 0 && now.Sub(t.wholeAt) >= wholeInterval
 }
 
+// readingChange is by how much a replica has more, or less, to read.
+func readingChange(before, after region.OutstandingWork) time.Duration {
+	change := max(before.InTimeMicros-after.InTimeMicros, after.InTimeMicros-before.InTimeMicros) +
+		max(before.LateMicros-after.LateMicros, after.LateMicros-before.LateMicros)
+	return time.Duration(change) * time.Microsecond
+}
+
 func (t *teller) send(now time.Time, work []region.OutstandingWork) {
 	t.sequence++
 	prompts := t.peers.directory.Placed(t.promptsBefore)
@@ -264,6 +289,8 @@
 		Prompts:  prompts,
 
 		Unreachable: t.unreachable,
+
+		Costs: t.peers.directory.Costs(),
 	}
 	targets := t.peers.targets()
 	near := min(len(targets), maximumPeers)
@@ -271,7 +298,7 @@
 		return
 	}
 	if len(prompts) > 0 {
-		message.Replicas, message.Whole, message.Unreachable = nil, false, nil
+		message.Replicas, message.Whole, message.Unreachable, message.Costs = nil, false, nil, nil
 		t.write(message, targets[near:])
 	}
 	t.toldAt = now
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -24,6 +24,8 @@
 	// Seeds are the internal addresses of coordinators to begin with.
 	Seeds  func() []string
 	Budget relay.BudgetTerms
+	// LinkBitsPerSecond is the speed of the machine's network link, 0 if it is not known.
+	LinkBitsPerSecond float64
 	// StopTime bounds a planned stop.
 	StopTime time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -251,7 +251,7 @@
 	}
 	for _, service := range configuration.Services {
 		if service.Engine != nil {
-			k.directory.SetCapacity(service.Name, service.Engine.CacheTokens)
+			k.directory.SetEngine(service.Name, *service.Engine)
 		}
 	}
 	k.table.Store(traffic.NewTable(configuration, before))
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -32,22 +32,22 @@
 	return demand
 }
 
-// readMeter smooths the rate of prompt tokens that had to be read.
+// readMeter smooths the number of replicas that the reading of prompts keeps busy.
 type readMeter struct {
-	rate float64
+	busy float64
 	at   time.Duration
 }
 
 // readMemory is the time constant of a readMeter.
 const readMemory = 2 * time.Second
 
-func (m *readMeter) add(now time.Duration, tokens int) {
+func (m *readMeter) add(now, busy time.Duration) {
 	m.fade(now)
-	m.rate += float64(tokens) / readMemory.Seconds()
+	m.busy += busy.Seconds() / readMemory.Seconds()
 }
 
 func (m *readMeter) fade(now time.Duration) {
-	m.rate *= max(0, 1-(now-m.at).Seconds()/readMemory.Seconds())
+	m.busy *= max(0, 1-(now-m.at).Seconds()/readMemory.Seconds())
 	m.at = now
 }
 
@@ -59,15 +59,15 @@
 		return 0
 	}
 	meter.fade(now)
-	return meter.rate / d.paces[service].tokensPerSecond()
+	return meter.busy
 }
 
 // noteRead is called with the mutex held.
-func (d *Directory) noteRead(service string, tokens int) {
+func (d *Directory) noteRead(service string, busy time.Duration) {
 	meter, found := d.reads[service]
 	if !found {
 		meter = &readMeter{}
 		d.reads[service] = meter
 	}
-	meter.add(d.clock(), tokens)
+	meter.add(d.clock(), busy)
 }
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -71,8 +71,15 @@
 	Fetch string
 	// LastEvent is the event after which a stream continues.
 	LastEvent string
+	// Rank orders the prompts and streams of a model replica, 0 is first and
+	// LastRank last; it counts only if Ranked is set.
+	Ranked bool
+	Rank   int
 }
 
+// LastRank is the rank of what waits for all others.
+const LastRank = 9
+
 // Marks are what a replica says about an answer.
 type Marks struct {
 	// RequestID is the request that it answers, empty if it does not say.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -6,8 +6,10 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
 // Directory holds the replicas of all services, as the list names them, with
@@ -18,29 +20,32 @@
 	zone     string
 	replicas map[string]*Replica
 	services map[string][]*Replica
-	paces    map[string]*paceMeter
-	reads    map[string]*readMeter
-	// capacities are the tokens that a replica of a service keeps.
-	capacities map[string]int
-	placed     placements
-	onDropped  func(address, instance string)
-	logger     logr.Logger
+	// models are what has been learned of the services' engines, and engines what the
+	// configuration says of them.
+	models  map[string]*costmodel.Model
+	engines map[string]traffic.Engine
+	// handovers are the times from a prompt's having been read to its first event.
+	handovers timeMeters
+	reads     map[string]*readMeter
+	placed    placements
+	onDropped func(address, instance string)
+	logger    logr.Logger
 }
 
 // NewDirectory returns an empty directory. onDropped is told of each incarnation
 // that is gone from the list.
 func NewDirectory(clock func() time.Duration, zone string, onDropped func(address, instance string), logger logr.Logger) *Directory {
 	return &Directory{
-		clock:    clock,
-		zone:     zone,
-		replicas: map[string]*Replica{},
-		services: map[string][]*Replica{},
-		paces:    map[string]*paceMeter{},
-		reads:    map[string]*readMeter{},
-
-		capacities: map[string]int{},
-		onDropped:  onDropped,
-		logger:     logger,
+		clock:     clock,
+		zone:      zone,
+		replicas:  map[string]*Replica{},
+		services:  map[string][]*Replica{},
+		models:    map[string]*costmodel.Model{},
+		engines:   map[string]traffic.Engine{},
+		handovers: timeMeters{},
+		reads:     map[string]*readMeter{},
+		onDropped: onDropped,
+		logger:    logger,
 	}
 }
 
@@ -95,54 +100,60 @@
 	Choice    Choice
 	directory *Directory
 	begun     time.Duration
-	// tokens of the prompt that the replica has yet to read, and the backlog that
-	// it had before them.
-	tokens  int
-	backlog float64
+	// reading is the prompt that the replica has yet to read, nil if there is none.
+	reading *placedReading
 	// fetchFrom is the replica from which this one should fetch the prompt's
 	// beginning, nil if it should read all itself.
 	fetchFrom *Replica
 	released  bool
-	// generating is set once the stream has begun.
+	// generating is set once the stream has begun; eventAt is when its last event came.
 	generating bool
+	eventAt    time.Duration
 }
 
-// SetCapacity says how many tokens a replica of a service keeps.
-func (d *Directory) SetCapacity(service string, tokens int) {
+// SetEngine takes over what the configuration says of a service's engines.
+func (d *Directory) SetEngine(service string, engine traffic.Engine) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.capacities[service] = tokens
+	d.engines[service] = engine
 }
 
-// lease is called with the mutex held. With a prompt, the replica is to read it.
-func (d *Directory) lease(replica *Replica, prompt *Prompt) *Lease {
-	lease := &Lease{Replica: replica, directory: d, begun: d.clock()}
+// lease is called with the mutex held.
+func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
-	if prompt != nil {
-		lease.readPrompt(prompt)
-	}
-	return lease
+	return &Lease{Replica: replica, directory: d, begun: d.clock()}
+}
+
+// placedReading is a prompt that a replica has been given to read.
+type placedReading struct {
+	readEstimate
+	urgency Urgency
+	work    costmodel.Work
+	// alone says that the replica had nothing else to read, as far as is known.
+	alone bool
+	// dueAt is when the prompt is expected to have been read.
+	dueAt time.Duration
 }
 
 // readPrompt notes that the replica is to read a prompt. It is called with the
 // mutex held.
-func (l *Lease) readPrompt(prompt *Prompt) {
-	d, replica := l.directory, l.Replica
-	l.backlog = replica.allTokens(l.begun)
-	l.tokens = replica.prefixes.missing(prompt)
-	source, saved := d.fetchSource(replica, prompt, l.begun)
-	switch {
-	case source != nil:
-		l.fetchFrom = source
-		l.tokens = max(l.tokens-saved, 0) + fetchTokens
-	case l.tokens > prompt.ownTokens()+leastFetched:
+func (l *Lease) readPrompt(request ReadRequest, estimated readEstimate, urgency Urgency) {
+	d, replica, prompt := l.directory, l.Replica, request.Prompt
+	l.reading = &placedReading{
+		readEstimate: estimated,
+		urgency:      urgency,
+		work:         costmodel.Work{Tokens: prompt.Tokens, Missing: estimated.missing},
+		alone:        replica.allReading(l.begun).before(Late) == 0,
+		dueAt:        l.begun + estimated.total() + d.model(replica.Service).Overhead(),
+	}
+	l.fetchFrom = estimated.from
+	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() {
 		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
 	}
-	d.noteRead(replica.Service, l.tokens)
-	replica.readingTokens += l.tokens
-	readyAt := l.begun + d.readingTime(replica.Service, l.backlog+float64(l.tokens))
-	replica.prefixes.learn(prompt.Parts, d.capacities[replica.Service], readyAt)
-	d.placed.add(replica.ID, prompt, readyAt)
+	d.noteRead(replica.Service, estimated.busy/slowness(replica))
+	replica.reading[urgency] += estimated.busy
+	replica.prefixes.learn(prompt.Parts, d.engines[replica.Service].CacheTokens, l.reading.dueAt)
+	d.placed.add(replica.ID, prompt, l.reading.dueAt)
 }
 
 // Release gives the place back. It may be called more than once.
@@ -160,22 +171,51 @@
 	l.readDone()
 }
 
-// StreamBegun notes that the replica generates.
-func (l *Lease) StreamBegun() {
+// StreamBegun notes that the replica generates. handedOver says that another has read the
+// prompt.
+func (l *Lease) StreamBegun(handedOver bool) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	l.generating = true
 	l.Replica.generating++
+	l.eventAt = l.directory.clock()
+	if handedOver {
+		l.directory.handovers.observe(l.Replica.Service, l.eventAt-l.begun)
+	}
+}
+
+// StreamWentOn notes that a further event of the stream has come.
+func (l *Lease) StreamWentOn() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	now := l.directory.clock()
+	l.Replica.pause.observe(now, now-l.eventAt)
+	l.eventAt = now
 }
 
 // PromptRead notes that the prompt has been read.
 func (l *Lease) PromptRead() {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.notePace()
+	l.Replica.progressAt = l.directory.clock()
+	l.noteCost()
 	l.readDone()
 }
 
+// noteCost learns from a prompt that a reader has read with nothing else to do. What may
+// have been fetched tells little, and counts only while nothing is known. It is called
+// with the mutex held.
+func (l *Lease) noteCost() {
+	if l.reading == nil || !l.reading.alone || l.Replica.Stage != region.StagePrefill {
+		return
+	}
+	model := l.directory.model(l.Replica.Service)
+	if l.fetchFrom != nil && model.Known() {
+		return
+	}
+	model.Observe(l.reading.work, l.directory.clock()-l.begun)
+}
+
 // PromptKept notes that the replica now keeps a prompt, for peers too if the
 // replica generates: they were told of readers when the prompt was placed.
 func (l *Lease) PromptKept(prompt *Prompt) {
@@ -184,22 +224,15 @@
 	if l.Replica.Stage == region.StageDecode {
 		l.directory.placed.add(l.Replica.ID, prompt, l.directory.clock())
 	}
-	l.Replica.prefixes.learn(prompt.Parts, l.directory.capacities[l.Replica.Service], l.directory.clock())
+	l.Replica.prefixes.learn(prompt.Parts, l.directory.engines[l.Replica.Service].CacheTokens, l.directory.clock())
 }
 
 func (l *Lease) readDone() {
-	l.Replica.readingTokens -= l.tokens
-	l.tokens = 0
-}
-
-// paceOf is called with the mutex held.
-func (d *Directory) paceOf(service string) *paceMeter {
-	meter, found := d.paces[service]
-	if !found {
-		meter = &paceMeter{}
-		d.paces[service] = meter
+	if l.reading == nil {
+		return
 	}
-	return meter
+	l.Replica.reading[l.reading.urgency] -= l.reading.busy
+	l.reading = nil
 }
 
 // Unreachable notes that the replica did not answer, after the request was handed
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
 // directory is a directory on a clock that tests move.
@@ -32,6 +34,26 @@
 	return region.Replica{ID: id, Service: "s", Address: id + ":1", Zone: "z", Slots: 4, Stage: stage}
 }
 
+// readRequest is for a prompt whose caller expects an answer within a second.
+func readRequest(prompt *relay.Prompt) relay.ReadRequest {
+	return relay.ReadRequest{Prompt: prompt, Objective: time.Second, AimLeft: time.Second, Left: 10 * time.Second}
+}
+
+// read leases the replica that is to read a prompt. There must be one that generates.
+func (d *directory) read(prompt *relay.Prompt) *relay.Lease {
+	return d.PlaceReading("s", readRequest(prompt))
+}
+
+// teach has a replica read prompts at a pace, so that the engines' times are known.
+func (d *directory) teach(tokensPerSecond int) {
+	for index, tokens := range []int{1000, 4000, 16_000, 2000, 8000} {
+		lease := d.read(prompt(relay.PromptPart{ID: fmt.Sprintf("taught-%d", index), Tokens: tokens}))
+		d.now += time.Duration(tokens) * time.Second / time.Duration(tokensPerSecond)
+		lease.PromptRead()
+		lease.Release()
+	}
+}
+
 func prompt(parts ...relay.PromptPart) *relay.Prompt {
 	whole := &relay.Prompt{Parts: parts}
 	for _, part := range parts {
@@ -60,17 +82,17 @@
 }
 
 func TestPeersWorkDecidesAmongEqualReplicas(t *testing.T) {
-	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, Tokens: 20_000}}, true)
+	d := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, InTimeMicros: 400_000}}, true)
 	for range 10 {
-		lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "own", Tokens: 100}))
+		lease := d.read(prompt(relay.PromptPart{ID: "own", Tokens: 100}))
 		assert.Equal(t, "b", lease.Replica.ID)
 		lease.Release()
 	}
 	d.now += time.Minute
 	picked := map[string]bool{}
 	for range 50 {
-		lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "other", Tokens: 100}))
+		lease := d.read(prompt(relay.PromptPart{ID: "other", Tokens: 100}))
 		picked[lease.Replica.ID] = true
 		lease.Release()
 	}
@@ -108,77 +130,80 @@
 }
 
 func TestAPromptGoesWhereItsPrefixIsKept(t *testing.T) {
-	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("c", region.StagePrefill))
+	d := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("c", region.StagePrefill))
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
-	first := d.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "1", Tokens: 500}))
+	first := d.read(prompt(shared, relay.PromptPart{ID: "1", Tokens: 500}))
 	first.PromptRead()
 	first.Release()
 	for _, own := range []string{"2", "3", "4"} {
-		next := d.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: own, Tokens: 500}))
+		next := d.read(prompt(shared, relay.PromptPart{ID: own, Tokens: 500}))
 		assert.Equal(t, first.Replica.ID, next.Replica.ID)
 		next.Release()
 	}
 }
 
 func TestABusyReplicasPrefixIsFetchedByAnother(t *testing.T) {
-	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
 	d.LearnKept("a", []relay.PromptPart{shared})
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 30_000}}, true)
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, InTimeMicros: 600_000}}, true)
 	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
-	lease := d.PickReader("s", nil, whole)
+	lease := d.read(whole)
 	require.Equal(t, "b", lease.Replica.ID)
 	assert.Equal(t, "a:1", lease.FetchFrom())
 }
 
 func TestAPrefixThatIsStillReadIsFetchedOnceItIsThere(t *testing.T) {
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
-	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
 	d.TakePlaced([]region.PlacedPrompt{{
 		Sequence: 1, Replica: "a", ReadyMillis: 300, Parts: []region.PlacedPart{{ID: shared.ID, Tokens: shared.Tokens}},
 	}})
-	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}}, true)
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, InTimeMicros: 1_800_000}}, true)
 	whole := prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})
-	early := d.PickReader("s", nil, whole)
+	early := d.read(whole)
 	require.Equal(t, "b", early.Replica.ID)
 	early.Release()
 
-	told := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	placer := newDirectory(replica("a", region.StagePrefill))
-	lease := placer.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "2", Tokens: 20_000}))
+	told := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	placer := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill))
+	placer.teach(40_000)
+	taught := placer.Placed(0)
+	lease := placer.read(prompt(shared, relay.PromptPart{ID: "2", Tokens: 20_000}))
 	require.Equal(t, "a", lease.Replica.ID)
+	require.Empty(t, taught, "prompts that share nothing are not told")
 	placed := placer.Placed(0)
 	require.Len(t, placed, 1)
 	assert.Greater(t, placed[0].ReadyMillis, 500, "30,000 tokens take longer")
 	placer.now += time.Minute
 	assert.Zero(t, placer.Placed(0)[0].ReadyMillis, "it has been read since")
 	told.TakePlaced(placer.Placed(0))
-	told.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, Tokens: 90_000}}, true)
-	next := told.PickReader("s", nil, whole)
+	told.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 3, InTimeMicros: 1_800_000}}, true)
+	next := told.read(whole)
 	require.Equal(t, "b", next.Replica.ID)
 	assert.Equal(t, "a:1", next.FetchFrom())
 }
 
 func TestAPrefixOfUnknownPlaceIsFetchedFromItsHome(t *testing.T) {
 	shared := relay.PromptPart{ID: "shared", Tokens: 10_000}
-	idle := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	home := idle.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})).Replica
-	busy := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	busy.TakeOutstanding("peer", []region.OutstandingWork{{Replica: home.ID, Requests: 3, Tokens: 90_000}}, true)
-	lease := busy.PickReader("s", nil, prompt(shared, relay.PromptPart{ID: "2", Tokens: 500}))
+	idle := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	home := idle.read(prompt(shared, relay.PromptPart{ID: "1", Tokens: 500})).Replica
+	busy := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	busy.TakeOutstanding("peer", []region.OutstandingWork{{Replica: home.ID, Requests: 3, InTimeMicros: 1_800_000}}, true)
+	lease := busy.read(prompt(shared, relay.PromptPart{ID: "2", Tokens: 500}))
 	require.NotEqual(t, home.ID, lease.Replica.ID)
 	assert.Equal(t, home.Address, lease.FetchFrom())
 }
 
 func TestWhatDoesNotFitIsForgotten(t *testing.T) {
-	d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill))
-	d.SetCapacity("s", 15_000)
+	d := newDirectory(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+	d.SetEngine("s", traffic.Engine{CacheTokens: 15_000})
 	d.LearnKept("a", []relay.PromptPart{{ID: "old", Tokens: 10_000}})
 	d.LearnKept("a", []relay.PromptPart{{ID: "new", Tokens: 10_000}})
-	lease := d.PickReader("s", nil, prompt(relay.PromptPart{ID: "x", Tokens: 10}))
+	lease := d.read(prompt(relay.PromptPart{ID: "x", Tokens: 10}))
 	lease.Release()
 	old := prompt(relay.PromptPart{ID: "old", Tokens: 10_000}, relay.PromptPart{ID: "own", Tokens: 10})
-	picked := d.PickReader("s", nil, old)
+	picked := d.read(old)
 	assert.Empty(t, picked.FetchFrom(), "no replica keeps it any more")
 }
 
@@ -196,16 +221,16 @@
 }
 
 func TestDemandCountsStreamsThatHaveBegunAndPromptsToBeRead(t *testing.T) {
-	d := newDirectory(replica("r", region.StagePrefill), replica("g", region.StageDecode), replica("x", ""))
-	lease := d.PickGenerator("s", nil, "z", nil)
+	d := newDirectory(replica("g", region.StageDecode), replica("r", region.StagePrefill), replica("g", region.StageDecode), replica("x", ""))
+	lease := d.PickGenerator("s", nil, "z")
 	demand := d.Demand()
 	require.Len(t, demand, 1)
 	assert.Zero(t, demand[0].Generating)
-	lease.StreamBegun()
+	lease.StreamBegun(false)
 	assert.EqualValues(t, 1, d.Demand()[0].Generating)
 	lease.Release()
 	lease.Release()
 	assert.Zero(t, d.Demand()[0].Generating)
-	d.PickReader("s", nil, prompt(relay.PromptPart{ID: "p", Tokens: 60_000}))
+	d.read(prompt(relay.PromptPart{ID: "p", Tokens: 60_000}))
 	assert.Positive(t, d.Demand()[0].Reading)
 }
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -13,11 +13,12 @@
 	defer d.mutex.Unlock()
 	var work []region.OutstandingWork
 	for id, replica := range d.replicas {
-		if replica.inFlight > 0 || replica.readingTokens > 0 {
+		if replica.inFlight > 0 {
 			work = append(work, region.OutstandingWork{
-				Replica:  id,
-				Requests: replica.inFlight,
-				Tokens:   replica.readingTokens,
+				Replica:      id,
+				Requests:     replica.inFlight,
+				InTimeMicros: replica.reading[InTime].Microseconds(),
+				LateMicros:   replica.reading[Late].Microseconds(),
 			})
 		}
 	}
@@ -70,17 +71,33 @@
 		if !known {
 			continue
 		}
-		if each.Requests == 0 && each.Tokens == 0 {
+		reading := toldReading(each)
+		if reading.before(Late) < replica.peers[gateway].reading.before(Late) {
+			replica.progressAt = now
+		}
+		if each.Requests == 0 {
 			delete(replica.peers, gateway)
 			continue
 		}
 		if replica.peers == nil {
 			replica.peers = map[string]peerWork{}
 		}
-		replica.peers[gateway] = peerWork{requests: each.Requests, tokens: each.Tokens, at: now}
+		replica.peers[gateway] = peerWork{requests: each.Requests, reading: reading, at: now}
 	}
 }
 
+// toldReading is the reading that a peer has told, each class bounded, so that no peer
+// can make a replica look busy for ever.
+func toldReading(work region.OutstandingWork) readingWork {
+	bounded := func(micros int64) time.Duration {
+		return min(max(time.Duration(micros)*time.Microsecond, 0), maximumToldReading)
+	}
+	return readingWork{InTime: bounded(work.InTimeMicros), Late: bounded(work.LateMicros)}
+}
+
+// maximumToldReading bounds what one peer may tell of one replica.
+const maximumToldReading = time.Minute
+
 // placements are the prompts that this gateway has lately had read.
 type placements struct {
 	recent   []placement
@@ -96,13 +113,10 @@
 const (
 	// toldPlacements is how many placements are told at most with one message.
 	toldPlacements = 12
-	// leastPlaced is the size of a prompt, in tokens, from which on its placing is
-	// worth telling.
-	leastPlaced = directTokens
 )
 
 func (p *placements) add(replica string, prompt *Prompt, readyAt time.Duration) {
-	if prompt.Tokens <= leastPlaced {
+	if prompt.sharedPart() == "" {
 		return
 	}
 	p.sequence++
@@ -148,7 +162,7 @@
 			parts = append(parts, PromptPart{ID: part.ID, Tokens: part.Tokens})
 		}
 		readyAt := d.clock() + time.Duration(placed.ReadyMillis)*time.Millisecond
-		replica.prefixes.learn(parts, d.capacities[replica.Service], readyAt)
+		replica.prefixes.learn(parts, d.engines[replica.Service].CacheTokens, readyAt)
 	}
 }
 
@@ -157,7 +171,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if replica, known := d.replicas[id]; known {
-		replica.prefixes.learn(parts, d.capacities[replica.Service], d.clock())
+		replica.prefixes.learn(parts, d.engines[replica.Service].CacheTokens, d.clock())
 	}
 }
 
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,25 +17,32 @@
 
 // pick returns a lease on the best replica of a service that passes a filter, or
 // nil. Replicas in excluded get nothing; avoided ones only if there is no other.
-func (d *Directory) pick(service string, excluded []*Replica, passes func(*Replica) bool, rating scorer, toRead *Prompt) *Lease {
+func (d *Directory) pick(service string, excluded []*Replica, passes func(*Replica) bool, rating scorer) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	candidates := d.candidates(service, excluded, passes)
-	sound := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
-	if len(sound) > 0 {
-		candidates = sound
-	}
+	candidates := d.soundCandidates(service, excluded, passes, now)
 	if len(candidates) == 0 {
 		return nil
 	}
 	best := lowest(candidates, rating, now)
 	choice := best.choice(now, len(candidates))
-	lease := d.lease(best, toRead)
+	lease := d.lease(best)
 	lease.Choice = choice
 	return lease
 }
 
+// soundCandidates are the candidates that are not avoided, or all if there are none such.
+// It is called with the mutex held.
+func (d *Directory) soundCandidates(service string, excluded []*Replica, passes func(*Replica) bool, now time.Duration) []*Replica {
+	candidates := d.candidates(service, excluded, passes)
+	sound := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
+	if len(sound) > 0 {
+		return sound
+	}
+	return candidates
+}
+
 // candidates are the replicas of a service that may get a request. It is called
 // with the mutex held.
 func (d *Directory) candidates(service string, excluded []*Replica, passes func(*Replica) bool) []*Replica {
@@ -117,46 +123,6 @@
 	return score
 }
 
-// readScore rates replicas that read prompts by the tokens to be read there
-// before the prompt is, from 0 upwards: those of other prompts, and the prompt's own
-// that the replica does not keep. Prompts with equal prefixes prefer the same
-// replica, by rendezvous hashing of the longest shared prefix, on all gateways
-// alike.
-type readScore struct {
-	prompt *Prompt
-	home   *Replica
-	zone   string
-	// mostKept are the tokens that a replica may fetch from another.
-	mostKept int
-}
-
-// A prompt whose prefix is not known to be kept by a replica goes to its home, so
-// that prompts with one prefix meet there from all gateways, also from those that do
-// not hear of each other: the home counts as keeping homeShare of the prefix, and
-// homeBonus tokens at least.
-const (
-	homeShare = 0.5
-	homeBonus = 1000
-)
-
-// crossZoneTokens is what a move of the memory between zones costs, in tokens.
-const crossZoneTokens = 200
-
-func (s readScore) score(replica *Replica, now time.Duration) float64 {
-	own := replica.prefixes.missing(s.prompt)
-	if fetched := s.prompt.Tokens - s.mostKept; own > fetched+leastFetched {
-		own = fetched + fetchTokens
-	}
-	if shared := own - s.prompt.ownTokens(); replica == s.home && shared > 0 {
-		own -= max(homeBonus, int(homeShare*float64(shared)))
-	}
-	score := float64(own) + replica.allTokens(now) + errorWeight*replica.errorRate*float64(s.prompt.Tokens)
-	if replica.Zone != s.zone {
-		score += crossZoneTokens
-	}
-	return score + rand.Float64()
-}
-
 // ownTokens are the tokens of the last part, which is not shared.
 func (p *Prompt) ownTokens() int {
 	if len(p.Parts) == 0 {
@@ -174,15 +140,10 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
-// home returns the replica of a stage at which a prompt's shared prefix belongs,
-// nil if it has none. The choice depends on the incarnations alone.
-func (d *Directory) home(service, stage string, prompt *Prompt) *Replica {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.homeOf(service, stage, prompt, d.clock())
-}
-
-// homeOf is home, called with the mutex held.
+// homeOf returns the replica of a stage at which a prompt's shared prefix belongs,
+// nil if it has none: that of rendezvous hashing of the longest shared prefix. The
+// choice depends on the incarnations alone, so that all gateways make the same. It is
+// called with the mutex held.
 func (d *Directory) homeOf(service, stage string, prompt *Prompt, now time.Duration) *Replica {
 	key := prompt.sharedPart()
 	if key == "" {
@@ -222,45 +183,13 @@
 // PickAny leases a replica for a request that is not for model engines.
 func (d *Directory) PickAny(service string, excluded []*Replica) *Lease {
 	rating := loadScore{zone: d.zone, distance: 0.2, typicalLatency: d.typicalLatency(service)}
-	return d.pick(service, excluded, anyReplica, rating, nil)
+	return d.pick(service, excluded, anyReplica, rating)
 }
 
-// PickReader leases a replica that reads prompts for others, or returns nil.
-func (d *Directory) PickReader(service string, excluded []*Replica, prompt *Prompt) *Lease {
-	rating := readScore{
-		prompt: prompt,
-		home:   d.home(service, region.StagePrefill, prompt),
-		zone:   d.zone,
-
-		mostKept: d.mostKept(service, prompt),
-	}
-	return d.pick(service, excluded, ofStage(region.StagePrefill), rating, prompt)
-}
-
-// PickGenerator leases a replica that generates, near a zone. With a prompt, it
-// has to read what it does not keep of it.
-func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string, prompt *Prompt) *Lease {
-	rating := generateScore{loadScore: loadScore{zone: zone, distance: 0.05}, prompt: prompt}
-	return d.pick(service, excluded, ofStage(region.StageDecode), rating, prompt)
-}
-
-// generateScore is a loadScore that adds the share of a full batch's time that
-// reading a prompt takes.
-type generateScore struct {
-	loadScore
-	prompt *Prompt
-}
-
-// tokensPerOccupancy is the number of prompt tokens whose reading weighs as much
-// as a full batch.
-const tokensPerOccupancy = 4096
-
-func (s generateScore) score(replica *Replica, now time.Duration) float64 {
-	score := s.loadScore.score(replica, now)
-	if s.prompt == nil {
-		return score
-	}
-	return score + (float64(replica.prefixes.missing(s.prompt))+replica.allTokens(now))/tokensPerOccupancy
+// PickGenerator leases a replica that generates, near a zone, for a prompt that has
+// been read.
+func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
+	return d.pick(service, excluded, ofStage(region.StageDecode), loadScore{zone: zone, distance: 0.05})
 }
 
 func anyReplica(*Replica) bool { return true }
@@ -268,44 +197,3 @@
 func ofStage(stage string) func(*Replica) bool {
 	return func(replica *Replica) bool { return replica.Stage == stage }
 }
-
-// pace returns how fast a service's replicas read prompts, in tokens a second.
-func (d *Directory) pace(service string) float64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.paces[service].tokensPerSecond()
-}
-
-// readingOutlook is what decides where a prompt is read.
-type readingOutlook struct {
-	// missing are the prompt's tokens that no generating replica keeps.
-	missing int
-	// backlog is the smallest of the readers', in tokens.
-	backlog float64
-	// pace of the readers, in tokens a second.
-	pace float64
-}
-
-// readingOutlook looks at a service's replicas for a prompt.
-func (d *Directory) readingOutlook(service string, prompt *Prompt) readingOutlook {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	now := d.clock()
-	outlook := readingOutlook{
-		missing: prompt.Tokens,
-		backlog: math.Inf(1),
-		pace:    d.paces[service].tokensPerSecond(),
-	}
-	for _, replica := range d.services[service] {
-		if replica.Draining || replica.gone || replica.avoided(now) {
-			continue
-		}
-		switch replica.Stage {
-		case region.StagePrefill:
-			outlook.backlog = min(outlook.backlog, replica.allTokens(now))
-		case region.StageDecode:
-			outlook.missing = min(outlook.missing, replica.prefixes.missing(prompt))
-		}
-	}
-	return outlook
-}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -12,25 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
-const (
-	// directTokens is the size up to which a prompt is read where its answer is
-	// generated: it fits into one or two of the pieces in which a generating
-	// replica reads, so that the streams there are hardly held up.
-	directTokens = 1024
-	// trivialTokens are read in less time than they are moved.
-	trivialTokens = 96
-	// freeBacklog is the backlog, in tokens, up to which a reader counts as free.
-	freeBacklog = 2500
-	// A generating replica reads in pieces of directPieceTokens between its steps,
-	// each typicalStep long, at directPaceShare of a reader's pace.
-	directPieceTokens = 512
-	directPaceShare   = 0.5
-	typicalStep       = 6 * time.Millisecond
-	// slowestReading is the pace, in tokens a second, below which a reading
-	// replica is given up.
-	slowestReading = 8000
-	freeTimeout    = 500 * time.Millisecond
-)
+const freeTimeout = 500 * time.Millisecond
 
 // promptHandle is a prompt that a replica has read and keeps for another.
 type promptHandle struct {
@@ -41,72 +23,64 @@
 
 func (h *promptHandle) source() string { return h.replica.Address + "/" + h.id }
 
-// prepare has the prompt read by another replica than the one that will generate,
-// if that is better; nil if not, or if it could not be done. An error says that
-// the request may go to no other replica.
-func (r *run) prepare(ctx context.Context) (*promptHandle, error) {
-	if !r.isModelCall() || !r.readsApart() {
-		return nil, nil
-	}
-	return r.readPrompt(ctx)
-}
-
-// readsApart decides whether the prompt is read by another replica than the one
-// that generates. Reading holds up the streams of a generating replica. A prompt
-// that is mostly kept there does not; a short one does little harm where streams
-// may pause for long, and is read there too while all readers are busy. A call is
-// read apart once, and what continues a stream is not.
-func (r *run) readsApart() bool {
+// placeModelCall leases the replica that generates, and has the prompt read by another one
+// before if that is better; a prompt is read apart once, and what continues a stream
+// is not. An error says that the request may go to no other replica.
+func (r *run) placeModelCall(ctx context.Context) (*Lease, *promptHandle, error) {
+	service := r.call.Service.Name
 	if r.reads > 0 || r.stream != nil {
-		return false
+		return r.directory.PlaceDirect(service, r.tried, r.readRequest()), nil, nil
 	}
-	outlook := r.directory.readingOutlook(r.call.Service.Name, r.call.Prompt)
-	switch {
-	case outlook.missing <= trivialTokens:
-		return false
-	case outlook.missing > directTokens:
-		return true
-	default:
-		return outlook.backlog < freeBacklog && !r.directIsHarmless(outlook.pace)
+	lease := r.directory.PlaceReading(service, r.readRequest())
+	if lease == nil || lease.Replica.Stage != region.StagePrefill {
+		return lease, nil, nil
 	}
+	handle, err := r.readPrompt(ctx, lease)
+	if err != nil {
+		return nil, nil, err
+	}
+	if handle == nil {
+		return r.directory.PlaceDirect(service, r.tried, r.readRequest()), nil, nil
+	}
+	return r.directory.PickGenerator(service, r.tried, handle.replica.Zone), handle, nil
 }
 
-// directIsHarmless reports whether streams stay within their pauses even while a
-// piece of a prompt is read in each step between their tokens.
-func (r *run) directIsHarmless(pace float64) bool {
-	piece := directPieceTokens / (directPaceShare * pace)
-	event := float64(max(r.call.Service.Engine.EventTokens, 1)) * (piece + typicalStep.Seconds())
-	return event <= r.call.Route.TargetGap.Seconds()
+// readRequest describes the prompt with the time that is left for it.
+func (r *run) readRequest() ReadRequest {
+	objective := r.call.objective()
+	return ReadRequest{
+		Prompt:    r.call.Prompt,
+		Objective: objective,
+		TargetGap: r.call.Route.TargetGap,
+		AimLeft:   time.Until(r.call.Arrived.Add(objective)),
+		Left:      time.Until(r.deadline),
+	}
 }
 
 // readPrompt has the prompt read, and returns nil if it could not be. A reader that
 // took the request and did not read it makes the next send a repeated one, which
 // the retry budget has to allow: a reader that is slow is given up only then.
-func (r *run) readPrompt(ctx context.Context) (*promptHandle, error) {
+func (r *run) readPrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
 	r.reads++
 	service := r.call.Service.Name
-	lease := r.directory.PickReader(service, nil, r.call.Prompt)
-	if lease == nil {
-		r.metrics.promptRead(readNobody, 0)
-		return nil, nil
-	}
 	defer lease.Release()
 	begun := time.Now()
-	missing := lease.tokens
+	placed := *lease.reading
 	bounded, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	var paid atomic.Bool
-	timer := time.AfterFunc(r.readingBound(missing), func() {
+	stall := newStallWatch(lease, r.stallBound(lease, &placed), func() {
 		if r.budgets.Withdraw(service) {
 			paid.Store(true)
 			giveUp(errSlowReading)
 		}
 	})
 	handle, err := r.exchangePrompt(bounded, lease)
-	timer.Stop()
+	stall.stop()
 	r.logger.V(1).Info(event.PromptRead, "request", r.call.ID, "replica", lease.Replica.ID,
-		"tokens", r.call.Prompt.Tokens, "missing", missing, "prefix", r.call.Prompt.sharedPart(),
-		"fetch", lease.FetchFrom(), "backlog", int(lease.backlog),
+		"tokens", r.call.Prompt.Tokens, "missing", placed.missing, "prefix", r.call.Prompt.sharedPart(),
+		"fetch", lease.FetchFrom(), "late", placed.urgency == Late, "wait_ms", placed.wait.Milliseconds(),
+		"busy_ms", placed.busy.Milliseconds(), "took_ms", time.Since(begun).Milliseconds(),
 		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", failure.Text(err))
 	if err == nil {
 		r.metrics.promptRead(readDone, time.Since(begun))
@@ -128,17 +102,24 @@
 // isRefusal reports whether a reader has said that it did not read.
 func isRefusal(err error) bool { return failure.KindOf(err) == failure.BackEndRefused }
 
-// readingBound is how long a reader is waited for.
-func (r *run) readingBound(missing int) time.Duration {
-	tokens := float64(r.call.Prompt.Tokens + missing)
-	return r.call.Route.TargetLatency/2 + time.Duration(tokens/slowestReading*float64(time.Second))
+// stallBound is how long a reader may read nothing, as far as is known, before the
+// prompt is taken from it. What is late already is left where it is.
+func (r *run) stallBound(lease *Lease, placed *placedReading) time.Duration {
+	if placed.urgency == Late {
+		return time.Until(r.deadline)
+	}
+	return r.call.objective() + slowReading*r.directory.wholeReading(lease.Replica, r.readRequest())
 }
 
+// slowReading is the factor by which a reader may take longer for a prompt than
+// expected.
+const slowReading = 2
+
 var errSlowReading = failure.New(failure.DeadlineExceeded, "the prompt was not read in time")
 
 func (r *run) exchangePrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
 	fetch := lease.FetchFrom()
-	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch}))
+	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch, Ranked: true, Rank: lease.rank(r.call.Route)}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
 			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -10,12 +10,16 @@
 // are guarded by the Directory's mutex.
 type Replica struct {
 	region.Replica
-	// inFlight counts this gateway's requests there; readingTokens are the
-	// prompt tokens that it has yet to read for them.
-	inFlight      int
-	readingTokens int
+	// inFlight counts this gateway's requests there; reading is for how long their
+	// prompts keep it busy that it has yet to read.
+	inFlight int
+	reading  readingWork
+	// progressAt is when it was last known to have read a prompt.
+	progressAt time.Duration
 	// generating counts this gateway's streams there that have begun.
 	generating int
+	// pause is the longest time of late between two events of the replica's streams.
+	pause peakMeter
 	// peers is the work that other gateways have placed there.
 	peers  map[string]peerWork
 	load   Load
@@ -35,7 +39,7 @@
 // peerWork is what another gateway told of its work at a replica.
 type peerWork struct {
 	requests int
-	tokens   int
+	reading  readingWork
 	at       time.Duration
 }
 
@@ -54,16 +58,18 @@
 	return sum
 }
 
-// allTokens are the prompt tokens that the replica has yet to read for all
-// gateways, as each last told.
-func (r *Replica) allTokens(now time.Duration) float64 {
-	sum := r.readingTokens
+// allReading is what the replica has yet to read for all gateways, as each last told.
+func (r *Replica) allReading(now time.Duration) readingWork {
+	sum := r.reading
 	for _, work := range r.peers {
-		if now-work.at < peerMemory {
-			sum += work.tokens
+		if now-work.at >= peerMemory {
+			continue
+		}
+		for urgency, busy := range work.reading {
+			sum[urgency] += busy
 		}
 	}
-	return float64(sum)
+	return sum
 }
 
 const (
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -130,11 +130,10 @@
 		if err := r.mayGoOn(); err != nil {
 			return err
 		}
-		handle, err := r.prepare(ctx)
+		lease, handle, err := r.place(ctx)
 		if err != nil {
 			return err
 		}
-		lease := r.pick(handle)
 		if lease == nil {
 			handle.freeUnlessTaken(r.Runner)
 			return failure.New(failure.NoBackEnd, "no replica of the service is left to try")
@@ -177,16 +176,13 @@
 // isModelCall reports whether the call is for model engines.
 func (r *run) isModelCall() bool { return r.call.Service.Engine != nil && r.call.Prompt != nil }
 
-// pick leases the replica of the next send, near the one that has read the
-// prompt; nil if there is none.
-func (r *run) pick(handle *promptHandle) *Lease {
+// place leases the replica of the next send, nil if there is none, with the prompt that
+// another has read for it.
+func (r *run) place(ctx context.Context) (*Lease, *promptHandle, error) {
 	if !r.isModelCall() {
-		return r.directory.PickAny(r.call.Service.Name, r.tried)
+		return r.directory.PickAny(r.call.Service.Name, r.tried), nil, nil
 	}
-	if handle != nil {
-		return r.directory.PickGenerator(r.call.Service.Name, r.tried, handle.replica.Zone, nil)
-	}
-	return r.directory.PickGenerator(r.call.Service.Name, r.tried, r.directory.zone, r.call.Prompt)
+	return r.placeModelCall(ctx)
 }
 
 // refuse ends a call that no replica has answered. A replica's own failure goes
@@ -277,7 +273,8 @@
 	r.logger.V(1).Info(event.RequestSent, "request", r.call.ID, "route", r.call.Route.Name, "replica", lease.Replica.ID,
 		"address", lease.Replica.Address, "source", send.Source, "fetch", send.Fetch, "send", r.sends,
 		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
-		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds())
+		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds(),
+		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds())
 	if send.LastEvent != "" {
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
@@ -299,7 +296,7 @@
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the answer bears no mark of the replica")
 	}
 	if r.call.Route.Kind == traffic.KindStream && answer.Status < http.StatusMultipleChoices {
-		return r.relayStream(lease, answer, marks)
+		return r.relayStream(lease, answer, marks, send.Source != "")
 	}
 	return r.relayWhole(lease, answer, marks)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,7 +26,7 @@
 // relayStream hands the events of an answer on as they come, each whole. A
 // stream that breaks off is left at its last whole event, so that another
 // replica can continue it.
-func (r *run) relayStream(lease *Lease, answer *upstream.Exchange, marks Marks) (verdict, error) {
+func (r *run) relayStream(lease *Lease, answer *upstream.Exchange, marks Marks, handedOver bool) (verdict, error) {
 	events := &eventSplitter{}
 	buffer := make([]byte, streamReadBytes)
 	first := true
@@ -37,8 +37,10 @@
 			if first {
 				first = false
 				lease.Answered(false, marks.Load)
-				lease.StreamBegun()
+				lease.StreamBegun(handedOver)
 				r.noteKept(lease)
+			} else {
+				lease.StreamWentOn()
 			}
 			if err := r.forward(answer, whole, events.last); err != nil {
 				return verdictAnswered, nil
--- a/internal/traffic/configuration.go
+++ b/internal/traffic/configuration.go
@@ -80,6 +80,10 @@
 	EventTokens int
 	// SwitchTime is how long a change of stage takes.
 	SwitchTime time.Duration
+	// TokenBytes is the size of a token in the KV cache, and LinkBitsPerSecond the
+	// speed at which replicas move it to each other; 0 if it is not told.
+	TokenBytes        float64
+	LinkBitsPerSecond float64
 }
 
 // Limits bound what a caller may send. Zero values set no bound.
