Tell of dropped log lines once a second at most

Found by one failure of TestTheLinesOfASecondAreBounded (210 lines against 202): the writer told of dropped lines before each line that it wrote while more were dropped meanwhile, up to twice the allowed lines.

--- a/internal/linelog/linelog.go
+++ b/internal/linelog/linelog.go
@@ -105,14 +105,31 @@
 	l.total.Add(1)
 }
 
+// noteInterval is the least time between two lines that tell of dropped ones, but for the
+// last of a log.
+const noteInterval = time.Second
+
 func (l *Log) write() {
 	defer close(l.done)
+	var nextNote time.Time
 	for line := range l.lines {
-		if dropped := l.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(l.options.Writer, "{\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+		if now := time.Now(); now.After(nextNote) && l.noteDropped() {
+			nextNote = now.Add(noteInterval)
 		}
 		_, _ = io.WriteString(l.options.Writer, line+"\n")
 	}
+	l.noteDropped()
+}
+
+// noteDropped writes how many lines were dropped since it was last told, and reports
+// whether there were any.
+func (l *Log) noteDropped() bool {
+	dropped := l.dropped.Swap(0)
+	if dropped == 0 {
+		return false
+	}
+	_, _ = fmt.Fprintf(l.options.Writer, "{\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
+	return true
 }
 
 // Close writes what waits and ends the log, within a time.
--- a/internal/linelog/linelog_test.go
+++ b/internal/linelog/linelog_test.go
@@ -72,3 +72,33 @@
 	log.Close(10 * time.Second)
 	assert.LessOrEqual(t, strings.Count(written.String(), "\n"), 100*seconds+seconds)
 }
+
+// chattyWriter has more lines logged whenever one is written.
+type chattyWriter struct {
+	written bytes.Buffer
+	logger  func()
+}
+
+func (w *chattyWriter) Write(data []byte) (int, error) {
+	w.logger()
+	return w.written.Write(data)
+}
+
+func TestDroppedLinesAreNotToldBeforeEveryLine(t *testing.T) {
+	ready := make(chan struct{})
+	writer := &chattyWriter{}
+	log := linelog.New(linelog.Options{Writer: writer, Queue: 1000, LinesPerSecond: 100})
+	logger := log.Logger()
+	writer.logger = func() {
+		<-ready
+		logger.Info("dropped")
+	}
+	begun := time.Now()
+	for range 5000 {
+		logger.Info("line")
+	}
+	close(ready)
+	log.Close(10 * time.Second)
+	seconds := int(time.Since(begun).Seconds()) + 2
+	assert.LessOrEqual(t, strings.Count(writer.written.String(), "log lines dropped"), seconds)
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -33,7 +33,6 @@
 const (
 	readDone   = "done"
 	readFailed = "failed"
-	readNobody = "no_reader"
 )
 
 // NewMetrics registers the metrics.
