Move streams away from replicas that leave; plan stages on a forecast; bound late prompts

Change: streams on a replica that drains or changes its stage are moved to others (a copy while they run, then a stop; within the retry budget, since a route's attempts don't count for the same run). Gateways tell how many streams a replica's change of stage would find (rate times duration, as long as the change takes), the planner uses it, asks which candidate has the least to do, and lets more replicas be away. Streams fill one generator after the other. Late prompts are only given to replicas with half of their slots free, else refused at once with when to come back.

--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -22,6 +22,7 @@
 	served     int
 	streams    int
 	orders     int
+	moves      int
 	violations []string
 }
 
@@ -70,6 +71,17 @@
 	}
 }
 
+// moved notes that a stream goes on at another engine after an event; made are the events
+// that it had sent before.
+func (t *truth) moved(request, after string, made int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.moves++
+	if after != fmt.Sprint(made-1) {
+		t.violate("request %s goes on after event %q, having sent %d", request, after, made)
+	}
+}
+
 // ran notes that a replica runs a request.
 func (t *truth) ran(id string) {
 	t.mutex.Lock()
@@ -108,7 +120,9 @@
 }
 
 // eventsFor are the events of a model replica's answer to a request.
-func eventsFor(id string) []string { return []string{"answer", "to", id} }
+func eventsFor(id string) []string {
+	return []string{"answer", "to", id, "in", "several", "events", "one", "after", "the", "other"}
+}
 
 // bodyFor is the answer of a replica to a request.
 func bodyFor(id string) string { return "answer to " + id }
@@ -169,5 +183,6 @@
 		Changes:    t.acked,
 		Streams:    t.streams,
 		Orders:     t.orders,
+		Moves:      t.moves,
 	}
 }
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -64,6 +64,7 @@
 	for index := range sums {
 		if sums[index].Service == added.Service {
 			sums[index].Generating += added.Generating
+			sums[index].Expected += added.Expected
 			sums[index].Reading += added.Reading
 			sums[index].Gateways += added.Gateways
 			sums[index].Unreachable = append(sums[index].Unreachable, added.Unreachable...)
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -31,6 +33,8 @@
 	Changing bool
 	// Sequence is the number of orders that the replica has taken.
 	Sequence uint64
+	// Requests are those that run or wait there.
+	Requests int
 }
 
 // EngineOrder tells a replica to take a stage.
@@ -152,6 +156,7 @@
 		input := k.inputFor(now, service, replicas, state.Changes, demand)
 		input.Rules = k.rulesFor(now, service, input)
 		if change := planner.Step(now, input); change != nil {
+			planner.Choose(now, change, k.leastBusy(ctx, replicas, change.Candidates))
 			k.carryOutStage(ctx, replicas, change)
 		}
 	}
@@ -177,6 +182,7 @@
 	for _, each := range demand {
 		if each.Service == service {
 			input.Generating += each.Generating
+			input.Expected += each.Expected
 			input.Reading += each.Reading
 			telling += each.Gateways
 			k.heard[service] = now
@@ -187,6 +193,7 @@
 	}
 	silent := silentShare(telling, len(k.gateways.all(now)))
 	input.Generating *= silent
+	input.Expected *= silent
 	input.Reading *= silent
 	k.noteMoves(now, service, replicas)
 	moved, any := k.moved[service]
@@ -290,6 +297,33 @@
 	}
 }
 
+// maximumAsked bounds the replicas that are asked for their work before one is changed.
+const maximumAsked = 8
+
+// leastBusy returns the candidate that says it has the least to do: what runs there has to
+// end before its stage changes. One that does not answer counts as busy.
+func (k *stageKeeper) leastBusy(ctx context.Context, replicas []region.Replica, candidates []string) string {
+	if len(candidates) == 1 {
+		return candidates[0]
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	asked := candidates[:min(len(candidates), maximumAsked)]
+	work := make([]int, len(asked))
+	var calls sync.WaitGroup
+	for index, id := range asked {
+		calls.Go(func() {
+			work[index] = math.MaxInt
+			replica, _ := findReplica(replicas, id)
+			if report, err := k.settings.Engines.Report(ctx, replica); err == nil {
+				work[index] = report.Requests
+			}
+		})
+	}
+	calls.Wait()
+	return asked[slices.Index(work, slices.Min(work))]
+}
+
 func findReplica(replicas []region.Replica, id string) (region.Replica, bool) {
 	for _, replica := range replicas {
 		if replica.ID == id {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,10 @@
 	FailureHandedOn Event = "replica's failure handed on"
 	// StreamContinued: a stream goes on behind its last whole event.
 	StreamContinued Event = "stream continued"
+	// StreamMoved: a replica that leaves was asked to stop a stream, which goes on elsewhere.
+	StreamMoved Event = "stream moved"
+	// MoveFailed: a stream's memory could not be copied to another replica.
+	MoveFailed Event = "stream not moved"
 	// StreamBrokenOff: a stream ended before its end.
 	StreamBrokenOff Event = "stream broken off"
 	// CallerGone: the caller left before its answer.
@@ -135,6 +139,8 @@
 		RequestRefused,
 		FailureHandedOn,
 		StreamContinued,
+		StreamMoved,
+		MoveFailed,
 		StreamBrokenOff,
 		CallerGone,
 		HandleNotFreed,
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -167,6 +167,9 @@
 	Service string `msg:"service"`
 	// Generating is the number of answers that are being generated.
 	Generating float64 `msg:"generating"`
+	// Expected is the number of answers that will be generated once a replica could have
+	// changed its stage, if they go on to come as of late.
+	Expected float64 `msg:"expected"`
 	// Reading is the number of replicas that the prompts to be read keep busy.
 	Reading float64 `msg:"reading"`
 	// Unreachable are the replicas that did not answer of late.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -1750,13 +1750,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "service"
-	o = append(o, 0x85, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x86, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "generating"
 	o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
 	o = msgp.AppendFloat64(o, z.Generating)
+	// string "expected"
+	o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendFloat64(o, z.Expected)
 	// string "reading"
 	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendFloat64(o, z.Reading)
@@ -1806,6 +1809,12 @@
 				err = msgp.WrapError(err, "Generating")
 				return
 			}
+		case "expected":
+			z.Expected, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
 		case "reading":
 			z.Reading, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
@@ -1855,7 +1864,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ServiceDemand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 11 + msgp.Float64Size + 8 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 11 + msgp.Float64Size + 9 + msgp.Float64Size + 8 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
 	for za0001 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
 	}
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -37,9 +37,11 @@
 func (testDialect) ReadTerms(get func(string) string) relay.Terms {
 	return relay.Terms{ID: get("Request"), Wait: 20 * time.Second}
 }
-func (testDialect) Sets(name string) bool              { return name == "Instance" }
-func (testDialect) ReadHandle([]byte) (string, error)  { return "", nil }
-func (testDialect) FreeHandle(string) (string, string) { return "", "" }
+func (testDialect) Sets(name string) bool                              { return name == "Instance" }
+func (testDialect) ReadHandle([]byte) (string, error)                  { return "", nil }
+func (testDialect) Move(string, string, bool) (string, string, []byte) { return "", "", nil }
+func (testDialect) MoveFields(string) []upstream.Field                 { return nil }
+func (testDialect) FreeHandle(string) (string, string)                 { return "", "" }
 func (testDialect) RetryAfter(after time.Duration) (string, string) {
 	return "Retry-After", after.String()
 }
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -26,6 +26,7 @@
 			each.Generating += float64(replica.generating)
 		}
 		if staged {
+			each.Expected = d.streams[service].forecast(now, d.engines[service].SwitchTime)
 			demand = append(demand, each)
 		}
 	}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -22,6 +22,11 @@
 	ReadMarks(header http.Header) Marks
 	// ReadHandle reads the answer to a prompt that was read for another replica.
 	ReadHandle(body []byte) (id string, err error)
+	// Move returns the call by which the replica that runs a request copies its memory to
+	// another at an address, and stops it there if it is the last call; ReadHandle reads
+	// the answer. MoveFields are the call's header fields.
+	Move(id, address string, last bool) (method, path string, body []byte)
+	MoveFields(instance string) []upstream.Field
 	// FreeHandle returns the method and path that free a handle.
 	FreeHandle(id string) (method, path string)
 }
@@ -71,6 +76,9 @@
 	Fetch string
 	// LastEvent is the event after which a stream continues.
 	LastEvent string
+	// Moved says that the stream goes on from the memory that Source names: it is the
+	// same run.
+	Moved bool
 	// Rank orders the prompts and streams of a model replica, 0 is first and
 	// LastRank last; it counts only if Ranked is set.
 	Ranked bool
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -27,6 +27,7 @@
 	// handovers are the times from a prompt's having been read to its first event.
 	handovers timeMeters
 	reads     map[string]*readMeter
+	streams   map[string]streamMeters
 	placed    placements
 	onDropped func(address, instance string)
 	logger    logr.Logger
@@ -44,6 +45,7 @@
 		engines:   map[string]traffic.Engine{},
 		handovers: timeMeters{},
 		reads:     map[string]*readMeter{},
+		streams:   map[string]streamMeters{},
 		onDropped: onDropped,
 		logger:    logger,
 	}
@@ -64,6 +66,9 @@
 		draining := known.Draining || listed.Draining
 		known.Replica = listed
 		known.Draining = draining
+		if known.leaves() {
+			known.tellStreams()
+		}
 		replicas[listed.ID] = known
 		services[listed.Service] = append(services[listed.Service], known)
 	}
@@ -106,9 +111,11 @@
 	// beginning, nil if it should read all itself.
 	fetchFrom *Replica
 	released  bool
-	// generating is set once the stream has begun; eventAt is when its last event came.
-	generating bool
-	eventAt    time.Duration
+	// stream is set once the stream has begun; eventAt is when its last event came.
+	stream  *streamMeter
+	eventAt time.Duration
+	// leaving is closed when the replica of a stream leaves.
+	leaving chan struct{}
 }
 
 // SetEngine takes over what the configuration says of a service's engines.
@@ -121,7 +128,7 @@
 // lease is called with the mutex held.
 func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
-	return &Lease{Replica: replica, directory: d, begun: d.clock()}
+	return &Lease{Replica: replica, directory: d, begun: d.clock(), leaving: make(chan struct{})}
 }
 
 // placedReading is a prompt that a replica has been given to read.
@@ -165,23 +172,64 @@
 	}
 	l.released = true
 	l.Replica.inFlight--
-	if l.generating {
-		l.Replica.generating--
+	if l.stream != nil {
+		l.stream.end(l.directory.clock())
+		l.streamLeaves()
 	}
 	l.readDone()
 }
 
-// StreamBegun notes that the replica generates. handedOver says that another has read the
-// prompt.
-func (l *Lease) StreamBegun(handedOver bool) {
+// StreamBegun notes that the replica generates for a request of a route. handedOver says
+// that another replica has read the prompt.
+func (l *Lease) StreamBegun(route string, handedOver bool) {
+	d := l.directory
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	service := l.Replica.Service
+	if d.streams[service] == nil {
+		d.streams[service] = streamMeters{}
+	}
+	stream := d.streams[service].of(route)
+	stream.begin(now)
+	l.streamComes(stream)
+	if handedOver {
+		d.handovers.observe(service, now-l.begun)
+	}
+}
+
+// streamComes notes that a stream runs at the replica. It is called with the mutex held.
+func (l *Lease) streamComes(stream *streamMeter) {
+	l.stream = stream
+	l.eventAt = l.directory.clock()
+	l.Replica.generating++
+	if l.Replica.leaves() {
+		close(l.leaving)
+		return
+	}
+	if l.Replica.streams == nil {
+		l.Replica.streams = map[*Lease]struct{}{}
+	}
+	l.Replica.streams[l] = struct{}{}
+}
+
+// streamLeaves notes that the stream runs there no more. It is called with the mutex held.
+func (l *Lease) streamLeaves() {
+	l.stream = nil
+	l.Replica.generating--
+	delete(l.Replica.streams, l)
+}
+
+// handStreamTo notes that a stream goes on at another replica.
+func (l *Lease) handStreamTo(target *Lease) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.generating = true
-	l.Replica.generating++
-	l.eventAt = l.directory.clock()
-	if handedOver {
-		l.directory.handovers.observe(l.Replica.Service, l.eventAt-l.begun)
+	if l.stream == nil {
+		return
 	}
+	stream := l.stream
+	l.streamLeaves()
+	target.streamComes(stream)
 }
 
 // StreamWentOn notes that a further event of the stream has come.
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -31,8 +31,11 @@
 	if r.reads > 0 || r.stream != nil {
 		return r.directory.PlaceDirect(service, r.tried, r.readRequest()), nil, nil
 	}
-	lease := r.directory.PlaceReading(service, r.readRequest())
-	if lease == nil || lease.Replica.Stage != region.StagePrefill {
+	lease, err := r.directory.PlaceReading(service, r.readRequest())
+	if err != nil {
+		return nil, nil, err
+	}
+	if lease.Replica.Stage != region.StagePrefill {
 		return lease, nil, nil
 	}
 	handle, err := r.readPrompt(ctx, lease)
@@ -119,7 +122,7 @@
 
 func (r *run) exchangePrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
 	fetch := lease.FetchFrom()
-	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch, Ranked: true, Rank: lease.rank(r.call.Route)}))
+	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch, Ranked: true, Rank: lease.Rank(r.call.Route)}))
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
 			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/costmodel"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -214,10 +215,10 @@
 	return append(best, found)
 }
 
-// PlaceReading leases the replica that is to read a prompt, or returns nil: one that reads
-// for others, or one that generates the answer, too. A prompt that no replica is
-// expected to read within its objective becomes a late one.
-func (d *Directory) PlaceReading(service string, request ReadRequest) *Lease {
+// PlaceReading leases the replica that is to read a prompt: one that reads for others, or
+// one that generates the answer, too. A prompt that no replica is expected to read
+// within its objective becomes a late one. An error says that no replica has room.
+func (d *Directory) PlaceReading(service string, request ReadRequest) (*Lease, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
@@ -225,17 +226,48 @@
 	readers := d.soundCandidates(service, nil, ofStage(region.StagePrefill), now)
 	generators := d.soundCandidates(service, nil, ofStage(region.StageDecode), now)
 	if len(generators) == 0 {
-		return nil
+		return nil, errNoReplica
 	}
 	best := d.bestPlace(service, readers, generators, request, InTime, now)
-	urgency := InTime
-	if !d.inTime(service, request, &best) {
-		urgency = Late
-		best = d.bestPlace(service, readers, generators, request, Late, now)
+	if d.inTime(service, request, &best) {
+		return d.leaseReading(best, request, InTime, len(readers)+len(generators)), nil
 	}
-	return d.leaseReading(best, request, urgency, len(readers)+len(generators))
+	best = d.bestPlace(service, readers, generators, request, Late, now)
+	if !best.hasLateRoom(request, now) {
+		return nil, noRoom(request, &best)
+	}
+	return d.leaseReading(best, request, Late, len(readers)+len(generators)), nil
+}
+
+// hasLateRoom reports whether a replica may be given a late prompt: one that will be read
+// before its caller's deadline if no other comes, and leaves room for those in time.
+func (e *readEstimate) hasLateRoom(request ReadRequest, now time.Duration) bool {
+	taken := float64(e.replica.allInFlight(now))
+	return e.total() < request.Left && taken < lateShare*float64(max(e.replica.Slots, 1))
 }
 
+// noRoom is the refusal of a prompt for which no replica has room, with when to come back:
+// once the best place will have read what it has.
+func noRoom(request ReadRequest, best *readEstimate) error {
+	return &noRoomError{until: min(max(best.wait, refusedRetryAfter), request.Left/retryShare)}
+}
+
+// noRoomError is the refusal of a prompt; until is in how long there should be room.
+type noRoomError struct{ until time.Duration }
+
+// Error implements error.
+func (*noRoomError) Error() string { return "no replica has room for the prompt" }
+
+var errNoReplica = failure.New(failure.NoBackEnd, "no replica of the service is left to try")
+
+const (
+	// lateShare of a replica's slots may be taken before it gets late prompts.
+	lateShare = 0.5
+	// retryShare of what is left of a caller's time, as a divisor, is the longest after
+	// which it is told to come back.
+	retryShare = 3
+)
+
 // bestPlace compares reading apart with reading where the answer is generated. It is
 // called with the mutex held.
 func (d *Directory) bestPlace(service string, readers, generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
@@ -369,9 +401,9 @@
 	return l.reading.wait
 }
 
-// rank orders the prompt, or the stream, at its replica: by the route's priority, what is
+// Rank orders the prompt, or the stream, at its replica: by the route's priority, what is
 // late behind all others.
-func (l *Lease) rank(route *traffic.Route) int {
+func (l *Lease) Rank(route *traffic.Route) int {
 	if l.reading != nil && l.reading.urgency == Late {
 		return LastRank
 	}
--- /dev/null
+++ b/internal/relay/reading_test.go
@@ -0,0 +1,175 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+const pace = 40_000
+
+// newTaught returns a directory that has learned its engines' pace.
+func newTaught(replicas ...region.Replica) *directory {
+	d := newDirectory(replicas...)
+	d.teach(pace)
+	return d
+}
+
+// ownPrompt shares nothing with others.
+func ownPrompt(tokens int) *relay.Prompt {
+	return prompt(relay.PromptPart{ID: fmt.Sprintf("own-%d", tokens), Tokens: tokens})
+}
+
+// busy says that a peer keeps a replica reading for a time.
+func (d *directory) busy(replica string, reading time.Duration) {
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: replica, Requests: 1, InTimeMicros: reading.Microseconds()}}, true)
+}
+
+func TestAPromptThatCanNotBeReadInTimeBecomesALateOne(t *testing.T) {
+	d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+	inTime := d.read(ownPrompt(20_000))
+	assert.Zero(t, inTime.Rank(&traffic.Route{}))
+	late := d.read(ownPrompt(20_001))
+	assert.Equal(t, relay.LastRank, late.Rank(&traffic.Route{}), "half a second behind another half, of one")
+	next := d.read(ownPrompt(4000))
+	assert.Zero(t, next.Rank(&traffic.Route{}), "what is late is read after all others")
+	inTime.Release()
+	late.Release()
+	next.Release()
+	again := d.read(ownPrompt(20_002))
+	assert.Zero(t, again.Rank(&traffic.Route{}))
+	assert.Equal(t, 3, d.read(ownPrompt(10)).Rank(&traffic.Route{Priority: 3}))
+}
+
+func TestALatePromptIsRefusedWhereThereIsNoRoom(t *testing.T) {
+	request := readRequest(ownPrompt(20_000))
+	t.Run("its caller will have left", func(t *testing.T) {
+		d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+		d.busy("r", 12*time.Second)
+		_, err := d.PlaceReading("s", request)
+		require.Error(t, err)
+		assert.Equal(t, failure.RanNo, failure.AnswerFor(failure.Wrap(err, failure.BackEndRefused)).Ran)
+	})
+	t.Run("half of the slots are taken", func(t *testing.T) {
+		d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+		d.busy("r", 2*time.Second)
+		_, err := d.PlaceReading("s", request)
+		require.NoError(t, err, "1 of 4 is taken")
+		_, err = d.PlaceReading("s", request)
+		assert.Error(t, err)
+	})
+}
+
+func TestTheEnginesTimesAreToldToPeers(t *testing.T) {
+	taught := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+	costs := taught.Costs()
+	require.Len(t, costs, 1)
+	d := newDirectory(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+	assert.Empty(t, d.Costs())
+	d.TakeCosts(append(costs, region.EngineCost{Service: "unknown", Samples: 5, Token: 1}))
+	late := readRequest(ownPrompt(2 * pace))
+	lease, err := d.PlaceReading("s", late)
+	require.NoError(t, err)
+	assert.Equal(t, relay.LastRank, lease.Rank(&traffic.Route{}), "two seconds of work, of one")
+	assert.Empty(t, d.Costs(), "what was heard is not told again")
+}
+
+func TestAGeneratorReadsAPromptOnlyIfItsStreamsHardlyNotice(t *testing.T) {
+	asked := 0
+	short := func(d *directory, gap time.Duration) string {
+		asked++
+		request := readRequest(prompt(relay.PromptPart{ID: fmt.Sprintf("short-%d", asked), Tokens: 400}))
+		request.TargetGap = gap
+		lease, err := d.PlaceReading("s", request)
+		require.NoError(t, err)
+		defer lease.Release()
+		return lease.Replica.ID
+	}
+	d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+	d.busy("r", 300*time.Millisecond)
+	assert.Equal(t, "g", short(d, 150*time.Millisecond), "the reader is busy")
+	assert.Equal(t, "r", short(d, 10*time.Millisecond), "a piece would hold streams up for too long")
+
+	stream := d.PickGenerator("s", nil, "z")
+	stream.StreamBegun("route", false)
+	d.now += 140 * time.Millisecond
+	stream.StreamWentOn()
+	d.busy("r", 300*time.Millisecond)
+	assert.Equal(t, "r", short(d, 150*time.Millisecond), "its streams pause for long already")
+	d.now += 5 * time.Second
+	d.busy("r", 300*time.Millisecond)
+	assert.Equal(t, "g", short(d, 150*time.Millisecond), "that was long ago")
+	d.busy("r", 0)
+	assert.Equal(t, "r", short(d, 150*time.Millisecond), "the reader is idle")
+}
+
+func TestMovesBetweenReplicasTakeTheirTime(t *testing.T) {
+	shared := relay.PromptPart{ID: "shared", Tokens: 8000}
+	for _, test := range []struct {
+		link  float64
+		fetch string
+	}{
+		{0, "b:1"},
+		{1e12, "b:1"},
+		{1e8, ""},
+	} {
+		d := newTaught(replica("g", region.StageDecode), replica("a", region.StagePrefill), replica("b", region.StagePrefill))
+		d.SetEngine("s", traffic.Engine{TokenBytes: 1000, LinkBitsPerSecond: test.link})
+		d.LearnKept("b", []relay.PromptPart{shared})
+		d.busy("b", 900*time.Millisecond)
+		lease := d.read(prompt(shared, relay.PromptPart{ID: "own", Tokens: 100}))
+		require.Equal(t, "a", lease.Replica.ID)
+		if test.fetch != "" {
+			assert.Equal(t, test.fetch, lease.FetchFrom())
+		}
+	}
+}
+
+func TestStreamsFillOneGeneratorAfterTheOther(t *testing.T) {
+	d := newDirectory(replica("a", region.StageDecode), replica("b", region.StageDecode), replica("c", region.StageDecode))
+	var ids []string
+	for range 6 {
+		ids = append(ids, d.PickGenerator("s", nil, "z").Replica.ID)
+	}
+	counts := map[string]int{}
+	for _, id := range ids {
+		counts[id]++
+	}
+	assert.Equal(t, ids[0], ids[1], "two of four slots")
+	assert.Equal(t, ids[0], ids[2], "up to over a half")
+	assert.Len(t, counts, 2, "the third is left free: %v", ids)
+}
+
+func TestDemandForecastsStreamsFromTheirRateAndDuration(t *testing.T) {
+	d := newDirectory(replica("g", region.StageDecode))
+	d.SetEngine("s", traffic.Engine{SwitchTime: 3 * time.Second})
+	var running []*relay.Lease
+	// Ten streams a second, each for two seconds.
+	for step := range 100 {
+		d.now = time.Duration(step) * 100 * time.Millisecond
+		lease := d.PickGenerator("s", nil, "z")
+		lease.StreamBegun("long", false)
+		running = append(running, lease)
+		if len(running) > 20 {
+			running[0].Release()
+			running = running[1:]
+		}
+	}
+	demand := d.Demand()[0]
+	assert.InDelta(t, 20, demand.Generating, 1)
+	assert.InDelta(t, 20, demand.Expected, 4)
+	// No more come, and half have ended: in three seconds nearly all will have.
+	for _, lease := range running[:10] {
+		lease.Release()
+	}
+	d.now += 2 * time.Second
+	assert.Less(t, d.Demand()[0].Expected, 12.0)
+}
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -33,7 +33,9 @@
 	latency     float64
 	errorRate   float64
 	gone        bool
-	prefixes    *prefixMemory
+	// streams are those of this gateway that run there.
+	streams  map[*Lease]struct{}
+	prefixes *prefixMemory
 }
 
 // peerWork is what another gateway told of its work at a replica.
@@ -135,3 +137,15 @@
 	reported := float64(r.load.Running+r.load.Waiting) / float64(r.load.Slots)
 	return max(placed, reported*(1-age.Seconds()/loadMemory.Seconds()))
 }
+
+// leaves reports whether the replica takes no new work, for good or until it has another
+// stage.
+func (r *Replica) leaves() bool { return r.Draining || r.Stage == region.StageChanging }
+
+// tellStreams tells the streams that run there that the replica leaves.
+func (r *Replica) tellStreams() {
+	for lease := range r.streams {
+		close(lease.leaving)
+		delete(r.streams, lease)
+	}
+}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -67,6 +67,8 @@
 	// unknown says that an attempt may have run.
 	unknown bool
 	stream  *streamState
+	// moved is set while a stream is between two replicas.
+	moved *movedStream
 	// lastFailure is a replica's own failure, handed on if nothing better comes.
 	lastFailure *wholeAnswer
 }
@@ -89,6 +91,8 @@
 	verdictUnknown
 	// verdictFailed: the replica answered with a failure of its own.
 	verdictFailed
+	// verdictMoved: the stream goes on at another replica.
+	verdictMoved
 )
 
 // Run serves a call until the caller has its answer or is gone.
@@ -110,8 +114,9 @@
 		return
 	}
 	r.metrics.request(call, outcomeAnswered)
-	r.logger.V(1).Info(event.RequestAnswered, "request", call.ID, "sends", state.sends, "events", state.eventCount(),
-		"after_ms", time.Since(call.Arrived).Milliseconds())
+	r.logger.V(1).Info(event.RequestAnswered, "request", call.ID, "route", call.Route.Name, "sends", state.sends,
+		"events", state.eventCount(), "first_ms", state.firstAfter().Milliseconds(),
+		"longest_pause_ms", state.longestPause().Milliseconds(), "after_ms", time.Since(call.Arrived).Milliseconds())
 }
 
 // eventCount is the number of event batches handed on.
@@ -122,6 +127,22 @@
 	return r.stream.events
 }
 
+// firstAfter is after how long the first event was handed on, 0 if there was none.
+func (r *run) firstAfter() time.Duration {
+	if r.stream == nil {
+		return 0
+	}
+	return r.stream.firstAt.Sub(r.call.Arrived)
+}
+
+// longestPause is the longest time between two events that were handed on.
+func (r *run) longestPause() time.Duration {
+	if r.stream == nil {
+		return 0
+	}
+	return r.stream.longestPause
+}
+
 var errDeadline = errors.New("the time of the request has ended")
 
 // serve makes attempts until one is answered or no other may be made.
@@ -136,7 +157,7 @@
 		}
 		if lease == nil {
 			handle.freeUnlessTaken(r.Runner)
-			return failure.New(failure.NoBackEnd, "no replica of the service is left to try")
+			return errNoReplica
 		}
 		r.tried = append(r.tried, lease.Replica)
 		outcome, cause := r.attempt(ctx, lease, handle)
@@ -145,6 +166,9 @@
 		if outcome == verdictAnswered {
 			return nil
 		}
+		if outcome == verdictMoved {
+			continue
+		}
 		r.logger.Info(event.AttemptEnded, "request", r.call.ID, "replica", lease.Replica.ID, "verdict", outcome.String(),
 			"cause", failure.Text(cause), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "sends", r.sends)
 		if outcome == verdictUnknown || outcome == verdictFailed {
@@ -161,6 +185,9 @@
 	if time.Until(r.deadline) < minimumLeft {
 		return failure.Wrap(errDeadline, failure.DeadlineExceeded)
 	}
+	if r.moved != nil {
+		return nil
+	}
 	if r.unknown && !r.call.Route.Repeatable() {
 		return failure.New(failure.OutcomeUnknown, "the request may have run and may not be repeated")
 	}
@@ -179,6 +206,10 @@
 // place leases the replica of the next send, nil if there is none, with the prompt that
 // another has read for it.
 func (r *run) place(ctx context.Context) (*Lease, *promptHandle, error) {
+	if moved := r.moved; moved != nil {
+		r.moved = nil
+		return moved.lease, moved.handle, nil
+	}
 	if !r.isModelCall() {
 		return r.directory.PickAny(r.call.Service.Name, r.tried), nil, nil
 	}
@@ -202,7 +233,7 @@
 	}
 	if !r.unknown {
 		// Whatever ended the call, no replica has run it or ever will.
-		err = failure.Wrap(err, failure.BackEndRefused, failure.WithRetryAfter(refusedRetryAfter))
+		err = failure.Wrap(err, failure.BackEndRefused, failure.WithRetryAfter(r.comeBackAfter(err)))
 	} else if failure.KindOf(err) != failure.DeadlineExceeded {
 		err = failure.Wrap(err, failure.OutcomeUnknown)
 	}
@@ -213,6 +244,16 @@
 	r.responder.Refuse(err)
 }
 
+// comeBackAfter is when the caller of a request that has not run should come back: when
+// there is room by what was known as it was refused.
+func (r *run) comeBackAfter(err error) time.Duration {
+	var full *noRoomError
+	if errors.As(err, &full) {
+		return full.until
+	}
+	return refusedRetryAfter
+}
+
 func (r *run) breakOff() {
 	if r.stream != nil {
 		r.stream.writer.Abort()
@@ -256,6 +297,7 @@
 	switch {
 	case handle != nil:
 		send.Source = handle.source()
+		send.Moved = r.stream != nil
 	case r.isModelCall():
 		send.Fetch = lease.FetchFrom()
 	}
@@ -290,13 +332,15 @@
 		r.noteRefusal(lease, answer, marks)
 		return verdictNotRun, failure.New(failure.BackEndRefused, http.StatusText(answer.Status))
 	}
-	r.attempts++
+	if !send.Moved {
+		r.attempts++
+	}
 	if !marks.Sealed {
 		lease.Answered(true, marks.Load)
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the answer bears no mark of the replica")
 	}
 	if r.call.Route.Kind == traffic.KindStream && answer.Status < http.StatusMultipleChoices {
-		return r.relayStream(lease, answer, marks, send.Source != "")
+		return r.relayStream(ctx, lease, answer, marks, send)
 	}
 	return r.relayWhole(lease, answer, marks)
 }
@@ -353,6 +397,8 @@
 		return "answered"
 	case verdictNotRun:
 		return "not_run"
+	case verdictMoved:
+		return "moved"
 	case verdictUnknown:
 		return "unknown"
 	default:
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -53,7 +53,11 @@
 }
 
 func (testDialect) ReadHandle(body []byte) (string, error) { return string(body), nil }
-func (testDialect) FreeHandle(id string) (string, string)  { return http.MethodDelete, "/free/" + id }
+func (testDialect) Move(id, address string, last bool) (string, string, []byte) {
+	return http.MethodPost, fmt.Sprintf("/move/%s?last=%t", id, last), []byte(address)
+}
+func (testDialect) MoveFields(string) []upstream.Field    { return nil }
+func (testDialect) FreeHandle(id string) (string, string) { return http.MethodDelete, "/free/" + id }
 
 // recorder is a responder that keeps what it was told.
 type recorder struct {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -15,6 +17,21 @@
 	writer    StreamWriter
 	lastEvent string
 	events    int
+	// firstAt and lastAt are when the first and the last event were handed on.
+	firstAt      time.Time
+	lastAt       time.Time
+	longestPause time.Duration
+}
+
+// note notes that events are handed on.
+func (s *streamState) note(now time.Time) {
+	if s.events > 0 {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+	} else {
+		s.firstAt = now
+	}
+	s.lastAt = now
+	s.events++
 }
 
 const (
@@ -26,10 +43,12 @@
 // relayStream hands the events of an answer on as they come, each whole. A
 // stream that breaks off is left at its last whole event, so that another
 // replica can continue it.
-func (r *run) relayStream(lease *Lease, answer *upstream.Exchange, marks Marks, handedOver bool) (verdict, error) {
+func (r *run) relayStream(ctx context.Context, lease *Lease, answer *upstream.Exchange, marks Marks, send Send) (verdict, error) {
 	events := &eventSplitter{}
 	buffer := make([]byte, streamReadBytes)
 	first := true
+	var moving *mover
+	defer func() { moving.abandonUnless(r.moved != nil) }()
 	for {
 		count, err := answer.Read(buffer)
 		whole := events.add(buffer[:count])
@@ -37,8 +56,8 @@
 			if first {
 				first = false
 				lease.Answered(false, marks.Load)
-				lease.StreamBegun(handedOver)
-				r.noteKept(lease)
+				r.noteBegun(lease, send)
+				moving = r.watchStream(ctx, lease)
 			} else {
 				lease.StreamWentOn()
 			}
@@ -52,6 +71,11 @@
 			r.stream.writer.End()
 			return verdictAnswered, nil
 		default:
+			if moving != nil {
+				if r.moved = moving.end(); r.moved != nil {
+					return verdictMoved, nil
+				}
+			}
 			lease.Unreachable(true)
 			return verdictUnknown, brokenStream(err)
 		}
@@ -75,12 +99,17 @@
 	if last != "" {
 		r.stream.lastEvent = last
 	}
-	r.stream.events++
+	r.stream.note(time.Now())
 	return r.stream.writer.Send(whole)
 }
 
-// noteKept notes that the generating replica now keeps the prompt.
-func (r *run) noteKept(lease *Lease) {
+// noteBegun notes the first event of a stream at a replica, which now keeps the prompt. A
+// stream that was moved there has been noted before.
+func (r *run) noteBegun(lease *Lease, send Send) {
+	if send.Moved {
+		return
+	}
+	lease.StreamBegun(r.call.Route.Name, send.Source != "")
 	if r.call.Prompt != nil {
 		lease.PromptRead()
 		lease.PromptKept(r.call.Prompt)
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -31,14 +31,16 @@
 // Input is what Step decides on.
 type Input struct {
 	Replicas []Replica
-	// Generating is the number of answers that are being generated.
+	// Generating is the number of answers that are being generated, and Expected that to
+	// which it tends.
 	Generating float64
+	Expected   float64
 	// Reading is the number of replicas that the prompts to be read keep busy.
 	Reading float64
 	// Known is false while the demand has not been told.
 	Known bool
-	// Restless says that replicas are coming or going: then no replica stops
-	// generating, for what is there may be gone soon.
+	// Restless says that replicas are coming or going: then one more is left to
+	// generate, for what is there may be gone soon.
 	Restless bool
 	Rules    Rules
 }
@@ -57,9 +59,11 @@
 
 // Change moves one replica to the other stage.
 type Change struct {
-	ReplicaID string
-	Generates bool
-	Reason    string
+	// ReplicaID is that of the replica, the first of Candidates, which would do as well.
+	ReplicaID  string
+	Candidates []string
+	Generates  bool
+	Reason     string
 	// Generating and Reading are the demand that decided: the peak of the answers
 	// being generated, and the replicas that reading keeps busy.
 	Generating float64
@@ -78,7 +82,7 @@
 	minimumGeneratingShare = 0.25
 	// targetOccupancy is the wanted share of slots in use at generating replicas,
 	// and fullOccupancy that from which on another one is needed.
-	targetOccupancy = 0.5
+	targetOccupancy = 0.6
 	fullOccupancy   = 0.75
 	// busyReading is the utilisation of readers from which on another one is
 	// worth a change.
@@ -87,11 +91,11 @@
 	minimumReplicas = 2
 	// settleTime is the least time between a change towards one stage and one
 	// towards the other.
-	settleTime = 6 * time.Second
+	settleTime = 3 * time.Second
 	// maximumAwayShare bounds the replicas that change at the same time.
-	maximumAwayShare = 0.2
+	maximumAwayShare = 0.34
 	// peakMemory is how fast the remembered peak of the demand fades.
-	peakMemory = 5 * time.Second
+	peakMemory = 2500 * time.Millisecond
 )
 
 // Planner plans for one service.
@@ -118,7 +122,7 @@
 	switch {
 	case wanted > generating:
 		return p.change(now, input, true, "generating replicas are short")
-	case wanted < generating && !input.Restless:
+	case wanted < generating:
 		return p.change(now, input, false, "more replicas can read prompts")
 	}
 	return nil
@@ -128,7 +132,11 @@
 func (p *Planner) observe(now time.Duration, input Input) {
 	fade := math.Exp(-(now - p.at).Seconds() / peakMemory.Seconds())
 	p.at = now
-	p.peak = max(input.Generating, p.peak*fade)
+	streams := input.Expected
+	if streams == 0 {
+		streams = input.Generating
+	}
+	p.peak = max(streams, p.peak*fade)
 	p.reading = max(input.Reading, p.reading*fade)
 }
 
@@ -147,7 +155,11 @@
 		return needed
 	}
 	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
-	comfortable := min(max(int(math.Ceil(p.peak/(slots*targetOccupancy))), floor), most)
+	comfortable := max(int(math.Ceil(p.peak/(slots*targetOccupancy))), floor)
+	if input.Restless {
+		comfortable++
+	}
+	comfortable = min(comfortable, most)
 	readers := total - generating
 	if generating > comfortable && p.reading > busyReading*float64(readers) {
 		return comfortable
@@ -167,30 +179,57 @@
 // change chooses the replica for a change, unless the last one went the other way
 // a short time ago or the policy does not permit it.
 func (p *Planner) change(now time.Duration, input Input, generates bool, reason string) *Change {
-	if p.changed && p.lastWay != generates && now-p.lastChange < settleTime {
+	if p.changed && p.lastWay != generates && now-p.lastChange < settleTime && !(generates && input.overfull()) {
+		return nil
+	}
+	candidates := p.candidates(now, input, generates)
+	if len(candidates) == 0 {
 		return nil
 	}
 	generators, _ := count(input.Replicas)
+	change := Change{
+		ReplicaID:  candidates[0],
+		Candidates: candidates,
+		Generates:  generates,
+		Reason:     reason,
+		Generating: p.peak,
+		Reading:    p.reading,
+		Generators: generators,
+		SinceLast:  now - p.lastChange,
+	}
+	if input.Rules.Permits != nil && !input.Rules.Permits(change) {
+		return nil
+	}
+	p.note(now, change.ReplicaID, generates)
+	return &change
+}
+
+// overfull reports whether more answers are being generated than there is room for.
+func (i Input) overfull() bool {
+	generating, _ := count(i.Replicas)
+	return i.Generating > float64(generating*slotsOf(i.Replicas))
+}
+
+// candidates are the replicas that may be moved to a stage.
+func (p *Planner) candidates(now time.Duration, input Input, generates bool) []string {
+	var ids []string
 	for _, replica := range input.Replicas {
 		if replica.Generates == generates || replica.Changing || replica.Unsettled || p.dwells(now, replica.ID, input.Rules) {
 			continue
 		}
-		change := Change{
-			ReplicaID:  replica.ID,
-			Generates:  generates,
-			Reason:     reason,
-			Generating: p.peak,
-			Reading:    p.reading,
-			Generators: generators,
-			SinceLast:  now - p.lastChange,
-		}
-		if input.Rules.Permits != nil && !input.Rules.Permits(change) {
-			return nil
-		}
-		p.note(now, replica.ID, generates)
-		return &change
+		ids = append(ids, replica.ID)
 	}
-	return nil
+	return ids
+}
+
+// Choose has another of a change's candidates changed than the first.
+func (p *Planner) Choose(now time.Duration, change *Change, id string) {
+	if id == change.ReplicaID {
+		return
+	}
+	delete(p.changedAt, change.ReplicaID)
+	change.ReplicaID = id
+	p.note(now, id, change.Generates)
 }
 
 // dwells reports whether a replica has to keep its stage for now.
