--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -43,8 +43,8 @@
 			t.acknowledged(3)
 			t.readBack("c", 3, platformtest.Configuration(2, nil))
 		}, "after 3 was acknowledged"},
-		"a prompt of another": {func(t *truth) { t.crossed("a", "b") }, "the prompt of b"},
-		"a stream moved whole": {func(t *truth) { t.moved("a", "4", 5) }, ""},
+		"a prompt of another":        {func(t *truth) { t.crossed("a", "b") }, "the prompt of b"},
+		"a stream moved whole":       {func(t *truth) { t.moved("a", "4", 5) }, ""},
 		"a stream moved with a hole": {func(t *truth) { t.moved("a", "3", 5) }, "having sent 5"},
 		"a part of a stream": {func(t *truth) {
 			t.begin("a", true, platformtest.Streamed(eventsFor("a")))
