Have generators read short prompts only

Change: a generator reads a prompt itself only if that takes 0.08 of the pause that streams may make.

--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -277,7 +277,8 @@
 	}
 	apart := d.bestReader(readers, request, urgency, now)
 	handover := d.model(service).Overhead() + d.handovers[service].typical()
-	if harmless && direct.total()+directHarm*direct.busy <= apart.total()+handover {
+	short := direct.busy <= time.Duration(shortShare*float64(request.TargetGap))
+	if short && harmless && direct.total()+directHarm*direct.busy <= apart.total()+handover {
 		return direct
 	}
 	return apart
@@ -307,6 +308,10 @@
 	// directHarm is how many times over the time counts for which a prompt holds up the
 	// streams of a generating replica.
 	directHarm = 2
+	// shortShare of the pause that streams may make is the longest that a generating
+	// replica reads a prompt for. It can't watch the pauses of streams that it does not
+	// hear of, which are most of them where there are many gateways.
+	shortShare = 0.08
 	// pauseShare of the pause that streams may make is used by prompts that are read
 	// between their tokens.
 	pauseShare = 0.6
--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -84,9 +84,9 @@
 
 func TestAGeneratorReadsAPromptOnlyIfItsStreamsHardlyNotice(t *testing.T) {
 	asked := 0
-	short := func(d *directory, gap time.Duration) string {
+	read := func(d *directory, tokens int, gap time.Duration) string {
 		asked++
-		request := readRequest(prompt(relay.PromptPart{ID: fmt.Sprintf("short-%d", asked), Tokens: 400}))
+		request := readRequest(prompt(relay.PromptPart{ID: fmt.Sprintf("short-%d", asked), Tokens: tokens}))
 		request.TargetGap = gap
 		lease, err := d.PlaceReading("s", request)
 		require.NoError(t, err)
@@ -95,20 +95,22 @@
 	}
 	d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
 	d.busy("r", 300*time.Millisecond)
-	assert.Equal(t, "g", short(d, 150*time.Millisecond), "the reader is busy")
-	assert.Equal(t, "r", short(d, 10*time.Millisecond), "a piece would hold streams up for too long")
+	assert.Equal(t, "g", read(d, 200, 150*time.Millisecond), "the reader is busy")
+	assert.Equal(t, "r", read(d, 200, 10*time.Millisecond), "a piece would hold streams up for too long")
+
+	assert.Equal(t, "r", read(d, 2000, 150*time.Millisecond), "it is too long")
 
 	stream := d.PickGenerator("s", nil, "z")
 	stream.StreamBegun("route", false)
 	d.now += 140 * time.Millisecond
 	stream.StreamWentOn()
 	d.busy("r", 300*time.Millisecond)
-	assert.Equal(t, "r", short(d, 150*time.Millisecond), "its streams pause for long already")
+	assert.Equal(t, "r", read(d, 200, 150*time.Millisecond), "its streams pause for long already")
 	d.now += 5 * time.Second
 	d.busy("r", 300*time.Millisecond)
-	assert.Equal(t, "g", short(d, 150*time.Millisecond), "that was long ago")
+	assert.Equal(t, "g", read(d, 200, 150*time.Millisecond), "that was long ago")
 	d.busy("r", 0)
-	assert.Equal(t, "r", short(d, 150*time.Millisecond), "the reader is idle")
+	assert.Equal(t, "r", read(d, 200, 150*time.Millisecond), "the reader is idle")
 }
 
 func TestMovesBetweenReplicasTakeTheirTime(t *testing.T) {
