Count refused prompts as demand; share a shortage of both stages

Change: refused prompts count as demand for reading. Where both stages together need more replicas than there are, each gets the same share of what it needs, generators by the lower occupancy and no fewer than their least share.

--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -234,6 +234,8 @@
 	}
 	best = d.bestPlace(service, readers, generators, request, Late, now)
 	if !best.hasLateRoom(request, now) {
+		// It is demand all the same.
+		d.noteRead(service, best.busy/slowness(best.replica))
 		return nil, noRoom(request, &best)
 	}
 	return d.leaseReading(best, request, Late, len(readers)+len(generators)), nil
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -87,6 +87,8 @@
 	// busyReading is the utilisation of readers from which on another one is
 	// worth a change.
 	busyReading = 0.45
+	// fullReading is the utilisation up to which readers can be used.
+	fullReading = 0.9
 	// minimumReplicas of each stage are kept if there are as many.
 	minimumReplicas = 2
 	// settleTime is the least time between a change towards one stage and one
@@ -151,10 +153,13 @@
 		initial := int(math.Ceil(initialGeneratingShare * float64(total)))
 		return min(max(initial, needed), most)
 	}
+	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
+	if even, short := p.evenShortage(slots, total); short {
+		return min(max(even, min(floor, generating)), most)
+	}
 	if generating < needed {
 		return needed
 	}
-	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
 	comfortable := max(int(math.Ceil(p.peak/(slots*targetOccupancy))), floor)
 	if input.Restless {
 		comfortable++
@@ -167,6 +172,18 @@
 	return generating
 }
 
+// evenShortage is the number of replicas that should generate while there are too few for
+// both stages: each gets the same share of those that it needs. Generators count at the
+// lower occupancy: what has been read is of no use until one takes it.
+func (p *Planner) evenShortage(slots float64, total int) (generating int, short bool) {
+	forPrompts := p.reading / fullReading
+	if p.peak/(slots*fullOccupancy)+forPrompts <= float64(total) {
+		return 0, false
+	}
+	forStreams := p.peak / (slots * targetOccupancy)
+	return int(math.Round(float64(total) * forStreams / (forStreams + forPrompts))), true
+}
+
 // maximumAway is how many of a number of replicas may change at the same time.
 func (r Rules) maximumAway(total int) int {
 	most := max(1, int(maximumAwayShare*float64(total)))
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -167,6 +167,16 @@
 	assert.Contains(t, next.Candidates, change.Candidates[0])
 }
 
+func TestAShortageOfBothStagesIsShared(t *testing.T) {
+	input := stageplan.Input{Replicas: fleet(14, 4), Generating: 300, Reading: 20, Known: true}
+	settle(t, &stageplan.Planner{}, 0, input)
+	assert.Equal(t, 7, count(input.Replicas), "16 of 38 that would be needed")
+
+	streams := stageplan.Input{Replicas: fleet(14, 4), Generating: 600, Reading: 2, Known: true}
+	settle(t, &stageplan.Planner{}, 0, streams)
+	assert.Equal(t, 16, count(streams.Replicas))
+}
+
 // apply carries a change out at once.
 func apply(replicas []stageplan.Replica, change *stageplan.Change) {
 	for index := range replicas {
