Let a replica whose disk refuses writes stand still instead of ending

Ruled out: blocking the write until it succeeds (the replica could not be asked nor stopped meanwhile, and virtual time can't play it); repeating a failed sync (nothing is known of the data then: the process still ends).

Change: a write that the operating system refuses before any sync leaves the storage usable: what a refused write left is cut off before the next one, and nothing is written to a full segment once its successor may have been created. A coordinator that starts on a full disk waits.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/pierhaven/pierhaven/bench/faultproxy"
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
@@ -71,6 +73,26 @@
 	}
 }
 
+// limitFiles bounds the size in bytes to which the process's files may grow.
+func (p *process) limitFiles(bytes uint64) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	return unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+}
+
+// hasEnded reports whether the process has ended.
+func (p *process) hasEnded() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	coordinators = 3
 	gateways     = 2
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/pierhaven/pierhaven/bench/faultproxy"
 )
 
@@ -27,6 +29,7 @@
 	{"hang up", func(s *soak, _ context.Context) { s.anyOf(s.fleet.all()).signal(syscall.SIGHUP) }},
 	{"kill all coordinators", (*soak).killAll},
 	{"wipe a disk", (*soak).wipe},
+	{"refuse a coordinator's writes", func(s *soak, ctx context.Context) { s.refuseWrites(ctx, s.anyOf(s.fleet.coordinators)) }},
 	{"cut a coordinator off", func(s *soak, ctx context.Context) {
 		name := s.anyOf(s.fleet.coordinators).name
 		s.disturb(ctx, cutOff, faultproxy.Match{Source: name}, faultproxy.Match{Destination: name})
@@ -131,5 +134,22 @@
 	pause(ctx, settleTime)
 }
 
+// refuseWrites lets a process's files grow no more for a time, so that its writes fail as
+// on a full disk. The process has to stay up.
+func (s *soak) refuseWrites(ctx context.Context, harmed *process) {
+	if err := harmed.limitFiles(0); err != nil {
+		return
+	}
+	pause(ctx, time.Duration(300+s.random.IntN(3500))*time.Millisecond)
+	if harmed.hasEnded() {
+		s.truth.mutex.Lock()
+		s.truth.violate("%s has ended because its disk refused writes", harmed.name)
+		s.truth.mutex.Unlock()
+		s.startAgain(harmed)
+		return
+	}
+	_ = harmed.limitFiles(unix.RLIM_INFINITY)
+}
+
 // settleTime is how long a lost machine still counts as lost after its return.
 const settleTime = 4 * time.Second
--- a/coordination/replica/errors.go
+++ b/coordination/replica/errors.go
@@ -22,6 +22,9 @@
 	// ErrTooLarge says that a command is over Config.MaxCommandBytes; the
 	// request was not run.
 	ErrTooLarge = errors.New("command is too large")
+	// ErrNotWritable says that the disk refuses writes at present; the request
+	// was not run.
+	ErrNotWritable = errors.New("disk refuses writes")
 	// ErrStopped says that the replica has stopped; the request was not run.
 	ErrStopped = errors.New("replica has stopped")
 	// ErrReplicaQuarantined says that the replica's data is damaged; it takes
--- a/coordination/replica/flush.go
+++ b/coordination/replica/flush.go
@@ -6,15 +6,24 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/coordination/consensus"
+	"github.com/pierhaven/pierhaven/coordination/storage"
 )
 
 // flush carries out what the core has ready, in the order that Ready demands.
 func (n *Node) flush() error {
+	if n.stalled.isOn() {
+		return nil
+	}
 	if n.core.HasLostEntries() {
 		return n.quarantine()
 	}
 	for n.core.HasReady() {
-		if err := n.carryOut(n.core.Ready()); err != nil {
+		err := n.carryOut(n.core.Ready())
+		if errors.Is(err, storage.ErrNotWritten) {
+			n.stall(err)
+			return nil
+		}
+		if err != nil {
 			return n.fail(err)
 		}
 		n.core.Advance()
@@ -27,7 +36,12 @@
 	if n.now-n.lastSave < sealDelay {
 		return nil
 	}
-	if err := n.storage.Seal(); err != nil {
+	err := n.storage.Seal()
+	if errors.Is(err, storage.ErrNotWritten) {
+		n.lastSave = n.now
+		return nil
+	}
+	if err != nil {
 		return n.fail(err)
 	}
 	return nil
@@ -44,7 +58,10 @@
 }
 
 func (n *Node) carryOut(ready consensus.Ready) error {
-	n.sendMessages(ready.MessagesBeforeSync)
+	if !n.stalled.isRetry {
+		n.sendMessages(ready.MessagesBeforeSync)
+	}
+	n.stalled.isRetry = false
 	if ready.HardState != nil {
 		if err := n.storage.Save(*ready.HardState, ready.Entries, ready.Snapshot); err != nil {
 			return err
--- a/coordination/replica/founding.go
+++ b/coordination/replica/founding.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -96,6 +97,9 @@
 	if n.failure != nil {
 		return FoundingPromise{}, n.failure
 	}
+	if n.stalled.isOn() {
+		return FoundingPromise{}, ErrNotWritable
+	}
 	identity := n.storage.Identity()
 	promise := FoundingPromise{Group: request.Group, Token: request.Token, Replica: identity.ReplicaID}
 	if request.Group != n.config.Group || request.Token == 0 {
@@ -109,7 +113,11 @@
 	}
 	identity.Stage = storage.StagePromised
 	identity.FoundingToken = request.Token
-	if err := n.storage.InstallIdentity(identity); err != nil {
+	err := n.storage.InstallIdentity(identity)
+	if errors.Is(err, storage.ErrNotWritten) {
+		return FoundingPromise{}, errors.Join(ErrNotWritable, err)
+	}
+	if err != nil {
 		return FoundingPromise{}, n.fail(err)
 	}
 	n.core.PromiseFounding(request.Token)
@@ -128,7 +136,7 @@
 		return Outputs{}, n.failure
 	}
 	var refused error
-	outputs, err := n.run(func() { refused = n.found(now, founding) })
+	outputs, err := n.run(now, func() { refused = n.found(now, founding) })
 	if err != nil {
 		return outputs, err
 	}
@@ -136,6 +144,9 @@
 }
 
 func (n *Node) found(now time.Duration, founding Founding) error {
+	if n.stalled.isOn() {
+		return ErrNotWritable
+	}
 	if err := n.checkFounding(founding); err != nil {
 		return err
 	}
--- a/coordination/replica/node.go
+++ b/coordination/replica/node.go
@@ -38,6 +38,7 @@
 	proposals proposalQueue
 	reads     readQueue
 	outputs   Outputs
+	stalled   stall
 	// send takes messages at once instead of collecting them in outputs.
 	send    func([]consensus.Message)
 	failure error
@@ -105,17 +106,27 @@
 
 // Tick lets the time pass; call it every tenth of a heartbeat interval or so.
 func (n *Node) Tick(now time.Duration) (Outputs, error) {
-	return n.run(func() { n.tick(now) })
+	return n.run(now, func() { n.tick(now) })
 }
 
 func (n *Node) tick(now time.Duration) {
-	n.now = now
+	if n.stalled.isOn() {
+		return
+	}
 	n.core.Tick(now)
 }
 
+// step takes in a message. A stalled replica drops it.
+func (n *Node) step(now time.Duration, message consensus.Message) {
+	if n.stalled.isOn() {
+		return
+	}
+	n.core.Step(now, message)
+}
+
 // Receive takes in a message from another replica.
 func (n *Node) Receive(now time.Duration, message consensus.Message) (Outputs, error) {
-	return n.run(func() { n.core.Step(now, message) })
+	return n.run(now, func() { n.step(now, message) })
 }
 
 // Propose asks for one command to be committed and applied.
@@ -125,39 +136,43 @@
 
 // ProposeBatch asks for many commands to be committed with one sync.
 func (n *Node) ProposeBatch(now time.Duration, proposals []Proposal) (Outputs, error) {
-	return n.run(func() { n.propose(now, proposals) })
+	return n.run(now, func() { n.propose(now, proposals) })
 }
 
 // ReadBarrier asks to be told when the state machine is no older than this call.
 func (n *Node) ReadBarrier(now time.Duration, requestID uint64) (Outputs, error) {
-	return n.run(func() { n.readBarrier(now, requestID) })
+	return n.run(now, func() { n.readBarrier(now, requestID) })
 }
 
 // ChangeMembership asks for one membership change. It completes like a
 // proposal; besides the errors of proposals it may be refused with the
 // errors of consensus.Core.ProposeMembership.
 func (n *Node) ChangeMembership(now time.Duration, requestID uint64, change consensus.MembershipChange) (Outputs, error) {
-	return n.run(func() { n.changeMembership(now, requestID, change) })
+	return n.run(now, func() { n.changeMembership(now, requestID, change) })
 }
 
 // Transfer asks the leader to hand leadership to target, or to the active
 // voter with the longest log if target is zero. A refusal comes as a
 // completion of requestID; there is none when the transfer has begun.
 func (n *Node) Transfer(now time.Duration, requestID uint64, target consensus.ReplicaID) (Outputs, error) {
-	return n.run(func() {
-		if err := n.core.TransferLeadership(now, target); err != nil {
-			n.complete(Completion{RequestID: requestID, Err: n.refusal(err)})
+	return n.run(now, func() {
+		if err := n.transfer(now, target); err != nil {
+			n.complete(Completion{RequestID: requestID, Err: err})
 		}
 	})
 }
 
 // run carries out one input and all that follows from it.
-func (n *Node) run(input func()) (Outputs, error) {
+func (n *Node) run(now time.Duration, input func()) (Outputs, error) {
 	if n.failure != nil {
 		return Outputs{}, n.failure
 	}
-	input()
-	err := n.flush()
+	n.now = max(n.now, now)
+	err := n.endStall()
+	if err == nil {
+		input()
+		err = n.flush()
+	}
 	outputs := n.outputs
 	n.outputs = Outputs{}
 	return outputs, err
@@ -191,6 +206,11 @@
 		MembershipIndex: core.ConfigurationIndex,
 		Syncs:           n.storage.Syncs(),
 		Err:             n.failure,
+		Stalled:         n.stalled.cause,
+	}
+	if n.stalled.isOn() {
+		status.Role = consensus.RoleFollower
+		status.Leader = 0
 	}
 	for _, member := range core.Configuration.Members {
 		known := core.Progress[member.ID]
--- a/coordination/replica/requests.go
+++ b/coordination/replica/requests.go
@@ -16,7 +16,9 @@
 		commands[position] = proposals[position].Command
 	}
 	var refused error
-	if accepted > 0 {
+	if n.stalled.isOn() {
+		refused = ErrNotWritable
+	} else if accepted > 0 {
 		refused = n.proposeCommands(now, proposals[:accepted], commands)
 	}
 	if refused != nil {
@@ -68,6 +70,10 @@
 }
 
 func (n *Node) changeMembership(now time.Duration, requestID uint64, change consensus.MembershipChange) {
+	if n.stalled.isOn() {
+		n.complete(Completion{RequestID: requestID, Err: ErrNotWritable})
+		return
+	}
 	position, err := n.core.ProposeMembership(now, change)
 	if err != nil {
 		n.complete(Completion{RequestID: requestID, Err: n.refusal(err)})
@@ -77,13 +83,27 @@
 }
 
 func (n *Node) readBarrier(now time.Duration, requestID uint64) {
-	if err := n.core.ReadIndex(now, requestID); err != nil {
-		n.outputs.Reads = append(n.outputs.Reads, ReadCompletion{RequestID: requestID, Err: n.refusal(err)})
+	if err := n.readIndex(now, requestID); err != nil {
+		n.outputs.Reads = append(n.outputs.Reads, ReadCompletion{RequestID: requestID, Err: err})
 		return
 	}
 	n.reads.add(requestID, n.core.SoftState().Term)
 }
 
+func (n *Node) readIndex(now time.Duration, requestID uint64) error {
+	if n.stalled.isOn() {
+		return ErrNotWritable
+	}
+	return n.refusal(n.core.ReadIndex(now, requestID))
+}
+
+func (n *Node) transfer(now time.Duration, target consensus.ReplicaID) error {
+	if n.stalled.isOn() {
+		return ErrNotWritable
+	}
+	return n.refusal(n.core.TransferLeadership(now, target))
+}
+
 // refusal turns the core's error into one of this package where there is one.
 func (n *Node) refusal(err error) error {
 	if errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrTransferring) {
--- a/coordination/replica/runner.go
+++ b/coordination/replica/runner.go
@@ -185,9 +185,9 @@
 
 func (r *Runner) carryOut(inputs *inputs) error {
 	now := r.now()
-	outputs, err := r.node.run(func() {
+	outputs, err := r.node.run(now, func() {
 		for _, message := range inputs.messages {
-			r.node.core.Step(now, message)
+			r.node.step(now, message)
 		}
 		if inputs.tick {
 			r.node.tick(now)
--- a/coordination/replica/runner_requests.go
+++ b/coordination/replica/runner_requests.go
@@ -50,8 +50,7 @@
 	case request.change != nil:
 		r.node.changeMembership(now, id, *request.change)
 	case request.transfer:
-		err := r.node.core.TransferLeadership(now, 0)
-		r.node.complete(Completion{RequestID: id, Err: r.node.refusal(err)})
+		r.node.complete(Completion{RequestID: id, Err: r.node.transfer(now, 0)})
 	case request.promise != nil:
 		promise, err := r.node.PromiseFounding(request.promise.request)
 		request.promise.promise = promise
--- a/coordination/replica/runner_status.go
+++ b/coordination/replica/runner_status.go
@@ -17,9 +17,12 @@
 const (
 	LogVoteCast      = "vote cast"
 	LogSnapshotTaken = "snapshot taken"
+	LogWriteRefused  = "disk refuses writes"
+	LogWriteAccepted = "disk takes writes again"
 )
 
-// logProgress writes a line for each vote and each snapshot since a status.
+// logProgress writes a line for each vote, each snapshot and each stall since a
+// status.
 func (r *Runner) logProgress(before, status *Status) {
 	if before == nil {
 		return
@@ -28,6 +31,12 @@
 		r.config.Logger.Info(LogVoteCast, "group", r.config.Group, "term", status.Term,
 			"candidate", fmt.Sprintf("%x", uint64(status.Vote)), "commit", status.CommitIndex, "last", status.LastIndex)
 	}
+	if status.Stalled != nil && before.Stalled == nil {
+		r.config.Logger.Error(status.Stalled, LogWriteRefused, "group", r.config.Group, "commit", status.CommitIndex, "last", status.LastIndex)
+	}
+	if status.Stalled == nil && before.Stalled != nil {
+		r.config.Logger.Info(LogWriteAccepted, "group", r.config.Group, "commit", status.CommitIndex, "last", status.LastIndex)
+	}
 	if status.SnapshotIndex != before.SnapshotIndex {
 		r.config.Logger.Info(LogSnapshotTaken, "group", r.config.Group, "index", status.SnapshotIndex, "applied", status.AppliedIndex)
 	}
--- a/coordination/replica/snapshot.go
+++ b/coordination/replica/snapshot.go
@@ -95,16 +95,20 @@
 	return n.storage.PrepareSnapshot(job.snapshot)
 }
 
-// finishSnapshot puts a written snapshot in force. A full disk only delays the
-// next one.
+// finishSnapshot puts a written snapshot in force. A disk that refuses writes
+// only delays the next one.
 func (n *Node) finishSnapshot(snapshot consensus.Snapshot, err error) error {
-	if errors.Is(err, storage.ErrDiskFull) {
+	if err == nil {
+		err = n.installPrepared(snapshot)
+	}
+	if errors.Is(err, storage.ErrNotWritten) {
 		n.storage.RemovePrepared(snapshot.Index)
 		return nil
 	}
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+func (n *Node) installPrepared(snapshot consensus.Snapshot) error {
 	keepAfter := n.core.StartOfTail(snapshot.Index,
 		n.config.SnapshotEntries/trailingFraction, n.config.SnapshotLogBytes/trailingFraction)
 	if err := n.storage.InstallPrepared(snapshot.Index, keepAfter); err != nil {
--- /dev/null
+++ b/coordination/replica/stall_test.go
@@ -0,0 +1,65 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/coordination/storage"
+)
+
+// TestALeaderWithAFullDiskStandsStill proves that a full disk ends no process: another
+// replica leads meanwhile, and the stalled one takes part again by itself.
+func TestALeaderWithAFullDiskStandsStill(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(seed, 3, plant{})
+		c.clients.start()
+		c.runFor(2 * time.Second)
+		stalled := c.leader()
+		require.NotNil(t, stalled)
+		node, applied := stalled.node, stalled.node.Applied()
+
+		stalled.disk.SetCapacity(stalled.disk.UsedBytes() + int64(seed))
+		c.runFor(3 * time.Second)
+		require.Empty(t, c.checks.violation, "seed %d", seed)
+		require.Same(t, node, stalled.node, "the process has stayed up")
+		status := node.Status()
+		require.ErrorIs(t, status.Stalled, storage.ErrDiskFull)
+		require.EqualValues(t, 0, status.Leader, "a stalled replica does not claim to lead")
+		leader := c.leader()
+		require.NotNil(t, leader)
+		require.NotSame(t, stalled, leader)
+		require.Greater(t, leader.node.Applied(), applied, "the others go on")
+
+		stalled.disk.SetCapacity(0)
+		c.runFor(3 * time.Second)
+		c.clients.stopped = true
+		c.runFor(time.Second)
+		require.Empty(t, c.checks.violation, "seed %d", seed)
+		require.Same(t, node, stalled.node)
+		require.NoError(t, node.Status().Stalled)
+		require.Equal(t, c.leader().node.Applied(), node.Applied())
+		c.checks.linearizable()
+		require.Empty(t, c.checks.violation, "seed %d", seed)
+	}
+}
+
+// TestAStalledReplicaRefusesRequests proves that nothing is taken that can't be written.
+func TestAStalledReplicaRefusesRequests(t *testing.T) {
+	c := newCluster(1, 1, plant{})
+	c.runFor(2 * time.Second)
+	m := c.leader()
+	m.disk.SetCapacity(m.disk.UsedBytes())
+	taken, err := m.node.Propose(m.now(), 1, []byte("first"))
+	require.NoError(t, err)
+	require.ErrorIs(t, taken.Completed[0].Err, ErrOutcomeUnknown, "it is in the log, and may be saved later")
+	refused, err := m.node.Propose(m.now(), 2, []byte("second"))
+	require.NoError(t, err)
+	require.ErrorIs(t, refused.Completed[0].Err, ErrNotWritable)
+	read, err := m.node.ReadBarrier(m.now(), 3)
+	require.NoError(t, err)
+	require.ErrorIs(t, read.Reads[0].Err, ErrNotWritable)
+	_, err = m.node.PromiseFounding(FoundingRequest{Group: testGroup, Token: 5})
+	require.ErrorIs(t, err, ErrNotWritable)
+}
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -117,6 +117,8 @@
 	// MembershipIndex is the position of Members in the log; they are
 	// committed if CommitIndex has reached it.
 	MembershipIndex uint64
+	// Stalled is the error of the write that the disk refuses, or nil.
+	Stalled error
 	// Quarantined is the reason why the replica takes no part, or nil.
 	Quarantined error
 	// Err is the error that has stopped the replica, or nil.
--- a/coordination/storage/errors.go
+++ b/coordination/storage/errors.go
@@ -18,8 +18,12 @@
 	// ErrSyncFailed says that a sync failed, after which nothing is known of
 	// the data on disk. The process has to end; the sync is never repeated.
 	ErrSyncFailed = errors.New("sync failed")
-	// ErrDiskFull says that the disk has no space left.
+	// ErrDiskFull says that the disk has no space left. It is a kind of
+	// ErrNotWritten.
 	ErrDiskFull = errors.New("disk is full")
+	// ErrNotWritten says that the operating system has refused a write before
+	// any sync. Nothing rests on it: the call may be made again, at any time.
+	ErrNotWritten = errors.New("write was refused")
 	// ErrFailed says that an earlier error has ended the use of this storage.
 	ErrFailed = errors.New("storage has failed before")
 	// ErrSnapshotTooLarge says that a snapshot is over 4 GiB.
@@ -64,9 +68,11 @@
 // Unwrap returns the operating system's error.
 func (e *IOError) Unwrap() error { return e.Err }
 
-// Is makes errors.Is hold for ErrSyncFailed and ErrDiskFull.
+// Is makes errors.Is hold for ErrSyncFailed, ErrDiskFull and ErrNotWritten.
 func (e *IOError) Is(target error) bool {
 	switch target {
+	case ErrNotWritten:
+		return e.isRefusal()
 	case ErrSyncFailed:
 		return e.Operation == operationSync
 	case ErrDiskFull:
@@ -76,4 +82,13 @@
 	}
 }
 
+// isRefusal reports whether the operating system has refused to write.
+func (e *IOError) isRefusal() bool {
+	var number syscall.Errno
+	return errors.As(e.Err, &number) && writeOperations[e.Operation]
+}
+
+// writeOperations may be tried again after the operating system has refused them.
+var writeOperations = map[string]bool{"create": true, "write": true, "truncate": true, "rename": true}
+
 const operationSync = "sync"
--- a/coordination/storage/save.go
+++ b/coordination/storage/save.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"path"
 
 	"github.com/pierhaven/pierhaven/coordination/consensus"
@@ -8,7 +9,8 @@
 
 // Save makes a hard state, the entries that replace all saved ones from their
 // first position on, and a snapshot that replaces the whole log durable, with
-// one sync of the log. The snapshot may be nil.
+// one sync of the log. The snapshot may be nil. After ErrNotWritten all of it
+// has to be saved again before anything else.
 func (s *Storage) Save(hardState consensus.HardState, entries []consensus.Entry, snapshot *consensus.Snapshot) error {
 	if s.failure != nil {
 		return s.failed()
@@ -32,7 +34,17 @@
 			return err
 		}
 	}
-	return s.closeFullSegment()
+	return s.closeEarly()
+}
+
+// closeEarly begins a new segment before it is needed. If the disk refuses that,
+// the next batch begins it.
+func (s *Storage) closeEarly() error {
+	err := s.closeFullSegment()
+	if errors.Is(err, ErrNotWritten) {
+		return nil
+	}
+	return err
 }
 
 // installSnapshot makes a snapshot durable that came from the leader.
@@ -65,6 +77,12 @@
 const maxKeptBuffer = 1 << 20
 
 func (s *Storage) appendBatch(saved batch) error {
+	if err := s.closeFullSegment(); err != nil {
+		return err
+	}
+	if err := s.cutTornWrite(); err != nil {
+		return err
+	}
 	active := &s.segments[len(s.segments)-1]
 	frame, err := saved.MarshalMsg(append(s.buffer[:0], make([]byte, frameHeaderBytes)...))
 	if err != nil {
@@ -75,6 +93,7 @@
 	}
 	sealFrame(frame, active.sequence, active.bytes)
 	if _, err := s.active.Write(frame); err != nil {
+		s.isTorn = true
 		return &IOError{Operation: "write", Path: active.path, Err: err}
 	}
 	if err := s.syncActive(); err != nil {
@@ -115,6 +134,22 @@
 	return nil
 }
 
+// cutTornWrite removes what a refused write may have left: no valid frame may
+// stand behind it.
+func (s *Storage) cutTornWrite() error {
+	if !s.isTorn {
+		return nil
+	}
+	active := s.segments[len(s.segments)-1]
+	if err := s.active.Truncate(active.bytes); err != nil {
+		return &IOError{Operation: "truncate", Path: active.path, Err: err}
+	}
+	s.isTorn = false
+	return nil
+}
+
+// closeFullSegment begins a new segment if the active one is full. Nothing more
+// is written to a segment once its successor may have been created.
 func (s *Storage) closeFullSegment() error {
 	active := s.segments[len(s.segments)-1]
 	if active.bytes < s.options.SegmentBytes {
--- a/coordination/storage/snapshot.go
+++ b/coordination/storage/snapshot.go
@@ -66,7 +66,7 @@
 }
 
 // SaveSnapshot is PrepareSnapshot and InstallPrepared in one. An error that is
-// ErrDiskFull leaves the storage usable: the log then only stays longer.
+// ErrNotWritten leaves the storage usable: the log then only stays longer.
 func (s *Storage) SaveSnapshot(snapshot consensus.Snapshot, keepAfter uint64) error {
 	if s.failure != nil {
 		return s.failed()
@@ -75,7 +75,7 @@
 		return nil
 	}
 	err := s.PrepareSnapshot(snapshot)
-	if errors.Is(err, ErrDiskFull) {
+	if errors.Is(err, ErrNotWritten) {
 		s.RemovePrepared(snapshot.Index)
 		return err
 	}
--- a/coordination/storage/storage.go
+++ b/coordination/storage/storage.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"path"
@@ -25,7 +26,8 @@
 }
 
 // Storage is the open data folder of one replica. It is not safe for
-// concurrent use. After an error of Save or InstallIdentity it is unusable.
+// concurrent use. After an error of a method it is unusable, unless the error
+// wraps ErrNotWritten: then the call may be made again.
 type Storage struct {
 	options  Options
 	lock     io.Closer
@@ -38,8 +40,11 @@
 	buffer        []byte
 	// isSealed says that the last frame holds nothing that could be lost.
 	isSealed bool
-	failure  error
-	syncs    uint64
+	// isTorn says that the active segment may hold a part of a refused write
+	// behind its valid frames.
+	isTorn  bool
+	failure error
+	syncs   uint64
 }
 
 // Open opens or creates a data folder and returns what is in it. Damage gives
@@ -205,7 +210,11 @@
 	return s.lock.Close()
 }
 
+// fail ends the use of the storage, except after a refused write.
 func (s *Storage) fail(err error) error {
+	if errors.Is(err, ErrNotWritten) {
+		return err
+	}
 	s.failure = err
 	return err
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -37,7 +37,8 @@
 	members   memberWatch
 }
 
-// New opens the data folder; Run starts the work.
+// New opens the data folder, and waits for a disk that refuses writes; Run starts the
+// work.
 func New(settings Settings) (*Coordinator, error) {
 	if settings.Listen == "" {
 		settings.Listen = settings.Address
@@ -66,7 +67,7 @@
 		started:   started,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 	}
-	c.group, err = replication.Open(replication.Options{
+	c.group, err = replication.OpenPatiently(replication.Options{
 		Name:             groupName,
 		Number:           groupNumber,
 		Directory:        settings.DataFolder,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -89,6 +89,10 @@
 	VoteCast Event = replica.LogVoteCast
 	// SnapshotTaken: the log up to a position is replaced by the state.
 	SnapshotTaken Event = replica.LogSnapshotTaken
+	// WriteRefused: the disk of a process takes no writes, so that its replica stands
+	// still until WriteAccepted.
+	WriteRefused  Event = replica.LogWriteRefused
+	WriteAccepted Event = replica.LogWriteAccepted
 	// LeadershipHandedOver: a leader stops by plan.
 	LeadershipHandedOver Event = "handed leadership over"
 	// GroupFounded: the seeds have founded the group.
@@ -163,6 +167,8 @@
 		LeaderChanged,
 		VoteCast,
 		SnapshotTaken,
+		WriteRefused,
+		WriteAccepted,
 		LeadershipHandedOver,
 		GroupFounded,
 		FoundingUntold,
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -11,6 +11,7 @@
 	"github.com/pierhaven/pierhaven/coordination/consensus"
 	"github.com/pierhaven/pierhaven/coordination/replica"
 	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 )
@@ -46,6 +47,26 @@
 	timeout time.Duration
 }
 
+// openRetryInterval is the time between attempts to open a data folder on a disk
+// that refuses writes.
+const openRetryInterval = 500 * time.Millisecond
+
+// OpenPatiently is Open, but waits for a disk that refuses writes.
+func OpenPatiently(options Options, transport *Transport) (*Group, error) {
+	refused := false
+	for {
+		g, err := Open(options, transport)
+		if !errors.Is(err, storage.ErrNotWritten) {
+			return g, err
+		}
+		if !refused {
+			options.Logger.Info(event.WriteRefused, "folder", options.Directory, "error", err.Error())
+			refused = true
+		}
+		time.Sleep(openRetryInterval)
+	}
+}
+
 // Open opens the replica's data folder and registers its routes. It does not
 // start it.
 func Open(options Options, transport *Transport) (*Group, error) {
@@ -132,7 +153,7 @@
 		return failure.Wrap(err, failure.BodyTooLarge)
 	case errors.Is(err, replica.ErrStopped):
 		return failure.Wrap(err, failure.Leaving)
-	case errors.Is(err, replica.ErrReplicaQuarantined):
+	case errors.Is(err, replica.ErrReplicaQuarantined), errors.Is(err, replica.ErrNotWritable):
 		return failure.Wrap(err, failure.StorageFailed, failure.WithRan(failure.RanNo))
 	default:
 		return failure.Wrap(err, failure.OutcomeUnknown)
