--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -189,7 +189,7 @@
 // PickGenerator leases a replica that generates, near a zone, for a prompt that has
 // been read.
 func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
-	return d.pick(service, excluded, ofStage(region.StageDecode), packScore{loadScore{zone: zone, distance: 0.05}})
+	return d.pick(service, excluded, ofStage(region.StageDecode), loadScore{zone: zone, distance: 0.05})
 }
 
 // PickRoom leases a replica that has room for a stream that another has to give up, nil if
@@ -205,22 +205,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	return d.lease(lowest(candidates, packScore{loadScore{zone: from.Zone, distance: 0.05}}, now))
-}
-
-// packScore fills one generating replica after the other, so that others are left free:
-// to read prompts, or to change their stage without having to wait for streams.
-type packScore struct{ loadScore }
-
-// packLimit is the occupancy up to which a replica is filled.
-const packLimit = 0.6
-
-func (s packScore) score(replica *Replica, now time.Duration) float64 {
-	score := s.loadScore.score(replica, now)
-	if occupancy := replica.occupancy(now); occupancy < packLimit {
-		score += packLimit - 2*occupancy
-	}
-	return score
+	return d.lease(lowest(candidates, loadScore{zone: from.Zone, distance: 0.05}, now))
 }
 
 func anyReplica(*Replica) bool { return true }
