Let stopped test processes listen again at addresses that no connection takes

Shown by a probe: with the range of a connection's local port set to the given-back port alone, connecting takes it and listening fails with 'address already in use', on another loopback address it succeeds.

Change: such tests listen at a loopback address of their process; the two copies of freeAddress are one package; a controller that ends by itself is told in the test's log.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -19,6 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/controller"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/testnet"
 )
 
 // patience bounds every wait for a condition; a sound run needs far less.
@@ -73,7 +73,7 @@
 
 func newMember(t *testing.T, zone string, number int, plan layout) *member {
 	t.Helper()
-	listener, operatorListener := listen(t), listen(t)
+	listener, operatorListener := testnet.Listen(t), testnet.Listen(t)
 	m := &member{settings: controller.Settings{
 		ID:                    fmt.Sprintf("%s-%d", zone, number),
 		Zone:                  zone,
@@ -99,13 +99,6 @@
 	return m
 }
 
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	return listener
-}
-
 // connect fills in the addresses that the members must know of each other.
 func (c *cluster) connect(plan layout) {
 	var configVoters []string
@@ -157,7 +150,13 @@
 	m.cancel = cancel
 	m.done = make(chan error, 1)
 	done := m.done
-	go func() { done <- process.Run(ctx) }()
+	go func() {
+		err := process.Run(ctx)
+		if ctx.Err() == nil {
+			t.Logf("controller %s has ended by itself: %v", m.settings.ID, err)
+		}
+		done <- err
+	}()
 	// A later start listens by itself.
 	m.settings.Listener, m.settings.OperatorListener = nil, nil
 }
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -22,6 +21,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -73,7 +73,7 @@
 	t.Helper()
 	g := &group{t: t, folder: t.TempDir(), list: &fixedList{}, running: map[string]*process{}}
 	for range 3 {
-		g.addresses = append(g.addresses, freeAddress(t))
+		g.addresses = append(g.addresses, testnet.Address(t))
 	}
 	for _, address := range g.addresses {
 		g.start(address, address, true)
@@ -86,14 +86,6 @@
 	return g
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (g *group) start(address, folder string, bootstrap bool) *process {
 	g.t.Helper()
 	created, err := coordinator.New(coordinator.Settings{
@@ -223,7 +215,7 @@
 	g := newGroup(t)
 	g.replace(g.addresses[0], 3)
 	g.stop(g.addresses[2])
-	successor := freeAddress(t)
+	successor := testnet.Address(t)
 	g.start(successor, "successor", false)
 	g.awaitVote(successor)
 	g.expectEverywhere(3)
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -26,6 +26,7 @@
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
+	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -141,10 +142,10 @@
 	for _, each := range coordinators {
 		seeds = append(seeds, each.address)
 	}
-	g := &gateway{t: t, front: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1)}
+	g := &gateway{t: t, front: testnet.Address(t), ready: testnet.Address(t), done: make(chan error, 1)}
 	created, err := daemon.New(daemon.Settings{
 		Name: "gateway", Zone: "zone", Listen: g.front, ReadyListen: g.ready, ReadyPath: "/ready",
-		PeerListen: freeAddress(t), Seeds: func() []string { return seeds },
+		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTime: 10 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
 		Metrics: telemetry.NewMetrics("test"), Logger: logr.Discard(),
@@ -160,14 +161,6 @@
 	return g
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (g *gateway) readiness() int {
 	answer, err := http.Get("http://" + g.ready + "/ready")
 	if err != nil {
--- /dev/null
+++ b/internal/testnet/testnet.go
@@ -0,0 +1,37 @@
+// Package testnet gives tests loopback addresses at which a stopped process can listen again.
+//
+// A port of 127.0.0.1 that a test has given back may be taken at once as the local port of
+// any connection that is made on the machine, and can't be listened at until that ends.
+// Connections come from 127.0.0.1, so that other loopback addresses are free of them.
+package testnet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Listen listens at a free port of this test process's own loopback address.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", host()+":0")
+	require.NoError(t, err)
+	return listener
+}
+
+// Address is one that a process of the test may listen at, again and again.
+func Address(t *testing.T) string {
+	t.Helper()
+	listener := Listen(t)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// host is the address of this process: no two that run at the same time have the same.
+func host() string {
+	number := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+number>>16&0x3f, number>>8&0xff, number&0xff)
+}
