Count by how much prompts take longer than expected

Change: a gateway learns, by service and stage, by how much its prompts in time took longer than predicted, and adds that when it compares reading at a generator with reading apart.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -26,6 +26,9 @@
 	engines map[string]traffic.Engine
 	// handovers are the times from a prompt's having been read to its first event.
 	handovers timeMeters
+	// excesses are by how much longer than expected prompts have taken, by service and
+	// stage: what other gateways have placed there, and have not told of.
+	excesses timeMeters
 	reads     map[string]*readMeter
 	streams   map[string]streamMeters
 	placed    placements
@@ -44,6 +47,7 @@
 		models:    map[string]*costmodel.Model{},
 		engines:   map[string]traffic.Engine{},
 		handovers: timeMeters{},
+		excesses:  timeMeters{},
 		reads:     map[string]*readMeter{},
 		streams:   map[string]streamMeters{},
 		onDropped: onDropped,
@@ -246,10 +250,20 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	l.Replica.progressAt = l.directory.clock()
+	l.noteExcess()
 	l.noteCost()
 	l.readDone()
 }
 
+// noteExcess learns by how much longer than expected a prompt has taken that waited for
+// no other class. It is called with the mutex held.
+func (l *Lease) noteExcess() {
+	if l.reading == nil || l.reading.urgency != InTime {
+		return
+	}
+	l.directory.excesses.observe(l.Replica.Service+"/"+l.Replica.Stage, l.directory.clock()-l.reading.dueAt)
+}
+
 // noteCost learns from a prompt that a reader has read with nothing else to do. What may
 // have been fetched tells little, and counts only while nothing is known. It is called
 // with the mutex held.
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -280,12 +280,20 @@
 	apart := d.bestReader(readers, request, urgency, now)
 	handover := d.model(service).Overhead() + d.handovers[service].typical()
 	short := direct.busy <= time.Duration(shortShare*float64(request.TargetGap))
-	if short && harmless && direct.total()+directHarm*direct.busy <= apart.total()+handover {
+	directTime := direct.total() + directHarm*direct.busy + d.excess(service, region.StageDecode)
+	apartTime := apart.total() + handover + d.excess(service, region.StagePrefill)
+	if short && harmless && directTime <= apartTime {
 		return direct
 	}
 	return apart
 }
 
+// excess is by how much longer than expected a prompt takes at a stage's replicas. It is
+// called with the mutex held.
+func (d *Directory) excess(service, stage string) time.Duration {
+	return max(d.excesses[service+"/"+stage].typical(), 0)
+}
+
 // bestDirect returns the generating replica that is expected to have read a prompt
 // first, and whether the streams there stay within their pauses meanwhile. It is called
 // with the mutex held.
