Keep room for the streams that run, whatever the forecast says

Full generators are slow, their streams last longer than those that had ended, and the forecast (rate times duration) stayed below what ran.

Change: the demand for generating is the greater of forecast and running streams.

--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -134,11 +134,7 @@
 func (p *Planner) observe(now time.Duration, input Input) {
 	fade := math.Exp(-(now - p.at).Seconds() / peakMemory.Seconds())
 	p.at = now
-	streams := input.Expected
-	if streams == 0 {
-		streams = input.Generating
-	}
-	p.peak = max(streams, p.peak*fade)
+	p.peak = max(input.Expected, input.Generating, p.peak*fade)
 	p.reading = max(input.Reading, p.reading*fade)
 }
 
