Let the settings switch single mechanisms off

Seventeen mechanisms of gateways and coordinators have a name (internal/mechanism); the setting 'without' switches some off, to measure what each is worth. An unknown name is one error with file and field before anything listens. Nothing is off by default.

--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -13,6 +13,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 )
 
 // Settings are those of either process; each checks what it needs.
@@ -66,6 +67,9 @@
 	// MemoryMegabytes is what the process may use, 0 for no bound.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
 	LogVerbosity    int `yaml:"log_verbosity"`
+	// Without names mechanisms that are switched off, to measure what they are worth; see
+	// package mechanism.
+	Without []string `yaml:"without"`
 }
 
 // Process is a kind of process that a settings file is for.
@@ -128,6 +132,9 @@
 	if s.MetricsListen != "" {
 		needAddress("metrics_listen", s.MetricsListen)
 	}
+	if _, err := mechanism.Parse(s.Without); err != nil {
+		report("without: %v", err)
+	}
 	if s.StopSeconds <= 0 {
 		report("stop_seconds must be above 0")
 	}
@@ -183,6 +190,13 @@
 	return time.Duration(s.StopSeconds * float64(time.Second))
 }
 
+// SwitchedOff are the mechanisms that are switched off.
+func (s *Settings) SwitchedOff() mechanism.Set {
+	// Load has checked the names.
+	set, _ := mechanism.Parse(s.Without)
+	return set
+}
+
 // RetryWindow is the window of the retry budget.
 func (s *Settings) RetryWindow() time.Duration {
 	return time.Duration(s.RetryWindowSeconds * float64(time.Second))
--- a/internal/config/regional/settings_test.go
+++ b/internal/config/regional/settings_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/internal/config/regional"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 )
 
 const relaySettings = `
@@ -40,6 +41,13 @@
 	assert.Equal(t, "10.0.0.1:7000", settings.InternalAddress())
 	assert.Equal(t, 8*time.Second, settings.StopTime())
 	assert.Equal(t, 1, settings.Voters())
+	assert.Empty(t, settings.SwitchedOff())
+}
+
+func TestMechanismsAreSwitchedOff(t *testing.T) {
+	settings, err := regional.Load(write(t, relaySettings+"without: [homes, ranks]\n"), regional.ProcessRelay)
+	require.NoError(t, err)
+	assert.Equal(t, mechanism.Set{mechanism.Homes: true, mechanism.Ranks: true}, settings.SwitchedOff())
 }
 
 func TestMistakesAreNamedWithTheFile(t *testing.T) {
@@ -48,6 +56,7 @@
 		"host name for address":   {relaySettings + "operator_listen: x\n" + "listen: example:1\n", "listen"},
 		"missing name":            {"zone: z\n", "name is missing"},
 		"template gap left empty": {"name: \nzone: z\nseeds: []\n", "seeds is empty"},
+		"unknown mechanism":       {relaySettings + "without: [homes, luck]\n", `without: "luck" is not a mechanism`},
 		"not a settings file":     {"[a]\nb = 1\n", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/policy"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
@@ -38,6 +39,8 @@
 	// Policy returns the policy by which replicas change their stage, nil for the
 	// built-in rule alone. It is asked anew each time. nil is no policy.
 	Policy func() *policy.Program
+	// Without are the mechanisms that are switched off.
+	Without mechanism.Set
 	// Lease is how far the orders of two holders must lie apart.
 	Lease time.Duration
 	Codec traffic.Codec
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/stageplan"
 )
@@ -91,7 +92,7 @@
 
 // keepStages plans the stages of the model replicas, at the leader.
 func (c *Coordinator) keepStages(ctx context.Context) {
-	if c.settings.Engines == nil {
+	if c.settings.Engines == nil || c.settings.Without[mechanism.StageChanges] {
 		return
 	}
 	keeper := &stageKeeper{Coordinator: c}
@@ -150,7 +151,7 @@
 	for service, replicas := range modelReplicas(state) {
 		planner, found := k.planners[service]
 		if !found {
-			planner = &stageplan.Planner{}
+			planner = &stageplan.Planner{IgnoreForecast: k.settings.Without[mechanism.Forecast], UnevenShortage: k.settings.Without[mechanism.EvenShortage]}
 			k.planners[service] = planner
 		}
 		input := k.inputFor(now, service, replicas, state.Changes, demand)
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -40,6 +40,7 @@
 	clock := func() time.Duration { return time.Since(started) }
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes})
 	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
+	directory.SwitchOff(settings.Without)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
 	peers := newPeers(settings, directory)
 	keeper := newViewKeeper(settings, client, directory, budgets, peers)
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -24,6 +25,8 @@
 	// Seeds are the internal addresses of coordinators to begin with.
 	Seeds  func() []string
 	Budget relay.BudgetTerms
+	// Without are the mechanisms that are switched off.
+	Without mechanism.Set
 	// LinkBitsPerSecond is the speed of the machine's network link, 0 if it is not known.
 	LinkBitsPerSecond float64
 	// StopTime bounds a planned stop.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -28,14 +29,19 @@
 	handovers timeMeters
 	// excesses are by how much longer than expected prompts have taken, by service and
 	// stage: what other gateways have placed there, and have not told of.
-	excesses timeMeters
+	excesses  timeMeters
 	reads     map[string]*readMeter
 	streams   map[string]streamMeters
 	placed    placements
 	onDropped func(address, instance string)
-	logger    logr.Logger
+	// off are the mechanisms that are switched off.
+	off    mechanism.Set
+	logger logr.Logger
 }
 
+// SwitchOff switches mechanisms off. It is called before any use.
+func (d *Directory) SwitchOff(off mechanism.Set) { d.off = off }
+
 // NewDirectory returns an empty directory. onDropped is told of each incarnation
 // that is gone from the list.
 func NewDirectory(clock func() time.Duration, zone string, onDropped func(address, instance string), logger logr.Logger) *Directory {
@@ -158,7 +164,7 @@
 		dueAt:        l.begun + estimated.total() + d.model(replica.Service).Overhead(),
 	}
 	l.fetchFrom = estimated.from
-	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() {
+	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() && !d.off[mechanism.Fetching] {
 		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
 	}
 	d.noteRead(replica.Service, estimated.busy/slowness(replica))
@@ -268,7 +274,7 @@
 // have been fetched tells little, and counts only while nothing is known. It is called
 // with the mutex held.
 func (l *Lease) noteCost() {
-	if l.reading == nil || !l.reading.alone || l.Replica.Stage != region.StagePrefill {
+	if l.reading == nil || !l.reading.alone || l.Replica.Stage != region.StagePrefill || l.directory.off[mechanism.LearnedCosts] {
 		return
 	}
 	model := l.directory.model(l.Replica.Service)
@@ -324,7 +330,7 @@
 		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
 	}
 	l.Replica.answered(now, now-l.begun, failed)
-	if load != nil {
+	if load != nil && !l.directory.off[mechanism.ReportedLoad] {
 		l.Replica.load = *load
 		l.Replica.loadAt = now
 	}
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -58,6 +59,9 @@
 
 // TakeOutstanding notes a peer's work at replicas: all of it, or what has changed.
 func (d *Directory) TakeOutstanding(gateway string, work []region.OutstandingWork, whole bool) {
+	if d.off[mechanism.Peers] {
+		return
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -37,7 +38,7 @@
 func (d *Directory) soundCandidates(service string, excluded []*Replica, passes func(*Replica) bool, now time.Duration) []*Replica {
 	candidates := d.candidates(service, excluded, passes)
 	sound := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
-	if len(sound) > 0 {
+	if len(sound) > 0 && !d.off[mechanism.Ejection] {
 		return sound
 	}
 	return candidates
@@ -146,7 +147,7 @@
 // called with the mutex held.
 func (d *Directory) homeOf(service, stage string, prompt *Prompt, now time.Duration) *Replica {
 	key := prompt.sharedPart()
-	if key == "" {
+	if key == "" || d.off[mechanism.Homes] {
 		return nil
 	}
 	var home *Replica
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -6,6 +6,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -117,6 +118,9 @@
 func (d *Directory) TakeCosts(costs []region.EngineCost) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.off[mechanism.LearnedCosts] {
+		return
+	}
 	for _, each := range costs {
 		if len(d.services[each.Service]) == 0 {
 			continue
@@ -160,7 +164,7 @@
 // estimate is how long a replica takes to read a prompt of an urgency. It is called
 // with the mutex held.
 func (d *Directory) estimate(replica *Replica, request ReadRequest, urgency Urgency, sources []keeper, now time.Duration) readEstimate {
-	missing := replica.prefixes.missing(request.Prompt)
+	missing := d.missing(replica, request.Prompt)
 	estimated := readEstimate{
 		replica: replica,
 		wait:    replica.allReading(now).before(urgency),
@@ -182,6 +186,15 @@
 	return estimated
 }
 
+// missing are the tokens of a prompt that a replica is expected to read. It is called with
+// the mutex held.
+func (d *Directory) missing(replica *Replica, prompt *Prompt) int {
+	if d.off[mechanism.PrefixAffinity] {
+		return prompt.Tokens
+	}
+	return replica.prefixes.missing(prompt)
+}
+
 // keeper is a replica that keeps the beginning of a prompt.
 type keeper struct {
 	replica *Replica
@@ -191,6 +204,9 @@
 // keepers returns, for each zone, the replica that keeps the most of a prompt's
 // beginning and offers it. It is called with the mutex held.
 func (d *Directory) keepers(service string, prompt *Prompt, now time.Duration) []keeper {
+	if d.off[mechanism.Fetching] {
+		return nil
+	}
 	var best []keeper
 	for _, replica := range d.services[service] {
 		if !replica.offers(now) {
@@ -233,7 +249,7 @@
 		return d.leaseReading(best, request, InTime, len(readers)+len(generators)), nil
 	}
 	best = d.bestPlace(service, readers, generators, request, Late, now)
-	if !best.hasLateRoom(request, now) {
+	if !best.hasLateRoom(request, now) && !d.off[mechanism.EarlyRefusal] {
 		// It is demand all the same.
 		d.noteRead(service, best.busy/slowness(best.replica))
 		return nil, noRoom(request, &best)
@@ -274,7 +290,7 @@
 // called with the mutex held.
 func (d *Directory) bestPlace(service string, readers, generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
 	direct, harmless := d.bestDirect(generators, request, urgency, now)
-	if len(readers) == 0 {
+	if len(readers) == 0 || d.off[mechanism.ReadingApart] {
 		return direct
 	}
 	apart := d.bestReader(readers, request, urgency, now)
@@ -282,7 +298,7 @@
 	short := direct.busy <= time.Duration(shortShare*float64(request.TargetGap))
 	directTime := direct.total() + directHarm*direct.busy + d.excess(service, region.StageDecode)
 	apartTime := apart.total() + handover + d.excess(service, region.StagePrefill)
-	if short && harmless && directTime <= apartTime {
+	if short && harmless && directTime <= apartTime && !d.off[mechanism.DirectReading] {
 		return direct
 	}
 	return apart
@@ -291,6 +307,9 @@
 // excess is by how much longer than expected a prompt takes at a stage's replicas. It is
 // called with the mutex held.
 func (d *Directory) excess(service, stage string) time.Duration {
+	if d.off[mechanism.Excess] {
+		return 0
+	}
 	return max(d.excesses[service+"/"+stage].typical(), 0)
 }
 
@@ -419,7 +438,7 @@
 // Rank orders the prompt, or the stream, at its replica: by the route's priority, what is
 // late behind all others.
 func (l *Lease) Rank(route *traffic.Route) int {
-	if l.reading != nil && l.reading.urgency == Late {
+	if l.reading != nil && l.reading.urgency == Late && !l.directory.off[mechanism.Ranks] {
 		return LastRank
 	}
 	return min(max(route.Priority, 0), LastRank-1)
--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -113,6 +114,30 @@
 	assert.Equal(t, "r", read(d, 200, 150*time.Millisecond), "the reader is idle")
 }
 
+// What other gateways have placed at generators, and have not told of, shows in how long
+// prompts take there.
+func TestPromptsLeaveGeneratorsThatTakeLongerThanExpected(t *testing.T) {
+	place := func(d *directory) *relay.Lease {
+		request := readRequest(ownPrompt(200))
+		request.TargetGap = 150 * time.Millisecond
+		d.busy("r", 300*time.Millisecond)
+		lease, err := d.PlaceReading("s", request)
+		require.NoError(t, err)
+		return lease
+	}
+	for _, off := range []bool{false, true} {
+		d := newTaught(replica("r", region.StagePrefill), replica("g", region.StageDecode))
+		d.SwitchOff(mechanism.Set{mechanism.Excess: off})
+		slow := place(d)
+		require.Equal(t, "g", slow.Replica.ID)
+		d.now += 800 * time.Millisecond
+		slow.PromptRead()
+		slow.Release()
+		next := place(d)
+		assert.Equal(t, off, next.Replica.ID == "g")
+	}
+}
+
 func TestMovesBetweenReplicasTakeTheirTime(t *testing.T) {
 	shared := relay.PromptPart{ID: "shared", Tokens: 8000}
 	for _, test := range []struct {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -191,6 +192,9 @@
 	if r.unknown && !r.call.Route.Repeatable() {
 		return failure.New(failure.OutcomeUnknown, "the request may have run and may not be repeated")
 	}
+	if r.sends > 0 && r.directory.off[mechanism.Retries] {
+		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
+	}
 	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends >= maximumSends {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
@@ -57,7 +58,9 @@
 				first = false
 				lease.Answered(false, marks.Load)
 				r.noteBegun(lease, send)
-				moving = r.watchStream(ctx, lease)
+				if !r.directory.off[mechanism.StreamMoves] {
+					moving = r.watchStream(ctx, lease)
+				}
 			} else {
 				lease.StreamWentOn()
 			}
--- /dev/null
+++ b/internal/relay/switches_test.go
@@ -0,0 +1,55 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// TestASwitchedOffMechanismDoesNotAct holds the switches to what they name.
+func TestASwitchedOffMechanismDoesNotAct(t *testing.T) {
+	request := func(own string) relay.ReadRequest {
+		return relay.ReadRequest{
+			Prompt:    &relay.Prompt{Tokens: 9000, Parts: []relay.PromptPart{{ID: "shared", Tokens: 8000}, {ID: own, Tokens: 1000}}},
+			Objective: time.Second, TargetGap: time.Second, AimLeft: time.Second, Left: 4 * time.Second,
+		}
+	}
+	stageOf := func(off mechanism.Set) string {
+		d := newDirectory(replica("reader", region.StagePrefill), replica("generator", region.StageDecode))
+		d.SwitchOff(off)
+		lease, err := d.PlaceReading("s", request("own"))
+		require.NoError(t, err)
+		return lease.Replica.Stage
+	}
+	assert.Equal(t, region.StagePrefill, stageOf(nil))
+	assert.Equal(t, region.StageDecode, stageOf(mechanism.Set{mechanism.ReadingApart: true}))
+
+	fetchOf := func(off mechanism.Set) string {
+		d := newDirectory(replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("g", region.StageDecode))
+		d.SwitchOff(off)
+		first, err := d.PlaceReading("s", request("first"))
+		require.NoError(t, err)
+		first.PromptRead()
+		first.PromptKept(request("first").Prompt)
+		d.now += time.Second
+		for number := range 20 {
+			lease, err := d.PlaceReading("s", request(fmt.Sprint(number)))
+			if err != nil {
+				break
+			}
+			if lease.Replica != first.Replica && lease.FetchFrom() != "" {
+				return lease.FetchFrom()
+			}
+		}
+		return ""
+	}
+	assert.NotEmpty(t, fetchOf(nil))
+	assert.Empty(t, fetchOf(mechanism.Set{mechanism.Fetching: true}))
+}
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -102,6 +102,11 @@
 
 // Planner plans for one service.
 type Planner struct {
+	// IgnoreForecast plans on the streams that run, UnevenShortage serves generating first
+	// when there are too few replicas.
+	IgnoreForecast bool
+	UnevenShortage bool
+
 	peak       float64
 	reading    float64
 	at         time.Duration
@@ -134,10 +139,19 @@
 func (p *Planner) observe(now time.Duration, input Input) {
 	fade := math.Exp(-(now - p.at).Seconds() / peakMemory.Seconds())
 	p.at = now
-	p.peak = max(input.Expected, input.Generating, p.peak*fade)
+	p.peak = max(p.streams(input), p.peak*fade)
 	p.reading = max(input.Reading, p.reading*fade)
 }
 
+// streams is the demand for generating: no fewer than run, since streams that run longer the
+// more there are make a forecast too low.
+func (p *Planner) streams(input Input) float64 {
+	if p.IgnoreForecast {
+		return input.Generating
+	}
+	return max(input.Expected, input.Generating)
+}
+
 // wanted is the number of replicas that should generate.
 func (p *Planner) wanted(input Input, generating int) int {
 	total := len(input.Replicas)
@@ -150,7 +164,7 @@
 		return min(max(initial, needed), most)
 	}
 	floor := max(int(math.Ceil(minimumGeneratingShare*float64(total))), least)
-	if even, short := p.evenShortage(slots, total); short {
+	if even, short := p.evenShortage(slots, total); short && !p.UnevenShortage {
 		return min(max(even, min(floor, generating)), most)
 	}
 	if generating < needed {
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -132,6 +132,14 @@
 	assert.Equal(t, 10, count(falling.Replicas), "streams that still run keep their room")
 }
 
+// A forecast of fewer streams than run is not believed while generators are full: full ones
+// are slow, and their streams end later than those did that the forecast is made from.
+func TestAForecastIsNotBelievedWhileGeneratorsAreFull(t *testing.T) {
+	full := stageplan.Input{Replicas: fleet(15, 5), Generating: 150, Expected: 60, Reading: 3, Known: true}
+	settle(t, &stageplan.Planner{}, 0, full)
+	assert.Greater(t, count(full.Replicas), 5)
+}
+
 func TestGeneratorsThatOverflowGetHelpWithoutDelay(t *testing.T) {
 	for name, generating := range map[string]float64{"calm": 60, "overflowing": 400} {
 		planner := &stageplan.Planner{}
