Measure what each mechanism is worth with one command

Varied deployments also have engines ten times as fast and as slow, and links ten times as fast and as slow.

--- a/bench/platformdays/main.go
+++ b/bench/platformdays/main.go
@@ -3,8 +3,10 @@
 //
 //	go run ./bench/platformdays --bench PATH SITE...
 //	go run ./bench/platformdays varied --bench PATH SITE...
+//	go run ./bench/platformdays ablation --bench PATH SITE...
 //
 // The second form hunts on deployments that are varied from the given ones.
+// The third measures what each mechanism is worth.
 //
 // A day is made from the site's own quiet one when the command runs: nothing of the
 // users' files is kept here. Each kind is played in each of its variants, twice in
@@ -43,7 +45,7 @@
 		},
 		SilenceUsage: true,
 	}
-	command.AddCommand(newVariedCommand(&flags))
+	command.AddCommand(newVariedCommand(&flags), newAblationCommand(&flags))
 	command.PersistentFlags().StringVar(&flags.bench, "bench", "", "the users' bench program")
 	command.PersistentFlags().StringVar(&flags.only, "only", "", "play only disruptions, or variations, whose name begins so")
 	command.PersistentFlags().IntVar(&flags.jobs, "jobs", 4, "days played at the same time")
--- a/bench/platformdays/vary.go
+++ b/bench/platformdays/vary.go
@@ -52,6 +52,10 @@
 	}},
 	{"slow-processors", func(s site) { s.machines("", func(m site) { m["cpu_share"] = 0.2 }) }},
 	{"little-machine-memory", func(s site) { s.machines("", func(m site) { m["memory_mb"] = int64(96) }) }},
+	{"fast-engines", func(s site) { s.services(func(m site) { m.engine(func(e site) { e.speedUp(10) }) }) }},
+	{"slow-engines", func(s site) { s.services(func(m site) { m.engine(func(e site) { e.speedUp(0.1) }) }) }},
+	{"fast-links", func(s site) { s.services(func(m site) { m.engine(func(e site) { e.scale(10, "link_mbps") }) }) }},
+	{"slow-links", func(s site) { s.services(func(m site) { m.engine(func(e site) { e.scale(0.1, "link_mbps") }) }) }},
 	{"far-zones", func(s site) { s.table("net")["cross_zone_ms"] = 8.0 }},
 	{"late-clients", func(s site) { s.table("net")["client_ms"] = 30.0 }},
 	{"slow-disks", func(s site) {
@@ -99,6 +103,24 @@
 	return table
 }
 
+// speedUp makes engines read and generate faster by a factor.
+func (s site) speedUp(factor float64) {
+	s.scale(factor, "prefill_tokens_per_ms")
+	s.scale(1/factor, "step_ms", "step_ms_per_slot", "context_ms_per_k", "pairs_ms_per_m")
+}
+
+// scale multiplies the numbers of some keys, where they are given.
+func (s site) scale(factor float64, keys ...string) {
+	for _, key := range keys {
+		switch value := s[key].(type) {
+		case float64:
+			s[key] = value * factor
+		case int64:
+			s[key] = float64(value) * factor
+		}
+	}
+}
+
 // list returns an array of tables.
 func (s site) list(name string) []site {
 	var tables []site
--- a/bench/platformdays/vary_test.go
+++ b/bench/platformdays/vary_test.go
@@ -21,7 +21,7 @@
   { class = "core", zone = "b", count = 1, cpu_share = 0.4, memory_mb = 280, disk = { mb = 128, sync_ms = 5 } },
 ]
 services = [
-  { name = "m", slots = 32, conn_cap = 90, servers = [{ zone = "b", count = 2 }], llm = { batch = 32, kv_tokens = 400000, prefill = 0.4, switch_s = 1.0 } },
+  { name = "m", slots = 32, conn_cap = 90, servers = [{ zone = "b", count = 2 }], llm = { batch = 32, kv_tokens = 400000, prefill = 0.4, switch_s = 1.0, step_ms = 4.0, prefill_tokens_per_ms = 30, link_mbps = 1000.0 } },
   { name = "app", slots = 6, conn_cap = 90 },
 ]
 [net]
