--- a/bench/soak/deaflog_test.go
+++ b/bench/soak/deaflog_test.go
@@ -27,13 +27,8 @@
 )
 
 func TestALogThatNobodyReadsHoldsNoRequestUp(t *testing.T) {
-	folder := t.TempDir()
 	const subnet = 252
-	f, err := newFleet(Options{Seed: subnet, Binary: buildProgram(t, folder), Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
-		return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
-	}, platformtest.EngineWatch{})
-	defer f.stop()
-	require.NoError(t, err)
+	f := newSoundFleet(t, subnet)
 	deaf := f.gateways[0]
 	reader, writer, err := os.Pipe()
 	require.NoError(t, err)
@@ -69,6 +64,18 @@
 	assert.Positive(t, metric(t, fmt.Sprintf("http://%s:%d/metrics", f.ip(coordinators), metricsPort), "pierhaven_relay_log_lines_dropped"))
 }
 
+// newSoundFleet lays out a fleet whose replicas answer all that they are asked.
+func newSoundFleet(t *testing.T, subnet uint64) *fleet {
+	t.Helper()
+	folder := t.TempDir()
+	f, err := newFleet(Options{Seed: subnet, Binary: buildProgram(t, folder), Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
+		return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
+	}, platformtest.EngineWatch{})
+	t.Cleanup(f.stop)
+	require.NoError(t, err)
+	return f
+}
+
 // residentMegabytes is the memory that a process has in use, in MiB.
 func residentMegabytes(t *testing.T, p *process) int {
 	t.Helper()
--- a/bench/soak/refusedwrites_test.go
+++ b/bench/soak/refusedwrites_test.go
@@ -14,13 +14,8 @@
 // TestCoordinatorsStayUpWhileTheirDisksRefuseWrites proves with real processes that refused
 // writes end no coordinator, acknowledge nothing, and are made up for by themselves.
 func TestCoordinatorsStayUpWhileTheirDisksRefuseWrites(t *testing.T) {
-	folder := t.TempDir()
 	const subnet = 251
-	f, err := newFleet(Options{Seed: subnet, Binary: buildProgram(t, folder), Folder: folder}, func(_ int, request platformtest.Request) platformtest.Reply {
-		return platformtest.Reply{Status: http.StatusOK, Body: bodyFor(request.ID)}
-	}, platformtest.EngineWatch{})
-	defer f.stop()
-	require.NoError(t, err)
+	f := newSoundFleet(t, subnet)
 	require.NoError(t, f.start())
 	client := newClient()
 	routes := []platformtest.Route{{Name: "once", Host: host, Prefix: "/once/", Service: "service"}}
