--- a/bench/platformdays/ablation.go
+++ b/bench/platformdays/ablation.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/spf13/cobra"
 
@@ -58,22 +59,32 @@
 		if err != nil {
 			return err
 		}
+		worths, err := flags.worthsOf(copied, panels, "ablation: without "+off)
+		if err := errors.Join(err, collectJournal(copied)); err != nil {
+			return err
+		}
 		row := "| " + off
-		for _, panel := range panels {
-			worth, err := flags.worthOf(copied, panel, "ablation: without "+off)
-			if err != nil {
-				return err
-			}
+		for _, worth := range worths {
 			row += fmt.Sprintf(" | %.3f", worth)
 		}
 		fmt.Println(row + " |")
-		if err := collectJournal(copied); err != nil {
-			return err
-		}
 	}
 	return nil
 }
 
+// worthsOf plays the panels at the same time, with an equal share of the jobs.
+func (o options) worthsOf(sources string, panels []string, why string) ([]float64, error) {
+	o.jobs = max(1, o.jobs/len(panels))
+	worths := make([]float64, len(panels))
+	problems := make([]error, len(panels))
+	var plays sync.WaitGroup
+	for index, panel := range panels {
+		plays.Go(func() { worths[index], problems[index] = o.worthOf(sources, panel, why) })
+	}
+	plays.Wait()
+	return worths, errors.Join(problems...)
+}
+
 // rowsOf are the mechanisms whose names begin with a text, and none at all first.
 func rowsOf(only string) []string {
 	rows := []string{allOn}
