Wait only for disks whose refusals may pass

A folder that is missing, protected or read-only was waited for, too: found on reading the diff. A refusal is now a disk, quota or limit that is used up, or a disk that fails; a test lists the errors.

--- a/coordination/storage/errors.go
+++ b/coordination/storage/errors.go
@@ -82,10 +82,16 @@
 	}
 }
 
-// isRefusal reports whether the operating system has refused to write.
+// isRefusal reports whether the operating system has refused to write for a reason that
+// may pass. A folder that is missing or may not be written is none.
 func (e *IOError) isRefusal() bool {
 	var number syscall.Errno
-	return errors.As(e.Err, &number) && writeOperations[e.Operation]
+	return writeOperations[e.Operation] && errors.As(e.Err, &number) && passingRefusals[number]
+}
+
+// passingRefusals are a disk, a quota or a limit that is used up, and a disk that fails.
+var passingRefusals = map[syscall.Errno]bool{
+	syscall.ENOSPC: true, syscall.EDQUOT: true, syscall.EFBIG: true, syscall.EIO: true,
 }
 
 // writeOperations may be tried again after the operating system has refused them.
--- a/coordination/storage/storage_test.go
+++ b/coordination/storage/storage_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -321,3 +323,16 @@
 	require.Len(t, after.Entries, 3)
 	require.EqualValues(t, 7, after.HardState.Vote)
 }
+
+// Only what may pass by itself counts as refused: waiting for a folder that is missing or
+// protected would hide a mistake.
+func TestOnlyPassingErrorsAreRefusals(t *testing.T) {
+	for number, refused := range map[syscall.Errno]bool{
+		syscall.ENOSPC: true, syscall.EDQUOT: true, syscall.EFBIG: true, syscall.EIO: true,
+		syscall.EACCES: false, syscall.ENOENT: false, syscall.EROFS: false,
+	} {
+		err := &storage.IOError{Operation: "write", Path: "f", Err: number}
+		require.Equal(t, refused, errors.Is(err, storage.ErrNotWritten), number.Error())
+	}
+	require.NotErrorIs(t, &storage.IOError{Operation: "sync", Path: "f", Err: syscall.EIO}, storage.ErrNotWritten, "a failed sync is never repeated")
+}
