--- /dev/null
+++ b/internal/relay/placement_benchmark_test.go
@@ -0,0 +1,39 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// BenchmarkPlacement is the choice of a place for one prompt among the replicas of the target
+// size, of which 23 in 100 read.
+func BenchmarkPlacement(b *testing.B) {
+	for _, size := range []int{12, 60, 3700} {
+		b.Run(fmt.Sprint(size, " replicas"), func(b *testing.B) {
+			var replicas []region.Replica
+			for number := range size {
+				stage := region.StageDecode
+				if number*100 < 23*size {
+					stage = region.StagePrefill
+				}
+				replicas = append(replicas, replica(fmt.Sprint("r", number), stage))
+			}
+			d := newTaught(replicas...)
+			shared := relay.PromptPart{ID: "shared", Tokens: 6000}
+			request := readRequest(prompt(shared, relay.PromptPart{ID: "own", Tokens: 3000}))
+			request.Left = time.Minute
+			b.ReportAllocs()
+			for b.Loop() {
+				lease, err := d.PlaceReading("s", request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				lease.Release()
+			}
+		})
+	}
+}
