--- /dev/null
+++ b/internal/relay/lease.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/costmodel"
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// Lease is a place that a request takes up at a replica.
+type Lease struct {
+	Replica *Replica
+	// Choice is what was known when the replica was chosen.
+	Choice    Choice
+	directory *Directory
+	begun     time.Duration
+	// reading is the prompt that the replica has yet to read, nil if there is none.
+	reading *placedReading
+	// fetchFrom is the replica from which this one should fetch the prompt's
+	// beginning, nil if it should read all itself.
+	fetchFrom *Replica
+	released  bool
+	// stream is set once the stream has begun; eventAt is when its last event came.
+	stream  *streamMeter
+	eventAt time.Duration
+	// leaving is closed when the replica of a stream leaves.
+	leaving chan struct{}
+}
+
+// lease is called with the mutex held.
+func (d *Directory) lease(replica *Replica) *Lease {
+	replica.inFlight++
+	return &Lease{Replica: replica, directory: d, begun: d.clock(), leaving: make(chan struct{})}
+}
+
+// placedReading is a prompt that a replica has been given to read.
+type placedReading struct {
+	readEstimate
+	urgency Urgency
+	work    costmodel.Work
+	// alone says that the replica had nothing else to read, as far as is known.
+	alone bool
+	// dueAt is when the prompt is expected to have been read.
+	dueAt time.Duration
+}
+
+// readPrompt notes that the replica is to read a prompt. It is called with the
+// mutex held.
+func (l *Lease) readPrompt(request ReadRequest, estimated readEstimate, urgency Urgency) {
+	d, replica, prompt := l.directory, l.Replica, request.Prompt
+	l.reading = &placedReading{
+		readEstimate: estimated,
+		urgency:      urgency,
+		work:         costmodel.Work{Tokens: prompt.Tokens, Missing: estimated.missing},
+		alone:        replica.allReading(l.begun).before(Late) == 0,
+		dueAt:        l.begun + estimated.total() + d.model(replica.Service).Overhead(),
+	}
+	l.fetchFrom = estimated.from
+	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() && !d.off[mechanism.Fetching] {
+		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
+	}
+	d.noteRead(replica.Service, estimated.busy/slowness(replica))
+	replica.reading[urgency] += estimated.busy
+	replica.prefixes.learn(prompt.Parts, d.engines[replica.Service].CacheTokens, l.reading.dueAt)
+	d.placed.add(replica.ID, prompt, l.reading.dueAt)
+}
+
+// Release gives the place back. It may be called more than once.
+func (l *Lease) Release() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
+	l.Replica.inFlight--
+	if l.stream != nil {
+		l.stream.end(l.directory.clock())
+		l.streamLeaves()
+	}
+	l.readDone()
+}
+
+// StreamBegun notes that the replica generates for a request of a route. handedOver says
+// that another replica has read the prompt.
+func (l *Lease) StreamBegun(route string, handedOver bool) {
+	d := l.directory
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	service := l.Replica.Service
+	if d.streams[service] == nil {
+		d.streams[service] = streamMeters{}
+	}
+	stream := d.streams[service].of(route)
+	stream.begin(now)
+	l.streamComes(stream)
+	if handedOver {
+		d.handovers.observe(service, now-l.begun)
+	}
+}
+
+// streamComes notes that a stream runs at the replica. It is called with the mutex held.
+func (l *Lease) streamComes(stream *streamMeter) {
+	l.stream = stream
+	l.eventAt = l.directory.clock()
+	l.Replica.generating++
+	if l.Replica.leaves() {
+		close(l.leaving)
+		return
+	}
+	if l.Replica.streams == nil {
+		l.Replica.streams = map[*Lease]struct{}{}
+	}
+	l.Replica.streams[l] = struct{}{}
+}
+
+// streamLeaves notes that the stream runs there no more. It is called with the mutex held.
+func (l *Lease) streamLeaves() {
+	l.stream = nil
+	l.Replica.generating--
+	delete(l.Replica.streams, l)
+}
+
+// handStreamTo notes that a stream goes on at another replica.
+func (l *Lease) handStreamTo(target *Lease) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	if l.stream == nil {
+		return
+	}
+	stream := l.stream
+	l.streamLeaves()
+	target.streamComes(stream)
+}
+
+// StreamWentOn notes that a further event of the stream has come.
+func (l *Lease) StreamWentOn() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	now := l.directory.clock()
+	l.Replica.pause.observe(now, now-l.eventAt)
+	l.eventAt = now
+}
+
+// PromptRead notes that the prompt has been read.
+func (l *Lease) PromptRead() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.Replica.progressAt = l.directory.clock()
+	l.noteExcess()
+	l.noteCost()
+	l.readDone()
+}
+
+// noteExcess learns by how much longer than expected a prompt has taken that waited for
+// no other class. It is called with the mutex held.
+func (l *Lease) noteExcess() {
+	if l.reading == nil || l.reading.urgency != InTime {
+		return
+	}
+	l.directory.excesses.observe(l.Replica.Service+"/"+l.Replica.Stage, l.directory.clock()-l.reading.dueAt)
+}
+
+// noteCost learns from a prompt that a reader has read with nothing else to do. What may
+// have been fetched tells little, and counts only while nothing is known. It is called
+// with the mutex held.
+func (l *Lease) noteCost() {
+	if l.reading == nil || !l.reading.alone || l.Replica.Stage != region.StagePrefill || l.directory.off[mechanism.LearnedCosts] {
+		return
+	}
+	model := l.directory.model(l.Replica.Service)
+	if l.fetchFrom != nil && model.Known() {
+		return
+	}
+	model.Observe(l.reading.work, l.directory.clock()-l.begun)
+}
+
+// PromptKept notes that the replica now keeps a prompt, for peers too if the
+// replica generates: they were told of readers when the prompt was placed.
+func (l *Lease) PromptKept(prompt *Prompt) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	if l.Replica.Stage == region.StageDecode {
+		l.directory.placed.add(l.Replica.ID, prompt, l.directory.clock())
+	}
+	l.Replica.prefixes.learn(prompt.Parts, l.directory.engines[l.Replica.Service].CacheTokens, l.directory.clock())
+}
+
+func (l *Lease) readDone() {
+	if l.reading == nil {
+		return
+	}
+	l.Replica.reading[l.reading.urgency] -= l.reading.busy
+	l.reading = nil
+}
+
+// Unreachable notes that the replica did not answer, after the request was handed
+// over or before.
+func (l *Lease) Unreachable(handedOver bool) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	now := l.directory.clock()
+	l.Replica.unreachable(now, !handedOver)
+	l.directory.logger.Info(event.ReplicaAvoided, "replica", l.Replica.ID, "for_ms", (l.Replica.avoidUntil - now).Milliseconds(),
+		"failures", l.Replica.failures, "connected", handedOver)
+}
+
+// Full notes that the replica refused the request because it was full.
+func (l *Lease) Full() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.Replica.fullUntil = l.directory.clock() + fullAvoidance
+}
+
+// Answered notes the replica's answer.
+func (l *Lease) Answered(failed bool, load *Load) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	now := l.directory.clock()
+	if l.Replica.failures > 0 {
+		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
+	}
+	l.Replica.answered(now, now-l.begun, failed)
+	if load != nil && !l.directory.off[mechanism.ReportedLoad] {
+		l.Replica.load = *load
+		l.Replica.loadAt = now
+	}
+}
+
+// missing are the prompt's tokens that the replica is to read.
+func (l *Lease) missing() int {
+	if l.reading == nil {
+		return 0
+	}
+	return l.reading.missing
+}
+
+// expectedWait is for how long other prompts are expected to be read before.
+func (l *Lease) expectedWait() time.Duration {
+	if l.reading == nil {
+		return 0
+	}
+	return l.reading.wait
+}
+
+// Rank orders the prompt, or the stream, at its replica: by the route's priority, what is
+// late behind all others.
+func (l *Lease) Rank(route *traffic.Route) int {
+	if l.reading != nil && l.reading.urgency == Late && !l.directory.off[mechanism.Ranks] {
+		return LastRank
+	}
+	return min(max(route.Priority, 0), LastRank-1)
+}
--- /dev/null
+++ b/internal/relay/placement.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+const (
+	// inTimeShare of what is left of the objective may be used by the estimate: what it
+	// does not know of takes the rest.
+	inTimeShare = 0.9
+	// zoneShare of the objective is what another zone counts for.
+	zoneShare = 0.01
+)
+
+// PlaceReading leases the replica that is to read a prompt: one that reads for others, or
+// one that generates the answer, too. A prompt that no replica is expected to read
+// within its objective becomes a late one. An error says that no replica has room.
+func (d *Directory) PlaceReading(service string, request ReadRequest) (*Lease, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	d.model(service).Expect(request.Prompt.Tokens, request.Objective)
+	readers := d.soundCandidates(service, nil, ofStage(region.StagePrefill), now)
+	generators := d.soundCandidates(service, nil, ofStage(region.StageDecode), now)
+	if len(generators) == 0 {
+		return nil, errNoReplica
+	}
+	best := d.bestPlace(service, readers, generators, request, InTime, now)
+	if d.inTime(service, request, &best) {
+		return d.leaseReading(best, request, InTime, len(readers)+len(generators)), nil
+	}
+	best = d.bestPlace(service, readers, generators, request, Late, now)
+	if !best.hasLateRoom(request, now) && !d.off[mechanism.EarlyRefusal] {
+		// It is demand all the same.
+		d.noteRead(service, best.busy/slowness(best.replica))
+		return nil, noRoom(request, &best)
+	}
+	return d.leaseReading(best, request, Late, len(readers)+len(generators)), nil
+}
+
+// hasLateRoom reports whether a replica may be given a late prompt: one that will be read
+// before its caller's deadline if no other comes, and leaves room for those in time.
+func (e *readEstimate) hasLateRoom(request ReadRequest, now time.Duration) bool {
+	taken := float64(e.replica.allInFlight(now))
+	return e.total() < request.Left && taken < lateShare*float64(max(e.replica.Slots, 1))
+}
+
+// noRoom is the refusal of a prompt for which no replica has room, with when to come back:
+// once the best place will have read what it has.
+func noRoom(request ReadRequest, best *readEstimate) error {
+	return &noRoomError{until: min(max(best.wait, refusedRetryAfter), request.Left/retryShare)}
+}
+
+// noRoomError is the refusal of a prompt; until is in how long there should be room.
+type noRoomError struct{ until time.Duration }
+
+// Error implements error.
+func (*noRoomError) Error() string { return "no replica has room for the prompt" }
+
+var errNoReplica = failure.New(failure.NoBackEnd, "no replica of the service is left to try")
+
+const (
+	// lateShare of a replica's slots may be taken before it gets late prompts.
+	lateShare = 0.5
+	// retryShare of what is left of a caller's time, as a divisor, is the longest after
+	// which it is told to come back.
+	retryShare = 3
+)
+
+// bestPlace compares reading apart with reading where the answer is generated. It is
+// called with the mutex held.
+func (d *Directory) bestPlace(service string, readers, generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
+	direct, harmless := d.bestDirect(generators, request, urgency, now)
+	if len(readers) == 0 || d.off[mechanism.ReadingApart] {
+		return direct
+	}
+	apart := d.bestReader(readers, request, urgency, now)
+	handover := d.model(service).Overhead() + d.handovers[service].typical()
+	short := direct.busy <= time.Duration(shortShare*float64(request.TargetGap))
+	directTime := direct.total() + directHarm*direct.busy + d.excess(service, region.StageDecode)
+	apartTime := apart.total() + handover + d.excess(service, region.StagePrefill)
+	if short && harmless && directTime <= apartTime && !d.off[mechanism.DirectReading] {
+		return direct
+	}
+	return apart
+}
+
+// bestDirect returns the generating replica that is expected to have read a prompt
+// first, and whether the streams there stay within their pauses meanwhile. It is called
+// with the mutex held.
+func (d *Directory) bestDirect(generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) (readEstimate, bool) {
+	sources := d.keepers(generators[0].Service, request.Prompt, now)
+	var best readEstimate
+	var bestScore time.Duration
+	for index, replica := range generators {
+		estimated := d.estimate(replica, request, urgency, sources, now)
+		score := d.readScore(&estimated, request, false) + time.Duration(occupancyShare*replica.occupancy(now)*float64(request.Objective))
+		if index == 0 || score < bestScore {
+			best, bestScore = estimated, score
+		}
+	}
+	held := best.wait + best.busy + best.replica.pause.longest(now)
+	return best, held <= time.Duration(pauseShare*float64(request.TargetGap))
+}
+
+const (
+	// occupancyShare of the objective is what a full generating replica counts for.
+	occupancyShare = 0.2
+	// directHarm is how many times over the time counts for which a prompt holds up the
+	// streams of a generating replica.
+	directHarm = 2
+	// shortShare of the pause that streams may make is the longest that a generating
+	// replica reads a prompt for. It can't watch the pauses of streams that it does not
+	// hear of, which are most of them where there are many gateways.
+	shortShare = 0.08
+	// pauseShare of the pause that streams may make is used by prompts that are read
+	// between their tokens.
+	pauseShare = 0.6
+)
+
+// leaseReading is called with the mutex held.
+func (d *Directory) leaseReading(estimated readEstimate, request ReadRequest, urgency Urgency, candidates int) *Lease {
+	choice := estimated.replica.choice(d.clock(), candidates)
+	lease := d.lease(estimated.replica)
+	lease.Choice = choice
+	lease.readPrompt(request, estimated, urgency)
+	return lease
+}
+
+// PlaceDirect leases a generating replica that is to read a prompt itself, or returns
+// nil.
+func (d *Directory) PlaceDirect(service string, excluded []*Replica, request ReadRequest) *Lease {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	generators := d.soundCandidates(service, excluded, ofStage(region.StageDecode), now)
+	if len(generators) == 0 {
+		return nil
+	}
+	best, _ := d.bestDirect(generators, request, InTime, now)
+	urgency := InTime
+	if !d.inTime(service, request, &best) {
+		urgency = Late
+	}
+	return d.leaseReading(best, request, urgency, len(generators))
+}
+
+// inTime reports whether a prompt is expected to be answered within its objective. It
+// is called with the mutex held.
+func (d *Directory) inTime(service string, request ReadRequest, estimated *readEstimate) bool {
+	needed := estimated.total() + d.model(service).Overhead() + d.handovers[service].typical()
+	return needed <= time.Duration(inTimeShare*float64(request.AimLeft))
+}
+
+// bestReader returns the estimate of the replica that is expected to have read a prompt
+// first. A prompt whose prefix no replica is known to keep prefers the prefix's home,
+// so that prompts with one prefix meet there from all gateways. It is called with the
+// mutex held.
+func (d *Directory) bestReader(candidates []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
+	service := candidates[0].Service
+	sources := d.keepers(service, request.Prompt, now)
+	home := d.homeOf(service, region.StagePrefill, request.Prompt, now)
+	var best readEstimate
+	var bestScore time.Duration
+	for index, replica := range candidates {
+		estimated := d.estimate(replica, request, urgency, sources, now)
+		score := d.readScore(&estimated, request, replica == home)
+		if index == 0 || score < bestScore {
+			best, bestScore = estimated, score
+		}
+	}
+	return best
+}
+
+// readScore rates an estimate; the lowest is the best. It is called with the mutex held.
+func (d *Directory) readScore(estimated *readEstimate, request ReadRequest, isHome bool) time.Duration {
+	score := estimated.total()
+	if shared := estimated.missing - request.Prompt.ownTokens(); isHome && shared > 0 {
+		score -= time.Duration(homeShare * float64(estimated.busy) * float64(shared) / float64(estimated.missing))
+	}
+	if estimated.replica.Zone != d.zone {
+		score += time.Duration(zoneShare * float64(request.Objective))
+	}
+	score += time.Duration(errorWeight * estimated.replica.errorRate * float64(request.Objective))
+	return score + rand.N(scoreJitter)
+}
+
+// homeShare is how much of a prefix its home counts as keeping.
+const homeShare = 0.5
+
+// scoreJitter decides between replicas that are rated alike.
+const scoreJitter = 10 * time.Microsecond
