--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -4,4 +4,12 @@
 // What a request and an answer say of themselves (deadlines, prompts, whether a
 // request ran) is read and written by a Dialect, so that the package knows none
 // of its names.
+//
+// A Directory knows the replicas. It places a prompt (placement.go) by how long each
+// replica is expected to take until it has read it (reading.go), which follows from the
+// engines' costs (costs.go), from what replicas keep (prefix.go, fetch.go) and from the
+// work that is placed already, by this gateway and by its peers (outstanding.go). A Lease
+// is the place that a request has taken up (lease.go). A Runner makes the sends of a call
+// (runner.go): it has the prompt read (prompt.go), relays the stream (stream.go) and moves
+// it when its replica leaves (move.go).
 package relay
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -53,7 +53,7 @@
 // noRoom is the refusal of a prompt for which no replica has room, with when to come back:
 // once the best place will have read what it has.
 func noRoom(request ReadRequest, best *readEstimate) error {
-	return &noRoomError{until: min(max(best.wait, refusedRetryAfter), request.Left/retryShare)}
+	return &noRoomError{until: min(max(best.wait, refusedRetryAfter), request.Left/retryDivisor)}
 }
 
 // noRoomError is the refusal of a prompt; until is in how long there should be room.
@@ -67,9 +67,9 @@
 const (
 	// lateShare of a replica's slots may be taken before it gets late prompts.
 	lateShare = 0.5
-	// retryShare of what is left of a caller's time, as a divisor, is the longest after
-	// which it is told to come back.
-	retryShare = 3
+	// retryDivisor divides what is left of a caller's time into the longest time after
+	// which it is told to come back: callers wait for no more than a third.
+	retryDivisor = 3
 )
 
 // bestPlace compares reading apart with reading where the answer is generated. It is
