Count the late prompt that a reader has begun

A rank lets them pass late prompts that wait, but a reader ends what it has begun.

Change: a reader that has no prompt in time to read counts as busy with one late prompt.

The test fails before: short prompts go to the reader of the late one.

--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -64,6 +64,9 @@
 	}
 	d.noteRead(replica.Service, estimated.busy/slowness(replica))
 	replica.reading[urgency] += estimated.busy
+	if urgency == Late {
+		replica.lateReads++
+	}
 	replica.prefixes.learn(prompt.Parts, d.engines[replica.Service].CacheTokens, l.reading.dueAt)
 	d.placed.add(replica.ID, prompt, l.reading.dueAt)
 }
@@ -195,6 +198,9 @@
 		return
 	}
 	l.Replica.reading[l.reading.urgency] -= l.reading.busy
+	if l.reading.urgency == Late {
+		l.Replica.lateReads--
+	}
 	l.reading = nil
 }
 
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -64,7 +64,7 @@
 	missing := d.missing(replica, request.Prompt)
 	estimated := readEstimate{
 		replica: replica,
-		wait:    replica.allReading(now).before(urgency),
+		wait:    replica.waitBefore(urgency, now),
 		busy:    d.busyTime(replica, request, missing),
 		missing: missing,
 	}
--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -50,6 +50,22 @@
 	assert.Equal(t, 3, d.read(ownPrompt(10)).Rank(&traffic.Route{Priority: 3}))
 }
 
+// A reader ends what it has begun: a prompt in time that comes behind a late one waits for it.
+func TestAPromptInTimeIsNotPlacedBehindALateOneThatHasBegun(t *testing.T) {
+	d := newTaught(replica("a", region.StagePrefill), replica("b", region.StagePrefill), replica("g", region.StageDecode))
+	late := d.read(ownPrompt(80_000))
+	require.Equal(t, relay.LastRank, late.Rank(&traffic.Route{}), "two seconds of work, of one")
+	for number := range 8 {
+		short := d.read(prompt(relay.PromptPart{ID: fmt.Sprint("short-", number), Tokens: 400}))
+		assert.NotEqual(t, late.Replica, short.Replica)
+		short.Release()
+	}
+	late.Release()
+
+	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 1, LateMicros: 2_000_000}}, true)
+	assert.Equal(t, "b", d.read(ownPrompt(500)).Replica.ID, "a peer has told of one")
+}
+
 func TestALatePromptIsRefusedWhereThereIsNoRoom(t *testing.T) {
 	request := readRequest(ownPrompt(20_000))
 	t.Run("its caller will have left", func(t *testing.T) {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -14,6 +14,8 @@
 	// prompts keep it busy that it has yet to read.
 	inFlight int
 	reading  readingWork
+	// lateReads counts those of them that are late.
+	lateReads int
 	// progressAt is when it was last known to have read a prompt.
 	progressAt time.Duration
 	// generating counts this gateway's streams there that have begun.
@@ -74,6 +76,31 @@
 	return sum
 }
 
+// waitBefore is the work that the replica does before a prompt of an urgency.
+func (r *Replica) waitBefore(urgency Urgency, now time.Duration) time.Duration {
+	wait := r.allReading(now).before(urgency)
+	if urgency == InTime {
+		wait += r.begunLate(now)
+	}
+	return wait
+}
+
+// begunLate is the late prompt that the replica reads while it has none in time: what has
+// been begun is read to its end, whatever comes. Of a peer's late prompts no number is told,
+// and they count as one.
+func (r *Replica) begunLate(now time.Duration) time.Duration {
+	if r.allReading(now)[InTime] > 0 {
+		return 0
+	}
+	begun := r.reading[Late] / time.Duration(max(r.lateReads, 1))
+	for _, work := range r.peers {
+		if now-work.at < peerMemory {
+			begun = max(begun, work.reading[Late])
+		}
+	}
+	return begun
+}
+
 const (
 	// firstAvoidance is how long a replica is avoided after a failure that
 	// shows that it can't be reached; it doubles with each further one.
