Look up once what a placement needs several times

Found on reading the change: the keepers of a prompt were looked up for readers and for generators, and again for a late prompt, and the peers' work at a replica was added up twice for each estimate. Behaviour is the same.

--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -30,11 +30,12 @@
 	if len(generators) == 0 {
 		return nil, errNoReplica
 	}
-	best := d.bestPlace(service, readers, generators, request, InTime, now)
+	sources := d.keepers(service, request.Prompt, now)
+	best := d.bestPlace(readers, generators, request, InTime, sources, now)
 	if d.inTime(service, request, &best) {
 		return d.leaseReading(best, request, InTime, len(readers)+len(generators)), nil
 	}
-	best = d.bestPlace(service, readers, generators, request, Late, now)
+	best = d.bestPlace(readers, generators, request, Late, sources, now)
 	if !best.hasLateRoom(request, now) && !d.off[mechanism.EarlyRefusal] {
 		// It is demand all the same.
 		d.noteRead(service, best.busy/slowness(best.replica))
@@ -74,12 +75,13 @@
 
 // bestPlace compares reading apart with reading where the answer is generated. It is
 // called with the mutex held.
-func (d *Directory) bestPlace(service string, readers, generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
-	direct, harmless := d.bestDirect(generators, request, urgency, now)
+func (d *Directory) bestPlace(readers, generators []*Replica, request ReadRequest, urgency Urgency, sources []keeper, now time.Duration) readEstimate {
+	direct, harmless := d.bestDirect(generators, request, urgency, sources, now)
 	if len(readers) == 0 || d.off[mechanism.ReadingApart] {
 		return direct
 	}
-	apart := d.bestReader(readers, request, urgency, now)
+	apart := d.bestReader(readers, request, urgency, sources, now)
+	service := generators[0].Service
 	handover := d.model(service).Overhead() + d.handovers[service].typical()
 	short := direct.busy <= time.Duration(shortShare*float64(request.TargetGap))
 	directTime := direct.total() + directHarm*direct.busy + d.excess(service, region.StageDecode)
@@ -93,8 +95,7 @@
 // bestDirect returns the generating replica that is expected to have read a prompt
 // first, and whether the streams there stay within their pauses meanwhile. It is called
 // with the mutex held.
-func (d *Directory) bestDirect(generators []*Replica, request ReadRequest, urgency Urgency, now time.Duration) (readEstimate, bool) {
-	sources := d.keepers(generators[0].Service, request.Prompt, now)
+func (d *Directory) bestDirect(generators []*Replica, request ReadRequest, urgency Urgency, sources []keeper, now time.Duration) (readEstimate, bool) {
 	var best readEstimate
 	var bestScore time.Duration
 	for index, replica := range generators {
@@ -142,7 +143,7 @@
 	if len(generators) == 0 {
 		return nil
 	}
-	best, _ := d.bestDirect(generators, request, InTime, now)
+	best, _ := d.bestDirect(generators, request, InTime, d.keepers(service, request.Prompt, now), now)
 	urgency := InTime
 	if !d.inTime(service, request, &best) {
 		urgency = Late
@@ -161,10 +162,8 @@
 // first. A prompt whose prefix no replica is known to keep prefers the prefix's home,
 // so that prompts with one prefix meet there from all gateways. It is called with the
 // mutex held.
-func (d *Directory) bestReader(candidates []*Replica, request ReadRequest, urgency Urgency, now time.Duration) readEstimate {
-	service := candidates[0].Service
-	sources := d.keepers(service, request.Prompt, now)
-	home := d.homeOf(service, region.StagePrefill, request.Prompt, now)
+func (d *Directory) bestReader(candidates []*Replica, request ReadRequest, urgency Urgency, sources []keeper, now time.Duration) readEstimate {
+	home := d.homeOf(candidates[0].Service, region.StagePrefill, request.Prompt, now)
 	var best readEstimate
 	var bestScore time.Duration
 	for index, replica := range candidates {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -78,20 +78,18 @@
 
 // waitBefore is the work that the replica does before a prompt of an urgency.
 func (r *Replica) waitBefore(urgency Urgency, now time.Duration) time.Duration {
-	wait := r.allReading(now).before(urgency)
-	if urgency == InTime {
+	reading := r.allReading(now)
+	wait := reading.before(urgency)
+	if urgency == InTime && reading[InTime] <= 0 {
 		wait += r.begunLate(now)
 	}
 	return wait
 }
 
-// begunLate is the late prompt that the replica reads while it has none in time: what has
-// been begun is read to its end, whatever comes. Of a peer's late prompts no number is told,
+// begunLate is the late prompt that a replica with none in time is reading: what has been
+// begun is read to its end, whatever comes. Of a peer's late prompts no number is told,
 // and they count as one.
 func (r *Replica) begunLate(now time.Duration) time.Duration {
-	if r.allReading(now)[InTime] > 0 {
-		return 0
-	}
 	begun := r.reading[Late] / time.Duration(max(r.lateReads, 1))
 	for _, work := range r.peers {
 		if now-work.at < peerMemory {
