--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -198,12 +198,17 @@
 		FileSystem: fileSystem,
 		Lister:     platform.NewLister(settings.ReplicaList),
 		Engines:    platform.NewEngines(),
+		Prefixes:   platform.NewEngines(),
 		Lease:      settings.Lease(),
-		Without:    settings.SwitchedOff(),
-		Policy:     stagePolicy.Program,
-		Codec:      platform.Codec{},
-		Metrics:    process.metrics,
-		Logger:     process.logger,
+
+		PlacesAbove:       settings.PlacesFrom(),
+		LinkBitsPerSecond: settings.LinkMegabits * bitsPerMegabit,
+
+		Without: settings.SwitchedOff(),
+		Policy:  stagePolicy.Program,
+		Codec:   platform.Codec{},
+		Metrics: process.metrics,
+		Logger:  process.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/peers"
 )
 
 // Settings are those of either process; each checks what it needs.
@@ -48,6 +49,9 @@
 	ReplicaList string `yaml:"replica_list"`
 	// ToleratedLosses is the number of coordinators that may be lost at once.
 	ToleratedLosses int `yaml:"tolerated_losses"`
+	// PlacesAbove is the number of gateways above which coordinators choose the replicas for
+	// them, DefaultPlacesAbove if it is not given; below 0 for never.
+	PlacesAbove *int `yaml:"places_above"`
 	// LeaseMillis is how far the orders of two coordinators to a replica must lie
 	// apart.
 	LeaseMillis int `yaml:"lease_ms"`
@@ -182,6 +186,18 @@
 // after the tolerated losses.
 func (s *Settings) Voters() int { return 2*s.ToleratedLosses + 1 }
 
+// DefaultPlacesAbove is the number of gateways up to which each tells all others of its work
+// (peers.Maximum), and knows enough to choose by itself.
+const DefaultPlacesAbove = peers.Maximum + 1
+
+// PlacesFrom is the number of gateways above which coordinators choose replicas for them.
+func (s *Settings) PlacesFrom() int {
+	if s.PlacesAbove == nil {
+		return DefaultPlacesAbove
+	}
+	return *s.PlacesAbove
+}
+
 // Lease is how far the orders of two coordinators must lie apart.
 func (s *Settings) Lease() time.Duration { return time.Duration(s.LeaseMillis) * time.Millisecond }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -35,6 +35,7 @@
 	freshness freshness
 	started   time.Time
 	members   memberWatch
+	placement *placementService
 }
 
 // New opens the data folder, and waits for a disk that refuses writes; Run starts the
@@ -84,6 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.placement = newPlacementService(settings, c.now)
 	c.registerMetrics(settings.Metrics)
 	if reason := c.group.Runner.Status().Quarantined; reason != nil {
 		c.logger.Info(event.DataUnusable, "folder", settings.DataFolder, "reason", reason.Error())
@@ -109,7 +111,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.logLeadership} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.logLeadership, c.place} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -34,6 +34,18 @@
 		state, _ := c.machine.read()
 		return float64(len(state.Changes))
 	})
+	registry.GaugeFunc("placement_leases", "Leases on replicas that gateways hold of this coordinator.", func() float64 {
+		return float64(c.placement.server.Counts().Leases)
+	})
+	registry.GaugeFunc("placement_questions", "Questions for a replica that were answered since the start.", func() float64 {
+		return float64(c.placement.server.Counts().Questions)
+	})
+	registry.GaugeFunc("placement_ignored", "Messages on placements that were not answered since the start.", func() float64 {
+		return float64(c.placement.server.Counts().Ignored)
+	})
+	registry.GaugeFunc("placement_expired", "Leases that no gateway has ended since the start.", func() float64 {
+		return float64(c.placement.server.Counts().Expired)
+	})
 	registry.GaugeFunc("gateways", "Gateways of the region.", func() float64 {
 		gateways, _ := c.gateways.known()
 		return float64(len(gateways))
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/policy"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
@@ -41,6 +42,13 @@
 	Policy func() *policy.Program
 	// Without are the mechanisms that are switched off.
 	Without mechanism.Set
+	// PlacesAbove is the number of gateways above which coordinators choose replicas for
+	// them; below 0 for never.
+	PlacesAbove int
+	// LinkBitsPerSecond is the speed of the machine's network link, 0 if it is not known.
+	LinkBitsPerSecond float64
+	// Prefixes tells what replicas keep; nil leaves that to be found out.
+	Prefixes placement.PrefixSource
 	// Lease is how far the orders of two holders must lie apart.
 	Lease time.Duration
 	Codec traffic.Codec
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// settleTime is how long after its start a coordinator says nothing of the number of gateways:
+// when everything has started at once, all have polled by then.
+const settleTime = 500 * time.Millisecond
+
+// countedGateways is the number of gateways to tell, 0 while too few may have polled.
+func (c *Coordinator) countedGateways(known int) int {
+	if c.now() < settleTime {
+		return 0
+	}
+	return known
+}
+
 func (c *Coordinator) viewOf(state region.State, request *region.ViewRequest) *region.View {
 	age := c.freshness.age(c.now())
 	peers, hash := c.gateways.known()
@@ -41,14 +53,15 @@
 		Zone:         c.settings.Zone,
 		Version:      state.Version,
 		ListRevision: state.ListRevision,
-		Gateways:     len(peers),
+		Gateways:     c.countedGateways(len(peers)),
+		Places:       c.places(),
 		PeersHash:    hash,
 		Coordinators: c.group.MemberAddresses(),
 	}
 	if age < 0 {
 		view.AgeMillis = -1
 	}
-	if hash != request.PeersHash {
+	if hash != request.PeersHash && !view.Places {
 		view.Peers = peers
 	}
 	if state.Version > request.Version {
--- /dev/null
+++ b/internal/datagram/socket.go
@@ -0,0 +1,104 @@
+package datagram
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+)
+
+// Kind is the kind of a message, its first byte.
+type Kind byte
+
+// Kinds of messages.
+const (
+	// KindOutstanding carries a region.Outstanding.
+	KindOutstanding Kind = iota + 1
+	// KindPlacement carries a region.PlacementMessage.
+	KindPlacement
+	// KindPlacementReply carries a region.PlacementReply.
+	KindPlacementReply
+	kindEnd
+)
+
+const (
+	// MaximumBytes bounds a message: fragments of larger ones are lost too often.
+	MaximumBytes = 8 << 10
+	// Overhead is what a message takes on the network beside its bytes: the headers of
+	// IPv4 and UDP.
+	Overhead = 28
+	// receiveBuffer in bytes holds what comes while the process does not run.
+	receiveBuffer = 256 << 10
+)
+
+// Handler takes a message. The payload must not be kept.
+type Handler func(from netip.AddrPort, payload []byte)
+
+// Socket sends and receives messages. It may be used concurrently.
+type Socket struct {
+	connection atomic.Pointer[net.UDPConn]
+	handlers   [kindEnd]Handler
+}
+
+// Handle has messages of a kind taken by a handler. It is called before Run.
+func (s *Socket) Handle(kind Kind, handler Handler) { s.handlers[kind] = handler }
+
+// Run listens at an IP:port, and hands messages to their handlers, one after the other,
+// until the context ends. An error says that it can't listen there.
+func (s *Socket) Run(ctx context.Context, address string) error {
+	bound, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal)
+	}
+	connection, err := net.ListenUDP("udp4", bound)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal)
+	}
+	// A smaller buffer loses more messages, which is borne.
+	_ = connection.SetReadBuffer(receiveBuffer)
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	s.connection.Store(connection)
+	s.receive(connection)
+	return nil
+}
+
+func (s *Socket) receive(connection *net.UDPConn) {
+	buffer := make([]byte, MaximumBytes)
+	for {
+		count, from, err := connection.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || count == 0 {
+			// The port of a process that has ended may answer so; what was sent there is lost.
+			continue
+		}
+		if kind := Kind(buffer[0]); kind < kindEnd && s.handlers[kind] != nil {
+			s.handlers[kind](netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[1:count])
+		}
+	}
+}
+
+// Send sends a message to each target, and returns the bytes that this takes on the
+// network; 0 if it can't be sent: it can't be encoded, is too large, or the socket does not
+// listen. A failure at a target is a loss like any other.
+func (s *Socket) Send(kind Kind, message msgp.Marshaler, targets ...netip.AddrPort) int {
+	connection := s.connection.Load()
+	if connection == nil {
+		return 0
+	}
+	encoded, err := message.MarshalMsg([]byte{byte(kind)})
+	if err != nil || len(encoded) > MaximumBytes {
+		return 0
+	}
+	for _, target := range targets {
+		_, _ = connection.WriteToUDPAddrPort(encoded, target)
+	}
+	return len(targets) * (len(encoded) + Overhead)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -80,8 +80,20 @@
 	PrefixesLearned Event = "kept prefixes learned"
 	// PrefixesUnknown: a replica did not tell what it keeps.
 	PrefixesUnknown Event = "kept prefixes unknown"
-	// PeersUnreachable: load is not shared with other gateways.
+	// PeersUnreachable: load is not shared with other processes.
 	PeersUnreachable Event = "peers can't be told"
+	// PlacementBy: a gateway has another coordinator choose replicas, or none.
+	PlacementBy Event = "placement by another coordinator"
+	// PlacementSilent: the coordinator did not answer a question in time.
+	PlacementSilent Event = "coordinator silent on a placement"
+	// PlacementForgotten: the coordinator has restarted, and is told what is open.
+	PlacementForgotten Event = "coordinator has forgotten its leases"
+	// PlacementUnreadable: a message on placements can't be read.
+	PlacementUnreadable Event = "placement message unreadable"
+	// PlacementRefused: a coordinator does not take a gateway's question.
+	PlacementRefused Event = "placement refused"
+	// PlacementBegun: a coordinator begins to choose replicas for gateways.
+	PlacementBegun Event = "placement begun"
 	// LeaderChanged: this coordinator follows another leader, or leads.
 	LeaderChanged Event = "leader changed"
 	// VoteCast: this coordinator has voted in an election, or has begun a term
@@ -164,6 +176,12 @@
 		PrefixesLearned,
 		PrefixesUnknown,
 		PeersUnreachable,
+		PlacementBy,
+		PlacementSilent,
+		PlacementForgotten,
+		PlacementUnreadable,
+		PlacementRefused,
+		PlacementBegun,
 		LeaderChanged,
 		VoteCast,
 		SnapshotTaken,
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -33,6 +33,8 @@
 	EarlyRefusal Mechanism = "early_refusal"
 	// Peers shares the gateways' work with each other.
 	Peers Mechanism = "peers"
+	// Placement has coordinators choose replicas where there are many gateways.
+	Placement Mechanism = "placement"
 	// ReportedLoad counts what replicas tell of their load with answers.
 	ReportedLoad Mechanism = "reported_load"
 	// Ejection avoids replicas that can't be reached or are full.
@@ -66,6 +68,7 @@
 		Ranks,
 		EarlyRefusal,
 		Peers,
+		Placement,
 		ReportedLoad,
 		Ejection,
 		Retries,
--- a/internal/relay/daemon/peers.go
+++ b/internal/peers/peers.go
@@ -1,29 +1,40 @@
-package daemon
+// Package peers shares the work that a process has placed at replicas with others that
+// place some: gateways with each other, or the coordinators that place for gateways.
+package peers
 
 import (
 	"context"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
-	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/datagram"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 )
 
-// peers tells the other gateways of the region how much work this one has placed
-// at each replica, and learns the same of them, so that they don't all choose the
-// same replica. It is soft state: a lost datagram is made up for by the next.
-type peers struct {
+// Options are what Peers are made from.
+type Options struct {
+	// Name and Address are the process's own; Life is its start.
+	Name    string
+	Address string
+	Life    int64
+	// LinkBitsPerSecond is the speed of the machine's network link, 0 if it is not known.
+	LinkBitsPerSecond float64
+	Directory         *relay.Directory
+	Socket            *datagram.Socket
+}
+
+// Peers tells other processes how much work this one has placed at each replica, and
+// learns the same of them, so that they don't all choose the same replica. It is soft
+// state: a lost datagram is made up for by the next. It may be used concurrently.
+type Peers struct {
 	name      string
 	address   string
 	directory *relay.Directory
-	logger    logr.Logger
+	socket    *datagram.Socket
 	life      int64
 	// bytesPerSecond bounds what is sent to all peers.
 	bytesPerSecond float64
@@ -61,27 +72,28 @@
 	unknownRate = 64 << 10
 	maximumRate = 512 << 10
 	burstTime   = 250 * time.Millisecond
-	// maximumPeers bounds the peers that are told of work, and maximumPromptPeers
-	// those that are told of placed prompts, which are fewer and stay true for longer:
-	// each gateway tells those that follow it in the sorted list.
-	maximumPeers       = 12
+	// Maximum bounds the peers that are told of work, and maximumPromptPeers those that are
+	// told of placed prompts, which are fewer and stay true for longer: each process tells
+	// those that follow it in the sorted list.
+	Maximum            = 12
 	maximumPromptPeers = 96
-	maximumDatagram    = 8 << 10
-	receiveBuffer      = 64 << 10
-	datagramOverhead   = 28
 )
 
-func newPeers(settings Settings, directory *relay.Directory) *peers {
-	return &peers{
-		name:      settings.Name,
-		address:   settings.PeerListen,
-		directory: directory,
-		logger:    settings.Logger,
-		life:      time.Now().UnixNano(),
+// New returns Peers that know of no others yet, and has their messages taken from the
+// socket.
+func New(options Options) *Peers {
+	created := &Peers{
+		name:      options.Name,
+		address:   options.Address,
+		directory: options.Directory,
+		socket:    options.Socket,
+		life:      options.Life,
 		heard:     map[string]heardPeer{},
 
-		bytesPerSecond: tellingRate(settings.LinkBitsPerSecond),
+		bytesPerSecond: tellingRate(options.LinkBitsPerSecond),
 	}
+	options.Socket.Handle(datagram.KindOutstanding, created.receive)
+	return created
 }
 
 // tellingRate is how many bytes a second may be told over a link.
@@ -92,8 +104,8 @@
 	return min(linkShare*linkBitsPerSecond/8, maximumRate)
 }
 
-// take takes the list of the region's gateways over.
-func (p *peers) take(hash uint64, addresses []string) {
+// Take takes over the addresses of all, this process among them, with their hash.
+func (p *Peers) Take(hash uint64, addresses []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.hash = hash
@@ -108,60 +120,47 @@
 	}
 }
 
-// known returns the hash of the list last taken over.
-func (p *peers) known() uint64 {
+// Known returns the hash of the list last taken over.
+func (p *Peers) Known() uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.hash
 }
 
-func (p *peers) targets() []netip.AddrPort {
+// known reports whether there is a peer.
+func (p *Peers) known() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.addresses) > 0
+}
+
+func (p *Peers) targets() []netip.AddrPort {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return slices.Clone(p.addresses)
 }
 
-// run tells and listens until the context ends.
-func (p *peers) run(ctx context.Context) {
-	bound, err := net.ResolveUDPAddr("udp4", p.address)
-	if err != nil {
-		p.logger.Info(event.PeersUnreachable, "address", p.address, "error", err.Error())
+// Forget gives up the peers: nobody is told any more.
+func (p *Peers) Forget() { p.Take(0, nil) }
+
+// receive takes a peer's message in.
+func (p *Peers) receive(_ netip.AddrPort, payload []byte) {
+	var message region.Outstanding
+	if _, err := message.UnmarshalMsg(payload); err != nil {
+		// A process of another version; there is nothing that it could tell.
 		return
 	}
-	socket, err := net.ListenUDP("udp4", bound)
-	if err != nil {
-		p.logger.Info(event.PeersUnreachable, "address", p.address, "error", err.Error())
+	if !p.isNewer(&message) {
 		return
 	}
-	_ = socket.SetReadBuffer(receiveBuffer)
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer stop()
-	go p.tell(ctx, socket)
-	p.listen(socket)
-}
-
-func (p *peers) listen(socket *net.UDPConn) {
-	buffer := make([]byte, maximumDatagram)
-	for {
-		count, _, err := socket.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			return
-		}
-		var message region.Outstanding
-		if _, err := message.UnmarshalMsg(buffer[:count]); err != nil {
-			continue
-		}
-		if p.isNewer(&message) {
-			p.directory.TakeOutstanding(message.Gateway, message.Replicas, message.Whole)
-			p.directory.TakePlaced(p.newPrompts(&message))
-			p.directory.TakeUnreachable(message.Unreachable)
-			p.directory.TakeCosts(message.Costs)
-		}
-	}
+	p.directory.TakeOutstanding(message.Gateway, message.Replicas, message.Whole)
+	p.directory.TakePlaced(p.newPrompts(&message))
+	p.directory.TakeUnreachable(message.Unreachable)
+	p.directory.TakeCosts(message.Costs)
 }
 
 // isNewer reports whether a message is not overtaken by another of its sender.
-func (p *peers) isNewer(message *region.Outstanding) bool {
+func (p *Peers) isNewer(message *region.Outstanding) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	last := p.heard[message.Gateway]
@@ -177,7 +176,7 @@
 }
 
 // newPrompts returns the prompts of a message that were not told before.
-func (p *peers) newPrompts(message *region.Outstanding) []region.PlacedPrompt {
+func (p *Peers) newPrompts(message *region.Outstanding) []region.PlacedPrompt {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	heard := p.heard[message.Gateway]
@@ -189,11 +188,12 @@
 	return fresh
 }
 
-// tell sends this gateway's work whenever it has changed, within the allowance.
-func (p *peers) tell(ctx context.Context, socket *net.UDPConn) {
+// Tell tells the peers of this process's work whenever it has changed, within the
+// allowance, until the context ends.
+func (p *Peers) Tell(ctx context.Context) {
 	ticker := time.NewTicker(tellPoll)
 	defer ticker.Stop()
-	state := teller{peers: p, socket: socket, last: time.Now()}
+	state := teller{peers: p, last: time.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -206,8 +206,7 @@
 
 // teller is the state of the telling.
 type teller struct {
-	peers     *peers
-	socket    *net.UDPConn
+	peers     *Peers
 	sequence  uint64
 	last      time.Time
 	toldAt    time.Time
@@ -228,7 +227,7 @@
 	rate := t.peers.bytesPerSecond
 	t.allowance = min(rate*burstTime.Seconds(), t.allowance+now.Sub(t.last).Seconds()*rate)
 	t.last = now
-	if t.allowance <= 0 {
+	if t.allowance <= 0 || !t.peers.known() {
 		return
 	}
 	work := t.peers.directory.Outstanding()
@@ -293,7 +292,7 @@
 		Costs: t.peers.directory.Costs(),
 	}
 	targets := t.peers.targets()
-	near := min(len(targets), maximumPeers)
+	near := min(len(targets), Maximum)
 	if !t.write(message, targets[:near]) {
 		return
 	}
@@ -313,15 +312,9 @@
 
 // write sends a message to peers, and reports whether it could be sent.
 func (t *teller) write(message *region.Outstanding, targets []netip.AddrPort) bool {
-	encoded, err := message.MarshalMsg(nil)
-	if err != nil || len(encoded) > maximumDatagram {
-		return false
-	}
-	for _, target := range targets {
-		_, _ = t.socket.WriteToUDPAddrPort(encoded, target)
-		t.allowance -= float64(len(encoded) + datagramOverhead)
-	}
-	return true
+	taken := t.peers.socket.Send(datagram.KindOutstanding, message, targets...)
+	t.allowance -= float64(taken)
+	return taken > 0 || len(targets) == 0
 }
 
 // changedWork lists the work that is not as it was told, and what has ended as none.
--- a/internal/relay/daemon/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,4 +1,4 @@
-package daemon
+package peers
 
 import (
 	"testing"
--- a/internal/relay/daemon/warmup.go
+++ b/internal/placement/warmup.go
@@ -1,10 +1,12 @@
-package daemon
+package placement
 
 import (
 	"context"
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -20,16 +22,24 @@
 	// warmupPoll is the pause between two looks for replicas to ask.
 	warmupPoll = 50 * time.Millisecond
 	// warmupTime is how long after the start replicas are asked: what comes later
-	// keeps nothing that this gateway does not hear of.
+	// keeps nothing that this process does not hear of.
 	warmupTime        = 3 * time.Second
 	warmupCallTimeout = 400 * time.Millisecond
 	warmupCalls       = 4
 )
 
-// warmUp asks each model replica once what it keeps: a gateway that has restarted
-// has forgotten it, and would have prefixes read again.
-func (d *Daemon) warmUp(ctx context.Context) {
-	if d.settings.Prefixes == nil {
+// Warmup asks model replicas what they keep: a process that has restarted has forgotten it,
+// and would have prefixes read again.
+type Warmup struct {
+	// Source is asked; nil for none.
+	Source    PrefixSource
+	Directory *relay.Directory
+	Logger    logr.Logger
+}
+
+// Run asks each replica once, for a while after the start.
+func (w *Warmup) Run(ctx context.Context) {
+	if w.Source == nil {
 		return
 	}
 	begun := time.Now()
@@ -37,7 +47,7 @@
 	slots := make(chan struct{}, warmupCalls)
 	var calls sync.WaitGroup
 	for time.Since(begun) < warmupTime && lifecycle.Sleep(ctx, warmupPoll) {
-		for _, replica := range d.directory.ModelReplicas() {
+		for _, replica := range w.Directory.ModelReplicas() {
 			if asked[replica.ID] {
 				continue
 			}
@@ -45,21 +55,21 @@
 			calls.Go(func() {
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				d.askKept(ctx, replica)
+				w.ask(ctx, replica)
 			})
 		}
 	}
 	calls.Wait()
 }
 
-func (d *Daemon) askKept(ctx context.Context, replica region.Replica) {
+func (w *Warmup) ask(ctx context.Context, replica region.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, warmupCallTimeout)
 	defer cancel()
-	parts, err := d.settings.Prefixes.Kept(ctx, replica)
+	parts, err := w.Source.Kept(ctx, replica)
 	if err != nil {
-		d.settings.Logger.V(1).Info(event.PrefixesUnknown, "replica", replica.ID, "error", err.Error())
+		w.Logger.V(1).Info(event.PrefixesUnknown, "replica", replica.ID, "error", err.Error())
 		return
 	}
-	d.directory.LearnKept(replica.ID, parts)
-	d.settings.Logger.V(1).Info(event.PrefixesLearned, "replica", replica.ID, "parts", len(parts))
+	w.Directory.LearnKept(replica.ID, parts)
+	w.Logger.V(1).Info(event.PrefixesLearned, "replica", replica.ID, "parts", len(parts))
 }
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -139,8 +139,11 @@
 	WholeList    bool      `msg:"whole_list"`
 	Replicas     []Replica `msg:"replicas"`
 	Removed      []string  `msg:"removed"`
-	// Gateways is the number of gateways of the region, as far as known.
+	// Gateways is the number of gateways of the region, 0 if it is not known yet.
 	Gateways int `msg:"gateways"`
+	// Places says that there are so many gateways that the coordinators choose replicas for
+	// them; these don't tell each other of their work.
+	Places bool `msg:"places"`
 	// PeersHash is that of the region's gateways; Peers are their addresses, set
 	// only if the hash is not the request's.
 	PeersHash uint64   `msg:"peers_hash"`
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -2276,9 +2276,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "age"
-	o = append(o, 0x8d, 0xa3, 0x61, 0x67, 0x65)
+	o = append(o, 0x8e, 0xa3, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
@@ -2317,6 +2317,9 @@
 	// string "gateways"
 	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 	o = msgp.AppendInt(o, z.Gateways)
+	// string "places"
+	o = append(o, 0xa6, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x73)
+	o = msgp.AppendBool(o, z.Places)
 	// string "peers_hash"
 	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 	o = msgp.AppendUint64(o, z.PeersHash)
@@ -2467,6 +2470,12 @@
 				err = msgp.WrapError(err, "Gateways")
 				return
 			}
+		case "places":
+			z.Places, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Places")
+				return
+			}
 		case "peers_hash":
 			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -2541,7 +2550,7 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 9 + msgp.IntSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	s += 9 + msgp.IntSize + 7 + msgp.BoolSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0003 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0003])
 	}
--- a/internal/relay/costs.go
+++ b/internal/relay/costs.go
@@ -70,13 +70,6 @@
 	}
 }
 
-// wholeReading is for how long a replica reads a prompt of which it keeps nothing.
-func (d *Directory) wholeReading(replica *Replica, request ReadRequest) time.Duration {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.busyTime(replica, request, request.Prompt.Tokens)
-}
-
 // slowness is the factor by which a replica reads more slowly than one that only reads.
 func slowness(replica *Replica) time.Duration {
 	if replica.Stage == region.StageDecode {
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -11,9 +11,13 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/pierhaven/pierhaven/internal/datagram"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/peers"
+	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
@@ -25,6 +29,10 @@
 	settings  Settings
 	keeper    *viewKeeper
 	directory *relay.Directory
+	socket    *datagram.Socket
+	peers     *peers.Peers
+	placement *placement.Client
+	warmup    *placement.Warmup
 	front     *front
 	client    *rpc.Client
 	ready     atomic.Bool
@@ -42,13 +50,28 @@
 	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
 	directory.SwitchOff(settings.Without)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
-	peers := newPeers(settings, directory)
-	keeper := newViewKeeper(settings, client, directory, budgets, peers)
+	socket := &datagram.Socket{}
+	life := started.UnixNano()
+	peers := peers.New(peers.Options{
+		Name:              settings.Name,
+		Address:           settings.PeerListen,
+		Life:              life,
+		LinkBitsPerSecond: settings.LinkBitsPerSecond,
+		Directory:         directory,
+		Socket:            socket,
+	})
+	asker := placement.NewClient(settings.Name, life, directory, socket, settings.Logger)
+	keeper := newViewKeeper(settings, client, directory, budgets, &deciders{peers: peers, asker: asker})
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
+	runner.AskPlacements(asker.Remote())
 	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
 		directory: directory,
+		socket:    socket,
+		peers:     peers,
+		placement: asker,
+		warmup:    &placement.Warmup{Source: settings.Prefixes, Directory: directory, Logger: settings.Logger},
 		client:    client,
 		front:     &front{settings: settings, keeper: keeper, runner: runner},
 	}
@@ -63,6 +86,15 @@
 		return float64(d.front.inFlight.Load())
 	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
+	registry.GaugeFunc("placements_asked", "Questions to coordinators for a replica since the start.", func() float64 {
+		return float64(d.placement.Counts().Asked)
+	})
+	registry.GaugeFunc("placements_unanswered", "Questions to coordinators that were not answered in time since the start.", func() float64 {
+		return float64(d.placement.Counts().Unanswered)
+	})
+	registry.GaugeFunc("placements_suspended", "Choices that were made here since the coordinator had not answered, since the start.", func() float64 {
+		return float64(d.placement.Counts().Suspended)
+	})
 	registry.GaugeFunc("view_age_seconds", "Age of the view of the region, -1 before there is one.", func() float64 {
 		age, known := d.keeper.age()
 		if !known {
@@ -93,7 +125,9 @@
 	defer cancel()
 	go d.keeper.keep(work)
 	go d.keeper.watchList(work)
-	go d.keeper.peers.run(work)
+	go d.listenToOthers(work)
+	go d.peers.Tell(work)
+	go d.placement.Run(work)
 	go d.warmUp(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
 	go func() { _ = d.front.newServer(callers).Run() }()
@@ -102,6 +136,29 @@
 	return nil
 }
 
+// listenToOthers takes the messages of other gateways and of coordinators.
+func (d *Daemon) listenToOthers(ctx context.Context) {
+	if err := d.socket.Run(ctx, d.settings.PeerListen); err != nil {
+		d.settings.Logger.Info(event.PeersUnreachable, "address", d.settings.PeerListen, "error", failure.Text(err))
+	}
+}
+
+// countedPoll is the pause between two looks whether the gateways have been counted.
+const countedPoll = 20 * time.Millisecond
+
+// warmUp asks replicas what they keep, unless there are so many gateways that coordinators,
+// which ask them, choose replicas for this one.
+func (d *Daemon) warmUp(ctx context.Context) {
+	for !d.keeper.counted() {
+		if !lifecycle.Sleep(ctx, countedPoll) {
+			return
+		}
+	}
+	if !d.placement.Asks() {
+		d.warmup.Run(ctx)
+	}
+}
+
 // maximumConnections bounds the callers' connections, below the descriptors that
 // a process may have.
 const maximumConnections = 3000
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -20,7 +21,7 @@
 	Listen      string
 	ReadyListen string
 	ReadyPath   string
-	// PeerListen takes the messages of the region's other gateways (UDP).
+	// PeerListen takes the messages of other gateways and of coordinators (UDP).
 	PeerListen string
 	// Seeds are the internal addresses of coordinators to begin with.
 	Seeds  func() []string
@@ -34,7 +35,7 @@
 	// Lister is asked directly if no coordinator has a fresh view.
 	Lister coordinator.Lister
 	// Prefixes tells what replicas keep; nil leaves that to be found out.
-	Prefixes PrefixSource
+	Prefixes placement.PrefixSource
 	Codec    traffic.Codec
 	Dialect  FrontDialect
 	// Metrics is the process's registry.
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -28,7 +28,7 @@
 	client    *rpc.Client
 	directory *relay.Directory
 	budgets   *relay.Budgets
-	peers     *peers
+	deciders  *deciders
 	started   time.Time
 
 	table atomic.Pointer[traffic.Table]
@@ -43,20 +43,22 @@
 	// meaningful once confirmed is set.
 	freshAt   time.Duration
 	confirmed bool
+	// gatewaysKnown says that a coordinator has told the number of gateways.
+	gatewaysKnown bool
 	// members are the coordinators as they name themselves; zones are the zones
 	// of those that have answered.
 	members []string
 	zones   map[string]string
 }
 
-func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, peers *peers) *viewKeeper {
+func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, deciders *deciders) *viewKeeper {
 	return &viewKeeper{
 		settings:  settings,
 		logger:    settings.Logger,
 		client:    client,
 		directory: directory,
 		budgets:   budgets,
-		peers:     peers,
+		deciders:  deciders,
 		started:   time.Now(),
 		zones:     map[string]string{},
 
@@ -92,6 +94,13 @@
 	return k.now() - k.freshAt, k.confirmed
 }
 
+// counted reports whether a coordinator has told the number of gateways.
+func (k *viewKeeper) counted() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.gatewaysKnown
+}
+
 // keep polls coordinators until the context ends. It stays with one as long as
 // that one's view is fresh.
 func (k *viewKeeper) keep(ctx context.Context) {
@@ -172,7 +181,7 @@
 	request := &region.ViewRequest{
 		Gateway:    k.settings.Name,
 		Address:    k.settings.PeerListen,
-		PeersHash:  k.peers.known(),
+		PeersHash:  k.deciders.peers.Known(),
 		Demand:     k.directory.Demand(),
 		WaitMillis: int(viewWait.Milliseconds()),
 	}
@@ -205,13 +214,12 @@
 	if len(view.Coordinators) > 0 {
 		k.members = view.Coordinators
 	}
-	if view.PeersHash != k.peers.known() {
-		k.peers.take(view.PeersHash, view.Peers)
-	}
+	k.deciders.take(k.now(), coordinator, view)
 	if view.AgeMillis < 0 {
 		return nil
 	}
 	k.budgets.SetGateways(view.Gateways)
+	k.gatewaysKnown = k.gatewaysKnown || view.Gateways > 0
 	if at := k.now() - time.Duration(view.AgeMillis)*time.Millisecond; !k.confirmed || at > k.freshAt {
 		k.confirmed = true
 		k.freshAt = at
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -28,10 +28,12 @@
 	handovers timeMeters
 	// excesses are by how much longer than expected prompts have taken, by service and
 	// stage: what other gateways have placed there, and have not told of.
-	excesses  timeMeters
-	reads     map[string]*readMeter
-	streams   map[string]streamMeters
-	placed    placements
+	excesses timeMeters
+	reads    map[string]*readMeter
+	streams  map[string]streamMeters
+	placed   placements
+	// grants numbers the coordinator's lives, and the coordinators, whose grants count.
+	grants    uint64
 	onDropped func(address, instance string)
 	// off are the mechanisms that are switched off.
 	off    mechanism.Set
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -28,6 +28,9 @@
 	eventAt time.Duration
 	// leaving is closed when the replica of a stream leaves.
 	leaving chan struct{}
+	// grant is the coordinator's lease that this one stands for, nil if the gateway has
+	// chosen the replica itself.
+	grant *grant
 }
 
 // lease is called with the mutex held.
@@ -45,11 +48,24 @@
 	alone bool
 	// dueAt is when the prompt is expected to have been read.
 	dueAt time.Duration
+	// whole is for how long the replica would read the prompt if it kept nothing of it.
+	whole time.Duration
 }
 
-// readPrompt notes that the replica is to read a prompt. It is called with the
-// mutex held.
+// readPrompt notes that the replica is to read a prompt, and chooses where its beginning is
+// fetched. It is called with the mutex held.
 func (l *Lease) readPrompt(request ReadRequest, estimated readEstimate, urgency Urgency) {
+	d, replica, prompt := l.directory, l.Replica, request.Prompt
+	l.noteReading(request, estimated, urgency)
+	l.reading.whole = d.busyTime(replica, request, prompt.Tokens)
+	l.fetchFrom = estimated.from
+	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() && !d.off[mechanism.Fetching] {
+		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
+	}
+}
+
+// noteReading notes that the replica is to read a prompt. It is called with the mutex held.
+func (l *Lease) noteReading(request ReadRequest, estimated readEstimate, urgency Urgency) {
 	d, replica, prompt := l.directory, l.Replica, request.Prompt
 	l.reading = &placedReading{
 		readEstimate: estimated,
@@ -58,10 +74,6 @@
 		alone:        replica.allReading(l.begun).before(Late) == 0,
 		dueAt:        l.begun + estimated.total() + d.model(replica.Service).Overhead(),
 	}
-	l.fetchFrom = estimated.from
-	if l.fetchFrom == nil && estimated.missing > prompt.ownTokens() && !d.off[mechanism.Fetching] {
-		l.fetchFrom = d.unknownSource(replica, prompt, l.begun)
-	}
 	d.noteRead(replica.Service, estimated.busy/slowness(replica))
 	replica.reading[urgency] += estimated.busy
 	if urgency == Late {
@@ -80,6 +92,7 @@
 	}
 	l.released = true
 	l.Replica.inFlight--
+	l.grantEnds()
 	if l.stream != nil {
 		l.stream.end(l.directory.clock())
 		l.streamLeaves()
@@ -101,6 +114,7 @@
 	stream := d.streams[service].of(route)
 	stream.begin(now)
 	l.streamComes(stream)
+	l.tell(region.LeaseEvent{Kind: region.LeaseBegun, HandedOver: handedOver})
 	if handedOver {
 		d.handovers.observe(service, now-l.begun)
 	}
@@ -138,6 +152,7 @@
 	stream := l.stream
 	l.streamLeaves()
 	target.streamComes(stream)
+	target.tell(region.LeaseEvent{Kind: region.LeaseBegun})
 }
 
 // StreamWentOn notes that a further event of the stream has come.
@@ -145,15 +160,29 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	now := l.directory.clock()
-	l.Replica.pause.observe(now, now-l.eventAt)
+	l.paused(now, now-l.eventAt)
 	l.eventAt = now
 }
 
+// StreamPaused notes a pause between two events of the stream.
+func (l *Lease) StreamPaused(took time.Duration) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.paused(l.directory.clock(), took)
+}
+
+// paused is called with the mutex held.
+func (l *Lease) paused(now, took time.Duration) {
+	l.Replica.pause.observe(now, took)
+	l.tellPause(now, took)
+}
+
 // PromptRead notes that the prompt has been read.
 func (l *Lease) PromptRead() {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	l.Replica.progressAt = l.directory.clock()
+	l.tell(region.LeaseEvent{Kind: region.LeaseRead})
 	l.noteExcess()
 	l.noteCost()
 	l.readDone()
@@ -187,6 +216,7 @@
 func (l *Lease) PromptKept(prompt *Prompt) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
+	l.tell(region.LeaseEvent{Kind: region.LeaseKept})
 	if l.Replica.Stage == region.StageDecode {
 		l.directory.placed.add(l.Replica.ID, prompt, l.directory.clock())
 	}
@@ -198,6 +228,9 @@
 		return
 	}
 	l.Replica.reading[l.reading.urgency] -= l.reading.busy
+	if l.grantCounts() {
+		l.Replica.granted.reading[l.reading.urgency] -= l.reading.busy
+	}
 	if l.reading.urgency == Late {
 		l.Replica.lateReads--
 	}
@@ -211,6 +244,7 @@
 	defer l.directory.mutex.Unlock()
 	now := l.directory.clock()
 	l.Replica.unreachable(now, !handedOver)
+	l.tell(region.LeaseEvent{Kind: region.LeaseUnreachable, HandedOver: handedOver})
 	l.directory.logger.Info(event.ReplicaAvoided, "replica", l.Replica.ID, "for_ms", (l.Replica.avoidUntil - now).Milliseconds(),
 		"failures", l.Replica.failures, "connected", handedOver)
 }
@@ -220,6 +254,15 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	l.Replica.fullUntil = l.directory.clock() + fullAvoidance
+	l.tell(region.LeaseEvent{Kind: region.LeaseFull})
+}
+
+// Misdirected notes that another incarnation answers at the replica's address.
+func (l *Lease) Misdirected() {
+	l.directory.Misdirected(l.Replica)
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.tell(region.LeaseEvent{Kind: region.LeaseMisdirected})
 }
 
 // Answered notes the replica's answer.
@@ -231,6 +274,7 @@
 		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
 	}
 	l.Replica.answered(now, now-l.begun, failed)
+	l.tell(answeredEvent(failed, load))
 	if load != nil && !l.directory.off[mechanism.ReportedLoad] {
 		l.Replica.load = *load
 		l.Replica.loadAt = now
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -95,7 +95,7 @@
 // try moves the stream, and reports whether no other attempt should be made.
 func (m *mover) try(ctx context.Context) bool {
 	r := m.run
-	target := r.directory.PickRoom(m.lease)
+	target := r.placer.Room(ctx, m.lease, r.readRequest())
 	if target == nil {
 		return false
 	}
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -8,18 +8,19 @@
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
-// Outstanding lists this gateway's work at replicas, for its peers.
+// Outstanding lists this gateway's work at replicas, for its peers: that of its own choice,
+// not what a coordinator has placed for it and knows.
 func (d *Directory) Outstanding() []region.OutstandingWork {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var work []region.OutstandingWork
 	for id, replica := range d.replicas {
-		if replica.inFlight > 0 {
+		if own := replica.inFlight - replica.granted.requests; own > 0 {
 			work = append(work, region.OutstandingWork{
 				Replica:      id,
-				Requests:     replica.inFlight,
-				InTimeMicros: replica.reading[InTime].Microseconds(),
-				LateMicros:   replica.reading[Late].Microseconds(),
+				Requests:     own,
+				InTimeMicros: (replica.reading[InTime] - replica.granted.reading[InTime]).Microseconds(),
+				LateMicros:   (replica.reading[Late] - replica.granted.reading[Late]).Microseconds(),
 			})
 		}
 	}
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -193,20 +193,19 @@
 	return d.pick(service, excluded, ofStage(region.StageDecode), loadScore{zone: zone, distance: 0.05})
 }
 
-// PickRoom leases a replica that has room for a stream that another has to give up, nil if
-// there is none.
-func (d *Directory) PickRoom(lease *Lease) *Lease {
+// PickRoom leases a replica that has room for a stream that an excluded one in a zone has to
+// give up, nil if there is none.
+func (d *Directory) PickRoom(service string, excluded []*Replica, zone string) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	from := lease.Replica
-	candidates := slices.DeleteFunc(d.candidates(from.Service, []*Replica{from}, ofStage(region.StageDecode)), func(r *Replica) bool {
+	candidates := slices.DeleteFunc(d.candidates(service, excluded, ofStage(region.StageDecode)), func(r *Replica) bool {
 		return r.avoided(now) || r.occupancy(now) > moveLimit
 	})
 	if len(candidates) == 0 {
 		return nil
 	}
-	return d.lease(lowest(candidates, loadScore{zone: from.Zone, distance: 0.05}, now))
+	return d.lease(lowest(candidates, loadScore{zone: zone, distance: 0.05}, now))
 }
 
 func anyReplica(*Replica) bool { return true }
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -25,8 +25,8 @@
 	defer d.mutex.Unlock()
 	now := d.clock()
 	d.model(service).Expect(request.Prompt.Tokens, request.Objective)
-	readers := d.soundCandidates(service, nil, ofStage(region.StagePrefill), now)
-	generators := d.soundCandidates(service, nil, ofStage(region.StageDecode), now)
+	readers := d.soundCandidates(service, request.Excluded, ofStage(region.StagePrefill), now)
+	generators := d.soundCandidates(service, request.Excluded, ofStage(region.StageDecode), now)
 	if len(generators) == 0 {
 		return nil, errNoReplica
 	}
@@ -54,11 +54,15 @@
 // noRoom is the refusal of a prompt for which no replica has room, with when to come back:
 // once the best place will have read what it has.
 func noRoom(request ReadRequest, best *readEstimate) error {
-	return &noRoomError{until: min(max(best.wait, refusedRetryAfter), request.Left/retryDivisor)}
+	return &noRoomError{
+		until: min(max(best.wait, refusedRetryAfter), request.Left/retryDivisor),
+		busy:  best.busy / slowness(best.replica),
+	}
 }
 
-// noRoomError is the refusal of a prompt; until is in how long there should be room.
-type noRoomError struct{ until time.Duration }
+// noRoomError is the refusal of a prompt; until is in how long there should be room, and
+// busy for how long a reader would have read it.
+type noRoomError struct{ until, busy time.Duration }
 
 // Error implements error.
 func (*noRoomError) Error() string { return "no replica has room for the prompt" }
@@ -135,11 +139,11 @@
 
 // PlaceDirect leases a generating replica that is to read a prompt itself, or returns
 // nil.
-func (d *Directory) PlaceDirect(service string, excluded []*Replica, request ReadRequest) *Lease {
+func (d *Directory) PlaceDirect(service string, request ReadRequest) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	generators := d.soundCandidates(service, excluded, ofStage(region.StageDecode), now)
+	generators := d.soundCandidates(service, request.Excluded, ofStage(region.StageDecode), now)
 	if len(generators) == 0 {
 		return nil
 	}
@@ -182,7 +186,7 @@
 	if shared := estimated.missing - request.Prompt.ownTokens(); isHome && shared > 0 {
 		score -= time.Duration(homeShare * float64(estimated.busy) * float64(shared) / float64(estimated.missing))
 	}
-	if estimated.replica.Zone != d.zone {
+	if estimated.replica.Zone != request.Zone {
 		score += time.Duration(zoneShare * float64(request.Objective))
 	}
 	score += time.Duration(errorWeight * estimated.replica.errorRate * float64(request.Objective))
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -29,9 +29,9 @@
 func (r *run) placeModelCall(ctx context.Context) (*Lease, *promptHandle, error) {
 	service := r.call.Service.Name
 	if r.reads > 0 || r.stream != nil {
-		return r.directory.PlaceDirect(service, r.tried, r.readRequest()), nil, nil
+		return r.placer.Direct(ctx, service, r.readRequest()), nil, nil
 	}
-	lease, err := r.directory.PlaceReading(service, r.readRequest())
+	lease, err := r.placer.Reading(ctx, service, r.readRequest())
 	if err != nil {
 		return nil, nil, err
 	}
@@ -43,9 +43,9 @@
 		return nil, nil, err
 	}
 	if handle == nil {
-		return r.directory.PlaceDirect(service, r.tried, r.readRequest()), nil, nil
+		return r.placer.Direct(ctx, service, r.readRequest()), nil, nil
 	}
-	return r.directory.PickGenerator(service, r.tried, handle.replica.Zone), handle, nil
+	return r.placer.Generator(ctx, service, r.readRequest(), handle.replica.Zone), handle, nil
 }
 
 // readRequest describes the prompt with the time that is left for it.
@@ -57,6 +57,8 @@
 		TargetGap: r.call.Route.TargetGap,
 		AimLeft:   time.Until(r.call.Arrived.Add(objective)),
 		Left:      time.Until(r.deadline),
+		Zone:      r.directory.zone,
+		Excluded:  r.tried,
 	}
 }
 
@@ -72,7 +74,8 @@
 	bounded, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	var paid atomic.Bool
-	stall := newStallWatch(lease, r.stallBound(lease, &placed), func() {
+	idle := func() time.Duration { return r.placer.idleTime(bounded, lease) }
+	stall := newStallWatch(idle, r.stallBound(&placed), func() {
 		if r.budgets.Withdraw(service) {
 			paid.Store(true)
 			giveUp(errSlowReading)
@@ -107,11 +110,11 @@
 
 // stallBound is how long a reader may read nothing, as far as is known, before the
 // prompt is taken from it. What is late already is left where it is.
-func (r *run) stallBound(lease *Lease, placed *placedReading) time.Duration {
+func (r *run) stallBound(placed *placedReading) time.Duration {
 	if placed.urgency == Late {
 		return time.Until(r.deadline)
 	}
-	return r.call.objective() + slowReading*r.directory.wholeReading(lease.Replica, r.readRequest())
+	return r.call.objective() + slowReading*placed.whole
 }
 
 // slowReading is the factor by which a reader may take longer for a prompt than
@@ -153,7 +156,7 @@
 func (r *run) noteRefusalOfReading(lease *Lease, answer *upstream.Exchange) {
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest && lease.Replica.Stage == region.StagePrefill:
-		r.directory.Misdirected(lease.Replica)
+		lease.Misdirected()
 	default:
 		lease.Full()
 	}
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -17,6 +17,10 @@
 	// deadline.
 	AimLeft time.Duration
 	Left    time.Duration
+	// Zone is that of the gateway which has the request.
+	Zone string
+	// Excluded are replicas that must not be chosen.
+	Excluded []*Replica
 }
 
 // Urgency is the class in which a prompt is read. Replicas read the prompts of an
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -18,6 +18,9 @@
 	lateReads int
 	// progressAt is when it was last known to have read a prompt.
 	progressAt time.Duration
+	// granted is the part of inFlight and reading that a coordinator has placed and counts
+	// itself.
+	granted grantedWork
 	// generating counts this gateway's streams there that have begun.
 	generating int
 	// pause is the longest time of late between two events of the replica's streams.
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -19,6 +19,7 @@
 // Runner runs calls. It may be used concurrently.
 type Runner struct {
 	directory *Directory
+	placer    *Placer
 	client    *upstream.Client
 	dialect   Dialect
 	budgets   *Budgets
@@ -30,6 +31,7 @@
 func NewRunner(directory *Directory, client *upstream.Client, dialect Dialect, budgets *Budgets, metrics *Metrics, logger logr.Logger) *Runner {
 	return &Runner{
 		directory: directory,
+		placer:    &Placer{Directory: directory},
 		client:    client,
 		dialect:   dialect,
 		budgets:   budgets,
@@ -38,6 +40,9 @@
 	}
 }
 
+// AskPlacements has a coordinator asked for replicas. It is called before any use.
+func (r *Runner) AskPlacements(remote *RemotePlacement) { r.placer.Remote = remote }
+
 const (
 	// maximumSends bounds the replicas that a call is offered to, those that
 	// refuse it included.
@@ -320,7 +325,7 @@
 		"address", lease.Replica.Address, "source", send.Source, "fetch", send.Fetch, "send", r.sends,
 		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
 		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds(),
-		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds())
+		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.placedBy())
 	if send.LastEvent != "" {
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
@@ -367,7 +372,7 @@
 func (r *run) noteRefusal(lease *Lease, answer *upstream.Exchange, marks Marks) {
 	_, _ = answer.ReadAll()
 	if answer.Status == http.StatusMisdirectedRequest {
-		r.directory.Misdirected(lease.Replica)
+		lease.Misdirected()
 		return
 	}
 	lease.Full()
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -8,7 +8,8 @@
 // stallWatch tells when a replica has read nothing for a time: one that is busy still
 // reads the prompts of others.
 type stallWatch struct {
-	lease   *Lease
+	// idle tells for how long the replica has read nothing.
+	idle    func() time.Duration
 	bound   time.Duration
 	stalled func()
 
@@ -18,8 +19,8 @@
 }
 
 // newStallWatch calls stalled, at most once, if nothing has been read for a time.
-func newStallWatch(lease *Lease, bound time.Duration, stalled func()) *stallWatch {
-	watch := &stallWatch{lease: lease, bound: bound, stalled: stalled}
+func newStallWatch(idle func() time.Duration, bound time.Duration, stalled func()) *stallWatch {
+	watch := &stallWatch{idle: idle, bound: bound, stalled: stalled}
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(bound, watch.look)
@@ -27,12 +28,13 @@
 }
 
 func (w *stallWatch) look() {
+	idle := w.idle()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.ended {
 		return
 	}
-	if left := w.bound - w.lease.idleTime(); left > 0 {
+	if left := w.bound - idle; left > 0 {
 		w.timer.Reset(left)
 		return
 	}
@@ -47,9 +49,9 @@
 	w.timer.Stop()
 }
 
-// idleTime is for how long the replica has read nothing that any gateway knows of, since
+// IdleTime is for how long the replica has read nothing that any gateway knows of, since
 // the lease began at most.
-func (l *Lease) idleTime() time.Duration {
+func (l *Lease) IdleTime() time.Duration {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	return l.directory.clock() - max(l.begun, l.Replica.progressAt)
