--- a/cmd/pierbench/main.go
+++ b/cmd/pierbench/main.go
@@ -19,6 +19,7 @@
 	"github.com/pierhaven/pierhaven/bench/experiment"
 	"github.com/pierhaven/pierhaven/bench/faults"
 	"github.com/pierhaven/pierhaven/bench/fleet"
+	"github.com/pierhaven/pierhaven/bench/manygateways"
 	"github.com/pierhaven/pierhaven/bench/platform"
 	"github.com/pierhaven/pierhaven/bench/replay"
 	"github.com/pierhaven/pierhaven/bench/scale"
@@ -56,6 +57,7 @@
 		experiment.Command(),
 		faults.Command(),
 		fleet.Command(),
+		manygateways.Command(),
 		replay.Command(),
 		replay.GenerateCommand(),
 		scale.Command(),
