Go on to the next replica where one takes no connection

Nothing had run, and nothing had reached a replica.

Change: replicas that take no connection do not count among the four that a call is offered to; 16 of them end it. A prompt goes on to the next reader. Tests with eight dead replicas of nine failed before.

--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,9 @@
 		return lease, nil, nil
 	}
 	handle, err := r.readPrompt(ctx, lease)
+	if errors.Is(err, errNotConnected) {
+		return r.placeAgain(ctx, lease)
+	}
 	if err != nil {
 		return nil, nil, err
 	}
@@ -48,6 +52,16 @@
 	return r.placer.Generator(ctx, service, r.readRequest(), handle.replica.Zone), handle, nil
 }
 
+// placeAgain places the call anew after a reader has taken no connection.
+func (r *run) placeAgain(ctx context.Context, lease *Lease) (*Lease, *promptHandle, error) {
+	r.tried = append(r.tried, lease.Replica)
+	r.unread++
+	if r.isUnconnected() {
+		return nil, nil, failure.New(failure.AttemptsExhausted, "no replica takes a connection")
+	}
+	return r.placeModelCall(ctx)
+}
+
 // readRequest describes the prompt with the time that is left for it.
 func (r *run) readRequest() ReadRequest {
 	objective := r.call.objective()
@@ -62,7 +76,7 @@
 	}
 }
 
-// readPrompt has the prompt read, and returns nil if it could not be. A reader that
+// readPrompt has the prompt read, and returns nil if it could not be, or errNotConnected. A reader that
 // took the request and did not read it makes the next send a repeated one, which
 // the retry budget has to allow: a reader that is slow is given up only then.
 func (r *run) readPrompt(ctx context.Context, lease *Lease) (*promptHandle, error) {
@@ -93,6 +107,10 @@
 		return handle, nil
 	}
 	r.metrics.promptRead(readFailed, time.Since(begun))
+	if !upstream.HandedOver(err) && !isRefusal(err) && ctx.Err() == nil {
+		r.reads--
+		return nil, errNotConnected
+	}
 	if upstream.HandedOver(err) && !paid.Load() && !isRefusal(err) {
 		// The answer was lost, not the prompt: the generator may fetch it there. A
 		// prompt that was taken up costs nothing, whatever became of its answer.
@@ -105,6 +123,10 @@
 	return nil, nil
 }
 
+// errNotConnected says that a reader took no connection: another one may be asked, which costs
+// nothing but the time.
+var errNotConnected = errors.New("the reader takes no connection")
+
 // isRefusal reports whether a reader has said that it did not read.
 func isRefusal(err error) bool { return failure.KindOf(err) == failure.BackEndRefused }
 
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -47,6 +47,10 @@
 	// maximumSends bounds the replicas that a call is offered to, those that
 	// refuse it included.
 	maximumSends = 4
+	// maximumUnconnected bounds the replicas that take no connection for a call. Each costs
+	// some milliseconds where a port is dead, and nobody's budget; after a rack has gone a
+	// few in a row are met.
+	maximumUnconnected = 16
 	// refusedRetryAfter is the advice to a caller whose request found no place.
 	refusedRetryAfter = 150 * time.Millisecond
 	// minimumLeft is the least time worth sending a request for.
@@ -65,6 +69,10 @@
 	// attempts are the sends that a replica may have run; sends are all.
 	attempts int
 	sends    int
+	// unsent are the sends, and unread the calls to read, for which the replica took no
+	// connection.
+	unsent int
+	unread int
 	// arrivals are the sends that may have reached a replica.
 	arrivals int
 	tried    []*Replica
@@ -200,7 +208,7 @@
 	if r.sends > 0 && r.directory.off[mechanism.Retries] {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends >= maximumSends {
+	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends-r.unsent >= maximumSends || r.isUnconnected() {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
 	if r.arrivals > 0 && !r.budgets.Withdraw(r.call.Service.Name) {
@@ -209,6 +217,9 @@
 	return nil
 }
 
+// isUnconnected reports whether too many replicas have taken no connection.
+func (r *run) isUnconnected() bool { return r.unsent+r.unread >= maximumUnconnected }
+
 // isModelCall reports whether the call is for model engines.
 func (r *run) isModelCall() bool { return r.call.Service.Engine != nil && r.call.Prompt != nil }
 
@@ -362,6 +373,7 @@
 		r.client.Forget(lease.Replica.Address, lease.Replica.ID)
 	}
 	if !handedOver {
+		r.unsent++
 		return verdictNotRun, err
 	}
 	r.arrivals++
--- /dev/null
+++ b/internal/relay/unconnected_test.go
@@ -0,0 +1,54 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/testnet"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// dead replicas are those of a rack that has gone: their ports refuse connections.
+const dead = 8
+
+// TestReplicasThatTakeNoConnectionCostNoAttempt has most replicas of a service gone at once:
+// the call has run nowhere, and goes on until it meets one that lives.
+func TestReplicasThatTakeNoConnectionCostNoAttempt(t *testing.T) {
+	for range 6 {
+		w := newWorldWith(t, relay.BudgetTerms{})
+		w.add("alive", "", sealed(http.StatusOK, "answer"))
+		for number := range dead {
+			w.list(fmt.Sprint("dead-", number), "", testnet.Address(t))
+		}
+		answer := w.run(callOf(traffic.KindOnce, 1))
+		assert.Equal(t, "answer", answer.body.String())
+		assert.NoError(t, answer.err)
+	}
+}
+
+// TestAPromptIsReadApartThoughReadersTakeNoConnection holds a prompt from being read where the
+// answer is generated, at half the pace, since the first reader that was chosen is gone.
+func TestAPromptIsReadApartThoughReadersTakeNoConnection(t *testing.T) {
+	for range 6 {
+		w := newWorldWith(t, relay.BudgetTerms{})
+		w.add("reader", region.StagePrefill, func(writer http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(writer, "handle") })
+		w.add("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+			assert.NotEmpty(t, request.Header.Get("Source"), "the prompt has been read")
+			events(1, 2, false)(writer, request)
+		})
+		for number := range dead {
+			w.list(fmt.Sprint("dead-", number), region.StagePrefill, testnet.Address(t))
+		}
+		call := callOf(traffic.KindStream, 1)
+		call.Service.Engine = &traffic.Engine{}
+		call.Prompt = &relay.Prompt{Tokens: 9000, Parts: []relay.PromptPart{{ID: "shared", Tokens: 8000}, {ID: "own", Tokens: 1000}}}
+		answer := w.run(call)
+		assert.Equal(t, text(1, 2), answer.body.String())
+		assert.Equal(t, 1, w.visits("reader"))
+	}
+}
