Have the soak play coordinators that choose, and measure a question

Even seeds of pierbench soak run with coordinators that choose the replicas, and a regression seed of each kind is played in the tests.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -118,9 +118,12 @@
 
 // fleet is a region: coordinators, gateways, and stand-ins for the rest.
 type fleet struct {
-	binary       string
-	folder       string
-	subnet       int
+	binary string
+	folder string
+	subnet int
+	// placesAbove is the setting of the coordinators: those of even seeds choose the replicas
+	// for the gateways, those of odd ones leave it to them.
+	placesAbove  int
 	coordinators []*process
 	gateways     []*process
 	servers      []*httptest.Server
@@ -134,7 +137,12 @@
 // newFleet lays a region out on the loopback network. Each seed has a subnet of its
 // own, so that several may run.
 func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply, engineWatch platformtest.EngineWatch) (*fleet, error) {
-	f := &fleet{binary: options.Binary, folder: options.Folder, subnet: int(options.Seed % subnets)}
+	f := &fleet{
+		binary:      options.Binary,
+		folder:      options.Folder,
+		subnet:      int(options.Seed % subnets),
+		placesAbove: int(options.Seed%2) * gateways,
+	}
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
 		id := fmt.Sprintf("i-%d", number)
@@ -237,7 +245,8 @@
 			return err
 		}
 		common += "internal_listen: " + hidden + "\n"
-		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\n", laid.address, laid.folder, leaseMillis)
+		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\nplaces_above: %d\n",
+			laid.address, laid.folder, leaseMillis, f.placesAbove)
 		f.coordinators = append(f.coordinators, laid)
 	} else {
 		laid.role = "relay"
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// regressionSeeds are played in every run of the tests: a first one, and each seed
-// that ever broke a promise.
-var regressionSeeds = []uint64{11}
+// regressionSeeds are played in every run of the tests: one with coordinators that choose the
+// replicas and one without, and each seed that ever broke a promise.
+var regressionSeeds = []uint64{11, 12}
 
 func TestRegressionSeedsBreakNoPromise(t *testing.T) {
 	binary := buildProgram(t, t.TempDir())
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -7,4 +7,7 @@
 // know: each asks the leader several times a second for a position that a
 // majority has confirmed (read index, Ongaro 2014, section 6.4), and is as fresh
 // as its last answer.
+//
+// Where there are many gateways, each coordinator also chooses the replicas for those that
+// poll it (place.go, package placement).
 package coordinator
--- a/internal/relay/grant.go
+++ b/internal/relay/grant.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -53,7 +54,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	replica, known := d.replicas[answer.Replica]
-	if !known || replica.Draining || replica.gone || !isOneOf(replica.Stage, stages) || isExcluded(replica, request.Excluded) {
+	if !known || replica.Draining || replica.gone || !slices.Contains(stages, replica.Stage) || slices.Contains(request.Excluded, replica) {
 		return nil
 	}
 	lease := d.lease(replica)
@@ -76,24 +77,6 @@
 
 const percent = 100
 
-func isOneOf(stage string, stages []string) bool {
-	for _, each := range stages {
-		if each == stage {
-			return true
-		}
-	}
-	return false
-}
-
-func isExcluded(replica *Replica, excluded []*Replica) bool {
-	for _, each := range excluded {
-		if each == replica {
-			return true
-		}
-	}
-	return false
-}
-
 // readGranted notes that the replica is to read a prompt, as a coordinator estimates it. It
 // is called with the mutex held.
 func (l *Lease) readGranted(answer *region.PlacementAnswer, request ReadRequest) {
--- a/internal/relay/placement_benchmark_test.go
+++ b/internal/relay/placement_benchmark_test.go
@@ -12,7 +12,7 @@
 // BenchmarkPlacement is the choice of a place for one prompt among the replicas of the target
 // size, of which 23 in 100 read.
 func BenchmarkPlacement(b *testing.B) {
-	for _, size := range []int{12, 60, 3700} {
+	for _, size := range []int{12, 32, 60, 160, 3700} {
 		b.Run(fmt.Sprint(size, " replicas"), func(b *testing.B) {
 			var replicas []region.Replica
 			for number := range size {
