--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -8,9 +8,10 @@
 // A Directory knows the replicas. It places a prompt (placement.go) by how long each
 // replica is expected to take until it has read it (reading.go), which follows from the
 // engines' costs (costs.go), from what replicas keep (prefix.go, fetch.go) and from the
-// work that is placed already, by this gateway and by its peers (outstanding.go). Where there
-// are many gateways, a Placer asks a coordinator, which has a Directory of its own, for all of
-// that (placer.go, grant.go). A Lease is the place that a request has taken up (lease.go). A Runner makes the sends of a call
+// work that is placed already, by this gateway and by its peers (outstanding.go). A Lease
+// is the place that a request has taken up (lease.go). Where there are many gateways, a
+// Placer asks a coordinator for leases (placer.go, grant.go); that one has a Directory of
+// its own, and answers from it (question.go). A Runner makes the sends of a call
 // (runner.go): it has the prompt read (prompt.go), relays the stream (stream.go) and moves
 // it when its replica leaves (move.go).
 package relay
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -141,75 +140,3 @@
 }
 
 func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
-
-// Place answers a coordinator's question from this directory.
-func (d *Directory) Place(question *region.PlacementQuestion) (*Lease, *region.PlacementAnswer) {
-	request := d.requestOf(question)
-	var lease *Lease
-	var err error
-	switch question.Kind {
-	case region.PlaceRead:
-		lease, err = d.PlaceReading(question.Service, request)
-	case region.PlaceDirect:
-		lease = d.PlaceDirect(question.Service, request)
-	case region.PlaceGenerate:
-		lease = d.PickGenerator(question.Service, request.Excluded, question.Near)
-	case region.PlaceRoom:
-		lease = d.PickRoom(question.Service, request.Excluded, question.Near)
-	}
-	answer := &region.PlacementAnswer{Outcome: region.PlacementNoReplica}
-	if lease != nil {
-		answer = lease.Describe()
-	}
-	if full := (*noRoomError)(nil); errors.As(err, &full) {
-		answer.Outcome = region.PlacementNoRoom
-		answer.UntilMicros = full.until.Microseconds()
-		answer.BusyMicros = full.busy.Microseconds()
-	}
-	answer.Lease = question.Lease
-	return lease, answer
-}
-
-// requestOf reads a question; what a gateway tells is bounded.
-func (d *Directory) requestOf(question *region.PlacementQuestion) ReadRequest {
-	prompt := PromptOf(question)
-	return ReadRequest{
-		Prompt:    prompt,
-		Objective: boundedMicros(question.ObjectiveMicros),
-		TargetGap: boundedMicros(question.GapMicros),
-		AimLeft:   boundedMicros(question.AimLeftMicros),
-		Left:      boundedMicros(question.LeftMicros),
-		Zone:      question.Zone,
-		Excluded:  d.Find(question.Excluded),
-	}
-}
-
-const (
-	// longestTold bounds a time that a gateway tells.
-	longestTold = time.Hour
-	// mostTokens bounds the tokens that a gateway tells of a prompt, more than any engine's
-	// memory holds.
-	mostTokens = 1 << 26
-)
-
-func boundedMicros(count int64) time.Duration {
-	return micros(min(max(count, 0), longestTold.Microseconds()))
-}
-
-// PromptOf is the prompt that a question is about.
-func PromptOf(question *region.PlacementQuestion) *Prompt {
-	prompt := &Prompt{Tokens: boundedTokens(question.Tokens)}
-	for _, part := range question.Parts {
-		prompt.Parts = append(prompt.Parts, PromptPart{ID: part.ID, Tokens: boundedTokens(part.Tokens)})
-	}
-	return prompt
-}
-
-func boundedTokens(told int) int { return min(max(told, 0), mostTokens) }
-
-// noteRefused counts a prompt that is refused as demand.
-func (d *Directory) noteRefused(service string, busy time.Duration) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.noteRead(service, busy)
-}
