--- /dev/null
+++ b/internal/datagram/socket_test.go
@@ -0,0 +1,81 @@
+package datagram_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/datagram"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/testnet"
+)
+
+// patience is how long a test waits for what has to happen.
+const patience = 10 * time.Second
+
+// run runs a socket until the end of the test.
+func run(t *testing.T, socket *datagram.Socket) netip.AddrPort {
+	t.Helper()
+	address := testnet.Address(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- socket.Run(ctx, address) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return netip.MustParseAddrPort(address)
+}
+
+func TestMessagesGoToTheHandlerOfTheirKind(t *testing.T) {
+	received := make(chan string, 16)
+	to, from := &datagram.Socket{}, &datagram.Socket{}
+	to.Handle(datagram.KindOutstanding, func(_ netip.AddrPort, payload []byte) {
+		var message region.Outstanding
+		_, err := message.UnmarshalMsg(payload)
+		assert.NoError(t, err)
+		received <- message.Gateway
+	})
+	address := run(t, to)
+	assert.Zero(t, from.Send(datagram.KindOutstanding, &region.Outstanding{Gateway: "early"}, address), "it does not listen yet")
+	run(t, from)
+	require.Eventually(t, func() bool {
+		from.Send(datagram.KindPlacement, &region.PlacementMessage{Gateway: "unhandled"}, address)
+		taken := from.Send(datagram.KindOutstanding, &region.Outstanding{Gateway: "gateway"}, address)
+		select {
+		case gateway := <-received:
+			return assert.Greater(t, taken, datagram.Overhead) && assert.Equal(t, "gateway", gateway)
+		case <-time.After(10 * time.Millisecond):
+			return false
+		}
+	}, patience, time.Millisecond)
+	tooLarge := &region.Outstanding{Gateway: strings.Repeat("x", datagram.MaximumBytes)}
+	assert.Zero(t, from.Send(datagram.KindOutstanding, tooLarge, address))
+}
+
+func TestBytesThatAreNoMessageAreBorne(t *testing.T) {
+	received := make(chan struct{}, 1)
+	socket := &datagram.Socket{}
+	socket.Handle(datagram.KindPlacementReply, func(netip.AddrPort, []byte) { received <- struct{}{} })
+	address := run(t, socket)
+	stranger, err := net.Dial("udp4", address.String())
+	require.NoError(t, err)
+	defer func() { _ = stranger.Close() }()
+	require.Eventually(t, func() bool {
+		for _, bytes := range [][]byte{{}, {0}, {255, 1, 2}, {byte(datagram.KindPlacementReply)}} {
+			_, _ = stranger.Write(bytes)
+		}
+		select {
+		case <-received:
+			return true
+		case <-time.After(10 * time.Millisecond):
+			return false
+		}
+	}, patience, time.Millisecond)
+}
