--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -163,6 +163,8 @@
 		},
 		KeyMemory: settings.KeyMemory(),
 
+		UsageWindow: settings.UsageWindow(),
+
 		StopTime: settings.StopTime() - stopReserve,
 		Without:  settings.SwitchedOff(),
 		Lister:   platform.NewLister(settings.ReplicaList),
@@ -188,6 +190,14 @@
 	if err != nil {
 		return invalidError{err.Error()}
 	}
+	duties, unknown := platform.ReadDuties(settings.Duties)
+	if len(unknown) > 0 {
+		process.logger.Info(event.DutyUnknown, "duties", unknown)
+	}
+	var terms coordinator.UsageTerms
+	if duties.Usage {
+		terms = coordinator.UsageTerms{Window: settings.UsageWindow(), Late: settings.UsageLate()}
+	}
 	created, err := coordinator.New(coordinator.Settings{
 		Name:       settings.Name,
 		Zone:       settings.Zone,
@@ -201,6 +211,9 @@
 		Lister:     platform.NewLister(settings.ReplicaList),
 		Engines:    platform.NewEngines(),
 		Prefixes:   platform.NewEngines(),
+		Platform:   platform.NewCaller(settings.ReplicaList),
+		Usage:      terms,
+		OrderFleet: duties.Fleet,
 		Lease:      settings.Lease(),
 
 		PlacesAbove:       settings.PlacesFrom(),
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -58,6 +58,12 @@
 	// KeyMemoryMillis is how old a gateway's view may be by which it accepts API keys; 0 for no
 	// bound.
 	KeyMemoryMillis int `yaml:"key_memory_ms"`
+	// Duties are the calls that the platform expects of one coordinator at a time, by its names.
+	Duties []string `yaml:"duties"`
+	// UsageWindowSeconds is the length of the windows by which tenants' requests are counted, 0
+	// to count none, and UsageLateSeconds how long after its end a window's report is due.
+	UsageWindowSeconds float64 `yaml:"usage_window_seconds"`
+	UsageLateSeconds   float64 `yaml:"usage_late_seconds"`
 	// Policy is the file of the policy by which replicas change their stage, relative
 	// to the folder that the process starts in; empty for the built-in rule alone.
 	Policy string `yaml:"policy"`
@@ -142,6 +148,9 @@
 	if _, err := mechanism.Parse(s.Without); err != nil {
 		report("without: %v", err)
 	}
+	if s.UsageWindowSeconds < 0 {
+		report("usage_window_seconds must not be negative")
+	}
 	if s.StopSeconds <= 0 {
 		report("stop_seconds must be above 0")
 	}
@@ -151,6 +160,9 @@
 			needAddress("internal_listen", s.InternalListen)
 		}
 		needText("data_folder", s.DataFolder)
+		if s.UsageWindowSeconds > 0 && s.UsageLateSeconds <= 0 {
+			report("usage_late_seconds must be above 0")
+		}
 		if s.ToleratedLosses < 0 {
 			report("tolerated_losses must not be negative")
 		}
@@ -212,6 +224,16 @@
 	return time.Duration(s.KeyMemoryMillis) * time.Millisecond
 }
 
+// UsageWindow is the length of the windows by which tenants' requests are counted.
+func (s *Settings) UsageWindow() time.Duration {
+	return time.Duration(s.UsageWindowSeconds * float64(time.Second))
+}
+
+// UsageLate is how long after its end a window's report is due.
+func (s *Settings) UsageLate() time.Duration {
+	return time.Duration(s.UsageLateSeconds * float64(time.Second))
+}
+
 // StopTime bounds a planned stop.
 func (s *Settings) StopTime() time.Duration {
 	return time.Duration(s.StopSeconds * float64(time.Second))
--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
 // message and reply are what goes to and comes from another coordinator.
@@ -47,6 +48,15 @@
 	return err
 }
 
+// readConfiguration reads a configuration as the log holds it.
+func readConfiguration(codec traffic.Codec, compressed []byte) (*traffic.Configuration, error) {
+	document, err := region.Inflate(compressed)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Read(document)
+}
+
 // leaderPoll is the pause before a call is tried at a new leader.
 const leaderPoll = 50 * time.Millisecond
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -36,6 +36,7 @@
 	started   time.Time
 	members   memberWatch
 	placement *placementService
+	usage     *usageState
 }
 
 // New opens the data folder, and waits for a disk that refuses writes; Run starts the
@@ -67,6 +68,7 @@
 		reported:  newDemandTable(),
 		started:   started,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
+		usage:     newUsageState(),
 	}
 	c.group, err = replication.OpenPatiently(replication.Options{
 		Name:             groupName,
@@ -111,7 +113,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.logLeadership, c.place} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.keepUsage, c.keepFleet, c.logLeadership, c.place} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- /dev/null
+++ b/internal/coordinator/duties_test.go
@@ -0,0 +1,203 @@
+package coordinator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/usage"
+	"github.com/pierhaven/pierhaven/platform"
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+const (
+	dutyLease   = 400 * time.Millisecond
+	usageWindow = 500 * time.Millisecond
+)
+
+// toldGateway counts as a gateway does, and tells any coordinator that answers.
+type toldGateway struct {
+	g      *group
+	name   string
+	ledger *usage.Ledger
+	// mutex guards truth, the requests that were counted by window.
+	mutex *sync.Mutex
+	truth map[uint64]uint32
+}
+
+// run counts requests and polls until the context ends, then tells the rest.
+func (w *toldGateway) run(ctx context.Context) {
+	client, err := rpc.NewClient(rpc.ClientOptions{DialTimeout: time.Second, CallTimeout: time.Second})
+	if err != nil {
+		panic(err)
+	}
+	told := ""
+	for number := 0; ; number++ {
+		if ctx.Err() == nil {
+			w.begin(time.Now())
+		}
+		address := w.g.addresses[(number/20)%len(w.g.addresses)]
+		report := &region.GatewayUsage{Gateway: w.name, Life: 1, ToldAt: time.Now().UnixNano(), Counts: w.ledger.Report(address != told)}
+		var view region.View
+		asking, cancel := context.WithTimeout(context.Background(), time.Second)
+		err := client.Call(asking, address, region.PathView, &region.ViewRequest{
+			Address: w.name, WallNanos: time.Now().UnixNano(), Usage: report, WaitMillis: 20,
+		}, &view)
+		cancel()
+		if err != nil {
+			told = ""
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		told = address
+		w.ledger.Taken(report.Counts)
+		w.ledger.Fixed(view.NextWindow)
+		if ctx.Err() != nil && len(w.ledger.Report(true)) == 0 {
+			return
+		}
+	}
+}
+
+func (w *toldGateway) begin(at time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ledger.Begun("depot", at)
+	w.truth[usage.WindowOf(at, usageWindow)]++
+}
+
+// leader returns the address of the coordinator that leads.
+func (g *group) leader() string {
+	g.t.Helper()
+	leads := ""
+	require.Eventually(g.t, func() bool {
+		for address, each := range g.running {
+			if each.Leads() {
+				leads = address
+			}
+		}
+		return leads != ""
+	}, time.Minute, 10*time.Millisecond)
+	return leads
+}
+
+// TestUsageIsReportedOnceWhoeverLeads has the leader stop again and again, and the platform lose
+// a third of the calls and carry them out late: no window is told with two counts, no fence is
+// used twice, and what is told is what was counted.
+func TestUsageIsReportedOnceWhoeverLeads(t *testing.T) {
+	duties := platformtest.NewDuties(1, dutyLease)
+	duties.Lose, duties.LateBy = 0.3, 700*time.Millisecond
+	server := httptest.NewServer(duties.Handler())
+	defer server.Close()
+	g := newGroupWith(t, func(settings *coordinator.Settings) {
+		settings.Platform = platform.NewCaller(server.Listener.Addr().String())
+		settings.Usage = coordinator.UsageTerms{Window: usageWindow, Late: 4 * time.Second}
+		settings.Lease = dutyLease
+	})
+	// Without a leader there is no configuration, and no request to count.
+	g.leader()
+	var mutex sync.Mutex
+	truth := map[uint64]uint32{}
+	counting, stop := context.WithCancel(t.Context())
+	defer stop()
+	var gateways sync.WaitGroup
+	for number := range 3 {
+		gateway := &toldGateway{g: g, name: fmt.Sprint("gateway-", number), ledger: usage.NewLedger(usageWindow), mutex: &mutex, truth: truth}
+		gateways.Go(func() { gateway.run(counting) })
+	}
+	for range 2 {
+		require.Eventually(t, func() bool { return len(duties.Windows()) > 2 }, time.Minute, 10*time.Millisecond)
+		leader := g.leader()
+		before := len(duties.Windows())
+		g.stop(leader)
+		require.Eventually(t, func() bool { return len(duties.Windows()) > before+1 }, time.Minute, 10*time.Millisecond)
+		g.start(leader, leader, false)
+	}
+	stop()
+	gateways.Wait()
+	require.Eventually(t, func() bool {
+		windows := duties.Windows()
+		for window := range truth {
+			if _, told := windows[window]; !told {
+				return false
+			}
+		}
+		return true
+	}, time.Minute, 10*time.Millisecond, "every window is told")
+	assert.Empty(t, duties.Broken())
+	for window, counts := range duties.Windows() {
+		assert.Equal(t, truth[window], counts["depot"], "window %d", window)
+	}
+}
+
+// TestTheFleetIsOrderedWithinItsTerms has a platform that carries orders out.
+func TestTheFleetIsOrderedWithinItsTerms(t *testing.T) {
+	duties := platformtest.NewDuties(1, dutyLease)
+	var mutex sync.Mutex
+	ordered := map[platformtest.ScaleOrder]int{}
+	list := &fixedList{}
+	duties.Scale = func(order platformtest.ScaleOrder) bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		count := order.DesiredCount
+		order.DesiredCount = 0
+		ordered[order] = count
+		list.set(replicasOf(ordered)...)
+		return true
+	}
+	server := httptest.NewServer(duties.Handler())
+	defer server.Close()
+	for _, zone := range []string{"a", "b", "c"} {
+		ordered[platformtest.ScaleOrder{Service: "model", Zone: zone}] = 4
+	}
+	list.set(replicasOf(ordered)...)
+	g := newGroupWith(t, func(settings *coordinator.Settings) {
+		settings.Platform = platform.NewCaller(server.Listener.Addr().String())
+		settings.OrderFleet = true
+		settings.Lease = dutyLease
+		settings.Lister = list
+	})
+	configuration, err := json.Marshal(&traffic.Configuration{Version: 1, Services: []traffic.Service{
+		{Name: "model", Scaling: &traffic.Scaling{Minimum: 1, Maximum: 20, BootTime: 100 * time.Millisecond, PreemptiblePrice: 0.2}},
+		{Name: "bad", Scaling: &traffic.Scaling{Minimum: 9, Maximum: 1}},
+	}})
+	require.NoError(t, err)
+	eventually(t, func(ctx context.Context) error { return g.running[g.addresses[0]].Replace(ctx, configuration) })
+	require.Eventually(t, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return ordered[platformtest.ScaleOrder{Service: "model", Zone: "a"}] == 1 &&
+			ordered[platformtest.ScaleOrder{Service: "model", Zone: "a", Preemptible: true}] == 5
+	}, time.Minute, 10*time.Millisecond, "%v", ordered)
+	assert.Empty(t, duties.Broken())
+	mutex.Lock()
+	defer mutex.Unlock()
+	for order := range maps.Keys(ordered) {
+		assert.Equal(t, "model", order.Service)
+	}
+}
+
+// replicasOf lists the replicas of each number that was ordered.
+func replicasOf(ordered map[platformtest.ScaleOrder]int) []region.Replica {
+	var replicas []region.Replica
+	for order, count := range ordered {
+		for number := range count {
+			replicas = append(replicas, region.Replica{
+				ID:      fmt.Sprint(order.Zone, order.Preemptible, number),
+				Service: order.Service, Zone: order.Zone, Preemptible: order.Preemptible, Slots: 1,
+			})
+		}
+	}
+	return replicas
+}
--- /dev/null
+++ b/internal/coordinator/fleet.go
@@ -0,0 +1,175 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/fleetplan"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// ErrNoneToBeHad says that the platform has no further replicas of a kind in a zone.
+var ErrNoneToBeHad = errors.New("no further replicas are to be had")
+
+const fleetInterval = 250 * time.Millisecond
+
+// fleetKeeper is the leader's work on the number of replicas.
+type fleetKeeper struct {
+	dutyHolder
+	planners map[string]*fleetplan.Planner
+	// version is that of the configuration which terms were read from.
+	version uint64
+	terms   map[string]traffic.Scaling
+}
+
+// keepFleet orders as many replicas as are wanted, at the leader.
+func (c *Coordinator) keepFleet(ctx context.Context) {
+	if c.settings.Platform == nil || !c.settings.OrderFleet {
+		return
+	}
+	keeper := &fleetKeeper{dutyHolder: dutyHolder{Coordinator: c, duty: dutyFleet}, terms: map[string]traffic.Scaling{}}
+	for lifecycle.Sleep(ctx, fleetInterval) {
+		begun, leads := keeper.leads(ctx)
+		if !leads {
+			continue
+		}
+		if begun {
+			keeper.planners = map[string]*fleetplan.Planner{}
+		}
+		if keeper.mayCall() {
+			keeper.step(ctx)
+		}
+	}
+}
+
+// step makes the orders that are due.
+func (k *fleetKeeper) step(ctx context.Context) {
+	state, _ := k.machine.read()
+	if state.Version > k.version {
+		k.readTerms(state)
+	}
+	for _, service := range slices.Sorted(maps.Keys(k.terms)) {
+		input := fleetInput(state, service, k.terms[service])
+		planner, known := k.planners[service]
+		if !known {
+			planner = fleetplan.New(fleetBase(state, service))
+			k.planners[service] = planner
+		}
+		for _, order := range planner.Step(k.now(), input) {
+			k.order(ctx, service, planner, order)
+		}
+	}
+}
+
+// readTerms takes over what the configuration says of the numbers of replicas.
+func (k *fleetKeeper) readTerms(state region.State) {
+	k.version = state.Version
+	configuration, err := readConfiguration(k.settings.Codec, state.Document)
+	if err != nil {
+		k.logger.Info(event.ConfigurationRefused, "version", state.Version, "reason", err.Error())
+		return
+	}
+	k.terms = map[string]traffic.Scaling{}
+	for _, service := range configuration.Services {
+		terms := service.Scaling
+		if terms == nil {
+			continue
+		}
+		if terms.Minimum < 0 || terms.Maximum < max(terms.Minimum, 1) {
+			k.logger.Info(event.FleetTermsIgnored, "service", service.Name, "minimum", terms.Minimum, "maximum", terms.Maximum)
+			continue
+		}
+		k.terms[service.Name] = *terms
+	}
+}
+
+// fleetBase is the number of replicas that there were before any was ordered, 0 if none has been.
+func fleetBase(state region.State, service string) int {
+	for _, order := range state.Fleet {
+		if order.Service == service {
+			return order.Base
+		}
+	}
+	return 0
+}
+
+// fleetInput is what the planner is told of a service.
+func fleetInput(state region.State, service string, terms traffic.Scaling) fleetplan.Input {
+	input := fleetplan.Input{
+		Minimum:          terms.Minimum,
+		Maximum:          terms.Maximum,
+		BootTime:         terms.BootTime,
+		PreemptiblePrice: terms.PreemptiblePrice,
+	}
+	zones := map[string]*fleetplan.Zone{}
+	zoneOf := func(name string) *fleetplan.Zone {
+		zone, known := zones[name]
+		if !known {
+			zone = &fleetplan.Zone{Name: name, Price: terms.ZonePrices[name]}
+			zone.Ordered[fleetplan.Stable], zone.Ordered[fleetplan.Preemptible] = -1, -1
+			zones[name] = zone
+		}
+		return zone
+	}
+	for _, listed := range state.Replicas {
+		replica := listed.Replica
+		if replica.Service != service {
+			continue
+		}
+		zone := zoneOf(replica.Zone)
+		if replica.Draining {
+			zone.Leaving[kindOf(replica.Preemptible)]++
+		} else {
+			zone.Serving[kindOf(replica.Preemptible)]++
+		}
+	}
+	for _, order := range state.Fleet {
+		if order.Service == service {
+			zoneOf(order.Zone).Ordered[kindOf(order.Preemptible)] = order.Count
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		input.Zones = append(input.Zones, *zones[name])
+	}
+	return input
+}
+
+func kindOf(preemptible bool) fleetplan.Kind {
+	if preemptible {
+		return fleetplan.Preemptible
+	}
+	return fleetplan.Stable
+}
+
+// order commits a number and orders it.
+func (k *fleetKeeper) order(ctx context.Context, service string, planner *fleetplan.Planner, planned fleetplan.Order) {
+	bounded, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	order := region.FleetOrder{
+		Service:     service,
+		Zone:        planned.Zone,
+		Preemptible: planned.Kind == fleetplan.Preemptible,
+		Count:       planned.Count,
+		Base:        planner.Base(),
+	}
+	fence, err := k.commitCall(bounded, &region.Command{Fleet: &order})
+	if err == nil {
+		err = k.settings.Platform.OrderFleet(bounded, DutyCall{Holder: k.settings.Name, Fence: fence}, order)
+	}
+	k.logger.Info(event.FleetOrdered, "service", service, "zone", order.Zone, "preemptible", order.Preemptible, "count", order.Count,
+		"reason", planned.Reason, "fence", fence, "term", k.term, "error", failure.Text(err))
+	if errors.Is(err, ErrNoneToBeHad) {
+		planner.Refused(k.now(), planned)
+		return
+	}
+	if err == nil {
+		planner.Ordered(k.now(), planned)
+	}
+}
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -59,11 +59,25 @@
 	defer cancel()
 	begun := c.now()
 	_, hash := c.gateways.known()
-	request := &region.ReadIndexRequest{From: c.settings.Address, Gateways: c.gateways.own(begun), PeersHash: hash, Demand: c.demand.sum(begun)}
+	leader := c.group.LeaderAddress()
+	news, revision := c.usage.news(leader)
+	request := &region.ReadIndexRequest{
+		From:      c.settings.Address,
+		Gateways:  c.gateways.own(begun),
+		PeersHash: hash,
+		Demand:    c.demand.sum(begun),
+		Clocks:    append(c.usage.own.Read(), time.Now().UnixNano()),
+		Usage:     news,
+	}
 	reply, err := c.askReadIndex(ctx, request)
 	if err != nil {
+		c.usage.forgetTold()
 		return err
 	}
+	c.usage.told(leader, revision)
+	if reply.RegionNanos > 0 && !c.group.Leads() {
+		c.usage.clock.Set(time.Now(), time.Unix(0, reply.RegionNanos))
+	}
 	if err := c.awaitApplied(ctx, reply.Index); err != nil {
 		return err
 	}
@@ -109,8 +123,18 @@
 	if request.From != c.settings.Address {
 		c.reported.take(now, request.From, request.Demand)
 	}
+	c.usage.takeClocks(request.From, request.Clocks)
+	if request.From != c.settings.Address {
+		for index := range request.Usage {
+			c.takeUsage(&request.Usage[index])
+		}
+	}
 	peers := c.gateways.all(now)
-	reply := &region.ReadIndexReply{Index: c.group.Runner.Status().AppliedIndex, PeersHash: hashOf(peers)}
+	reply := &region.ReadIndexReply{
+		Index:       c.group.Runner.Status().AppliedIndex,
+		PeersHash:   hashOf(peers),
+		RegionNanos: c.usage.clock.Now().UnixNano(),
+	}
 	if reply.PeersHash != request.PeersHash {
 		reply.Peers = peers
 	}
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -61,6 +61,8 @@
 	list      *fixedList
 	addresses []string
 	running   map[string]*process
+	// adapt changes the settings of each coordinator; nil leaves them.
+	adapt func(*coordinator.Settings)
 }
 
 type process struct {
@@ -71,7 +73,12 @@
 
 func newGroup(t *testing.T) *group {
 	t.Helper()
-	g := &group{t: t, folder: t.TempDir(), list: &fixedList{}, running: map[string]*process{}}
+	return newGroupWith(t, nil)
+}
+
+func newGroupWith(t *testing.T, adapt func(*coordinator.Settings)) *group {
+	t.Helper()
+	g := &group{t: t, folder: t.TempDir(), list: &fixedList{}, running: map[string]*process{}, adapt: adapt}
 	for range 3 {
 		g.addresses = append(g.addresses, testnet.Address(t))
 	}
@@ -88,7 +95,7 @@
 
 func (g *group) start(address, folder string, bootstrap bool) *process {
 	g.t.Helper()
-	created, err := coordinator.New(coordinator.Settings{
+	settings := coordinator.Settings{
 		Name:         address,
 		Zone:         "zone",
 		Address:      address,
@@ -101,7 +108,11 @@
 		Codec:        jsonCodec{},
 		ListInterval: 50 * time.Millisecond,
 		Logger:       testr.New(g.t),
-	})
+	}
+	if g.adapt != nil {
+		g.adapt(&settings)
+	}
+	created, err := coordinator.New(settings)
 	require.NoError(g.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	started := &process{Coordinator: created, stop: stop, done: make(chan error, 1)}
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -14,12 +14,12 @@
 	clock   func() time.Duration
 	state   region.State
 	applied uint64
-	orders  orderMark
+	calls   map[duty]callMark
 	changed chan struct{}
 }
 
 func newMachine(clock func() time.Duration) *machine {
-	return &machine{clock: clock, changed: make(chan struct{})}
+	return &machine{clock: clock, calls: map[duty]callMark{}, changed: make(chan struct{})}
 }
 
 // Apply implements replica.StateMachine. The result is the version in force.
@@ -47,7 +47,7 @@
 		m.applyList(index, change)
 	}
 	if change := command.Change; change != nil {
-		m.orders.note(m.clock())
+		m.noteCall(dutyStages)
 		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 		begun := region.StageChange{Replica: change.Replica, Stage: change.Stage, Fence: index}
 		m.state.Changes = append(m.state.Changes, begun)
@@ -56,8 +56,16 @@
 	if change := command.ChangeEnd; change != nil {
 		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 	}
+	m.applyUsage(command)
+	if order := command.Fleet; order != nil {
+		m.noteCall(dutyFleet)
+		m.applyFleet(order)
+	}
 }
 
+// noteCall notes that a call of a duty may be made now.
+func (m *machine) noteCall(of duty) { m.calls[of] = callMark{known: true, at: m.clock()} }
+
 // Snapshot implements replica.StateMachine.
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mutex.Lock()
@@ -77,7 +85,9 @@
 	defer m.mutex.Unlock()
 	m.state = state
 	if len(data) > 0 {
-		m.orders.note(m.clock())
+		for _, each := range duties {
+			m.noteCall(each)
+		}
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -92,9 +102,9 @@
 	return m.state, m.changed
 }
 
-// lastOrder returns the mark of the last order that is known here.
-func (m *machine) lastOrder() orderMark {
+// lastCall returns the mark of the last call of a duty that is known here.
+func (m *machine) lastCall(of duty) callMark {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.orders
+	return m.calls[of]
 }
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -56,6 +56,9 @@
 	return listed && !self.Learner && status.CommitIndex >= status.MembershipIndex
 }
 
+// Leads reports whether this coordinator believes that it leads.
+func (c *Coordinator) Leads() bool { return c.group.Leads() }
+
 // askToJoin asks the seeds in turn, and the leader that they name.
 func (c *Coordinator) askToJoin(ctx context.Context) error {
 	request := &region.JoinRequest{
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -9,7 +9,7 @@
 	if registry == nil {
 		return
 	}
-	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.group.Leads)
+	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.Leads)
 	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
 	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
 	registry.GaugeFunc("applied_index", "Last position of the log that is applied.", func() float64 {
@@ -34,6 +34,10 @@
 		state, _ := c.machine.read()
 		return float64(len(state.Changes))
 	})
+	registry.GaugeFunc("usage_windows_pending", "Windows of usage whose counts are fixed and that the platform has not taken.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(len(state.Usage))
+	})
 	registry.GaugeFunc("placement_leases", "Leases on replicas that gateways hold of this coordinator.", func() float64 {
 		return float64(c.placement.server.Counts().Leases)
 	})
--- a/internal/coordinator/orderlease_test.go
+++ b/internal/coordinator/orderlease_test.go
@@ -15,17 +15,17 @@
 	elected := 100 * time.Second
 	cases := []struct {
 		name string
-		last orderMark
+		last callMark
 		want time.Duration
 	}{
-		{"no order was ever given", orderMark{}, elected},
-		{"the last order is old", orderMark{known: true, at: 80 * time.Second}, elected},
-		{"the last order is young", orderMark{known: true, at: 99 * time.Second}, 99*time.Second + testLease + leaseMargin},
-		{"an order was applied while the leader was elected", orderMark{known: true, at: elected}, elected + testLease + leaseMargin},
+		{"no order was ever given", callMark{}, elected},
+		{"the last order is old", callMark{known: true, at: 80 * time.Second}, elected},
+		{"the last order is young", callMark{known: true, at: 99 * time.Second}, 99*time.Second + testLease + leaseMargin},
+		{"an order was applied while the leader was elected", callMark{known: true, at: elected}, elected + testLease + leaseMargin},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
-			assert.Equal(t, each.want, earliestOrder(elected, each.last, testLease))
+			assert.Equal(t, each.want, earliestCall(elected, each.last, testLease))
 		})
 	}
 	assert.Greater(t, leaseMargin, proposalToSend, "an order may be sent that late after its commit")
@@ -35,16 +35,16 @@
 	now := time.Second
 	m := newMachine(func() time.Duration { return now })
 	apply(t, m, 1, listed(region.Replica{ID: "a", Stage: region.StageDecode}))
-	assert.False(t, m.lastOrder().known)
+	assert.False(t, m.lastCall(dutyStages).known)
 
 	apply(t, m, 2, region.Command{Change: &region.ChangeCommand{Replica: "a", Stage: region.StagePrefill}})
-	assert.Equal(t, orderMark{known: true, at: now}, m.lastOrder())
+	assert.Equal(t, callMark{known: true, at: now}, m.lastCall(dutyStages))
 
 	snapshot, err := m.Snapshot()
 	assert.NoError(t, err)
 	now = 5 * time.Second
 	restored := newMachine(func() time.Duration { return now })
 	assert.NoError(t, restored.Restore(snapshot))
-	assert.Equal(t, orderMark{known: true, at: now}, restored.lastOrder())
+	assert.Equal(t, callMark{known: true, at: now}, restored.lastCall(dutyStages))
 	assert.NoError(t, restored.Restore(nil))
 }
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -115,12 +115,7 @@
 
 // takeEngines takes over what the configuration says of engines.
 func (c *Coordinator) takeEngines(state region.State) {
-	document, err := region.Inflate(state.Document)
-	if err != nil {
-		c.logger.Info(event.ConfigurationRefused, "version", state.Version, "reason", err.Error())
-		return
-	}
-	configuration, err := c.settings.Codec.Read(document)
+	configuration, err := readConfiguration(c.settings.Codec, state.Document)
 	if err != nil {
 		c.logger.Info(event.ConfigurationRefused, "version", state.Version, "reason", err.Error())
 		return
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -49,9 +49,15 @@
 	LinkBitsPerSecond float64
 	// Prefixes tells what replicas keep; nil leaves that to be found out.
 	Prefixes placement.PrefixSource
-	// Lease is how far the orders of two holders must lie apart.
+	// Lease is how far the calls of two holders of a duty must lie apart.
 	Lease time.Duration
-	Codec traffic.Codec
+	// Platform takes the calls of duties; nil makes none.
+	Platform Platform
+	// Usage says how the usage of tenants is reported.
+	Usage UsageTerms
+	// OrderFleet says that the number of replicas may be ordered.
+	OrderFleet bool
+	Codec      traffic.Codec
 	// ListInterval is the time between two polls of the list.
 	ListInterval time.Duration
 	// Metrics is the process's registry; nil keeps none.
--- a/internal/coordinator/stagepolicy.go
+++ b/internal/coordinator/stagepolicy.go
@@ -73,7 +73,7 @@
 func (k *stageKeeper) demandAge(now time.Duration, service string) time.Duration {
 	heard, known := k.heard[service]
 	if !known {
-		return now - k.leads
+		return now - k.leadsSince
 	}
 	return now - heard
 }
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -72,18 +72,15 @@
 
 // stageKeeper is the leader's work on the stages of replicas.
 type stageKeeper struct {
-	*Coordinator
-	term uint64
-	// orderFrom is from when on this leader may give orders.
-	orderFrom time.Duration
-	planners  map[string]*stageplan.Planner
-	begun     map[string]time.Duration
-	holds     map[string]time.Duration
+	dutyHolder
+	planners map[string]*stageplan.Planner
+	begun    map[string]time.Duration
+	holds    map[string]time.Duration
 	// demandFrom is when demand was first told, by service.
 	demandFrom map[string]time.Duration
-	// leads is since when this coordinator leads, and heard when demand was last told.
-	leads time.Duration
-	heard map[string]time.Duration
+	// leadsSince is since when this coordinator leads, and heard when demand was last told.
+	leadsSince time.Duration
+	heard      map[string]time.Duration
 	// moved is when replicas of a service last came, went or began to leave, and
 	// known are those that there were at the last step.
 	moved map[string]time.Duration
@@ -95,44 +92,26 @@
 	if c.settings.Engines == nil || c.settings.Without[mechanism.StageChanges] {
 		return
 	}
-	keeper := &stageKeeper{Coordinator: c}
+	keeper := &stageKeeper{dutyHolder: dutyHolder{Coordinator: c, duty: dutyStages}}
 	for lifecycle.Sleep(ctx, stageInterval) {
-		status := c.group.Runner.Status()
-		if !c.group.Leads() {
-			keeper.term = 0
+		begun, leads := keeper.leads(ctx)
+		if !leads {
 			continue
 		}
-		if keeper.term != status.Term && !keeper.begin(ctx, status.Term) {
-			continue
+		if begun {
+			keeper.reset()
 		}
 		keeper.step(ctx)
 	}
 }
 
-// begin takes a term's work up once all earlier orders are applied here, and
-// reports whether they are.
-func (k *stageKeeper) begin(ctx context.Context, term uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
-	defer cancel()
-	if err := k.group.ReadBarrier(ctx); err != nil {
-		return false
-	}
-	now := k.now()
-	last := k.machine.lastOrder()
-	k.reset(term)
-	k.orderFrom = earliestOrder(now, last, k.settings.Lease)
-	k.logger.Info(event.OrdersBegin, "term", term, "in_ms", (k.orderFrom - now).Milliseconds(),
-		"order_known", last.known, "order_age_ms", (now - last.at).Milliseconds())
-	return true
-}
-
-func (k *stageKeeper) reset(term uint64) {
-	k.term = term
+// reset forgets what an earlier term of this coordinator has seen.
+func (k *stageKeeper) reset() {
 	k.planners = map[string]*stageplan.Planner{}
 	k.begun = map[string]time.Duration{}
 	k.holds = map[string]time.Duration{}
 	k.demandFrom = map[string]time.Duration{}
-	k.leads = k.now()
+	k.leadsSince = k.now()
 	k.heard = map[string]time.Duration{}
 	k.moved = map[string]time.Duration{}
 	k.known = map[string]string{}
@@ -144,7 +123,7 @@
 	now := k.now()
 	state, _ := k.machine.read()
 	k.endStuckChanges(ctx, now, state)
-	if now < k.orderFrom {
+	if !k.mayCall() {
 		return
 	}
 	demand := append(k.demand.sum(now), k.reported.sum(now)...)
@@ -334,9 +313,6 @@
 	return region.Replica{}, false
 }
 
-// errOrderLate says that an order was not sent, since its commit took too long.
-var errOrderLate = errors.New("the order was not sent in time")
-
 func (k *stageKeeper) order(ctx context.Context, replica region.Replica, stage string) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
 	defer cancel()
@@ -347,16 +323,16 @@
 	if report.Changing {
 		return ErrOrderRefused
 	}
-	proposed := k.now()
-	fence, err := k.commit(ctx, &region.Command{Change: &region.ChangeCommand{Replica: replica.ID, Stage: stage}})
+	fence, err := k.commitCall(ctx, &region.Command{Change: &region.ChangeCommand{Replica: replica.ID, Stage: stage}})
+	if fence != 0 {
+		k.begun[replica.ID] = k.now()
+	}
+	if errors.Is(err, errCallLate) {
+		return errors.Join(ErrOrderRefused, err)
+	}
 	if err != nil {
 		return err
 	}
-	committed := k.now()
-	k.begun[replica.ID] = committed
-	if !k.group.Leads() || committed-proposed > proposalToSend {
-		return errors.Join(ErrOrderRefused, errOrderLate)
-	}
 	return k.settings.Engines.Order(ctx, replica, EngineOrder{
 		Stage:    stage,
 		Holder:   k.settings.Name,
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -15,6 +15,8 @@
 func (c *Coordinator) handleView(ctx context.Context, request *region.ViewRequest) (*region.View, error) {
 	c.gateways.polled(c.now(), request.Address)
 	c.demand.take(c.now(), request.Address, request.Demand)
+	c.usage.own.Take(request.Address, request.WallNanos)
+	c.takeUsage(request.Usage)
 	wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maximumViewWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -57,6 +59,8 @@
 		Places:       c.places(),
 		PeersHash:    hash,
 		Coordinators: c.group.MemberAddresses(),
+		RegionNanos:  c.usage.clock.Now().UnixNano(),
+		NextWindow:   state.NextWindow,
 	}
 	if age < 0 {
 		view.AgeMillis = -1
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -123,12 +123,28 @@
 	DataUnusable Event = "data folder can't be used"
 	// BatchFailed: messages to a coordinator were lost.
 	BatchFailed Event = "consensus batch failed"
-	// OrdersBegin: a new leader may give orders, from a time on.
+	// OrdersBegin: a new leader may make the calls of a duty, from a time on.
 	OrdersBegin Event = "orders may begin"
 	// PolicyInForce: a policy's file was read.
 	PolicyInForce Event = "policy in force"
 	// PolicyRefused: a changed policy is not valid; the one before stays.
 	PolicyRefused Event = "policy refused"
+	// UsageFixed: the counts of a window of usage were fixed.
+	UsageFixed Event = "usage fixed"
+	// UsageReported: a window's usage was reported to the platform.
+	UsageReported Event = "usage reported"
+	// UsageEndLost: the platform has taken a window's usage, which could not be noted.
+	UsageEndLost Event = "end of usage report not noted"
+	// UsageIgnored: a gateway has told counts that can't be true.
+	UsageIgnored Event = "usage ignored"
+	// UsageSkipped: windows lie so far back that nobody waits for them.
+	UsageSkipped Event = "usage skipped"
+	// FleetOrdered: a number of replicas was ordered.
+	FleetOrdered Event = "fleet ordered"
+	// FleetTermsIgnored: what the configuration says of a service's number can't be.
+	FleetTermsIgnored Event = "fleet terms ignored"
+	// DutyUnknown: the platform asks for calls that this version does not know.
+	DutyUnknown Event = "duty unknown"
 	// Order: an order was given to a replica.
 	Order Event = "order"
 	// ChangeStuck: the list has not shown an ordered stage in time.
@@ -197,6 +213,14 @@
 		DataUnusable,
 		BatchFailed,
 		OrdersBegin,
+		UsageFixed,
+		UsageReported,
+		UsageEndLost,
+		UsageIgnored,
+		UsageSkipped,
+		FleetOrdered,
+		FleetTermsIgnored,
+		DutyUnknown,
 		PolicyInForce,
 		PolicyRefused,
 		Order,
--- /dev/null
+++ b/internal/fleetplan/plan_test.go
@@ -0,0 +1,187 @@
+package fleetplan_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/fleetplan"
+)
+
+const (
+	bootTime = 4 * time.Second
+	maximum  = 94
+)
+
+// cloud is a platform on which replicas boot, and are taken away.
+type cloud struct {
+	t       *testing.T
+	now     time.Duration
+	planner *fleetplan.Planner
+	input   fleetplan.Input
+	// booting are the replicas that will serve, by zone and kind, with when.
+	booting map[[2]int][]time.Duration
+	// dryUntil is until when no preemptible replicas are to be had.
+	dryUntil time.Duration
+	orders   int
+}
+
+func newCloud(t *testing.T, stable ...int) *cloud {
+	c := &cloud{t: t, planner: fleetplan.New(0), booting: map[[2]int][]time.Duration{}}
+	c.input = fleetplan.Input{Minimum: 1, Maximum: maximum, BootTime: bootTime, PreemptiblePrice: 0.2}
+	for index, count := range stable {
+		zone := fleetplan.Zone{Name: string(rune('a' + index)), Price: 1 + float64(index)/10}
+		zone.Serving[fleetplan.Stable] = count
+		zone.Ordered[fleetplan.Stable], zone.Ordered[fleetplan.Preemptible] = -1, -1
+		c.input.Zones = append(c.input.Zones, zone)
+	}
+	return c
+}
+
+// run lets time pass, and carries the plan's orders out.
+func (c *cloud) run(until time.Duration, check func()) {
+	for ; c.now < until; c.now += 250 * time.Millisecond {
+		c.boot()
+		for _, order := range c.planner.Step(c.now, c.input) {
+			c.orders++
+			c.carryOut(order)
+		}
+		if check != nil {
+			check()
+		}
+	}
+}
+
+func (c *cloud) boot() {
+	for at, due := range c.booting {
+		var later []time.Duration
+		for _, when := range due {
+			if when <= c.now {
+				c.input.Zones[at[0]].Serving[at[1]]++
+			} else {
+				later = append(later, when)
+			}
+		}
+		c.booting[at] = later
+	}
+}
+
+func (c *cloud) carryOut(order fleetplan.Order) {
+	for index := range c.input.Zones {
+		zone := &c.input.Zones[index]
+		if zone.Name != order.Zone {
+			continue
+		}
+		at := [2]int{index, int(order.Kind)}
+		present := zone.Serving[order.Kind] + len(c.booting[at])
+		if order.Kind == fleetplan.Preemptible && order.Count > present && c.now < c.dryUntil {
+			zone.Ordered[order.Kind] = order.Count
+			c.planner.Refused(c.now, order)
+			return
+		}
+		zone.Ordered[order.Kind] = order.Count
+		c.planner.Ordered(c.now, order)
+		for ; present < order.Count; present++ {
+			c.booting[at] = append(c.booting[at], c.now+bootTime)
+		}
+		if present > order.Count {
+			c.booting[at] = nil
+			zone.Serving[order.Kind] = min(zone.Serving[order.Kind], order.Count)
+		}
+		both := zone.Serving[fleetplan.Stable] + zone.Serving[fleetplan.Preemptible]
+		assert.LessOrEqual(c.t, both, maximum, "the limit counts for both kinds")
+	}
+}
+
+// reclaim takes all preemptible replicas of a zone away, and lets none be had for a while.
+func (c *cloud) reclaim(zone int, dry time.Duration) {
+	c.input.Zones[zone].Serving[fleetplan.Preemptible] = 0
+	c.booting[[2]int{zone, int(fleetplan.Preemptible)}] = nil
+	c.dryUntil = c.now + dry
+}
+
+func (c *cloud) serving(kind fleetplan.Kind) int {
+	sum := 0
+	for _, zone := range c.input.Zones {
+		sum += zone.Serving[kind]
+	}
+	return sum
+}
+
+func (c *cloud) all() int { return c.serving(fleetplan.Stable) + c.serving(fleetplan.Preemptible) }
+
+func TestCheaperReplicasTakeThePlaceOfStableOnesWithoutAGap(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, func() { assert.GreaterOrEqual(t, c.all(), 60, "at %s", c.now) })
+	assert.Equal(t, 3, c.serving(fleetplan.Stable), "the minimum")
+	assert.Equal(t, 87, c.serving(fleetplan.Preemptible))
+	orders := c.orders
+	c.run(60*time.Second, nil)
+	assert.Equal(t, orders, c.orders, "nothing more is ordered")
+}
+
+func TestWhatIsEnoughIsNotWhatIsListedFirst(t *testing.T) {
+	c := newCloud(t, 1, 1, 1)
+	for range 10 {
+		for index := range c.input.Zones {
+			c.input.Zones[index].Serving[fleetplan.Stable] += 2
+		}
+		c.run(c.now+500*time.Millisecond, func() { assert.Zero(t, c.orders) })
+	}
+	c.run(c.now+30*time.Second, nil)
+	assert.Equal(t, 63, c.planner.Base())
+}
+
+func TestTheLossOfOneZoneLeavesEnoughAndIsMadeUpFor(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	c.reclaim(1, 9*time.Second)
+	assert.GreaterOrEqual(t, c.all(), 60)
+	c.run(60*time.Second, func() { assert.GreaterOrEqual(t, c.all(), 60, "at %s", c.now) })
+	assert.Equal(t, 87, c.serving(fleetplan.Preemptible))
+	assert.Equal(t, 3, c.serving(fleetplan.Stable))
+}
+
+func TestAfterTheLossOfTwoZonesStableOnesComeUntilOthersAreToBeHad(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	c.reclaim(1, 20*time.Second)
+	c.run(c.now+time.Second, nil)
+	c.reclaim(2, 20*time.Second)
+	c.run(c.now+bootTime+2*time.Second, nil)
+	assert.GreaterOrEqual(t, c.all(), 60, "stable ones have come in their boot time")
+	c.run(c.now+60*time.Second, nil)
+	assert.Equal(t, 3, c.serving(fleetplan.Stable), "and have gone again")
+	assert.Equal(t, 87, c.serving(fleetplan.Preemptible))
+}
+
+func TestWherePreemptibleOnesDoNotPayNoneAreOrdered(t *testing.T) {
+	for name, change := range map[string]func(*cloud){
+		"too dear":  func(c *cloud) { c.input.PreemptiblePrice = 0.7 },
+		"none":      func(c *cloud) { c.input.PreemptiblePrice = 0 },
+		"bad terms": func(c *cloud) { c.input.Minimum, c.input.Maximum = 10, 5 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCloud(t, 20, 20, 20)
+			change(c)
+			c.run(30*time.Second, nil)
+			assert.Equal(t, 60, c.serving(fleetplan.Stable))
+			assert.Zero(t, c.serving(fleetplan.Preemptible))
+		})
+	}
+	alone := newCloud(t, 20)
+	alone.run(30*time.Second, nil)
+	assert.Equal(t, 20, alone.serving(fleetplan.Stable), "one zone can lose all of its preemptible ones")
+}
+
+func TestALostReplicaIsOrderedAgain(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	orders := c.orders
+	c.input.Zones[0].Serving[fleetplan.Preemptible]--
+	c.run(60*time.Second, nil)
+	require.Greater(t, c.orders, orders)
+	assert.Equal(t, 87, c.serving(fleetplan.Preemptible))
+}
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart EngineCost
+//msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart EngineCost UsageCount
 
 // Paths of the calls between coordinators and of gateways to them.
 const (
@@ -33,6 +33,8 @@
 	Draining bool `msg:"draining"`
 	// Stage is empty for replicas that are not model engines.
 	Stage string `msg:"stage"`
+	// Preemptible replicas cost less and may be taken away, all of a zone at once.
+	Preemptible bool `msg:"preemptible"`
 }
 
 // State is what the coordinators replicate.
@@ -50,6 +52,35 @@
 	RemovedSince uint64           `msg:"removed_since"`
 	// Changes are the stage changes under way.
 	Changes []StageChange `msg:"changes"`
+	// NextWindow is the first window of usage whose counts are not fixed, 0 while none is; Usage
+	// are the windows whose counts are fixed and have not been reported yet, oldest first.
+	NextWindow uint64        `msg:"next_window"`
+	Usage      []UsageWindow `msg:"usage"`
+	// Fleet are the numbers of replicas that were ordered.
+	Fleet []FleetOrder `msg:"fleet"`
+}
+
+// UsageWindow is what the tenants have used in a window of time.
+type UsageWindow struct {
+	Window uint64       `msg:"window"`
+	Counts []UsageCount `msg:"counts"`
+}
+
+// UsageCount is the number of a tenant's requests that began to run in a window.
+type UsageCount struct {
+	Window uint64
+	Tenant string
+	Count  uint32
+}
+
+// FleetOrder is the number of replicas of a kind that a service is to have in a zone.
+type FleetOrder struct {
+	Service     string `msg:"service"`
+	Zone        string `msg:"zone"`
+	Preemptible bool   `msg:"preemptible"`
+	Count       int    `msg:"count"`
+	// Base is the number of replicas of the service that there were before any was ordered.
+	Base int `msg:"base"`
 }
 
 // ListedReplica is a replica with the log position at which it last changed.
@@ -78,6 +109,20 @@
 	List          *ListCommand          `msg:"list"`
 	Change        *ChangeCommand        `msg:"change"`
 	ChangeEnd     *ChangeEndCommand     `msg:"change_end"`
+	Usage         *UsageWindow          `msg:"usage"`
+	UsageCall     *UsageCallCommand     `msg:"usage_call"`
+	UsageEnd      *UsageEndCommand      `msg:"usage_end"`
+	Fleet         *FleetOrder           `msg:"fleet"`
+}
+
+// UsageCallCommand precedes each report of a window's usage. Its log position is the fence.
+type UsageCallCommand struct {
+	Window uint64 `msg:"window"`
+}
+
+// UsageEndCommand says that the platform has taken a window's usage.
+type UsageEndCommand struct {
+	Window uint64 `msg:"window"`
 }
 
 // ChangeCommand begins a stage change. Its log position is the order's fence.
@@ -120,6 +165,21 @@
 	Demand []ServiceDemand `msg:"demand"`
 	// WaitMillis bounds the wait for something newer.
 	WaitMillis int `msg:"wait"`
+	// WallNanos is the gateway's time of day, since 1970.
+	WallNanos int64 `msg:"wall"`
+	// Usage is what the gateway has counted, nil if nothing is to be told.
+	Usage *GatewayUsage `msg:"usage"`
+}
+
+// GatewayUsage is what a gateway has counted in one life.
+type GatewayUsage struct {
+	// Gateway is its address, and Life the start of its process.
+	Gateway string `msg:"gateway"`
+	Life    int64  `msg:"life"`
+	// ToldAt is the region's time up to which it has told all, in nanoseconds since 1970.
+	ToldAt int64 `msg:"told_at"`
+	// Counts are sums since the start of each window: a later one replaces an earlier one.
+	Counts []UsageCount `msg:"counts"`
 }
 
 // View is the answer to a ViewRequest.
@@ -150,6 +210,10 @@
 	Peers     []string `msg:"peers"`
 	// Coordinators are the internal addresses of the coordinators.
 	Coordinators []string `msg:"coordinators"`
+	// RegionNanos is the region's time, since 1970.
+	RegionNanos int64 `msg:"region"`
+	// NextWindow is the first window of usage whose counts are not fixed.
+	NextWindow uint64 `msg:"next_window"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership.
@@ -163,6 +227,11 @@
 	PeersHash uint64 `msg:"peers_hash"`
 	// Demand is the sum over these gateways.
 	Demand []ServiceDemand `msg:"demand"`
+	// Clocks are the times of day, in nanoseconds since 1970, by the clocks of the asking
+	// coordinator and of the gateways that poll it.
+	Clocks []int64 `msg:"clocks"`
+	// Usage is what the gateways have counted and the leader may not know yet.
+	Usage []GatewayUsage `msg:"usage"`
 }
 
 // ServiceDemand is the demand for a service of model engines.
@@ -189,6 +258,8 @@
 	// only if the hash is not the request's.
 	PeersHash uint64   `msg:"peers_hash"`
 	Peers     []string `msg:"peers"`
+	// RegionNanos is the region's time, since 1970.
+	RegionNanos int64 `msg:"region"`
 }
 
 // ReplaceRequest hands an operator's configuration to the leader.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -136,9 +136,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 8
 	// string "configuration"
-	o = append(o, 0x84, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x88, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if z.Configuration == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -184,6 +184,57 @@
 		o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
 		o = msgp.AppendString(o, z.ChangeEnd.Replica)
 	}
+	// string "usage"
+	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+	if z.Usage == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 2
+		// string "window"
+		o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.Usage.Window)
+		// string "counts"
+		o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Counts)))
+		for za0001 := range z.Usage.Counts {
+			// array header, size 3
+			o = append(o, 0x93)
+			o = msgp.AppendUint64(o, z.Usage.Counts[za0001].Window)
+			o = msgp.AppendString(o, z.Usage.Counts[za0001].Tenant)
+			o = msgp.AppendUint32(o, z.Usage.Counts[za0001].Count)
+		}
+	}
+	// string "usage_call"
+	o = append(o, 0xaa, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x63, 0x61, 0x6c, 0x6c)
+	if z.UsageCall == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 1
+		// string "window"
+		o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.UsageCall.Window)
+	}
+	// string "usage_end"
+	o = append(o, 0xa9, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
+	if z.UsageEnd == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// map header, size 1
+		// string "window"
+		o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.UsageEnd.Window)
+	}
+	// string "fleet"
+	o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
+	if z.Fleet == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Fleet.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Fleet")
+			return
+		}
+	}
 	return
 }
 
@@ -386,6 +437,198 @@
 					}
 				}
 			}
+		case "usage":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Usage = nil
+			} else {
+				if z.Usage == nil {
+					z.Usage = new(UsageWindow)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Usage")
+					return
+				}
+				if zb0006 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Usage")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "window":
+						z.Usage.Window, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", "Window")
+							return
+						}
+					case "counts":
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", "Counts")
+							return
+						}
+						if zb0007 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Usage.Counts) >= int(zb0007) {
+							z.Usage.Counts = (z.Usage.Counts)[:zb0007]
+						} else {
+							z.Usage.Counts = make([]UsageCount, zb0007)
+						}
+						for za0001 := range z.Usage.Counts {
+							var zb0008 uint32
+							zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", "Counts", za0001)
+								return
+							}
+							if zb0008 != 3 {
+								err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+								return
+							}
+							z.Usage.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Window")
+								return
+							}
+							z.Usage.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Tenant")
+								return
+							}
+							z.Usage.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Count")
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage")
+							return
+						}
+					}
+				}
+			}
+		case "usage_call":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.UsageCall = nil
+			} else {
+				if z.UsageCall == nil {
+					z.UsageCall = new(UsageCallCommand)
+				}
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "UsageCall")
+					return
+				}
+				if zb0009 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "UsageCall")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "window":
+						z.UsageCall.Window, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UsageCall", "Window")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UsageCall")
+							return
+						}
+					}
+				}
+			}
+		case "usage_end":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.UsageEnd = nil
+			} else {
+				if z.UsageEnd == nil {
+					z.UsageEnd = new(UsageEndCommand)
+				}
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "UsageEnd")
+					return
+				}
+				if zb0010 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "UsageEnd")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "window":
+						z.UsageEnd.Window, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UsageEnd", "Window")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UsageEnd")
+							return
+						}
+					}
+				}
+			}
+		case "fleet":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Fleet = nil
+			} else {
+				if z.Fleet == nil {
+					z.Fleet = new(FleetOrder)
+				}
+				bts, err = z.Fleet.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fleet")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -424,6 +667,33 @@
 	} else {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.ChangeEnd.Replica)
 	}
+	s += 6
+	if z.Usage == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+		for za0001 := range z.Usage.Counts {
+			s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Usage.Counts[za0001].Tenant) + msgp.Uint32Size
+		}
+	}
+	s += 11
+	if z.UsageCall == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 7 + msgp.Uint64Size
+	}
+	s += 10
+	if z.UsageEnd == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 7 + msgp.Uint64Size
+	}
+	s += 6
+	if z.Fleet == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Fleet.Msgsize()
+	}
 	return
 }
 
@@ -569,20 +839,29 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *FleetOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "address"
-	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "replica"
-	o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o = msgp.AppendUint64(o, z.Replica)
+	// map header, size 5
+	// string "service"
+	o = append(o, 0x85, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "preemptible"
+	o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Preemptible)
+	// string "count"
+	o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
+	// string "base"
+	o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
+	o = msgp.AppendInt(o, z.Base)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *FleetOrder) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -603,16 +882,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "replica":
-			z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Replica")
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "preemptible":
+			z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Preemptible")
+				return
+			}
+		case "count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "base":
+			z.Base, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
 				return
 			}
 		default:
@@ -628,36 +925,39 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z JoinRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size
+func (z *FleetOrder) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 12 + msgp.BoolSize + 6 + msgp.IntSize + 5 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *GatewayUsage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "changed"
-	o = append(o, 0x82, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
-	for za0001 := range z.Changed {
-		o, err = z.Changed[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Changed", za0001)
-			return
-		}
-	}
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		o = msgp.AppendString(o, z.Removed[za0002])
+	// map header, size 4
+	// string "gateway"
+	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = msgp.AppendString(o, z.Gateway)
+	// string "life"
+	o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
+	o = msgp.AppendInt64(o, z.Life)
+	// string "told_at"
+	o = append(o, 0xa7, 0x74, 0x6f, 0x6c, 0x64, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt64(o, z.ToldAt)
+	// string "counts"
+	o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Counts[za0001].Window)
+		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
+		o = msgp.AppendUint32(o, z.Counts[za0001].Count)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ListCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *GatewayUsage) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -678,49 +978,64 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "changed":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "gateway":
+			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Changed")
+				err = msgp.WrapError(err, "Gateway")
 				return
 			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
+		case "life":
+			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Life")
 				return
 			}
-			if cap(z.Changed) >= int(zb0002) {
-				z.Changed = (z.Changed)[:zb0002]
-			} else {
-				z.Changed = make([]Replica, zb0002)
-			}
-			for za0001 := range z.Changed {
-				bts, err = z.Changed[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Changed", za0001)
-					return
-				}
+		case "told_at":
+			z.ToldAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ToldAt")
+				return
 			}
-		case "removed":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "counts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Removed")
+				err = msgp.WrapError(err, "Counts")
 				return
 			}
-			if zb0003 > z2c18a699limitArrays {
+			if zb0002 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Removed) >= int(zb0003) {
-				z.Removed = (z.Removed)[:zb0003]
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
 			} else {
-				z.Removed = make([]string, zb0003)
+				z.Counts = make([]UsageCount, zb0002)
 			}
-			for za0002 := range z.Removed {
-				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Counts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Removed", za0002)
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Window")
+					return
+				}
+				z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Tenant")
+					return
+				}
+				z.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Count")
 					return
 				}
 			}
@@ -737,9 +1052,186 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ListCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Changed {
+func (z *GatewayUsage) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.Int64Size + 8 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant) + msgp.Uint32Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "address"
+	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "replica"
+	o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendUint64(o, z.Replica)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "replica":
+			z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z JoinRequest) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "changed"
+	o = append(o, 0x82, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
+	for za0001 := range z.Changed {
+		o, err = z.Changed[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Changed", za0001)
+			return
+		}
+	}
+	// string "removed"
+	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+	for za0002 := range z.Removed {
+		o = msgp.AppendString(o, z.Removed[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "changed":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changed")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Changed) >= int(zb0002) {
+				z.Changed = (z.Changed)[:zb0002]
+			} else {
+				z.Changed = make([]Replica, zb0002)
+			}
+			for za0001 := range z.Changed {
+				bts, err = z.Changed[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Changed", za0001)
+					return
+				}
+			}
+		case "removed":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removed")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Removed) >= int(zb0003) {
+				z.Removed = (z.Removed)[:zb0003]
+			} else {
+				z.Removed = make([]string, zb0003)
+			}
+			for za0002 := range z.Removed {
+				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Removed", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ListCommand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Changed {
 		s += z.Changed[za0001].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
@@ -1198,9 +1690,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "index"
-	o = append(o, 0x83, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = append(o, 0x84, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
 	o = msgp.AppendUint64(o, z.Index)
 	// string "peers_hash"
 	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
@@ -1211,6 +1703,9 @@
 	for za0001 := range z.Peers {
 		o = msgp.AppendString(o, z.Peers[za0001])
 	}
+	// string "region"
+	o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt64(o, z.RegionNanos)
 	return
 }
 
@@ -1271,6 +1766,12 @@
 					return
 				}
 			}
+		case "region":
+			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegionNanos")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1289,15 +1790,16 @@
 	for za0001 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0001])
 	}
+	s += 7 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "from"
-	o = append(o, 0x84, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o = msgp.AppendString(o, z.From)
 	// string "gateways"
 	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
@@ -1318,6 +1820,22 @@
 			return
 		}
 	}
+	// string "clocks"
+	o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x63, 0x6b, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Clocks)))
+	for za0003 := range z.Clocks {
+		o = msgp.AppendInt64(o, z.Clocks[za0003])
+	}
+	// string "usage"
+	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
+	for za0004 := range z.Usage {
+		o, err = z.Usage[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Usage", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -1401,6 +1919,52 @@
 					return
 				}
 			}
+		case "clocks":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clocks")
+				return
+			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Clocks) >= int(zb0004) {
+				z.Clocks = (z.Clocks)[:zb0004]
+			} else {
+				z.Clocks = make([]int64, zb0004)
+			}
+			for za0003 := range z.Clocks {
+				z.Clocks[za0003], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Clocks", za0003)
+					return
+				}
+			}
+		case "usage":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage")
+				return
+			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Usage) >= int(zb0005) {
+				z.Usage = (z.Usage)[:zb0005]
+			} else {
+				z.Usage = make([]GatewayUsage, zb0005)
+			}
+			for za0004 := range z.Usage {
+				bts, err = z.Usage[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Usage", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1423,6 +1987,10 @@
 	for za0002 := range z.Demand {
 		s += z.Demand[za0002].Msgsize()
 	}
+	s += 7 + msgp.ArrayHeaderSize + (len(z.Clocks) * (msgp.Int64Size)) + 6 + msgp.ArrayHeaderSize
+	for za0004 := range z.Usage {
+		s += z.Usage[za0004].Msgsize()
+	}
 	return
 }
 
@@ -1640,9 +2208,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "id"
-	o = append(o, 0x87, 0xa2, 0x69, 0x64)
+	o = append(o, 0x88, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "service"
 	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
@@ -1662,6 +2230,9 @@
 	// string "stage"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	o = msgp.AppendString(o, z.Stage)
+	// string "preemptible"
+	o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Preemptible)
 	return
 }
 
@@ -1729,6 +2300,12 @@
 				err = msgp.WrapError(err, "Stage")
 				return
 			}
+		case "preemptible":
+			z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Preemptible")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1743,7 +2320,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Replica) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage)
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize
 	return
 }
 
@@ -1949,9 +2526,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 10
 	// string "version"
-	o = append(o, 0x87, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8a, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -2005,6 +2582,38 @@
 		o = append(o, 0xa5, 0x66, 0x65, 0x6e, 0x63, 0x65)
 		o = msgp.AppendUint64(o, z.Changes[za0003].Fence)
 	}
+	// string "next_window"
+	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendUint64(o, z.NextWindow)
+	// string "usage"
+	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
+	for za0004 := range z.Usage {
+		// map header, size 2
+		// string "window"
+		o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.Usage[za0004].Window)
+		// string "counts"
+		o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage[za0004].Counts)))
+		for za0005 := range z.Usage[za0004].Counts {
+			// array header, size 3
+			o = append(o, 0x93)
+			o = msgp.AppendUint64(o, z.Usage[za0004].Counts[za0005].Window)
+			o = msgp.AppendString(o, z.Usage[za0004].Counts[za0005].Tenant)
+			o = msgp.AppendUint32(o, z.Usage[za0004].Counts[za0005].Count)
+		}
+	}
+	// string "fleet"
+	o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Fleet)))
+	for za0006 := range z.Fleet {
+		o, err = z.Fleet[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Fleet", za0006)
+			return
+		}
+	}
 	return
 }
 
@@ -2244,6 +2853,128 @@
 					}
 				}
 			}
+		case "next_window":
+			z.NextWindow, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextWindow")
+				return
+			}
+		case "usage":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage")
+				return
+			}
+			if zb0009 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Usage) >= int(zb0009) {
+				z.Usage = (z.Usage)[:zb0009]
+			} else {
+				z.Usage = make([]UsageWindow, zb0009)
+			}
+			for za0004 := range z.Usage {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Usage", za0004)
+					return
+				}
+				if zb0010 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Usage", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "window":
+						z.Usage[za0004].Window, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", za0004, "Window")
+							return
+						}
+					case "counts":
+						var zb0011 uint32
+						zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", za0004, "Counts")
+							return
+						}
+						if zb0011 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Usage[za0004].Counts) >= int(zb0011) {
+							z.Usage[za0004].Counts = (z.Usage[za0004].Counts)[:zb0011]
+						} else {
+							z.Usage[za0004].Counts = make([]UsageCount, zb0011)
+						}
+						for za0005 := range z.Usage[za0004].Counts {
+							var zb0012 uint32
+							zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005)
+								return
+							}
+							if zb0012 != 3 {
+								err = msgp.ArrayError{Wanted: 3, Got: zb0012}
+								return
+							}
+							z.Usage[za0004].Counts[za0005].Window, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Window")
+								return
+							}
+							z.Usage[za0004].Counts[za0005].Tenant, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Tenant")
+								return
+							}
+							z.Usage[za0004].Counts[za0005].Count, bts, err = msgp.ReadUint32Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Count")
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", za0004)
+							return
+						}
+					}
+				}
+			}
+		case "fleet":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fleet")
+				return
+			}
+			if zb0013 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Fleet) >= int(zb0013) {
+				z.Fleet = (z.Fleet)[:zb0013]
+			} else {
+				z.Fleet = make([]FleetOrder, zb0013)
+			}
+			for za0006 := range z.Fleet {
+				bts, err = z.Fleet[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fleet", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2270,15 +3001,298 @@
 	for za0003 := range z.Changes {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.Changes[za0003].Replica) + 6 + msgp.StringPrefixSize + len(z.Changes[za0003].Stage) + 6 + msgp.Uint64Size
 	}
+	s += 12 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0004 := range z.Usage {
+		s += 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+		for za0005 := range z.Usage[za0004].Counts {
+			s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Usage[za0004].Counts[za0005].Tenant) + msgp.Uint32Size
+		}
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0006 := range z.Fleet {
+		s += z.Fleet[za0006].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageCallCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "window"
+	o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendUint64(o, z.Window)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCallCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "window":
+			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageCallCommand) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Window)
+	o = msgp.AppendString(o, z.Tenant)
+	o = msgp.AppendUint32(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Window")
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Count, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageCount) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Tenant) + msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageEndCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "window"
+	o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendUint64(o, z.Window)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageEndCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "window":
+			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageEndCommand) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageWindow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "window"
+	o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendUint64(o, z.Window)
+	// string "counts"
+	o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Counts[za0001].Window)
+		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
+		o = msgp.AppendUint32(o, z.Counts[za0001].Count)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageWindow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "window":
+			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
+		case "counts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Window")
+					return
+				}
+				z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Tenant")
+					return
+				}
+				z.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001, "Count")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageWindow) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant) + msgp.Uint32Size
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 16
 	// string "age"
-	o = append(o, 0x8e, 0xa3, 0x61, 0x67, 0x65)
+	o = append(o, 0xde, 0x0, 0x10, 0xa3, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
@@ -2335,6 +3349,12 @@
 	for za0004 := range z.Coordinators {
 		o = msgp.AppendString(o, z.Coordinators[za0004])
 	}
+	// string "region"
+	o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt64(o, z.RegionNanos)
+	// string "next_window"
+	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendUint64(o, z.NextWindow)
 	return
 }
 
@@ -2528,6 +3548,18 @@
 					return
 				}
 			}
+		case "region":
+			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegionNanos")
+				return
+			}
+		case "next_window":
+			z.NextWindow, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NextWindow")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2542,7 +3574,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *View) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	s = 3 + 4 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.BoolSize + 11 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
 		s += z.Replicas[za0001].Msgsize()
 	}
@@ -2558,15 +3590,16 @@
 	for za0004 := range z.Coordinators {
 		s += msgp.StringPrefixSize + len(z.Coordinators[za0004])
 	}
+	s += 7 + msgp.Int64Size + 12 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "gateway"
-	o = append(o, 0x87, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = append(o, 0x89, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
 	o = msgp.AppendString(o, z.Gateway)
 	// string "address"
 	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
@@ -2593,6 +3626,20 @@
 	// string "wait"
 	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
 	o = msgp.AppendInt(o, z.WaitMillis)
+	// string "wall"
+	o = append(o, 0xa4, 0x77, 0x61, 0x6c, 0x6c)
+	o = msgp.AppendInt64(o, z.WallNanos)
+	// string "usage"
+	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+	if z.Usage == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Usage.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Usage")
+			return
+		}
+	}
 	return
 }
 
@@ -2677,6 +3724,29 @@
 				err = msgp.WrapError(err, "WaitMillis")
 				return
 			}
+		case "wall":
+			z.WallNanos, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WallNanos")
+				return
+			}
+		case "usage":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Usage = nil
+			} else {
+				if z.Usage == nil {
+					z.Usage = new(GatewayUsage)
+				}
+				bts, err = z.Usage.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Usage")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2695,6 +3765,11 @@
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
-	s += 5 + msgp.IntSize
+	s += 5 + msgp.IntSize + 5 + msgp.Int64Size + 6
+	if z.Usage == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Usage.Msgsize()
+	}
 	return
 }
--- /dev/null
+++ b/internal/regionclock/clock_test.go
@@ -0,0 +1,53 @@
+package regionclock_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/regionclock"
+)
+
+func TestAClockGoesOnFromWhatItWasSetTo(t *testing.T) {
+	clock := regionclock.New()
+	at := time.Now()
+	region := time.Unix(1_000_000, 0)
+	clock.Set(at, region)
+	assert.Equal(t, region, clock.At(at))
+	assert.Equal(t, region.Add(3*time.Second), clock.At(at.Add(3*time.Second)))
+	assert.Equal(t, region.Add(-time.Second), clock.At(at.Add(-time.Second)))
+}
+
+func TestTheMedianIsRightWhileMostClocksAre(t *testing.T) {
+	assert.Zero(t, regionclock.Median(nil))
+	const right = int64(1_000_000)
+	clocks := make([]int64, 0, 10)
+	for number := range 10 {
+		clocks = append(clocks, right+int64(number)-5)
+	}
+	for stepped := range 5 {
+		clocks[stepped*2] += int64(2 * time.Second)
+		assert.InDelta(t, right, regionclock.Median(clocks), 5, "%d of 10 jumped", stepped+1)
+		if stepped == 3 {
+			break
+		}
+	}
+}
+
+func TestSamplesAreReadAsOfNow(t *testing.T) {
+	samples := regionclock.NewSamples()
+	samples.Take("none", 0)
+	assert.Empty(t, samples.Read(), "a machine that tells no time")
+	wall := time.Now().UnixNano()
+	for number := range 3 {
+		samples.Take(fmt.Sprint(number), wall)
+	}
+	samples.Take("2", wall+1)
+	read := samples.Read()
+	assert.Len(t, read, 3, "one for each machine")
+	for _, clock := range read {
+		assert.GreaterOrEqual(t, clock, wall)
+	}
+}
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -18,10 +18,12 @@
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/peers"
 	"github.com/pierhaven/pierhaven/internal/placement"
+	"github.com/pierhaven/pierhaven/internal/regionclock"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/upstream"
+	"github.com/pierhaven/pierhaven/internal/usage"
 )
 
 // Daemon is one relaying gateway.
@@ -61,9 +63,11 @@
 		Socket:            socket,
 	})
 	asker := placement.NewClient(settings.Name, life, directory, socket, settings.Logger)
-	keeper := newViewKeeper(settings, client, directory, budgets, &deciders{peers: peers, asker: asker})
+	counted := &countedUsage{life: life, clock: regionclock.New(), ledger: usage.NewLedger(settings.UsageWindow)}
+	keeper := newViewKeeper(settings, client, directory, budgets, &deciders{peers: peers, asker: asker}, counted)
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.AskPlacements(asker.Remote())
+	runner.CountBegun(counted.begun)
 	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -33,6 +33,9 @@
 	// KeyMemory is how old the view may be by which API keys are still accepted; 0 sets no
 	// bound, so that a gateway which is cut off serves the keys that it knows.
 	KeyMemory time.Duration
+	// UsageWindow is the length of the windows by which tenants' requests are counted; 0 counts
+	// none.
+	UsageWindow time.Duration
 	// StopTime bounds a planned stop.
 	StopTime time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -29,6 +29,7 @@
 	directory *relay.Directory
 	budgets   *relay.Budgets
 	deciders  *deciders
+	usage     *countedUsage
 	started   time.Time
 
 	table atomic.Pointer[traffic.Table]
@@ -51,7 +52,7 @@
 	zones   map[string]string
 }
 
-func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, deciders *deciders) *viewKeeper {
+func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, deciders *deciders, usage *countedUsage) *viewKeeper {
 	return &viewKeeper{
 		settings:  settings,
 		logger:    settings.Logger,
@@ -59,6 +60,7 @@
 		directory: directory,
 		budgets:   budgets,
 		deciders:  deciders,
+		usage:     usage,
 		started:   time.Now(),
 		zones:     map[string]string{},
 
@@ -184,6 +186,8 @@
 		PeersHash:  k.deciders.peers.Known(),
 		Demand:     k.directory.Demand(),
 		WaitMillis: int(viewWait.Milliseconds()),
+		WallNanos:  time.Now().UnixNano(),
+		Usage:      k.usage.report(k.settings.PeerListen, coordinator),
 	}
 	if table := k.Table(); table != nil {
 		request.Version = table.Configuration.Version
@@ -193,8 +197,11 @@
 	k.mutex.Unlock()
 	var view region.View
 	if err := k.client.Call(ctx, coordinator, region.PathView, request, &view); err != nil {
+		// What was told may not have arrived.
+		k.usage.toldTo = ""
 		return err
 	}
+	k.usage.told(coordinator, request.Usage, &view, time.Now())
 	return k.take(coordinator, &view)
 }
 
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -23,7 +23,7 @@
 
 func newTestKeeper() *viewKeeper {
 	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logr.Discard())
-	return newViewKeeper(Settings{Codec: fixedCodec{}, Logger: logr.Discard()}, nil, directory, nil, nil)
+	return newViewKeeper(Settings{Codec: fixedCodec{}, Logger: logr.Discard()}, nil, directory, nil, nil, nil)
 }
 
 func TestARequestThatComesBeforeTheFirstConfigurationIsHeldForIt(t *testing.T) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -25,6 +25,8 @@
 	budgets   *Budgets
 	metrics   *Metrics
 	logger    logr.Logger
+	// begun is told of each request of a tenant that begins to run, once, and when.
+	begun func(tenant string, at time.Time)
 }
 
 // NewRunner returns a runner.
@@ -37,9 +39,14 @@
 		budgets:   budgets,
 		metrics:   metrics,
 		logger:    logger,
+		begun:     func(string, time.Time) {},
 	}
 }
 
+// CountBegun has a function told of each request of a tenant that begins to run, once, and when.
+// It is called before any use.
+func (r *Runner) CountBegun(begun func(tenant string, at time.Time)) { r.begun = begun }
+
 // AskPlacements has a coordinator asked for replicas. It is called before any use.
 func (r *Runner) AskPlacements(remote *RemotePlacement) { r.placer.Remote = remote }
 
@@ -85,6 +92,8 @@
 	moved *movedStream
 	// lastFailure is a replica's own failure, handed on if nothing better comes.
 	lastFailure *wholeAnswer
+	// counted says that the request has been counted as begun.
+	counted bool
 }
 
 type wholeAnswer struct {
@@ -93,6 +102,15 @@
 	body   []byte
 }
 
+// countBegun counts the request as one that began to run at a moment, the first time.
+func (r *run) countBegun(at time.Time) {
+	if r.counted || r.call.Tenant == "" {
+		return
+	}
+	r.counted = true
+	r.begun(r.call.Tenant, at)
+}
+
 // verdict is what an attempt has led to.
 type verdict int
 
@@ -342,8 +360,13 @@
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	}
+	sentAt := time.Now()
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, send))
 	if err != nil {
+		if upstream.HandedOver(err) && !r.isModelCall() {
+			// It may have run, and most such requests have.
+			r.countBegun(sentAt)
+		}
 		return r.connectionFailed(ctx, lease, err)
 	}
 	defer answer.Close()
@@ -360,6 +383,9 @@
 		lease.Answered(true, marks.Load)
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the answer bears no mark of the replica")
 	}
+	if !r.isModelCall() {
+		r.countBegun(sentAt)
+	}
 	if r.call.Route.Kind == traffic.KindStream && answer.Status < http.StatusMultipleChoices {
 		return r.relayStream(ctx, lease, answer, marks, send)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -56,6 +56,7 @@
 		if len(whole) > 0 {
 			if first {
 				first = false
+				r.countBegun(time.Now())
 				lease.Answered(false, marks.Load)
 				r.noteBegun(lease, send)
 				if !r.directory.off[mechanism.StreamMoves] {
