--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -90,10 +90,11 @@
 	}
 }
 
-// fleetBase is the number of replicas that there were before any was ordered, 0 if none has been.
+// fleetBase is the number of replicas that there were before any was ordered, 0 if none has been
+// or it was not known then.
 func fleetBase(state region.State, service string) int {
 	for _, order := range state.Fleet {
-		if order.Service == service {
+		if order.Service == service && order.Base > 0 {
 			return order.Base
 		}
 	}
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -60,6 +60,9 @@
 	// answer, which may be carried out late.
 	unclearHold = 14 * time.Second
 	refusedHold = 3 * time.Second
+	// changeShare of a service's replicas may begin a change in one step: one change a step
+	// would need half a minute to turn a third of 300 replicas round.
+	changeShare = 1.0 / 16
 	// restlessTime is how long after replicas have come or gone none stops
 	// generating.
 	restlessTime = 5 * time.Second
@@ -117,7 +120,10 @@
 	k.known = map[string]string{}
 }
 
-// step makes at most one change of each service. A new leader first lets the lease
+// changesAtOnce is the number of changes that a service with some replicas may begin in a step.
+func changesAtOnce(replicas int) int { return max(1, int(changeShare*float64(replicas))) }
+
+// step makes some changes of each service. A new leader first lets the lease
 // of the last order run out.
 func (k *stageKeeper) step(ctx context.Context) {
 	now := k.now()
@@ -135,9 +141,14 @@
 		}
 		input := k.inputFor(now, service, replicas, state.Changes, demand)
 		input.Rules = k.rulesFor(now, service, input)
-		if change := planner.Step(now, input); change != nil {
+		for range changesAtOnce(len(input.Replicas)) {
+			change := planner.Step(now, input)
+			if change == nil {
+				break
+			}
 			planner.Choose(now, change, k.leastBusy(ctx, replicas, change.Candidates))
 			k.carryOutStage(ctx, replicas, change)
+			input.NoteChange(change)
 		}
 	}
 }
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -70,6 +70,9 @@
 	// settleShare of the boot time without a further replica says that all are there that have
 	// started together.
 	settleShare = 0.5
+	// toleratedZones is the number of zones that may lose their preemptible replicas at once
+	// without a lack.
+	toleratedZones = 1
 	// settledTime is how long all that was ordered must have served before stable replicas are
 	// given up for preemptible ones.
 	settledTime = 1 * time.Second
@@ -103,7 +106,7 @@
 	return &Planner{base: base, orderedAt: map[subject]time.Duration{}, refusedUntil: map[subject]time.Duration{}}
 }
 
-// Base is the number of replicas that are held to be enough.
+// Base is the number of replicas that are held to be enough, 0 while it is being learned.
 func (p *Planner) Base() int { return p.base }
 
 // Ordered notes that an order was made.
@@ -120,7 +123,7 @@
 // Step returns the orders to make now. Those that add replicas come first.
 func (p *Planner) Step(now time.Duration, input Input) []Order {
 	p.learnBase(now, input)
-	if p.base == 0 || len(input.Zones) == 0 || input.Maximum < max(input.Minimum, 1) {
+	if p.needed() == 0 || len(input.Zones) == 0 || input.Maximum < max(input.Minimum, 1) {
 		return nil
 	}
 	wanted := p.wanted(input)
@@ -146,8 +149,8 @@
 	if p.base > 0 {
 		return
 	}
-	if serving := countServing(input.Zones); serving > p.seen {
-		p.seen, p.seenAt = serving, now
+	if stable := countStable(input.Zones); stable > p.seen {
+		p.seen, p.seenAt = stable, now
 	}
 	if p.seen > 0 && now-p.seenAt >= time.Duration(settleShare*float64(input.BootTime)) {
 		p.base = p.seen
@@ -173,24 +176,25 @@
 	return z.Serving[kind]
 }
 
-func countServing(zones []Zone) int {
+func countStable(zones []Zone) int {
 	sum := 0
 	for _, zone := range zones {
-		sum += zone.Serving[Stable] + zone.Serving[Preemptible]
+		sum += zone.Serving[Stable]
 	}
 	return sum
 }
 
-// needed is the number of replicas that have to serve whatever is taken away.
-func (p *Planner) needed(Input) int { return p.base }
+// needed is the number of replicas that have to serve whatever is taken away: while it is being
+// learned, what has been seen.
+func (p *Planner) needed() int { return max(p.base, p.seen) }
 
 // wanted is the number of each kind in each zone if all are to be had.
 func (p *Planner) wanted(input Input) [][kinds]int {
 	zones := len(input.Zones)
 	wanted := make([][kinds]int, zones)
-	needed := p.needed(input)
-	spread := float64(zones) / float64(max(zones-1, 1))
-	if zones < 2 || input.PreemptiblePrice <= 0 || input.PreemptiblePrice*spread >= 1 {
+	needed := p.needed()
+	spread := input.spread()
+	if spread == 0 {
 		for index, count := range shares(needed, zones) {
 			wanted[index][Stable] = input.within(count)
 		}
@@ -203,6 +207,19 @@
 	return wanted
 }
 
+// spread is how many preemptible replicas there have to be for each one that is needed, so that
+// it is left when as many zones lose theirs as pays; 0 if none pays.
+func (i Input) spread() float64 {
+	zones := float64(len(i.Zones))
+	best := 0.0
+	for lost := 1.0; lost < zones && lost <= toleratedZones; lost++ {
+		if spread := zones / (zones - lost); i.PreemptiblePrice > 0 && i.PreemptiblePrice*spread < 1 {
+			best = spread
+		}
+	}
+	return best
+}
+
 // within bounds the number of replicas of a zone.
 func (i Input) within(count int) int { return min(max(count, i.Minimum), i.Maximum) }
 
@@ -221,17 +238,17 @@
 // coverLosses has stable replicas take the place of what is needed and does not serve. None is
 // given up before the others have served for a while.
 func (p *Planner) coverLosses(now time.Duration, input Input, wanted [][kinds]int) {
-	needed := p.needed(input)
+	needed := p.needed()
 	lacking := needed
 	for index, zone := range input.Zones {
 		lacking -= zone.Serving[Preemptible] + min(zone.Serving[Stable], wanted[index][Stable])
 	}
-	if lacking > 0 {
+	if lacking > 0 || p.base == 0 {
 		p.enough = false
 	} else if !p.enough {
 		p.enough, p.enoughSince = true, now
 	}
-	if lacking <= 0 && now-p.enoughSince >= settledTime {
+	if p.enough && now-p.enoughSince >= settledTime {
 		return
 	}
 	// What serves stays, and what lacks beyond it is added where it costs least.
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -231,6 +231,16 @@
 	return &change
 }
 
+// NoteChange has the input show that a change has begun.
+func (i Input) NoteChange(change *Change) {
+	for index := range i.Replicas {
+		if i.Replicas[index].ID == change.ReplicaID {
+			i.Replicas[index].Generates = change.Generates
+			i.Replicas[index].Changing = true
+		}
+	}
+}
+
 // overfull reports whether more answers are being generated than there is room for.
 func (i Input) overfull() bool {
 	generating, _ := count(i.Replicas)
