--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -248,3 +248,24 @@
 	changes, _ = settle(t, planner, now+time.Minute, input)
 	assert.Positive(t, changes)
 }
+
+// TestSeveralChangesOfOneStepDiffer has a planner asked again for the same moment: each change is
+// of another replica, and they end where one change a step would.
+func TestSeveralChangesOfOneStepDiffer(t *testing.T) {
+	input := stageplan.Input{Known: true, Generating: 10, Expected: 10, Reading: 60}
+	for number := range 100 {
+		input.Replicas = append(input.Replicas, stageplan.Replica{ID: fmt.Sprint("r", number), Generates: true, Slots: 64})
+	}
+	planner := &stageplan.Planner{}
+	changed := map[string]bool{}
+	for range len(input.Replicas) {
+		change := planner.Step(time.Second, input)
+		if change == nil {
+			break
+		}
+		assert.False(t, changed[change.ReplicaID], change.ReplicaID)
+		changed[change.ReplicaID] = true
+		input.NoteChange(change)
+	}
+	assert.Len(t, changed, 34, "no more are away at the same time")
+}
