--- a/internal/relay/daemon/usage.go
+++ b/internal/relay/daemon/usage.go
@@ -22,8 +22,11 @@
 // begun counts a request that began to run at a moment of this process.
 func (c *countedUsage) begun(tenant string, at time.Time) { c.ledger.Begun(tenant, c.clock.At(at)) }
 
-// report is what a coordinator is to be told.
+// report is what a coordinator is to be told, nil if nothing is counted.
 func (c *countedUsage) report(gateway, coordinator string) *region.GatewayUsage {
+	if !c.ledger.Counts() {
+		return nil
+	}
 	return &region.GatewayUsage{
 		Gateway: gateway,
 		Life:    c.life,
@@ -34,6 +37,9 @@
 
 // told notes a coordinator's answer to a report, which came at a moment.
 func (c *countedUsage) told(coordinator string, report *region.GatewayUsage, view *region.View, came time.Time) {
+	if report == nil {
+		return
+	}
 	c.toldTo = coordinator
 	c.ledger.Taken(report.Counts)
 	c.ledger.Fixed(view.NextWindow)
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -186,9 +186,11 @@
 		PeersHash:  k.deciders.peers.Known(),
 		Demand:     k.directory.Demand(),
 		WaitMillis: int(viewWait.Milliseconds()),
-		WallNanos:  time.Now().UnixNano(),
 		Usage:      k.usage.report(k.settings.PeerListen, coordinator),
 	}
+	if request.Usage != nil {
+		request.WallNanos = time.Now().UnixNano()
+	}
 	if table := k.Table(); table != nil {
 		request.Version = table.Configuration.Version
 	}
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -1,6 +1,7 @@
 package traffic_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -106,3 +107,24 @@
 	changed := traffic.NewTable(configuration(route("r", "h", "/p/", traffic.Part{Service: "b", Weight: 1})), same)
 	assert.Equal(t, "b", changed.Find("h", "/p/").Splitter.Next())
 }
+
+// TestManyGatewaysTogetherDealByWeight has gateways that each see a few requests: all together
+// stay near the weights, whatever positions they have started at.
+func TestManyGatewaysTogetherDealByWeight(t *testing.T) {
+	const gateways, requests, off = 79, 400, 0.04
+	parts := []traffic.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		splitters := make([]*traffic.Splitter, gateways)
+		for index := range splitters {
+			splitters[index] = traffic.NewSplitter(parts, random.IntN)
+		}
+		dealt := 0
+		for range requests {
+			if splitters[random.IntN(gateways)].Next() == "b" {
+				dealt++
+			}
+		}
+		assert.InDelta(t, 0.1, float64(dealt)/requests, off, "seed %d", seed)
+	}
+}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -54,9 +54,12 @@
 	return &Ledger{length: length, windows: map[uint64]map[string]*entry{}}
 }
 
+// Counts reports whether anything is counted.
+func (l *Ledger) Counts() bool { return l.length > 0 }
+
 // Begun counts a tenant's request that began to run at a moment of the region's time.
 func (l *Ledger) Begun(tenant string, at time.Time) {
-	if l.length <= 0 || tenant == "" {
+	if !l.Counts() || tenant == "" {
 		return
 	}
 	window := WindowOf(at, l.length)
