Have the fleet grow with the work, and fall a while later

Hypothesis: the number that was there at the start is not always enough. Change: replicas that the work keeps busy (reading, and streams by slots) over a target load of 0.45, the peak of late, raise the number that has to be left; it falls after five boot times. The demand is summed by one function for stages and fleet.

--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -47,6 +47,22 @@
 	return sums
 }
 
+// demandFor adds up what the region's gateways tell of a service. What is told is extrapolated to
+// the gateways that tell nothing.
+func (c *Coordinator) demandFor(now time.Duration, service string) region.ServiceDemand {
+	sum := region.ServiceDemand{Service: service}
+	for _, each := range append(c.demand.sum(now), c.reported.sum(now)...) {
+		if each.Service == service {
+			sum = addDemand([]region.ServiceDemand{sum}, each)[0]
+		}
+	}
+	silent := silentShare(sum.Gateways, len(c.gateways.all(now)))
+	sum.Generating *= silent
+	sum.Expected *= silent
+	sum.Reading *= silent
+	return sum
+}
+
 // maximumSilent bounds what is concluded from gateways that tell nothing.
 const maximumSilent = 3
 
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -57,6 +57,8 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(k.terms)) {
 		input := fleetInput(state, service, k.terms[service])
+		demand := k.demandFor(k.now(), service)
+		input.Busy = demand.Reading + demand.Generating/float64(slotsOf(state, service))
 		planner, known := k.planners[service]
 		if !known {
 			planner = fleetplan.New(fleetBase(state, service))
@@ -142,6 +144,17 @@
 	return input
 }
 
+// slotsOf is the number of requests that a replica of a service generates for at once.
+func slotsOf(state region.State, service string) int {
+	slots := 1
+	for _, listed := range state.Replicas {
+		if listed.Replica.Service == service {
+			slots = max(slots, listed.Replica.Slots)
+		}
+	}
+	return slots
+}
+
 func kindOf(preemptible bool) fleetplan.Kind {
 	if preemptible {
 		return fleetplan.Preemptible
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -132,14 +132,13 @@
 	if !k.mayCall() {
 		return
 	}
-	demand := append(k.demand.sum(now), k.reported.sum(now)...)
 	for service, replicas := range modelReplicas(state) {
 		planner, found := k.planners[service]
 		if !found {
 			planner = &stageplan.Planner{IgnoreForecast: k.settings.Without[mechanism.Forecast], UnevenShortage: k.settings.Without[mechanism.EvenShortage]}
 			k.planners[service] = planner
 		}
-		input := k.inputFor(now, service, replicas, state.Changes, demand)
+		input := k.inputFor(now, service, replicas, state.Changes)
 		input.Rules = k.rulesFor(now, service, input)
 		for range changesAtOnce(len(input.Replicas)) {
 			change := planner.Step(now, input)
@@ -166,26 +165,16 @@
 	return services
 }
 
-func (k *stageKeeper) inputFor(now time.Duration, service string, replicas []region.Replica, changes []region.StageChange, demand []region.ServiceDemand) stageplan.Input {
-	var input stageplan.Input
+func (k *stageKeeper) inputFor(now time.Duration, service string, replicas []region.Replica, changes []region.StageChange) stageplan.Input {
+	demand := k.demandFor(now, service)
+	input := stageplan.Input{Generating: demand.Generating, Expected: demand.Expected, Reading: demand.Reading}
 	unreachable := map[string]int{}
-	telling := 0
-	for _, each := range demand {
-		if each.Service == service {
-			input.Generating += each.Generating
-			input.Expected += each.Expected
-			input.Reading += each.Reading
-			telling += each.Gateways
-			k.heard[service] = now
-			for _, replica := range each.Unreachable {
-				unreachable[replica]++
-			}
-		}
+	for _, replica := range demand.Unreachable {
+		unreachable[replica]++
+	}
+	if demand.Gateways > 0 {
+		k.heard[service] = now
 	}
-	silent := silentShare(telling, len(k.gateways.all(now)))
-	input.Generating *= silent
-	input.Expected *= silent
-	input.Reading *= silent
 	k.noteMoves(now, service, replicas)
 	moved, any := k.moved[service]
 	input.Restless = any && now-moved < restlessTime
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -49,8 +49,9 @@
 	// PreemptiblePrice is the price of a preemptible replica as a share of a stable one's; 0 if
 	// there are none.
 	PreemptiblePrice float64
-	// Demanded is the number of replicas that the work keeps busy, 0 while it is not known.
-	Demanded float64
+	// Busy is the number of replicas that the work would keep busy all the time, 0 while it is
+	// not known.
+	Busy float64
 }
 
 // Order is a number of replicas of a kind in a zone.
@@ -70,6 +71,14 @@
 	// settleShare of the boot time without a further replica says that all are there that have
 	// started together.
 	settleShare = 0.5
+	// targetLoad is the share of the time for which replicas may be busy: prompts that come while
+	// one is read wait for it. Stages are planned with the same share of the readers.
+	targetLoad = 0.45
+	// growStep is the least share of the replicas by which the need changes, and fallBoots for
+	// how many boot times less has to be needed before any is given up: what comes back soon
+	// has to be booted, and has lost the prefixes that it kept.
+	growStep  = 1.0 / 16
+	fallBoots = 5.0
 	// toleratedZones is the number of zones that may lose their preemptible replicas at once
 	// without a lack.
 	toleratedZones = 1
@@ -89,6 +98,10 @@
 	// had in a zone.
 	orderedAt    map[subject]time.Duration
 	refusedUntil map[subject]time.Duration
+	// grown is the number of replicas that the work needs, as it was when most were needed of
+	// late, at grownAt.
+	grown   int
+	grownAt time.Duration
 	// enoughSince is since when there have been as many as are needed without those to be
 	// given up, meaningful if enough is set.
 	enough      bool
@@ -123,6 +136,7 @@
 // Step returns the orders to make now. Those that add replicas come first.
 func (p *Planner) Step(now time.Duration, input Input) []Order {
 	p.learnBase(now, input)
+	p.learnNeed(now, input)
 	if p.needed() == 0 || len(input.Zones) == 0 || input.Maximum < max(input.Minimum, 1) {
 		return nil
 	}
@@ -157,6 +171,39 @@
 	}
 }
 
+// learnNeed follows the work: up at once, down when less was needed for a while. A planner that
+// takes over from another one begins with what was ordered.
+func (p *Planner) learnNeed(now time.Duration, input Input) {
+	if p.grown == 0 {
+		p.grown, p.grownAt = input.orderedNeed(), now
+	}
+	step := max(1, int(growStep*float64(p.needed())))
+	busy := int(math.Ceil(input.Busy / targetLoad))
+	wanted := (busy + step - 1) / step * step
+	switch {
+	case wanted > p.grown:
+		p.grown, p.grownAt = wanted, now
+	case wanted > p.grown-step:
+		p.grownAt = now
+	case now-p.grownAt > time.Duration(fallBoots*float64(input.BootTime)):
+		p.grown, p.grownAt = wanted, now
+	}
+}
+
+// orderedNeed is the need that the numbers ordered so far were for.
+func (i Input) orderedNeed() int {
+	ordered := 0
+	for _, zone := range i.Zones {
+		for kind := range kinds {
+			ordered += max(zone.Ordered[kind], 0)
+		}
+	}
+	if spread := i.spread(); spread > 0 {
+		return int(float64(ordered) / spread)
+	}
+	return ordered
+}
+
 // rank is 0 for orders that add replicas.
 func (o Order) rank(input Input) int {
 	for _, zone := range input.Zones {
@@ -184,9 +231,10 @@
 	return sum
 }
 
-// needed is the number of replicas that have to serve whatever is taken away: while it is being
-// learned, what has been seen.
-func (p *Planner) needed() int { return max(p.base, p.seen) }
+// needed is the number of replicas that have to serve whatever is taken away: those that the
+// operators hold to be enough, or that have been seen while this is being learned, and more if
+// the work needs them.
+func (p *Planner) needed() int { return max(p.base, p.seen, p.grown) }
 
 // wanted is the number of each kind in each zone if all are to be had.
 func (p *Planner) wanted(input Input) [][kinds]int {
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -188,3 +188,35 @@
 	require.Greater(t, c.orders, orders)
 	assert.Equal(t, 87, c.serving(fleetplan.Preemptible))
 }
+
+func TestTheFleetGrowsWithTheWorkAndFallsLater(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	c.input.Busy = 45
+	c.run(c.now+2*bootTime, nil)
+	assert.InDelta(t, 150, c.all(), 8, "100 are needed, of which one zone may go")
+	orders := c.orders
+	for range 20 {
+		c.input.Busy = 45 - c.input.Busy
+		c.run(c.now+3*time.Second, nil)
+	}
+	assert.Equal(t, orders, c.orders, "work that comes and goes is not followed")
+	c.input.Busy = 0
+	c.run(c.now+60*time.Second, nil)
+	assert.Equal(t, 90, c.all(), "60 are enough")
+	c.input.Busy = 1000
+	c.run(c.now+60*time.Second, nil)
+	assert.Equal(t, 3*maximum, c.all(), "within the limits")
+}
+
+func TestAPlannerThatTakesOverGivesNothingUpAtOnce(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	c.input.Busy = 45
+	c.run(c.now+2*bootTime, nil)
+	before := c.all()
+	c.planner = fleetplan.New(c.planner.Base())
+	c.input.Busy = 0
+	c.run(c.now+2*bootTime, nil)
+	assert.Equal(t, before, c.all())
+}
