Reset the connection of a call to the platform that gets no answer in time

Where fences are not looked at, a call that a cut link holds up and that is closed in order would arrive after newer ones.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,9 @@
 	DialTimeout time.Duration
 	// MaximumBodyBytes bounds a body that is read whole.
 	MaximumBodyBytes int64
+	// ResetAbandoned resets the connection of an exchange whose context ends, so that what is
+	// under way is dropped: a call that a cut link holds up would else arrive after newer ones.
+	ResetAbandoned bool
 }
 
 // Client makes exchanges. It may be used concurrently.
@@ -64,7 +67,7 @@
 	if err != nil {
 		return nil, &Error{Cause: causeOf(ctx, err)}
 	}
-	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stopWatch := context.AfterFunc(ctx, func() { c.giveUp(conn) })
 	sent := send(conn, request)
 	exchange := &Exchange{client: c, request: request, connection: conn, stopWatch: stopWatch, sent: sent, ctx: ctx}
 	if err := exchange.readHead(); err != nil {
@@ -74,6 +77,15 @@
 	return exchange, nil
 }
 
+// giveUp closes the connection of an exchange whose context has ended.
+func (c *Client) giveUp(conn *connection) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok && c.options.ResetAbandoned {
+		// An error says that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (c *Client) connect(ctx context.Context, request *Request) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
