Leave stable replicas where they are, and order none while they are being listed

Cause: where preemptible replicas don't pay, the planner took those listed first for all and would have ordered a zone's number down to them, and evened zones out for nothing. The test fails on the code before (orders where none is due).

--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -65,8 +65,8 @@
 const (
 	// listMargin is how long after its boot a replica may take to be listed and to be taken up.
 	listMargin = 3 * time.Second
-	// refusedPause is how long after a refusal none of a kind is ordered in a zone again: a
-	// quarter of the boot time of what takes their place would be the least that is worth it.
+	// refusedPause is how long after a refusal none of a kind is ordered in a zone again: calls
+	// are priced, and a second is a fraction of any boot time.
 	refusedPause = time.Second
 	// settleShare of the boot time without a further replica says that all are there that have
 	// started together.
@@ -94,6 +94,8 @@
 	base   int
 	seen   int
 	seenAt time.Duration
+	// peaks are the most stable replicas that there were in zones for which none was ordered.
+	peaks map[string]int
 	// orderedAt is when each number was ordered, and refusedUntil until when a kind is not to be
 	// had in a zone.
 	orderedAt    map[subject]time.Duration
@@ -116,7 +118,12 @@
 // New returns a planner. base is the number of replicas that are held to be enough, 0 for those
 // that are there before any is ordered.
 func New(base int) *Planner {
-	return &Planner{base: base, orderedAt: map[subject]time.Duration{}, refusedUntil: map[subject]time.Duration{}}
+	return &Planner{
+		base:         base,
+		peaks:        map[string]int{},
+		orderedAt:    map[subject]time.Duration{},
+		refusedUntil: map[subject]time.Duration{},
+	}
 }
 
 // Base is the number of replicas that are held to be enough, 0 while it is being learned.
@@ -140,6 +147,7 @@
 	if p.needed() == 0 || len(input.Zones) == 0 || input.Maximum < max(input.Minimum, 1) {
 		return nil
 	}
+	p.notePeaks(input)
 	wanted := p.wanted(input)
 	p.coverLosses(now, input, wanted)
 	for index := range wanted {
@@ -148,12 +156,16 @@
 	var orders []Order
 	for index, zone := range input.Zones {
 		for kind := range kinds {
+			if kind == Stable && p.base == 0 {
+				// A number below that of replicas which are yet to be listed would end them.
+				continue
+			}
 			if order, due := p.due(now, input, zone, kind, wanted[index][kind]); due {
 				orders = append(orders, order)
 			}
 		}
 	}
-	slices.SortStableFunc(orders, func(a, b Order) int { return cmp.Compare(a.rank(input), b.rank(input)) })
+	slices.SortStableFunc(orders, func(a, b Order) int { return cmp.Compare(p.rank(a, input), p.rank(b, input)) })
 	return orders
 }
 
@@ -205,24 +217,37 @@
 }
 
 // rank is 0 for orders that add replicas.
-func (o Order) rank(input Input) int {
+func (p *Planner) rank(o Order, input Input) int {
 	for _, zone := range input.Zones {
-		if zone.Name == o.Zone && o.Count < zone.present(o.Kind) {
+		if zone.Name == o.Zone && o.Count < p.present(zone, o.Kind) {
 			return 1
 		}
 	}
 	return 0
 }
 
-// present is the number that a kind is to be compared with: what was ordered, or what is there
+// present is the number that a kind is to be compared with: what was ordered, or what was there
 // if nothing ever was.
-func (z Zone) present(kind Kind) int {
+func (p *Planner) present(z Zone, kind Kind) int {
 	if z.Ordered[kind] >= 0 {
 		return z.Ordered[kind]
 	}
+	if kind == Stable {
+		return p.peaks[z.Name]
+	}
 	return z.Serving[kind]
 }
 
+// notePeaks remembers how many stable replicas there were at most in a zone for which none was
+// ordered: those that have crashed come back by themselves.
+func (p *Planner) notePeaks(input Input) {
+	for _, zone := range input.Zones {
+		if zone.Ordered[Stable] < 0 {
+			p.peaks[zone.Name] = max(p.peaks[zone.Name], zone.Serving[Stable])
+		}
+	}
+}
+
 func countStable(zones []Zone) int {
 	sum := 0
 	for _, zone := range zones {
@@ -243,9 +268,7 @@
 	needed := p.needed()
 	spread := input.spread()
 	if spread == 0 {
-		for index, count := range shares(needed, zones) {
-			wanted[index][Stable] = input.within(count)
-		}
+		p.wantStable(input, wanted)
 		return wanted
 	}
 	for index, count := range shares(int(math.Ceil(float64(needed)*spread)), zones) {
@@ -255,6 +278,35 @@
 	return wanted
 }
 
+// wantStable has only stable replicas: those that there are, and as many more or fewer as are
+// needed, so that the zones come closer to each other.
+func (p *Planner) wantStable(input Input, wanted [][kinds]int) {
+	missing := p.needed()
+	for index, zone := range input.Zones {
+		count := zone.Ordered[Stable]
+		if count < 0 {
+			count = p.peaks[zone.Name]
+		}
+		wanted[index][Stable] = input.within(count)
+		missing -= wanted[index][Stable]
+	}
+	compare := func(a, b [kinds]int) int { return cmp.Compare(a[Stable], b[Stable]) }
+	for ; missing > 0; missing-- {
+		least := slices.Index(wanted, slices.MinFunc(wanted, compare))
+		if wanted[least][Stable] >= input.Maximum {
+			return
+		}
+		wanted[least][Stable]++
+	}
+	for ; missing < 0; missing++ {
+		most := slices.Index(wanted, slices.MaxFunc(wanted, compare))
+		if wanted[most][Stable] <= input.Minimum {
+			return
+		}
+		wanted[most][Stable]--
+	}
+}
+
 // spread is how many preemptible replicas there have to be for each one that is needed, so that
 // it is left when as many zones lose theirs as pays; 0 if none pays.
 func (i Input) spread() float64 {
@@ -301,7 +353,7 @@
 	}
 	// What serves stays, and what lacks beyond it is added where it costs least.
 	for index, zone := range input.Zones {
-		kept := max(wanted[index][Stable], min(zone.Serving[Stable], zone.present(Stable)))
+		kept := max(wanted[index][Stable], min(zone.Serving[Stable], p.present(zone, Stable)))
 		lacking -= kept - wanted[index][Stable]
 		wanted[index][Stable] = kept
 	}
@@ -345,7 +397,7 @@
 		return Order{}, false
 	}
 	order := Order{Zone: zone.Name, Kind: kind, Count: count}
-	if count != zone.present(kind) {
+	if count != p.present(zone, kind) {
 		order.Reason = "another number is wanted"
 		return order, true
 	}
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -220,3 +220,27 @@
 	c.run(c.now+2*bootTime, nil)
 	assert.Equal(t, before, c.all())
 }
+
+// TestStableReplicasAreLeftAsTheyAre has preemptible ones not pay: what starts one after the other,
+// unevenly, and crashes and comes back, is not ordered away or moved between zones.
+func TestStableReplicasAreLeftAsTheyAre(t *testing.T) {
+	c := newCloud(t, 1, 1, 1)
+	c.input.PreemptiblePrice = 0.8
+	for number := range 10 {
+		for index := range c.input.Zones {
+			c.input.Zones[index].Serving[fleetplan.Stable] += 1 + (number+index)%3
+		}
+		c.run(c.now+500*time.Millisecond, nil)
+	}
+	c.run(c.now+20*time.Second, nil)
+	before := c.all()
+	c.input.Zones[1].Serving[fleetplan.Stable] -= 3
+	c.run(c.now+5*time.Second, nil)
+	c.input.Zones[1].Serving[fleetplan.Stable] += 3
+	c.run(c.now+20*time.Second, nil)
+	assert.Zero(t, c.orders)
+	assert.Equal(t, before, c.all())
+	c.input.Busy = float64(before)
+	c.run(c.now+20*time.Second, nil)
+	assert.Greater(t, c.all(), 2*before, "more come when the work needs them")
+}
