--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -88,6 +88,7 @@
 		a.relayCommand(),
 		a.coordinatorCommand(),
 		a.explainCommand(),
+		a.tenantsCommand(),
 		a.policyCommand(),
 		documentCommand[dynamic.Tenant](a, dynamic.KindTenant),
 		documentCommand[dynamic.Model](a, dynamic.KindModel),
