Make a lost order to give replicas up again

Now any other number than ordered is due again after the boot time and 3 s, at once if the last call is not known to have been taken. The test fails on the code before.

--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -179,11 +179,12 @@
 	}
 	k.logger.Info(event.FleetOrdered, "service", service, "zone", order.Zone, "preemptible", order.Preemptible, "count", order.Count,
 		"reason", planned.Reason, "fence", fence, "term", k.term, "error", failure.Text(err))
-	if errors.Is(err, ErrNoneToBeHad) {
-		planner.Refused(k.now(), planned)
-		return
-	}
-	if err == nil {
+	switch {
+	case err == nil:
 		planner.Ordered(k.now(), planned)
+	case errors.Is(err, ErrNoneToBeHad):
+		planner.Refused(k.now(), planned)
+	default:
+		planner.Lost(planned)
 	}
 }
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -134,6 +134,11 @@
 	p.orderedAt[subject{order.Zone, order.Kind}] = now
 }
 
+// Lost notes that it is not known whether an order was taken: it is due again.
+func (p *Planner) Lost(order Order) {
+	delete(p.orderedAt, subject{order.Zone, order.Kind})
+}
+
 // Refused notes that there are no further replicas to be had.
 func (p *Planner) Refused(now time.Duration, order Order) {
 	p.refusedUntil[subject{order.Zone, order.Kind}] = now + refusedPause
@@ -354,6 +359,9 @@
 	// What serves stays, and what lacks beyond it is added where it costs least.
 	for index, zone := range input.Zones {
 		kept := max(wanted[index][Stable], min(zone.Serving[Stable], p.present(zone, Stable)))
+		if zone.Ordered[Stable] < 0 {
+			kept = max(kept, p.peaks[zone.Name])
+		}
 		lacking -= kept - wanted[index][Stable]
 		wanted[index][Stable] = kept
 	}
@@ -389,8 +397,9 @@
 	return order
 }
 
-// due reports whether a number has to be ordered: it is not the one ordered before, or what was
-// ordered does not serve though it had the time to.
+// due reports whether a number has to be ordered: it is not the one ordered before, or another
+// number serves than was ordered though there was time for it to change. Without the latter, a
+// lost order to give replicas up left 47 of them paid for a whole day.
 func (p *Planner) due(now time.Duration, input Input, zone Zone, kind Kind, count int) (Order, bool) {
 	at := subject{zone.Name, kind}
 	if now < p.refusedUntil[at] {
@@ -401,14 +410,17 @@
 		order.Reason = "another number is wanted"
 		return order, true
 	}
-	if zone.Ordered[kind] < 0 || zone.Serving[kind] >= count {
+	if zone.Ordered[kind] < 0 || zone.Serving[kind] == count {
 		delete(p.refusedUntil, at)
 		return Order{}, false
 	}
 	ordered, known := p.orderedAt[at]
-	if !known || now-ordered > input.BootTime+listMargin {
-		order.Reason = "fewer serve than were ordered"
-		return order, true
+	if known && now-ordered <= input.BootTime+listMargin {
+		return Order{}, false
+	}
+	order.Reason = "fewer serve than were ordered"
+	if zone.Serving[kind] > count {
+		order.Reason = "more serve than were ordered"
 	}
-	return Order{}, false
+	return order, true
 }
--- a/internal/fleetplan/plan_test.go
+++ b/internal/fleetplan/plan_test.go
@@ -26,6 +26,8 @@
 	// dryUntil is until when no preemptible replicas are to be had.
 	dryUntil time.Duration
 	orders   int
+	// lost is the number of orders to come that are noted and never taken.
+	lost int
 }
 
 func newCloud(t *testing.T, stable ...int) *cloud {
@@ -82,6 +84,11 @@
 			return
 		}
 		zone.Ordered[order.Kind] = order.Count
+		if c.lost > 0 {
+			c.lost--
+			c.planner.Lost(order)
+			return
+		}
 		c.planner.Ordered(c.now, order)
 		for ; present < order.Count; present++ {
 			c.booting[at] = append(c.booting[at], c.now+bootTime)
@@ -244,3 +251,22 @@
 	c.run(c.now+20*time.Second, nil)
 	assert.Greater(t, c.all(), 2*before, "more come when the work needs them")
 }
+
+func TestALostOrderIsMadeAgain(t *testing.T) {
+	for lost := 1; lost < 12; lost++ {
+		c := newCloud(t, 20, 20, 20)
+		c.run(2250*time.Millisecond, nil)
+		c.lost = lost
+		c.run(60*time.Second, nil)
+		assert.Equal(t, 3, c.serving(fleetplan.Stable), "%d orders are lost", lost)
+		assert.Equal(t, 87, c.serving(fleetplan.Preemptible), "%d orders are lost", lost)
+	}
+}
+
+func TestAnOrderThatWasTakenAndHadNoEffectIsMadeAgain(t *testing.T) {
+	c := newCloud(t, 20, 20, 20)
+	c.run(30*time.Second, nil)
+	c.input.Zones[0].Serving[fleetplan.Stable] = 20
+	c.run(60*time.Second, nil)
+	assert.Equal(t, 3, c.serving(fleetplan.Stable))
+}
