Log the content's digest of requests that lose their replica, and whether its process has ended

Change: a gateway looks at a replica's port 20 ms after a connection to it has broken, and writes one line a request with its digest, made when it is needed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,8 @@
 	PromptRead Event = "prompt read apart"
 	// AttemptEnded: a send did not lead to the answer.
 	AttemptEnded Event = "attempt ended"
+	// ReplicaLost: the connection to a replica has broken under a request.
+	ReplicaLost Event = "replica lost under a request"
 	// RequestAnswered: the caller has its whole answer.
 	RequestAnswered Event = "request answered"
 	// RequestRefused: the caller got a failure of the gateway.
@@ -167,6 +169,7 @@
 		RequestSent,
 		PromptRead,
 		AttemptEnded,
+		ReplicaLost,
 		RequestAnswered,
 		RequestRefused,
 		FailureHandedOn,
--- /dev/null
+++ b/internal/poison/digest_test.go
@@ -0,0 +1,40 @@
+package poison
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestContentsThatDifferInOneByteHaveDifferentDigests(t *testing.T) {
+	content := Content{Caller: "a", Method: "POST", Host: "h", Target: "/t", Body: []byte("body")}
+	digest := content.Digest()
+	assert.Equal(t, digest, content.Digest())
+	for _, change := range []func(*Content){
+		func(c *Content) { c.Caller = "b" },
+		func(c *Content) { c.Method = "PUT" },
+		func(c *Content) { c.Host = "i" },
+		func(c *Content) { c.Target = "/u" },
+		func(c *Content) { c.Target = "/t?" },
+		func(c *Content) { c.Body = []byte("bodz") },
+		func(c *Content) { c.Body = nil },
+		func(c *Content) { c.Caller, c.Method = "aP", "OST" },
+		func(c *Content) { c.Target, c.Body = "/tb", []byte("ody") },
+	} {
+		other := content
+		change(&other)
+		assert.NotEqual(t, digest, other.Digest())
+	}
+}
+
+func TestADigestTellsItsTargetAndIsReadBack(t *testing.T) {
+	digest := Content{Host: "h", Target: "/t"}.Digest()
+	assert.Equal(t, TargetOf("h", "/t"), digest.Target())
+	read, err := ParseDigest(digest.String())
+	assert.NoError(t, err)
+	assert.Equal(t, digest, read)
+	for _, text := range []string{"", "00", digest.String() + "00", "x" + digest.String()[1:]} {
+		_, err := ParseDigest(text)
+		assert.Error(t, err, text)
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -24,6 +26,24 @@
 	Service *traffic.Service
 	// Tenant is the name of the caller's tenant, empty if no key was asked for.
 	Tenant string
+	// Caller is the IP that the request comes from.
+	Caller string
+
+	digestOnce sync.Once
+	digest     poison.Digest
+}
+
+// Digest identifies the call by its content. It is worked out when it is first asked for, since
+// most calls never need it.
+func (c *Call) Digest() poison.Digest {
+	c.digestOnce.Do(func() {
+		content := poison.Content{Caller: c.Tenant, Method: c.Method, Host: c.Host, Target: c.Target, Body: c.Body}
+		if content.Caller == "" {
+			content.Caller = c.Caller
+		}
+		c.digest = content.Digest()
+	})
+	return c.digest
 }
 
 // Responder takes the answer to a call. One of its methods is called, once.
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -151,6 +151,9 @@
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
 			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
+			if upstream.HandedOver(err) {
+				r.replicaLost(ctx, lease, err)
+			}
 		}
 		return nil, err
 	}
@@ -158,6 +161,7 @@
 	body, err := answer.ReadAll()
 	if err != nil {
 		lease.Unreachable(true)
+		r.replicaLost(ctx, lease, err)
 		return nil, err
 	}
 	if answer.Status != http.StatusOK {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -27,11 +27,12 @@
 	logger    logr.Logger
 	// begun is told of each request of a tenant that begins to run, once, and when.
 	begun func(tenant string, at time.Time)
+	ends  *endWatch
 }
 
 // NewRunner returns a runner.
 func NewRunner(directory *Directory, client *upstream.Client, dialect Dialect, budgets *Budgets, metrics *Metrics, logger logr.Logger) *Runner {
-	return &Runner{
+	runner := &Runner{
 		directory: directory,
 		placer:    &Placer{Directory: directory},
 		client:    client,
@@ -41,6 +42,8 @@
 		logger:    logger,
 		begun:     func(string, time.Time) {},
 	}
+	runner.ends = newEndWatch(runner)
+	return runner
 }
 
 // CountBegun has a function told of each request of a tenant that begins to run, once, and when.
@@ -88,6 +91,8 @@
 	// unknown says that an attempt may have run.
 	unknown bool
 	stream  *streamState
+	// eventsBefore are the event batches that earlier attempts have brought.
+	eventsBefore int
 	// moved is set while a stream is between two replicas.
 	moved *movedStream
 	// lastFailure is a replica's own failure, handed on if nothing better comes.
@@ -360,6 +365,7 @@
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	}
+	r.eventsBefore = r.eventCount()
 	sentAt := time.Now()
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, send))
 	if err != nil {
@@ -389,7 +395,7 @@
 	if r.call.Route.Kind == traffic.KindStream && answer.Status < http.StatusMultipleChoices {
 		return r.relayStream(ctx, lease, answer, marks, send)
 	}
-	return r.relayWhole(lease, answer, marks)
+	return r.relayWhole(ctx, lease, answer, marks)
 }
 
 // connectionFailed judges an exchange without an answer.
@@ -397,6 +403,9 @@
 	handedOver := upstream.HandedOver(err)
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadline) {
 		lease.Unreachable(handedOver && !upstream.Silent(err))
+		if handedOver {
+			r.replicaLost(ctx, lease, err)
+		}
 		r.client.Forget(lease.Replica.Address, lease.Replica.ID)
 	}
 	if !handedOver {
@@ -419,10 +428,11 @@
 
 // relayWhole hands a whole answer on. A failure of the replica's own is kept
 // back while another attempt may do better.
-func (r *run) relayWhole(lease *Lease, answer *upstream.Exchange, marks Marks) (verdict, error) {
+func (r *run) relayWhole(ctx context.Context, lease *Lease, answer *upstream.Exchange, marks Marks) (verdict, error) {
 	body, err := answer.ReadAll()
 	if err != nil {
 		lease.Unreachable(true)
+		r.replicaLost(ctx, lease, err)
 		return verdictUnknown, err
 	}
 	failed := answer.Status >= http.StatusInternalServerError
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,6 +81,7 @@
 				}
 			}
 			lease.Unreachable(true)
+			r.replicaLost(ctx, lease, err)
 			return verdictUnknown, brokenStream(err)
 		}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -141,3 +143,13 @@
 // defaultIdleTime is used for replicas that don't say how long they keep a
 // connection.
 const defaultIdleTime = 4 * time.Second
+
+// Refuses reports whether nothing listens at an address: the process that did has ended.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	opened, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = opened.Close()
+	return false
+}
