Hold requests that end replicas, at all gateways

Cause: each call was judged by itself. Attempts and the retry budget are bounded by id, a request that comes again has another one, and nothing of what it had led to was known to the next call, to other gateways or after a restart. Ruled out: calls that reach too many replicas (at most two ended under one id); overload (replicas ended with 3 requests of 32 places). Change: a gateway whose connection to a replica breaks sees whether its process has ended, and tells a coordinator under which contents it did. The group keeps that in its log; the leader holds a request once three replicas have ended under it that no other request answers for as much. Gateways refuse what is held at once, and go by their own evidence while they reach no coordinator.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -165,6 +165,9 @@
 
 		UsageWindow: settings.UsageWindow(),
 
+		Contact: settings.Contact(),
+		Hold:    settings.Hold(),
+
 		StopTime: settings.StopTime() - stopReserve,
 		Without:  settings.SwitchedOff(),
 		Lister:   platform.NewLister(settings.ReplicaList),
@@ -215,6 +218,8 @@
 		Usage:      terms,
 		OrderFleet: duties.Fleet,
 		Lease:      settings.Lease(),
+		Contact:    settings.Contact(),
+		Hold:       settings.Hold(),
 
 		PlacesAbove:       settings.PlacesFrom(),
 		LinkBitsPerSecond: settings.LinkMegabits * bitsPerMegabit,
@@ -232,7 +237,9 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = platform.NewOperatorServer(operators, created).Run() }()
+	operatorServer := platform.NewOperatorServer(operators, created)
+	created.MountOperators(operatorServer)
+	go func() { _ = operatorServer.Run() }()
 	return runDaemon(process, created.Run)
 }
 
--- a/internal/cli/tenants.go
+++ b/internal/cli/tenants.go
@@ -44,7 +44,7 @@
 			return a.print(shown, func() table { return tenantsTable(shown) })
 		},
 	}
-	command.Flags().StringVar(&coordinator, "coordinator", "", "a coordinator's address for operators, IP:port")
+	coordinatorFlag(command, &coordinator)
 	return command
 }
 
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -58,6 +58,12 @@
 	// KeyMemoryMillis is how old a gateway's view may be by which it accepts API keys; 0 for no
 	// bound.
 	KeyMemoryMillis int `yaml:"key_memory_ms"`
+	// ContactMillis is how long processes that reach each other may take to know what one knows;
+	// 0 for the default.
+	ContactMillis int `yaml:"contact_ms"`
+	// HoldSeconds is for how long a request is held under which replicas have ended; 0 for the
+	// default.
+	HoldSeconds float64 `yaml:"hold_seconds"`
 	// Duties are the calls that the platform expects of one coordinator at a time, by its names.
 	Duties []string `yaml:"duties"`
 	// UsageWindowSeconds is the length of the windows by which tenants' requests are counted, 0
@@ -151,6 +157,12 @@
 	if s.UsageWindowSeconds < 0 {
 		report("usage_window_seconds must not be negative")
 	}
+	if s.ContactMillis < 0 {
+		report("contact_ms must not be negative")
+	}
+	if s.HoldSeconds < 0 {
+		report("hold_seconds must not be negative")
+	}
 	if s.StopSeconds <= 0 {
 		report("stop_seconds must be above 0")
 	}
@@ -219,6 +231,15 @@
 // Lease is how far the orders of two coordinators must lie apart.
 func (s *Settings) Lease() time.Duration { return time.Duration(s.LeaseMillis) * time.Millisecond }
 
+// Contact is how long processes that reach each other may take to know what one knows, 0 for the
+// default.
+func (s *Settings) Contact() time.Duration { return time.Duration(s.ContactMillis) * time.Millisecond }
+
+// Hold is for how long a request is held under which replicas have ended, 0 for the default.
+func (s *Settings) Hold() time.Duration {
+	return time.Duration(s.HoldSeconds * float64(time.Second))
+}
+
 // KeyMemory is how old a gateway's view may be by which it accepts API keys.
 func (s *Settings) KeyMemory() time.Duration {
 	return time.Duration(s.KeyMemoryMillis) * time.Millisecond
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -48,6 +48,12 @@
 	if settings.ListInterval == 0 {
 		settings.ListInterval = defaultListInterval
 	}
+	if settings.Contact == 0 {
+		settings.Contact = DefaultContact
+	}
+	if settings.Hold == 0 {
+		settings.Hold = DefaultHold
+	}
 	client, err := rpc.NewClient(rpc.ClientOptions{DialTimeout: transportTimeout, CallTimeout: callTimeout})
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
@@ -113,7 +119,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.keepUsage, c.keepFleet, c.logLeadership, c.place} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.place} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
@@ -182,6 +188,8 @@
 	rpc.Handle(engine, region.PathReadIndex, c.handleReadIndex)
 	rpc.Handle(engine, region.PathReplace, c.handleReplace)
 	rpc.Handle(engine, region.PathJoin, c.handleJoin)
+	rpc.Handle(engine, region.PathPoison, c.handlePoison)
+	rpc.Handle(engine, region.PathRelease, c.handleRelease)
 	return engine
 }
 
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -57,6 +57,9 @@
 		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 	}
 	m.applyUsage(command)
+	if command.Poison != nil {
+		m.state.Poison.Apply(index, command.Poison)
+	}
 	if order := command.Fleet; order != nil {
 		m.noteCall(dutyFleet)
 		m.applyFleet(order)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -38,6 +38,13 @@
 		state, _ := c.machine.read()
 		return float64(len(state.Usage))
 	})
+	registry.GaugeFunc("requests_held", "Requests that are sent to no replica, since replicas have ended under them.", func() float64 {
+		return float64(c.heldCount())
+	})
+	registry.GaugeFunc("evidence_dropped", "Requests under which replicas have ended that were given up for lack of room.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(state.Poison.Dropped)
+	})
 	registry.GaugeFunc("placement_leases", "Leases on replicas that gateways hold of this coordinator.", func() float64 {
 		return float64(c.placement.server.Counts().Leases)
 	})
--- /dev/null
+++ b/internal/coordinator/operatorroutes.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/route"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
+)
+
+// Paths of the operators' own calls.
+const (
+	// PathHeldRequests lists the requests that are held.
+	PathHeldRequests = "/operator/v1/held-requests"
+	// digestParameter names one of them, to be released by a DELETE.
+	digestParameter = "digest"
+)
+
+// MountOperators adds the operators' own calls to a server's routes.
+func (c *Coordinator) MountOperators(router route.IRouter) {
+	router.GET(PathHeldRequests, func(ctx context.Context, call *app.RequestContext) {
+		held, err := c.HeldRequests(ctx)
+		answerOperator(call, held, err)
+	})
+	router.DELETE(PathHeldRequests+"/:"+digestParameter, func(ctx context.Context, call *app.RequestContext) {
+		digest, err := poison.ParseDigest(call.Param(digestParameter))
+		if err != nil {
+			answerOperator(call, nil, failure.Wrap(err, failure.MalformedRequest))
+			return
+		}
+		answerOperator(call, struct{}{}, c.ReleaseRequest(ctx, digest))
+	})
+}
+
+func answerOperator(call *app.RequestContext, result any, err error) {
+	if err != nil {
+		answer := failure.AnswerFor(err)
+		call.JSON(answer.Status, failure.BodyFor(answer, ""))
+		return
+	}
+	call.JSON(http.StatusOK, result)
+}
--- /dev/null
+++ b/internal/coordinator/poison.go
@@ -0,0 +1,142 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/rpc"
+)
+
+const (
+	// poisonInterval is the pause between two looks at the evidence.
+	poisonInterval = 50 * time.Millisecond
+	// DefaultContact is how long processes that reach each other may take to know what one
+	// knows, if the settings do not say.
+	DefaultContact = 3 * time.Second
+	// DefaultHold is for how long a request that ends replicas is held, if the settings do not
+	// say: what it meets there changes with their software, some times a week.
+	DefaultHold = 24 * time.Hour
+)
+
+// handlePoison takes a gateway's report, and hands it to the leader.
+func (c *Coordinator) handlePoison(ctx context.Context, report *poison.Report) (*region.PoisonReply, error) {
+	if c.group.Leads() {
+		return c.commitPoison(ctx, &poison.Command{Ends: report.Ends, RanWell: report.RanWell})
+	}
+	bounded, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	return c.poisonAtLeader(bounded, region.PathPoison, report)
+}
+
+// handleRelease lets go of requests at the leader.
+func (c *Coordinator) handleRelease(ctx context.Context, command *poison.Command) (*region.PoisonReply, error) {
+	if !c.group.Leads() {
+		return nil, rpc.NotLeader(c.group.LeaderAddress())
+	}
+	return c.commitPoison(ctx, &poison.Command{Release: command.Release})
+}
+
+// poisonAtLeader makes a call at the leader, which may be another one by then.
+func (c *Coordinator) poisonAtLeader(ctx context.Context, path string, request message) (*region.PoisonReply, error) {
+	taken := &region.PoisonReply{}
+	err := c.atLeader(ctx, func(ctx context.Context, leader string) error {
+		return c.client.Call(ctx, leader, path, request, taken)
+	})
+	return taken, err
+}
+
+// commitPoison commits a command at the leader, with the region's time.
+func (c *Coordinator) commitPoison(ctx context.Context, command *poison.Command) (*region.PoisonReply, error) {
+	state, _ := c.machine.read()
+	reply := &region.PoisonReply{}
+	for _, digest := range command.Release {
+		reply.Known = reply.Known || state.Poison.Holds(digest)
+	}
+	command.At = c.usage.clock.Now().UnixNano()
+	_, err := c.commit(ctx, &region.Command{Poison: command})
+	return reply, err
+}
+
+// keepPoison holds requests that the evidence convicts, and forgets what has lapsed, while this
+// coordinator leads.
+func (c *Coordinator) keepPoison(ctx context.Context) {
+	dropped := uint64(0)
+	for lifecycle.Sleep(ctx, poisonInterval) {
+		if !c.group.Leads() {
+			continue
+		}
+		state, _ := c.machine.read()
+		if state.Poison.Dropped != dropped {
+			c.logger.Info(event.PoisonDropped, "records", state.Poison.Dropped, "since", dropped)
+			dropped = state.Poison.Dropped
+		}
+		now := c.usage.clock.Now().UnixNano()
+		command := &poison.Command{Hold: state.Poison.Due(now, poison.Settle(c.settings.Contact))}
+		if before := now - c.settings.Hold.Nanoseconds(); state.Poison.Lapsed(before) {
+			command.ForgetBefore = before
+		}
+		if len(command.Hold) == 0 && command.ForgetBefore == 0 {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, proposalTimeout)
+		_, err := c.commitPoison(bounded, command)
+		cancel()
+		c.logHolds(state.Poison, command, err)
+	}
+}
+
+// logHolds writes a line for each request that is held now.
+func (c *Coordinator) logHolds(known poison.State, command *poison.Command, err error) {
+	for _, digest := range command.Hold {
+		record, _ := known.Find(digest)
+		c.logger.Info(event.RequestHeld, "digest", digest.String(), "replicas_ended", record.Total,
+			"evidence_ms", time.Duration(command.At-record.FirstAt).Milliseconds(), "error", failure.Text(err))
+	}
+	if command.ForgetBefore > 0 {
+		c.logger.Info(event.PoisonForgotten, "before", time.Unix(0, command.ForgetBefore).UTC().Format(time.RFC3339), "error", failure.Text(err))
+	}
+}
+
+// HeldRequests lists the requests that are sent to no replica, those that were held last first. It
+// fails if this coordinator can't be sure that it knows all.
+func (c *Coordinator) HeldRequests(ctx context.Context) ([]poison.Held, error) {
+	if err := c.confirmOnce(ctx); err != nil {
+		return nil, failure.Wrap(err, failure.NoQuorum)
+	}
+	state, _ := c.machine.read()
+	return state.Poison.Held(), nil
+}
+
+// ReleaseRequest lets a request go that is held. It fails with failure.NotFound if none is.
+func (c *Coordinator) ReleaseRequest(ctx context.Context, digest poison.Digest) error {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	command := &poison.Command{Release: []poison.Digest{digest}}
+	var reply *region.PoisonReply
+	err := c.atLeader(ctx, func(ctx context.Context, leader string) (err error) {
+		if leader == c.settings.Address {
+			reply, err = c.handleRelease(ctx, command)
+			return err
+		}
+		reply = &region.PoisonReply{}
+		return c.client.Call(ctx, leader, region.PathRelease, command, reply)
+	})
+	c.logger.Info(event.RequestReleased, "digest", digest.String(), "known", err == nil && reply.Known, "error", failure.Text(err))
+	if err == nil && !reply.Known {
+		return failure.New(failure.NotFound, "no request with this digest is held")
+	}
+	return err
+}
+
+// heldCount is the number of requests that are held, for the metrics.
+func (c *Coordinator) heldCount() int {
+	state, _ := c.machine.read()
+	held := slices.DeleteFunc(slices.Clone(state.Poison.Records), func(r poison.Record) bool { return r.HeldAt == 0 })
+	return len(held)
+}
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -58,6 +58,10 @@
 	// OrderFleet says that the number of replicas may be ordered.
 	OrderFleet bool
 	Codec      traffic.Codec
+	// Contact is how long processes that reach each other may take to know what one knows, and
+	// Hold for how long a request is held under which replicas have ended.
+	Contact time.Duration
+	Hold    time.Duration
 	// ListInterval is the time between two polls of the list.
 	ListInterval time.Duration
 	// Metrics is the process's registry; nil keeps none.
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -22,7 +22,7 @@
 	defer timer.Stop()
 	for {
 		state, changed := c.machine.read()
-		if state.Version > request.Version || state.ListRevision > request.ListRevision {
+		if state.Version > request.Version || state.ListRevision > request.ListRevision || state.Poison.Revision > request.PoisonRevision {
 			return c.viewOf(state, request), nil
 		}
 		select {
@@ -61,6 +61,7 @@
 		Coordinators: c.group.MemberAddresses(),
 		RegionNanos:  c.usage.clock.Now().UnixNano(),
 		NextWindow:   state.NextWindow,
+		Poison:       state.Poison.NewsSince(request.PoisonRevision),
 	}
 	if age < 0 {
 		view.AgeMillis = -1
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -145,6 +145,18 @@
 	FleetOrdered Event = "fleet ordered"
 	// FleetTermsIgnored: what the configuration says of a service's number can't be.
 	FleetTermsIgnored Event = "fleet terms ignored"
+	// RequestHeld: a request that ends replicas is sent to none any more.
+	RequestHeld Event = "request held"
+	// RequestHeldHere: a gateway that reaches no coordinator holds a request by its own evidence.
+	RequestHeldHere Event = "request held by one gateway"
+	// RequestReleased: an operator has let a request go that was held.
+	RequestReleased Event = "request released"
+	// PoisonDropped: evidence against requests was given up for lack of room.
+	PoisonDropped Event = "evidence dropped"
+	// PoisonForgotten: evidence and holds have lapsed.
+	PoisonForgotten Event = "evidence lapsed"
+	// PoisonUntold: a gateway's evidence was not taken by a coordinator; it is told again.
+	PoisonUntold Event = "evidence not told"
 	// DutyUnknown: the platform asks for calls that this version does not know.
 	DutyUnknown Event = "duty unknown"
 	// Order: an order was given to a replica.
@@ -223,6 +235,12 @@
 		UsageSkipped,
 		FleetOrdered,
 		FleetTermsIgnored,
+		RequestHeld,
+		RequestHeldHere,
+		RequestReleased,
+		PoisonDropped,
+		PoisonForgotten,
+		PoisonUntold,
 		DutyUnknown,
 		PolicyInForce,
 		PolicyRefused,
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -11,18 +11,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DigestBytes is the length of a Digest.
-const DigestBytes = 16
-
 // targetBytes of a digest tell the host and the target alone, so that requests to other targets
 // need not be hashed whole to see that they are different ones.
 const targetBytes = 4
 
-// Digest identifies a request by its content: two requests that differ in one byte of their
-// bodies, in their callers or in their targets have different digests. It gives nothing of the
-// content away, so that it may be logged and stored.
-type Digest [DigestBytes]byte
-
 // Content is what a Digest is made of.
 type Content struct {
 	// Caller names who sends the request: its tenant, or the IP that it comes from.
--- /dev/null
+++ b/internal/poison/due.go
@@ -0,0 +1,87 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Due returns the requests that the evidence convicts at a time: HoldAfter replicas or more have
+// ended under each of which no other request has as much evidence against it. The request that
+// ends replicas is at all of them, while those beside it are at some. Where two can't be told
+// apart both are sent on until one has run to a good end or ended another replica.
+//
+// settle is how long the evidence has to stand, so that all gateways have told theirs.
+func (s *State) Due(now int64, settle time.Duration) []Digest {
+	candidates := s.candidates(now, settle)
+	if len(candidates) == 0 {
+		return nil
+	}
+	others := s.byEnd()
+	explained := map[uint64]bool{}
+	var due []Digest
+	for _, candidate := range candidates {
+		if s.convicted(candidate, others, explained) {
+			due = append(due, candidate.Digest)
+			for _, end := range candidate.Ends {
+				explained[end] = true
+			}
+		}
+	}
+	return due
+}
+
+// candidates are the records with enough evidence for long enough, those with the most first.
+func (s *State) candidates(now int64, settle time.Duration) []*Record {
+	var candidates []*Record
+	for index := range s.Records {
+		record := &s.Records[index]
+		if record.HeldAt == 0 && record.DueAt != 0 && now-record.DueAt >= settle.Nanoseconds() {
+			candidates = append(candidates, record)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *Record) int { return cmp.Compare(len(b.Ends), len(a.Ends)) })
+	return candidates
+}
+
+// byEnd are the records that are not held, by the replicas that have ended under them.
+func (s *State) byEnd() map[uint64][]*Record {
+	byEnd := map[uint64][]*Record{}
+	for index := range s.Records {
+		record := &s.Records[index]
+		if record.HeldAt != 0 {
+			continue
+		}
+		for _, end := range record.Ends {
+			byEnd[end] = append(byEnd[end], record)
+		}
+	}
+	return byEnd
+}
+
+// convicted reports whether enough replicas have ended for which no other request answers as much.
+func (s *State) convicted(candidate *Record, byEnd map[uint64][]*Record, explained map[uint64]bool) bool {
+	evidence := unexplained(candidate, explained)
+	own := 0
+	for _, end := range candidate.Ends {
+		outweighed := slices.ContainsFunc(byEnd[end], func(other *Record) bool {
+			return other != candidate && unexplained(other, explained) >= evidence
+		})
+		if !explained[end] && !outweighed {
+			own++
+		}
+	}
+	return own >= HoldAfter
+}
+
+// unexplained counts the replicas that have ended under a request and under none that was
+// convicted before it.
+func unexplained(record *Record, explained map[uint64]bool) int {
+	count := 0
+	for _, end := range record.Ends {
+		if !explained[end] {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -1,5 +1,7 @@
 package region
 
+import "github.com/pierhaven/pierhaven/internal/poison"
+
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
 //msgp:tuple Outstanding OutstandingWork PlacedPrompt PlacedPart EngineCost UsageCount
@@ -10,6 +12,8 @@
 	PathReadIndex = "/internal/v1/region/read-index"
 	PathReplace   = "/internal/v1/region/replace"
 	PathJoin      = "/internal/v1/region/join"
+	PathPoison    = "/internal/v1/region/poison"
+	PathRelease   = "/internal/v1/region/release"
 )
 
 // Stages of a model replica.
@@ -58,6 +62,8 @@
 	Usage      []UsageWindow `msg:"usage"`
 	// Fleet are the numbers of replicas that were ordered.
 	Fleet []FleetOrder `msg:"fleet"`
+	// Poison is what is known of requests under which replicas have ended.
+	Poison poison.State `msg:"poison"`
 }
 
 // UsageWindow is what the tenants have used in a window of time.
@@ -113,6 +119,7 @@
 	UsageCall     *UsageCallCommand     `msg:"usage_call"`
 	UsageEnd      *UsageEndCommand      `msg:"usage_end"`
 	Fleet         *FleetOrder           `msg:"fleet"`
+	Poison        *poison.Command       `msg:"poison"`
 }
 
 // UsageCallCommand precedes each report of a window's usage. Its log position is the fence.
@@ -169,6 +176,8 @@
 	WallNanos int64 `msg:"wall"`
 	// Usage is what the gateway has counted, nil if nothing is to be told.
 	Usage *GatewayUsage `msg:"usage"`
+	// PoisonRevision is what the gateway knows of requests that end replicas.
+	PoisonRevision uint64 `msg:"poison_revision"`
 }
 
 // GatewayUsage is what a gateway has counted in one life.
@@ -214,6 +223,8 @@
 	RegionNanos int64 `msg:"region"`
 	// NextWindow is the first window of usage whose counts are not fixed.
 	NextWindow uint64 `msg:"next_window"`
+	// Poison is what is new on requests that end replicas, nil if nothing is.
+	Poison *poison.News `msg:"poison"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership.
@@ -340,3 +351,9 @@
 	InTimeMicros int64 `msg:"in_time_us"`
 	LateMicros   int64 `msg:"late_us"`
 }
+
+// PoisonReply answers a command on requests that end replicas: it is durable.
+type PoisonReply struct {
+	// Known says that the requests of a release were held.
+	Known bool `msg:"known"`
+}
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -3,6 +3,7 @@
 package region
 
 import (
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -136,9 +137,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "configuration"
-	o = append(o, 0x88, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x89, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if z.Configuration == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -235,6 +236,17 @@
 			return
 		}
 	}
+	// string "poison"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+	if z.Poison == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Poison.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Poison")
+			return
+		}
+	}
 	return
 }
 
@@ -629,6 +641,23 @@
 					return
 				}
 			}
+		case "poison":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Poison = nil
+			} else {
+				if z.Poison == nil {
+					z.Poison = new(poison.Command)
+				}
+				bts, err = z.Poison.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -694,6 +723,12 @@
 	} else {
 		s += z.Fleet.Msgsize()
 	}
+	s += 7
+	if z.Poison == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Poison.Msgsize()
+	}
 	return
 }
 
@@ -1687,6 +1722,62 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z PoisonReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "known"
+	o = append(o, 0x81, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.Known)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PoisonReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PoisonReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2526,9 +2617,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "version"
-	o = append(o, 0x8a, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8b, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
 	// string "document"
 	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
@@ -2614,6 +2705,13 @@
 			return
 		}
 	}
+	// string "poison"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+	o, err = z.Poison.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Poison")
+		return
+	}
 	return
 }
 
@@ -2975,6 +3073,12 @@
 					return
 				}
 			}
+		case "poison":
+			bts, err = z.Poison.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Poison")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3012,6 +3116,7 @@
 	for za0006 := range z.Fleet {
 		s += z.Fleet[za0006].Msgsize()
 	}
+	s += 7 + z.Poison.Msgsize()
 	return
 }
 
@@ -3290,9 +3395,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 17
 	// string "age"
-	o = append(o, 0xde, 0x0, 0x10, 0xa3, 0x61, 0x67, 0x65)
+	o = append(o, 0xde, 0x0, 0x11, 0xa3, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
@@ -3355,6 +3460,17 @@
 	// string "next_window"
 	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
 	o = msgp.AppendUint64(o, z.NextWindow)
+	// string "poison"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+	if z.Poison == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Poison.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Poison")
+			return
+		}
+	}
 	return
 }
 
@@ -3560,6 +3676,23 @@
 				err = msgp.WrapError(err, "NextWindow")
 				return
 			}
+		case "poison":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Poison = nil
+			} else {
+				if z.Poison == nil {
+					z.Poison = new(poison.News)
+				}
+				bts, err = z.Poison.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3590,16 +3723,21 @@
 	for za0004 := range z.Coordinators {
 		s += msgp.StringPrefixSize + len(z.Coordinators[za0004])
 	}
-	s += 7 + msgp.Int64Size + 12 + msgp.Uint64Size
+	s += 7 + msgp.Int64Size + 12 + msgp.Uint64Size + 7
+	if z.Poison == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Poison.Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "gateway"
-	o = append(o, 0x89, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = append(o, 0x8a, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
 	o = msgp.AppendString(o, z.Gateway)
 	// string "address"
 	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
@@ -3640,6 +3778,9 @@
 			return
 		}
 	}
+	// string "poison_revision"
+	o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.PoisonRevision)
 	return
 }
 
@@ -3747,6 +3888,12 @@
 					return
 				}
 			}
+		case "poison_revision":
+			z.PoisonRevision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PoisonRevision")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3771,5 +3918,6 @@
 	} else {
 		s += z.Usage.Msgsize()
 	}
+	s += 16 + msgp.Uint64Size
 	return
 }
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -38,6 +38,7 @@
 	front     *front
 	client    *rpc.Client
 	ready     atomic.Bool
+	evidence  *evidence
 }
 
 // New returns a gateway that has not begun to listen.
@@ -63,11 +64,14 @@
 		Socket:            socket,
 	})
 	asker := placement.NewClient(settings.Name, life, directory, socket, settings.Logger)
+	evidence := newEvidence(settings, client, clock)
 	counted := &countedUsage{life: life, clock: regionclock.New(), ledger: usage.NewLedger(settings.UsageWindow)}
 	keeper := newViewKeeper(settings, client, directory, budgets, &deciders{peers: peers, asker: asker}, counted)
+	keeper.evidence, evidence.keeper = evidence, keeper
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.AskPlacements(asker.Remote())
 	runner.CountBegun(counted.begun)
+	runner.GuardWith(evidence.guard)
 	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
@@ -78,6 +82,7 @@
 		warmup:    &placement.Warmup{Source: settings.Prefixes, Directory: directory, Logger: settings.Logger},
 		client:    client,
 		front:     &front{settings: settings, keeper: keeper, runner: runner},
+		evidence:  evidence,
 	}
 	created.registerGauges(settings.Metrics)
 	return created, nil
@@ -99,6 +104,17 @@
 	registry.GaugeFunc("placements_suspended", "Choices that were made here since the coordinator had not answered, since the start.", func() float64 {
 		return float64(d.placement.Counts().Suspended)
 	})
+	registry.GaugeFunc("requests_held", "Requests that are sent to no replica, since replicas have ended under them.", func() float64 {
+		held, _ := d.evidence.guard.Counts()
+		return float64(held)
+	})
+	registry.GaugeFunc("requests_watched", "Requests under which replicas have ended, those that are held among them.", func() float64 {
+		_, watched := d.evidence.guard.Counts()
+		return float64(watched)
+	})
+	registry.GaugeFunc("evidence_dropped", "Digests of requests under which replicas have ended that were given up for lack of room.", func() float64 {
+		return float64(d.evidence.dropped.Load())
+	})
 	registry.GaugeFunc("view_age_seconds", "Age of the view of the region, -1 before there is one.", func() float64 {
 		age, known := d.keeper.age()
 		if !known {
@@ -133,6 +149,8 @@
 	go d.peers.Tell(work)
 	go d.placement.Run(work)
 	go d.warmUp(work)
+	go d.evidence.tell(work)
+	go d.evidence.look(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
 	go func() { _ = d.front.newServer(callers).Run() }()
 	<-stopping.Done()
--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,8 @@
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
@@ -176,6 +180,7 @@
 	coordinator string
 	folder      string
 	gateways    []*gateway
+	running     *coordinator.Coordinator
 	stop        func()
 }
 
@@ -198,6 +203,7 @@
 		Lister: r.replicas, Codec: jsonCodec{}, ListInterval: 50 * time.Millisecond, PlacesAbove: -1, Logger: logr.Discard(),
 	})
 	require.NoError(r.t, err)
+	r.running = created
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- created.Run(ctx) }()
@@ -296,4 +302,169 @@
 	assert.LessOrEqual(t, late, 3, "of a request that has ended %d replicas", ended)
 	status, answer := r.ask(0, "innocent", "another body")
 	assert.Equal(t, http.StatusOK, status, answer)
+	for gateway := range r.gateways {
+		status, answer = r.ask(gateway, "ending-again", endingBody)
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Contains(t, answer, string(failure.RequestHeld))
+		assert.Contains(t, answer, `"ran":"no","repeatable":false`)
+		assert.NotContains(t, answer, "retry_after")
+	}
+}
+
+// isHeld reports whether an answer says that the request is held.
+func isHeld(answer string) bool { return strings.Contains(answer, `"`+string(failure.RequestHeld)) }
+
+// burst sends the ending request to all gateways at once until it is held at all of them.
+func (r *endingRegion) burst() {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		var sending sync.WaitGroup
+		var held atomic.Int64
+		for gateway := range r.gateways {
+			sending.Go(func() {
+				if _, answer := r.ask(gateway, "ending", endingBody); isHeld(answer) {
+					held.Add(1)
+				}
+			})
+		}
+		sending.Wait()
+		return int(held.Load()) == len(r.gateways)
+	}, 30*time.Second, 20*time.Millisecond)
+}
+
+func TestARequestIsHeldOverAllGatewaysTogether(t *testing.T) {
+	r := newEndingRegion(t, 8, 4)
+	r.burst()
+	_, ended := r.replicas.arrivalsAfter(0)
+	// Three settle it; each gateway may have two attempts under way meanwhile.
+	assert.LessOrEqual(t, ended, 3+2*4*3)
+	late, _ := r.replicas.arrivalsAfter(contactTime)
+	assert.LessOrEqual(t, late, 3)
+}
+
+func TestWhatWasLearnedOutlivesItsProcesses(t *testing.T) {
+	r := newEndingRegion(t, 6, 2)
+	r.burst()
+	before, _ := r.replicas.arrivalsAfter(0)
+	r.stop()
+	r.startCoordinator()
+	r.gateways = append(r.gateways, r.startGateway(2))
+	for gateway := range r.gateways {
+		status, answer := r.ask(gateway, "ending-later", endingBody)
+		assert.Equal(t, http.StatusServiceUnavailable, status, "gateway %d", gateway)
+		assert.Contains(t, answer, string(failure.RequestHeld))
+	}
+	after, _ := r.replicas.arrivalsAfter(0)
+	assert.Equal(t, before, after)
+}
+
+// A request that comes rarely is known by evidence that was gathered before all processes were
+// started anew.
+func TestEvidenceOutlivesItsProcesses(t *testing.T) {
+	r := newEndingRegion(t, 6, 1)
+	status, _ := r.ask(0, "ending-1", endingBody)
+	assert.Zero(t, status, "the stream breaks off after two replicas")
+	time.Sleep(contactTime / 3)
+	r.stop()
+	r.startCoordinator()
+	r.gateways = append(r.gateways[:0], r.startGateway(1))
+	r.ask(0, "ending-2", endingBody)
+	require.Eventually(t, func() bool {
+		_, answer := r.ask(0, "ending-3", endingBody)
+		return isHeld(answer)
+	}, 30*time.Second, contactTime/4)
+	_, ended := r.replicas.arrivalsAfter(0)
+	assert.LessOrEqual(t, ended, 3+3)
+}
+
+func TestRequestsThatDifferInOneByteAreOthers(t *testing.T) {
+	r := newEndingRegion(t, 6, 2)
+	r.burst()
+	require.Eventually(t, func() bool {
+		status, answer := r.ask(0, "other", endingBody+".")
+		assert.False(t, isHeld(answer))
+		return status == http.StatusOK
+	}, 30*time.Second, downTime)
+	_, answer := r.ask(0, "ending", endingBody)
+	assert.True(t, isHeld(answer), answer)
+}
+
+// Requests beside the one that ends replicas lose theirs again and again, and must be served.
+func TestRequestsBesideTheEndingOneAreServed(t *testing.T) {
+	r := newEndingRegion(t, 8, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var held, served, asked atomic.Int64
+	for caller := range 12 {
+		running.Go(func() {
+			for number := 0; ctx.Err() == nil; number++ {
+				body := fmt.Sprint("innocent ", caller, " ", number)
+				for try := range 3 {
+					status, answer := r.ask((caller+try)%len(r.gateways), fmt.Sprint(caller, "-", number, "-", try), body)
+					asked.Add(1)
+					if isHeld(answer) {
+						held.Add(1)
+					}
+					if status == http.StatusOK {
+						served.Add(1)
+						break
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	r.burst()
+	time.Sleep(contactTime / 3)
+	cancel()
+	running.Wait()
+	assert.Zero(t, held.Load(), "of %d", asked.Load())
+	assert.Greater(t, served.Load(), int64(100))
+}
+
+func TestAGatewayThatIsCutOffGoesByItsOwnEvidence(t *testing.T) {
+	r := newEndingRegion(t, 8, 1)
+	r.stop()
+	r.stop = func() {}
+	time.Sleep(contactTime / 2)
+	for number := range 20 {
+		r.ask(0, fmt.Sprint("ending-", number), endingBody)
+		time.Sleep(contactTime / 10)
+	}
+	_, ended := r.replicas.arrivalsAfter(0)
+	assert.GreaterOrEqual(t, ended, 3)
+	assert.LessOrEqual(t, ended, 3+3)
+	late, _ := r.replicas.arrivalsAfter(contactTime)
+	assert.Zero(t, late)
+	r.startCoordinator()
+	require.Eventually(t, func() bool { return len(r.heldRequests()) == 1 }, 30*time.Second, 10*time.Millisecond,
+		"the coordinators learn of it")
+}
+
+func TestAnOperatorLetsARequestGo(t *testing.T) {
+	r := newEndingRegion(t, 6, 2)
+	r.burst()
+	held := r.heldRequests()
+	require.Len(t, held, 1)
+	digest, err := poison.ParseDigest(held[0].Digest)
+	require.NoError(t, err)
+	require.NoError(t, r.running.ReleaseRequest(context.Background(), digest))
+	assert.Empty(t, r.heldRequests())
+	assert.Equal(t, failure.NotFound, failure.KindOf(r.running.ReleaseRequest(context.Background(), digest)))
+	require.Eventually(t, func() bool {
+		_, answer := r.ask(1, "ending", endingBody)
+		return !isHeld(answer)
+	}, 30*time.Second, 10*time.Millisecond)
+}
+
+// heldRequests lists what is held, once the coordinator is sure to know all.
+func (r *endingRegion) heldRequests() []poison.Held {
+	r.t.Helper()
+	var held []poison.Held
+	require.Eventually(r.t, func() (known bool) {
+		var err error
+		held, err = r.running.HeldRequests(context.Background())
+		return err == nil
+	}, 30*time.Second, 10*time.Millisecond)
+	return held
 }
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -30,7 +30,10 @@
 	budgets   *relay.Budgets
 	deciders  *deciders
 	usage     *countedUsage
+	evidence  *evidence
 	started   time.Time
+	// asked is the coordinator that is polled.
+	asked atomic.Pointer[string]
 
 	table atomic.Pointer[traffic.Table]
 	// configured is closed once there is a table.
@@ -191,6 +194,10 @@
 	if request.Usage != nil {
 		request.WallNanos = time.Now().UnixNano()
 	}
+	k.asked.Store(&coordinator)
+	if k.evidence != nil {
+		request.PoisonRevision = k.evidence.guard.Revision()
+	}
 	if table := k.Table(); table != nil {
 		request.Version = table.Configuration.Version
 	}
@@ -214,6 +221,9 @@
 			return err
 		}
 	}
+	if k.evidence != nil {
+		k.evidence.guard.Take(view.Poison)
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if view.HasList && view.ListRevision > k.listRevision {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -84,6 +84,7 @@
 	if ctx.Err() != nil || upstream.Silent(cause) || errors.Is(cause, context.DeadlineExceeded) || lease.leavesByPlan() {
 		return
 	}
+	r.lost = true
 	events := 0
 	if r.stream != nil {
 		events = r.stream.events - r.eventsBefore
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -95,6 +95,10 @@
 // try moves the stream, and reports whether no other attempt should be made.
 func (m *mover) try(ctx context.Context) bool {
 	r := m.run
+	if r.isHeld() {
+		// It stays where it is: a replica that has not ended under it yet should not be its next.
+		return true
+	}
 	target := r.placer.Room(ctx, m.lease, r.readRequest())
 	if target == nil {
 		return false
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -28,6 +29,8 @@
 	// begun is told of each request of a tenant that begins to run, once, and when.
 	begun func(tenant string, at time.Time)
 	ends  *endWatch
+	// guard knows the requests that must be sent to no replica.
+	guard *poison.Guard
 }
 
 // NewRunner returns a runner.
@@ -50,6 +53,13 @@
 // It is called before any use.
 func (r *Runner) CountBegun(begun func(tenant string, at time.Time)) { r.begun = begun }
 
+// GuardWith has a guard told of what happens to requests, and asked which are held. It is called
+// before any use.
+func (r *Runner) GuardWith(guard *poison.Guard) {
+	r.guard = guard
+	r.ends.ended = guard.Ended
+}
+
 // AskPlacements has a coordinator asked for replicas. It is called before any use.
 func (r *Runner) AskPlacements(remote *RemotePlacement) { r.placer.Remote = remote }
 
@@ -99,6 +109,10 @@
 	lastFailure *wholeAnswer
 	// counted says that the request has been counted as begun.
 	counted bool
+	// lost says that a connection to a replica has broken under the request, and ranWell that one
+	// has run it to its end.
+	lost    bool
+	ranWell bool
 }
 
 type wholeAnswer struct {
@@ -139,6 +153,7 @@
 	bounded, cancel := context.WithDeadlineCause(ctx, state.deadline, errDeadline)
 	defer cancel()
 	err := state.serve(bounded)
+	state.tellIfWell()
 	if ctx.Err() != nil {
 		r.logger.Info(event.CallerGone, "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
 			"sends", state.sends)
@@ -186,6 +201,7 @@
 func (r *run) serve(ctx context.Context) error {
 	for {
 		if err := r.mayGoOn(); err != nil {
+			r.dropMoved()
 			return err
 		}
 		lease, handle, err := r.place(ctx)
@@ -219,6 +235,9 @@
 
 // mayGoOn returns why no further send may be made, or nil.
 func (r *run) mayGoOn() error {
+	if r.isHeld() {
+		return failure.New(failure.RequestHeld, "replicas have ended under this request")
+	}
 	if time.Until(r.deadline) < minimumLeft {
 		return failure.Wrap(errDeadline, failure.DeadlineExceeded)
 	}
@@ -274,7 +293,11 @@
 		r.responder.Answer(answer.status, answer.header, answer.body)
 		return
 	}
-	if !r.unknown {
+	if failure.KindOf(err) == failure.RequestHeld {
+		if r.unknown {
+			err = failure.Wrap(err, failure.RequestHeldAfterRun)
+		}
+	} else if !r.unknown {
 		// Whatever ended the call, no replica has run it or ever will.
 		err = failure.Wrap(err, failure.BackEndRefused, failure.WithRetryAfter(r.comeBackAfter(err)))
 	} else if failure.KindOf(err) != failure.DeadlineExceeded {
@@ -282,7 +305,7 @@
 	}
 	answer := failure.AnswerFor(err)
 	r.logger.Info(event.RequestRefused, "request", r.call.ID, "kind", string(answer.Kind), "status", answer.Status,
-		"cause", err.Error(), "sends", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
+		"cause", err.Error(), "sends", r.sends, "digest", r.heldDigest(), "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	r.metrics.request(r.call, string(answer.Kind))
 	r.responder.Refuse(err)
 }
@@ -444,6 +467,7 @@
 	if r.stream != nil {
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the stream was not continued")
 	}
+	r.ranWell = answer.Status < http.StatusInternalServerError
 	r.metrics.firstAnswer(r.call)
 	r.responder.Answer(answer.Status, answer.Header, body)
 	return verdictAnswered, nil
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,6 +72,7 @@
 		switch {
 		case err == nil && len(events.rest) <= maximumEventBytes:
 		case errors.Is(err, io.EOF) && len(events.rest) == 0 && r.stream != nil:
+			r.ranWell = true
 			r.stream.writer.End()
 			return verdictAnswered, nil
 		default:
