--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -181,6 +181,7 @@
 	folder      string
 	gateways    []*gateway
 	running     *coordinator.Coordinator
+	asked       atomic.Int64
 	stop        func()
 }
 
@@ -246,10 +247,16 @@
 	return g
 }
 
+// callerAddresses is the number of IPs that requests come from: those of one caller come from
+// many, through proxies and from machines of its own.
+const callerAddresses = 7
+
 // ask sends a request with a body to a gateway, and returns its status, 0 if the answer is not
 // whole.
 func (r *endingRegion) ask(gateway int, id, body string) (status int, answer string) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	address := net.IPv4(127, 0, 0, byte(2+r.asked.Add(1)%callerAddresses))
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}, Timeout: 10 * time.Second}
 	defer client.CloseIdleConnections()
 	request, err := http.NewRequest(http.MethodPost, "http://"+r.gateways[gateway].front+"/x", bytes.NewBufferString(body))
 	if err != nil {
@@ -314,6 +321,18 @@
 // isHeld reports whether an answer says that the request is held.
 func isHeld(answer string) bool { return strings.Contains(answer, `"`+string(failure.RequestHeld)) }
 
+// Symptom: with requests held, a request that came a few times a second still ended 32 replicas.
+// Sequence: it came from several machines in turn, each time with the same content.
+// Cause: the digest held the IP that a request came from, and the evidence was split between them.
+func TestARequestFromManyAddressesIsTheSame(t *testing.T) {
+	r := newEndingRegion(t, 8, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*contactTime)
+	defer cancel()
+	r.repeat(ctx, contactTime/10)
+	late, ended := r.replicas.arrivalsAfter(contactTime)
+	assert.LessOrEqual(t, late, 3, "of a request that has ended %d replicas", ended)
+}
+
 // burst sends the ending request to all gateways at once until it is held at all of them.
 func (r *endingRegion) burst() {
 	r.t.Helper()
