Count a request's evidence together, from whatever address it comes

Cause: the digest held the caller's IP. Ruled out: evidence that does not reach the leader, ties with requests beside it (by the tests with one address). Change: the caller is the tenant, where callers bring keys, and nobody else.

--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -17,7 +17,7 @@
 
 // Content is what a Digest is made of.
 type Content struct {
-	// Caller names who sends the request: its tenant, or the IP that it comes from.
+	// Caller is the tenant that sends the request, empty if callers bring no keys.
 	Caller string
 	Method string
 	Host   string
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -26,8 +26,6 @@
 	Service *traffic.Service
 	// Tenant is the name of the caller's tenant, empty if no key was asked for.
 	Tenant string
-	// Caller is the IP that the request comes from.
-	Caller string
 
 	digestOnce sync.Once
 	digest     poison.Digest
@@ -37,11 +35,9 @@
 // most calls never need it.
 func (c *Call) Digest() poison.Digest {
 	c.digestOnce.Do(func() {
-		content := poison.Content{Caller: c.Tenant, Method: c.Method, Host: c.Host, Target: c.Target, Body: c.Body}
-		if content.Caller == "" {
-			content.Caller = c.Caller
-		}
-		c.digest = content.Digest()
+		// The IP that a request comes from is not its caller: one caller's come from many machines
+		// and through proxies. Evidence that was split by it let 32 replicas end.
+		c.digest = poison.Content{Caller: c.Tenant, Method: c.Method, Host: c.Host, Target: c.Target, Body: c.Body}.Digest()
 	})
 	return c.digest
 }
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -135,7 +133,6 @@
 		Arrived: arrived,
 		Route:   rankedFor(owner, route.Route),
 		Service: table.Service(service),
-		Caller:  callerIP(request.RemoteAddr()),
 	}
 	call.Key = ""
 	if owner != nil {
@@ -213,14 +210,6 @@
 	f.settings.Logger.Info(event.RequestRefused, "request", id, "reason", reason)
 }
 
-// callerIP returns the IP of a connection's other end, without its port.
-func callerIP(remote net.Addr) string {
-	if parsed, err := netip.ParseAddrPort(remote.String()); err == nil {
-		return parsed.Addr().Unmap().String()
-	}
-	return remote.String()
-}
-
 // pathOf returns a request's target without its query.
 func pathOf(target string) string {
 	for index := range len(target) {
