--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -28,7 +28,7 @@
 	logger    logr.Logger
 	// begun is told of each request of a tenant that begins to run, once, and when.
 	begun func(tenant string, at time.Time)
-	ends  *endWatch
+	ends  *poison.EndWatch
 	// guard knows the requests that must be sent to no replica.
 	guard *poison.Guard
 }
@@ -57,7 +57,7 @@
 // before any use.
 func (r *Runner) GuardWith(guard *poison.Guard) {
 	r.guard = guard
-	r.ends.ended = guard.Ended
+	r.ends.Ended = guard.Ended
 }
 
 // AskPlacements has a coordinator asked for replicas. It is called before any use.
