--- a/internal/failure/kind.go
+++ b/internal/failure/kind.go
@@ -56,7 +56,6 @@
 	InProgress            Kind = "in_progress"
 	OutcomeUnknown        Kind = "outcome_unknown"
 	RequestHeld           Kind = "request_held"
-	RequestHeldAfterRun   Kind = "request_held_after_run"
 	HomeZoneUnreachable   Kind = "home_zone_unreachable"
 	NoQuorum              Kind = "no_quorum"
 	NotLeader             Kind = "not_leader"
@@ -147,8 +146,7 @@
 	{IdempotencyKeyExpired, http.StatusGone, RanUnknown, false, 0, SeverityExpected, "the Idempotency-Key is older than the retention window"},
 	{InProgress, http.StatusConflict, RanUnknown, true, retrySoon, SeverityExpected, "a request with this key is being run"},
 	{OutcomeUnknown, http.StatusBadGateway, RanUnknown, false, 0, SeverityNotable, "the request may have run; it will not be run again"},
-	{RequestHeld, http.StatusServiceUnavailable, RanNo, false, 0, SeverityNotable, "replicas have ended under this request; it is sent to none until operators release it"},
-	{RequestHeldAfterRun, http.StatusBadGateway, RanUnknown, false, 0, SeverityNotable, "replicas have ended while they ran this request; it is sent to no other until operators release it"},
+	{RequestHeld, http.StatusBadGateway, RanNo, false, 0, SeverityNotable, "replicas have ended under this request; it is sent to none until operators release it"},
 	{HomeZoneUnreachable, http.StatusServiceUnavailable, RanNo, true, retryLater, SeverityNotable, "the key's home zone can't be reached"},
 	{NoQuorum, http.StatusServiceUnavailable, RanNo, true, retryLater, SeverityNotable, "no majority of replicas can be reached"},
 	{NotLeader, http.StatusServiceUnavailable, RanNo, true, retrySoon, SeverityExpected, "this replica does not lead its group"},
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -295,7 +295,7 @@
 	}
 	if failure.KindOf(err) == failure.RequestHeld {
 		if r.unknown {
-			err = failure.Wrap(err, failure.RequestHeldAfterRun)
+			err = failure.Wrap(err, failure.RequestHeld, failure.WithRan(failure.RanUnknown))
 		}
 	} else if !r.unknown {
 		// Whatever ended the call, no replica has run it or ever will.
