--- a/bench/scale/hollow/gateway.go
+++ b/bench/scale/hollow/gateway.go
@@ -57,6 +57,9 @@
 	fleet   *fleet.Fleet
 }
 
+// contactTime is how long a gateway and the zone group may take to know what one of them knows.
+const contactTime = 3 * time.Second
+
 // start runs the gateway as a new process would.
 func (g *hollowGateway) start() error {
 	client, err := rpc.NewClient(rpc.ClientOptions{})
@@ -72,7 +75,8 @@
 	view := fleet.New(g.worker.clock, keeper)
 	view.OnChange(g.fleetChanged)
 	reported := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-	keeper.Attach(view, newReporter(g.worker.specification.Work, reported, g.worker.clock))
+	keeper.Attach(view, newReporter(g.worker.specification.Work, reported, g.worker.clock),
+		zonegroup.NewEvidence(g.ID, keeper, caller, g.worker.clock, contactTime, logr.Discard()).Guard)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	g.mutex.Lock()
--- a/internal/api/operatorapi/backend.go
+++ b/internal/api/operatorapi/backend.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 // Backend does what the routes are asked for. A controller implements it.
@@ -39,6 +40,10 @@
 	// Members lists the members of a group; CommandMembers changes them.
 	Members(ctx context.Context, group string) (MemberList, error)
 	CommandMembers(ctx context.Context, group string, command MemberCommand) (MemberList, error)
+	// HeldRequests lists the requests of the controller's zone that are held, since engines have
+	// ended under them; ReleaseRequest lets one go.
+	HeldRequests(ctx context.Context) ([]poison.Held, error)
+	ReleaseRequest(ctx context.Context, digest poison.Digest) error
 	// DumpLog writes the log ring out.
 	DumpLog(ctx context.Context) (LogDump, error)
 }
--- a/internal/api/operatorapi/backend_test.go
+++ b/internal/api/operatorapi/backend_test.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/route"
 	"github.com/pierhaven/pierhaven/internal/api/operatorapi"
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"time"
 )
 
@@ -102,6 +103,18 @@
 	return operatorapi.MemberList{Group: cannedGroup}, b.err
 }
 
+func (b cannedBackend) HeldRequests(context.Context) ([]poison.Held, error) {
+	return []poison.Held{{
+		Digest: cannedDigest, Replicas: 3,
+		FirstEnd: "2026-01-01T00:00:00Z", LastEnd: "2026-01-01T00:00:01Z", Since: "2026-01-01T00:00:02Z",
+	}}, b.err
+}
+
+func (b cannedBackend) ReleaseRequest(context.Context, poison.Digest) error { return b.err }
+
+// cannedDigest is that of a request that is held.
+const cannedDigest = "000102030405060708090a0b0c0d0e0f"
+
 func (b cannedBackend) DumpLog(context.Context) (operatorapi.LogDump, error) {
 	return operatorapi.LogDump{Path: "/data/log"}, b.err
 }
--- a/internal/api/operatorapi/client.go
+++ b/internal/api/operatorapi/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 // ClientOptions are the settings of a Client.
@@ -147,6 +148,17 @@
 	return send[MemberList](ctx, c, http.MethodPost, fill(PathMembers, group), command)
 }
 
+// HeldRequests lists the requests of the controller's zone that are held.
+func (c *Client) HeldRequests(ctx context.Context) (HeldList, error) {
+	return get[HeldList](ctx, c, PathHeldRequests)
+}
+
+// ReleaseRequest lets a request go that is held.
+func (c *Client) ReleaseRequest(ctx context.Context, digest poison.Digest) error {
+	_, err := send[struct{}](ctx, c, http.MethodPost, fill(PathHeldRequest, digest.String()), struct{}{})
+	return err
+}
+
 // DumpLog writes the log ring of the first controller that answers.
 func (c *Client) DumpLog(ctx context.Context) (LogDump, error) {
 	return send[LogDump](ctx, c, http.MethodPost, PathLogDump, struct{}{})
--- a/internal/api/operatorapi/operatorapi_test.go
+++ b/internal/api/operatorapi/operatorapi_test.go
@@ -68,6 +68,8 @@
 	{"GET", "/groups/config/members", ""},
 	{"POST", "/groups/config/members", `{"action":"replace","replica_id":3,"address":"127.0.0.1:9"}`},
 	{"POST", "/log/dump", `{}`},
+	{"GET", "/held-requests", ""},
+	{"POST", "/held-requests/" + cannedDigest + "/release", `{}`},
 }
 
 func TestAnswersAndRefusalsHaveTheFormOfThePage(t *testing.T) {
--- a/internal/api/operatorapi/paths.go
+++ b/internal/api/operatorapi/paths.go
@@ -20,6 +20,8 @@
 	PathForgetGateway = "/zones/:zone/gateways/:gateway/forget"
 	PathMembers       = "/groups/:group/members"
 	PathLogDump       = "/log/dump"
+	PathHeldRequests  = "/held-requests"
+	PathHeldRequest   = "/held-requests/:digest/release"
 )
 
 // HeaderLeader carries the leader's address on a refusal of a follower.
--- a/internal/api/operatorapi/routes.go
+++ b/internal/api/operatorapi/routes.go
@@ -12,6 +12,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 )
 
@@ -72,6 +73,8 @@
 	group.POST(PathForgetGateway, serve(r, withBody(r.forgetGateway)))
 	group.GET(PathMembers, serve(r, r.members))
 	group.POST(PathMembers, serve(r, withBody(r.commandMembers)))
+	group.GET(PathHeldRequests, serve(r, ignoreCall(r.heldRequests)))
+	group.POST(PathHeldRequest, serve(r, r.releaseRequest))
 	group.POST(PathLogDump, serve(r, ignoreCall(r.backend.DumpLog)))
 }
 
@@ -132,6 +135,19 @@
 	call.AbortWithStatusJSON(answer.Status, failure.BodyFor(answer, ""))
 }
 
+func (r routes) heldRequests(ctx context.Context) (HeldList, error) {
+	held, err := r.backend.HeldRequests(ctx)
+	return HeldList{Requests: held}, err
+}
+
+func (r routes) releaseRequest(ctx context.Context, call *app.RequestContext) (struct{}, error) {
+	digest, err := poison.ParseDigest(call.Param("digest"))
+	if err != nil {
+		return struct{}{}, failure.Wrap(err, failure.MalformedRequest)
+	}
+	return struct{}{}, r.backend.ReleaseRequest(ctx, digest)
+}
+
 func (r routes) applyConfiguration(ctx context.Context, _ *app.RequestContext, change ConfigurationChange) (ApplyResult, error) {
 	return r.backend.ApplyConfiguration(ctx, change)
 }
--- a/internal/cli/daemonsettings.go
+++ b/internal/cli/daemonsettings.go
@@ -107,6 +107,7 @@
 		EnginePollInterval:    section.EnginePollInterval,
 		PlatformPollInterval:  section.PlatformPollInterval,
 		ProposalTimeout:       section.ProposalTimeout,
+		RequestHold:           section.RequestHold,
 		OnceOnlyRetention:     section.OnceOnlyRetention,
 		OnceOnlyMaxRecords:    section.OnceOnlyMaxRecords,
 		Workers:               section.Workers,
--- a/internal/cli/held.go
+++ b/internal/cli/held.go
@@ -27,7 +27,7 @@
 // heldCommand shows the requests that are sent to no replica, since replicas have ended under
 // them, and lets them go.
 func (a *application) heldCommand() *cobra.Command {
-	command := &cobra.Command{Use: "held", Short: "Requests of a region that are held, since replicas have ended under them"}
+	command := &cobra.Command{Use: "held", Short: "Requests of a region or a zone that are held, since replicas have ended under them"}
 	command.AddCommand(a.heldListCommand(), a.heldReleaseCommand())
 	return command
 }
@@ -39,15 +39,15 @@
 		Short: "List the requests that are sent to no replica, those that were held last first",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			var held []poison.Held
-			if err := callHeld(command.Context(), http.MethodGet, address, "", &held); err != nil {
+			held, err := a.heldRequests(command.Context(), address)
+			if err != nil {
 				return err
 			}
 			return a.print(held, func() table { return heldTable(held) })
 		},
 	}
 	coordinatorFlag(command, &address)
-	return command
+	return a.operatorCommand(command)
 }
 
 func (a *application) heldReleaseCommand() *cobra.Command {
@@ -61,12 +61,40 @@
 			if err != nil {
 				return invalidError{err.Error()}
 			}
-			var none struct{}
-			return callHeld(command.Context(), http.MethodDelete, address, "/"+digest.String(), &none)
+			return a.releaseHeld(command.Context(), address, digest)
 		},
 	}
 	coordinatorFlag(command, &address)
-	return command
+	return a.operatorCommand(command)
+}
+
+// heldRequests asks a region's coordinator or, if none is named, the controllers of a zone.
+func (a *application) heldRequests(ctx context.Context, address string) ([]poison.Held, error) {
+	if address != "" {
+		var held []poison.Held
+		err := callHeld(ctx, http.MethodGet, address, "", &held)
+		return held, err
+	}
+	client, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	list, err := client.HeldRequests(ctx)
+	return list.Requests, err
+}
+
+// releaseHeld lets a request go at a region's coordinator or, if none is named, at the controllers
+// of a zone.
+func (a *application) releaseHeld(ctx context.Context, address string, digest poison.Digest) error {
+	if address != "" {
+		var none struct{}
+		return callHeld(ctx, http.MethodDelete, address, "/"+digest.String(), &none)
+	}
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	return client.ReleaseRequest(ctx, digest)
 }
 
 func coordinatorFlag(command *cobra.Command, address *string) {
--- a/internal/config/static/settings.go
+++ b/internal/config/static/settings.go
@@ -1,6 +1,10 @@
 package static
 
-import "time"
+import (
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/poison"
+)
 
 // Section names a part of the settings.
 type Section string
@@ -92,6 +96,7 @@
 	EnginePollInterval    time.Duration `koanf:"engine_poll_interval" validate:"gt=0" help:"time between two looks at an engine's state"`
 	PlatformPollInterval  time.Duration `koanf:"platform_poll_interval" validate:"gt=0" help:"time between two looks at the machine list"`
 	ProposalTimeout       time.Duration `koanf:"proposal_timeout" validate:"gt=0" help:"time to wait for a commit"`
+	RequestHold           time.Duration `koanf:"request_hold" validate:"gte=1m" help:"time that a request is held under which engines have ended"`
 	OnceOnlyRetention     time.Duration `koanf:"once_only_retention" validate:"gte=1m" help:"time that once-only records are kept"`
 	OnceOnlyMaxRecords    int           `koanf:"once_only_max_records" validate:"gte=1,lte=4194304" help:"most once-only records that are kept"`
 	Workers               int           `koanf:"workers" validate:"gte=1,lte=1000000" help:"bound of calls to engines and peers at the same time"`
@@ -157,6 +162,7 @@
 		EnginePollInterval:   500 * time.Millisecond,
 		PlatformPollInterval: 2 * time.Second,
 		ProposalTimeout:      5 * time.Second,
+		RequestHold:          poison.DefaultHold,
 		OnceOnlyRetention:    24 * time.Hour,
 		OnceOnlyMaxRecords:   1_000_000,
 		Workers:              1024,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,7 @@
 	config        *replication.Group // nil if this is no config voter
 	configMachine *configMachine
 	term          atomic.Pointer[term]
+	engineEnds    engineEnds
 
 	health   *telemetry.Health
 	metrics  *telemetry.Metrics
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -67,6 +67,7 @@
 	running.Go(c.guard(func() { c.adoptConfiguration(ctx, t) }))
 	running.Go(c.guard(func() { c.watchMachines(ctx, t) }))
 	running.Go(c.guard(func() { c.plan(ctx, t) }))
+	running.Go(c.guard(func() { c.keepPoison(ctx) }))
 	c.tickUntilDone(ctx, t)
 }
 
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -64,6 +64,7 @@
 	rpc.Handle(calls, peer.PathDocuments, c.handleDocuments)
 	rpc.Handle(calls, peer.PathZoneReport, c.handleZoneReport)
 	rpc.Handle(calls, peer.PathEngineChange, c.handleEngineChange)
+	rpc.Handle(calls, wire.PathPoison, c.handlePoison)
 	return engine
 }
 
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -11,6 +11,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 // Settings configure a Controller. Zero times and bounds take their defaults.
@@ -69,6 +70,8 @@
 	PlatformPollInterval time.Duration `validate:"gte=0"`
 	// ProposalTimeout bounds the wait for a commit.
 	ProposalTimeout time.Duration `validate:"gte=0"`
+	// RequestHold is for how long a request is held under which engines have ended.
+	RequestHold time.Duration `validate:"gte=0"`
 	// OnceOnlyRetention and OnceOnlyMaxRecords bound the once-only records.
 	OnceOnlyRetention  time.Duration `validate:"gte=0"`
 	OnceOnlyMaxRecords int           `validate:"gte=0"`
@@ -143,6 +146,7 @@
 	orDefault(&s.PlatformPollInterval, defaultPlatformPollInterval)
 	orDefault(&s.ProposalTimeout, defaultProposalTimeout)
 	orDefault(&s.OnceOnlyRetention, defaultOnceOnlyRetention)
+	orDefault(&s.RequestHold, poison.DefaultHold)
 	orDefault(&s.OnceOnlyMaxRecords, defaultOnceOnlyMaxRecords)
 	orDefault(&s.Workers, defaultWorkers)
 	orDefault(&s.MaximumBodyBytes, defaultMaximumBodyBytes)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -120,6 +120,8 @@
 		reply = core.AnswerHeartbeat(heartbeat, state)
 		if reply.Known {
 			reply.Shares = t.renewShares(now, heartbeat, zones, state)
+			known := state.Poison()
+			reply.Poison = known.NewsSince(heartbeat.PoisonRevision)
 		}
 	})
 	return &reply
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
 	"github.com/pierhaven/pierhaven/internal/rpc"
@@ -52,7 +53,7 @@
 		settings.Contact = DefaultContact
 	}
 	if settings.Hold == 0 {
-		settings.Hold = DefaultHold
+		settings.Hold = poison.DefaultHold
 	}
 	client, err := rpc.NewClient(rpc.ClientOptions{DialTimeout: transportTimeout, CallTimeout: callTimeout})
 	if err != nil {
--- a/internal/coordinator/poison.go
+++ b/internal/coordinator/poison.go
@@ -19,9 +19,6 @@
 	// DefaultContact is how long processes that reach each other may take to know what one
 	// knows, if the settings do not say.
 	DefaultContact = 3 * time.Second
-	// DefaultHold is for how long a request that ends replicas is held, if the settings do not
-	// say: what it meets there changes with their software, some times a week.
-	DefaultHold = 24 * time.Hour
 )
 
 // handlePoison takes a gateway's report, and hands it to the leader.
--- /dev/null
+++ b/internal/gateway/application/held.go
@@ -0,0 +1,37 @@
+package application
+
+import (
+	"context"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/gateway/applicationclient"
+	"github.com/pierhaven/pierhaven/internal/poison"
+)
+
+// digest identifies the call by its content, whatever idempotency key it has.
+func (c *Call) digest() poison.Digest {
+	return poison.Content{Caller: c.Tenant, Host: c.Application, Target: c.Operation, Body: c.Body}.Digest()
+}
+
+// isHeld reports whether a call must be sent to no back end, since it ends those that run it.
+func (r *Runner) isHeld(call *Call) bool {
+	return r.guard != nil && r.guard.Holds(poison.TargetOf(call.Application, call.Operation), call.digest)
+}
+
+// heldDetail is the message to a caller whose call is held.
+const heldDetail = "back ends have ended under this request"
+
+// judge notes what a send has led to: a back end that has run the call to its end, or a connection
+// that has broken under it.
+func (r *Runner) judge(ctx context.Context, call *Call, backEndID, address string, result applicationclient.Result) {
+	switch {
+	case r.guard == nil:
+	case result.Reply != nil:
+		r.guard.RanWell(poison.TargetOf(call.Application, call.Operation), call.digest, false)
+	case result.Err != nil && result.HandedOver && ctx.Err() == nil:
+		r.watch.Note(backEndID, address, poison.Loss{Request: call.RequestID, Digest: call.digest()})
+	}
+}
+
+// refusedAsHeld answers a call that is held and that has not run.
+func refusedAsHeld() Answer { return refused(failure.RequestHeld, failure.RanNo, heldDetail) }
--- a/internal/gateway/application/once.go
+++ b/internal/gateway/application/once.go
@@ -38,7 +38,7 @@
 	for attempt := 1; ; attempt++ {
 		once := r.newOnce(&call, tried)
 		answer, retriable := once.run(ctx)
-		if !retriable || attempt == maximumOnceAttempts || ctx.Err() != nil {
+		if !retriable || attempt == maximumOnceAttempts || ctx.Err() != nil || r.isHeld(&call) {
 			return answer
 		}
 		tried = once.tried
@@ -197,6 +197,10 @@
 // dispatch hands the request to one back end and reports how that ended.
 func (o *onceRun) dispatch(by time.Duration) func() []request.OnceOutput {
 	now := o.runner.clock
+	if o.runner.isHeld(o.call) {
+		// Only now: the answer of an earlier run is delivered.
+		return func() []request.OnceOutput { return o.machine.NotSent(now(), failure.RequestHeld, heldDetail) }
+	}
 	able := o.runner.fleet.Snapshot().BackEndsOf(o.call.Application)
 	chosen, found := o.runner.chosen.take(now(), able, o.tried)
 	if !found {
@@ -213,6 +217,7 @@
 		Request: o.call.wire(o.attemptID),
 		Permit:  func() (func(), bool) { return o.permit(chosen.ID, by) },
 	})
+	o.runner.judge(ctx, o.call, chosen.ID, chosen.Address, result)
 	if result.Err != nil && !errors.Is(result.Err, exchange.ErrNotPermitted) {
 		o.runner.chosen.failed(now(), chosen.ID)
 	}
--- a/internal/gateway/application/repeatable.go
+++ b/internal/gateway/application/repeatable.go
@@ -19,6 +19,9 @@
 	var tried []string
 	last := refused(failure.NoBackEnd, failure.RanNo, "no back end of the application takes new work")
 	for range maximumRepeatableAttempts {
+		if r.isHeld(&call) {
+			return refusedAsHeld()
+		}
 		answer, notRun, backEndID := r.tryRepeatable(ctx, &call, tried)
 		if backEndID == "" {
 			return last
@@ -50,6 +53,7 @@
 		Request: call.wire(attemptID),
 		Permit:  func() (func(), bool) { return r.fleet.PermitBackEnd(chosen.ID) },
 	})
+	r.judge(ctx, call, chosen.ID, chosen.Address, result)
 	answer, notRun = repeatableAnswer(ctx, attemptID, result)
 	if result.Err != nil {
 		r.chosen.failed(r.clock(), chosen.ID)
--- a/internal/gateway/application/runner.go
+++ b/internal/gateway/application/runner.go
@@ -10,6 +10,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/applicationclient"
 	"github.com/pierhaven/pierhaven/internal/gateway/fleet"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/wire"
 )
 
@@ -44,6 +45,10 @@
 	// runLimit bounds every run.
 	runLimit time.Duration
 	unended  unendedClaims
+	// guard knows the requests that must be sent to no back end, and watch finds out under which
+	// back ends have ended.
+	guard *poison.Guard
+	watch *poison.EndWatch
 
 	mutex   sync.Mutex
 	running map[string]string
@@ -68,6 +73,12 @@
 	}
 }
 
+// GuardWith has a guard asked which requests are held, and a watch told of the connections that
+// break. It is called before any use.
+func (r *Runner) GuardWith(guard *poison.Guard, watch *poison.EndWatch) {
+	r.guard, r.watch = guard, watch
+}
+
 // lateAnswerTime is how long after its caller's deadline a run may still bring
 // the answer that is stored for repeats. Without an answer by then the outcome
 // stays unknown: the connection may be dead, and nothing would ever tell. It is
--- a/internal/gateway/completion/attempt.go
+++ b/internal/gateway/completion/attempt.go
@@ -86,6 +86,9 @@
 	cutByUs := ctx.Err() != nil
 	blameless := moved.Load() || (cutByUs && !errors.Is(context.Cause(ctx), errSilent))
 	r.noteEnded(blameless, asked, outcome)
+	if !blameless && !cutByUs {
+		r.engineLost(asked, outcome)
+	}
 	if cutByUs && mayStillRun(outcome) {
 		r.runner.tellCancelled(asked)
 	}
--- /dev/null
+++ b/internal/gateway/completion/held.go
@@ -0,0 +1,55 @@
+package completion
+
+import (
+	"strconv"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/gateway/engineclient"
+	"github.com/pierhaven/pierhaven/internal/gateway/scheduler"
+	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/request"
+)
+
+// digest identifies the call by its content.
+func (c *Call) digest() poison.Digest {
+	content := poison.Content{
+		Method: c.Model.Name,
+		Host:   c.Adapter,
+		Target: strconv.Itoa(c.MaximumTokens),
+		Body:   []byte(c.Prompt),
+	}
+	if c.Tenant != nil {
+		content.Caller = c.Tenant.Name
+	}
+	return content.Digest()
+}
+
+// target is the part of the digest that follows from the model call's terms alone.
+func (c *Call) target() uint32 { return poison.TargetOf(c.Adapter, strconv.Itoa(c.MaximumTokens)) }
+
+// refusalIfHeld refuses a call that must be sent to no engine, since it ends those that run it.
+// It is asked before each attempt: the others may have learned so while one was under way.
+func (r *run) refusalIfHeld() *scheduler.Refusal {
+	guard := r.runner.guard
+	if guard == nil || !guard.Holds(r.call.target(), r.call.digest) {
+		return nil
+	}
+	r.runner.logger.Info("held request refused", "request", r.call.RequestID, "digest", r.call.digest().String())
+	return &scheduler.Refusal{Kind: failure.RequestHeld, Detail: "engines have ended under this request"}
+}
+
+// engineLost notes that the connection to an engine has broken under an attempt.
+func (r *run) engineLost(asked request.Dispatch, outcome engineclient.Outcome) {
+	if r.runner.watch == nil || outcome.Whole || outcome.Refused || !outcome.HandedOver {
+		return
+	}
+	r.lost.Store(true)
+	r.runner.watch.Note(asked.Engine.ID, asked.Engine.Address, poison.Loss{Request: r.call.RequestID, Digest: r.call.digest()})
+}
+
+// ranWell notes that an engine has run the call to its end.
+func (r *run) ranWell() {
+	if r.runner.guard != nil {
+		r.runner.guard.RanWell(r.call.target(), r.call.digest, r.lost.Load())
+	}
+}
--- a/internal/gateway/completion/placement.go
+++ b/internal/gateway/completion/placement.go
@@ -7,6 +7,10 @@
 
 // pick enters the queue the first time and passes it afterwards.
 func (r *run) pick(asked request.Pick) {
+	if refusal := r.refusalIfHeld(); refusal != nil {
+		r.rejected(refusal)
+		return
+	}
 	if !r.admitted {
 		r.enter()
 		return
--- a/internal/gateway/completion/run.go
+++ b/internal/gateway/completion/run.go
@@ -36,6 +36,8 @@
 
 	firstTokenAt time.Duration
 	refusal      *request.Refuse
+	// lost says that a connection to an engine has broken under the call.
+	lost atomic.Bool
 }
 
 // attempt is the attempt that the machine waits for.
@@ -168,6 +170,7 @@
 	firstToken := r.firstTokenAt - r.begun
 	missed := firstToken.Seconds()*1000 > r.call.Model.FirstTokenMillis
 	r.runner.scheduler.Answered(r.entry, finish.Usage.OutputTokens, now-r.begun, missed)
+	r.ranWell()
 	_ = r.answer.Finish(finish)
 }
 
--- a/internal/gateway/completion/runner.go
+++ b/internal/gateway/completion/runner.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/engineclient"
 	"github.com/pierhaven/pierhaven/internal/gateway/scheduler"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/request"
 )
 
@@ -41,6 +42,10 @@
 	times     Times
 	clock     func() time.Duration
 	logger    logr.Logger
+	// guard knows the requests that must be sent to no engine, and watch finds out under which
+	// engines have ended.
+	guard *poison.Guard
+	watch *poison.EndWatch
 
 	mutex   sync.Mutex
 	running map[*run]struct{}
@@ -64,6 +69,12 @@
 	}
 }
 
+// GuardWith has a guard asked which requests are held, and a watch told of the connections that
+// break. It is called before any use.
+func (r *Runner) GuardWith(guard *poison.Guard, watch *poison.EndWatch) {
+	r.guard, r.watch = guard, watch
+}
+
 // Run runs a call to its end and gives its answer. The end of the context means
 // that the caller is gone.
 func (r *Runner) Run(ctx context.Context, call Call, answer Answer) {
--- a/internal/gateway/fakezone_test.go
+++ b/internal/gateway/fakezone_test.go
@@ -37,6 +37,7 @@
 	claims  map[string]*fakeClaim
 	terms   wire.Terms
 	applied uint64
+	poison  poisonZone
 	// silent says that heartbeats and watches get no answer.
 	silent bool
 }
@@ -89,6 +90,7 @@
 		rpc.Handle(h, wire.PathOpenSession, zone.open)
 		rpc.Handle(h, wire.PathHeartbeat, zone.heartbeat)
 		rpc.Handle(h, wire.PathWatch, zone.watch)
+		rpc.Handle(h, wire.PathPoison, zone.poison.take)
 		rpc.Handle(h, wire.PathCloseSession, zone.close)
 		rpc.Handle(h, wire.PathClaim, zone.claim)
 		rpc.Handle(h, wire.PathComplete, zone.complete)
@@ -134,7 +136,7 @@
 	}
 	z.leaving = z.leaving || request.Leaving
 	z.applied = request.AppliedRevision
-	reply := &wire.HeartbeatReply{Known: true, Revision: z.view.Revision, Terms: z.terms}
+	reply := &wire.HeartbeatReply{Known: true, Revision: z.view.Revision, Terms: z.terms, Poison: z.poison.news(request)}
 	if request.AppliedRevision < z.view.Revision {
 		view := z.view
 		reply.View = &view
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,11 +24,13 @@
 	"github.com/pierhaven/pierhaven/internal/gateway/handler"
 	"github.com/pierhaven/pierhaven/internal/gateway/scheduler"
 	"github.com/pierhaven/pierhaven/internal/gateway/zonegroup"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/retry"
 	"github.com/pierhaven/pierhaven/internal/routing"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/session"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
+	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
 // Conditions of readiness, as the health pages name them.
@@ -54,6 +56,7 @@
 	batchWorkers *ants.Pool
 	runner       *completion.Runner
 	keeper       *zonegroup.Keeper
+	evidence     *zonegroup.Evidence
 	rpc          *rpc.Client
 	callers      *door
 	// peers is nil without a listener for other zones' gateways.
@@ -143,14 +146,17 @@
 	g.keeper = zonegroup.NewKeeper(session.New(g.sessionConfig()), caller, g.clock, g.logger)
 	g.fleet = fleet.New(g.clock, g.keeper)
 	g.scheduler = scheduler.New(g.schedulerOptions(), g.clock, g.keeper.IsolationSet)
-	g.keeper.Attach(g.fleet, g.scheduler)
+	g.evidence = zonegroup.NewEvidence(g.settings.ID, g.keeper, caller, g.clock, contactTime, g.logger)
+	g.keeper.Attach(g.fleet, g.scheduler, g.evidence.Guard)
 	g.engines = engineclient.New(g.engineOptions(), g.scheduler)
 	times := completion.Times{
 		Accept:     g.settings.Times.AcceptTimeout,
 		FirstToken: g.settings.Times.FirstTokenTimeout,
 		Stall:      g.settings.Times.StallTimeout,
 	}
+	watch := poison.NewGuardedWatch(g.evidence.Guard, upstream.Refuses, g.logger)
 	g.runner = completion.NewRunner(g.engines, g.scheduler, g.fleet, workers, times, g.clock, g.cut, g.logger)
+	g.runner.GuardWith(g.evidence.Guard, watch)
 	g.withheld = fleet.NewWithheld(g.settings.Times.MoveAfter)
 	g.fleet.OnChange(g.fleetChanged)
 	g.forwarder = forward.New(g.forwardOptions(), g.settings.peers(), g.clock)
@@ -158,6 +164,7 @@
 	g.applicationClient = applicationclient.New(g.exchangeOptions(g.settings.Limits.MaximumAnswerBytes))
 	g.applications = application.NewRunner(g.applicationClient,
 		records, g.fleet, workers, g.settings.Times.MaximumDeadline, g.clock, g.logger)
+	g.applications.GuardWith(g.evidence.Guard, watch)
 	items := handler.NewItems(g.runner, g.applications, g.forwarder, g.zones(), g.clock, g.settings.Times.MaximumDeadline)
 	g.batches = batch.New(g.batchOptions(), items, batchWorkers, g.clock)
 	return nil
@@ -167,6 +174,10 @@
 	return handler.Zones{Own: g.settings.Zone, Known: g.settings.knowsZone}
 }
 
+// contactTime is how long a gateway and the zone group may take to know what one of them knows:
+// a few heartbeats.
+const contactTime = 3 * time.Second
+
 // batchShare is the part of the workers (one in so many) that attempts of
 // batches may take; the others are left to requests that somebody waits for.
 const batchShare = 2
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -130,6 +130,7 @@
 	go func() {
 		defer close(done)
 		defer g.log.DumpOnPanic()
+		go g.evidence.Run(ctx)
 		g.keeper.Run(ctx)
 	}()
 	return func() {
--- a/internal/gateway/zonegroup/keeper.go
+++ b/internal/gateway/zonegroup/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/coordination/membership"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/session"
 	"github.com/pierhaven/pierhaven/internal/wire"
 )
@@ -31,6 +32,7 @@
 	caller   *Caller
 	fleet    Fleet
 	reporter Reporter
+	guard    *poison.Guard
 	clock    func() time.Duration
 	logger   logr.Logger
 	wake     chan struct{}
@@ -55,10 +57,12 @@
 	return &Keeper{core: core, caller: caller, clock: clock, logger: logger, wake: make(chan struct{}, 1)}
 }
 
-// Attach names who takes the pictures and who makes the reports.
-func (k *Keeper) Attach(fleet Fleet, reporter Reporter) {
+// Attach names who takes the pictures, who makes the reports and who takes the news on requests
+// that end engines.
+func (k *Keeper) Attach(fleet Fleet, reporter Reporter, guard *poison.Guard) {
 	k.fleet = fleet
 	k.reporter = reporter
+	k.guard = guard
 }
 
 // Run keeps the session until the context ends.
@@ -129,6 +133,7 @@
 
 func (k *Keeper) heartbeat(ctx context.Context, call session.Call) error {
 	k.reporter.Report(call.Heartbeat)
+	call.Heartbeat.PoisonRevision = k.guard.Revision()
 	var reply wire.HeartbeatReply
 	if err := k.caller.Call(ctx, wire.PathHeartbeat, call.Timeout, call.Heartbeat, &reply); err != nil {
 		return err
@@ -138,6 +143,7 @@
 		k.logger.Info("session ended by the zone group", "session", call.Heartbeat.SessionID)
 	}
 	k.reporter.Grant(reply.Shares)
+	k.guard.Take(reply.Poison)
 	return nil
 }
 
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -9,8 +9,17 @@
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tinylib/msgp/msgp"
 )
 
+// DigestBytes is the length of a Digest.
+const DigestBytes = 16
+
+// Digest identifies a request by its content: two requests that differ in one byte of their
+// bodies, in their callers or in their targets have different digests. It gives nothing of the
+// content away, so that it may be logged and stored.
+type Digest [DigestBytes]byte
+
 // targetBytes of a digest tell the host and the target alone, so that requests to other targets
 // need not be hashed whole to see that they are different ones.
 const targetBytes = 4
@@ -64,6 +73,26 @@
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// MarshalMsg implements msgp.Marshaler.
+func (d Digest) MarshalMsg(encoded []byte) ([]byte, error) { return msgp.AppendBytes(encoded, d[:]), nil }
+
+// UnmarshalMsg implements msgp.Unmarshaler. The generated one (msgp v1.6) takes a digest whose
+// last bytes are cut off for one that ends in zeros.
+func (d *Digest) UnmarshalMsg(encoded []byte) ([]byte, error) {
+	content, rest, err := msgp.ReadBytesZC(encoded)
+	if err != nil {
+		return encoded, err
+	}
+	if len(content) != DigestBytes {
+		return encoded, errNoDigest
+	}
+	copy(d[:], content)
+	return rest, nil
+}
+
+// Msgsize is an upper bound of the encoded length.
+func (Digest) Msgsize() int { return msgp.BytesPrefixSize + DigestBytes }
+
 var errNoDigest = errors.New("a digest has 32 hexadecimal digits")
 
 // ParseDigest reads what String returns.
--- a/internal/poison/digest_test.go
+++ b/internal/poison/digest_test.go
@@ -38,3 +38,21 @@
 		assert.Error(t, err, text)
 	}
 }
+
+func TestMessagesThatAreCutOffAreRefused(t *testing.T) {
+	news := News{
+		Revision: 3, Whole: true, Entries: []NewsEntry{{Digest: digestOf("a"), Held: true}}, Freed: digestsOf("b", "c"),
+	}
+	encoded, err := news.MarshalMsg(nil)
+	assert.NoError(t, err)
+	var read News
+	_, err = read.UnmarshalMsg(encoded)
+	assert.NoError(t, err)
+	assert.Equal(t, news, read)
+	for length := range encoded {
+		_, err := new(News).UnmarshalMsg(encoded[:length])
+		assert.Error(t, err, length)
+	}
+	_, err = new(Digest).UnmarshalMsg([]byte{0xc4, 1, 0})
+	assert.Error(t, err)
+}
--- a/internal/poison/endwatch.go
+++ b/internal/poison/endwatch.go
@@ -4,6 +4,10 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/event"
 )
 
 const (
@@ -44,6 +48,26 @@
 
 type watchedReplica struct{ id, address string }
 
+// NewGuardedWatch returns a watch that writes a log line for each loss, and tells a guard of each
+// replica that has ended.
+func NewGuardedWatch(guard *Guard, refuses func(ctx context.Context, address string) bool, logger logr.Logger) *EndWatch {
+	watch := NewLoggedWatch(refuses, logger)
+	watch.Ended = guard.Ended
+	return watch
+}
+
+// NewLoggedWatch returns a watch that only writes a log line for each loss.
+func NewLoggedWatch(refuses func(ctx context.Context, address string) bool, logger logr.Logger) *EndWatch {
+	return &EndWatch{
+		Refuses: refuses,
+		Lost: func(replica string, loss Loss, ended bool) {
+			logger.Info(event.ReplicaLost, "request", loss.Request, "digest", loss.Digest.String(), "replica", replica,
+				"ended", ended, "events", loss.Events, "there_ms", loss.After.Milliseconds())
+		},
+		Ended: func(string, []Digest) {},
+	}
+}
+
 // Note notes that the connection to a replica has broken under a request.
 func (w *EndWatch) Note(replica, address string, loss Loss) {
 	w.mutex.Lock()
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -3,15 +3,7 @@
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
 //msgp:tuple Record FreedRecord End NewsEntry
-//msgp:ignore Held
-
-// DigestBytes is the length of a Digest.
-const DigestBytes = 16
-
-// Digest identifies a request by its content: two requests that differ in one byte of their
-// bodies, in their callers or in their targets have different digests. It gives nothing of the
-// content away, so that it may be logged and stored.
-type Digest [DigestBytes]byte
+//msgp:ignore Held Digest
 
 // State is what is known of all requests under which replicas have ended. Its slices are never
 // changed in place. The zero State is empty.
--- a/internal/poison/messages_gen.go
+++ b/internal/poison/messages_gen.go
@@ -28,26 +28,42 @@
 		o = msgp.AppendString(o, z.Ends[za0001].Replica)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Ends[za0001].Under)))
 		for za0002 := range z.Ends[za0001].Under {
-			o = msgp.AppendBytes(o, (z.Ends[za0001].Under[za0002])[:])
+			o, err = z.Ends[za0001].Under[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
+				return
+			}
 		}
 	}
 	// string "ran_well"
 	o = append(o, 0xa8, 0x72, 0x61, 0x6e, 0x5f, 0x77, 0x65, 0x6c, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.RanWell)))
-	for za0004 := range z.RanWell {
-		o = msgp.AppendBytes(o, (z.RanWell[za0004])[:])
+	for za0003 := range z.RanWell {
+		o, err = z.RanWell[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "RanWell", za0003)
+			return
+		}
 	}
 	// string "hold"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hold)))
-	for za0006 := range z.Hold {
-		o = msgp.AppendBytes(o, (z.Hold[za0006])[:])
+	for za0004 := range z.Hold {
+		o, err = z.Hold[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Hold", za0004)
+			return
+		}
 	}
 	// string "release"
 	o = append(o, 0xa7, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
-	for za0008 := range z.Release {
-		o = msgp.AppendBytes(o, (z.Release[za0008])[:])
+	for za0005 := range z.Release {
+		o, err = z.Release[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Release", za0005)
+			return
+		}
 	}
 	// string "forget_before"
 	o = append(o, 0xad, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x62, 0x65, 0x66, 0x6f, 0x72, 0x65)
@@ -131,7 +147,7 @@
 					z.Ends[za0001].Under = make([]Digest, zb0004)
 				}
 				for za0002 := range z.Ends[za0001].Under {
-					bts, err = msgp.ReadExactBytes(bts, (z.Ends[za0001].Under[za0002])[:])
+					bts, err = z.Ends[za0001].Under[za0002].UnmarshalMsg(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
 						return
@@ -154,10 +170,10 @@
 			} else {
 				z.RanWell = make([]Digest, zb0005)
 			}
-			for za0004 := range z.RanWell {
-				bts, err = msgp.ReadExactBytes(bts, (z.RanWell[za0004])[:])
+			for za0003 := range z.RanWell {
+				bts, err = z.RanWell[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "RanWell", za0004)
+					err = msgp.WrapError(err, "RanWell", za0003)
 					return
 				}
 			}
@@ -177,10 +193,10 @@
 			} else {
 				z.Hold = make([]Digest, zb0006)
 			}
-			for za0006 := range z.Hold {
-				bts, err = msgp.ReadExactBytes(bts, (z.Hold[za0006])[:])
+			for za0004 := range z.Hold {
+				bts, err = z.Hold[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Hold", za0006)
+					err = msgp.WrapError(err, "Hold", za0004)
 					return
 				}
 			}
@@ -200,10 +216,10 @@
 			} else {
 				z.Release = make([]Digest, zb0007)
 			}
-			for za0008 := range z.Release {
-				bts, err = msgp.ReadExactBytes(bts, (z.Release[za0008])[:])
+			for za0005 := range z.Release {
+				bts, err = z.Release[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Release", za0008)
+					err = msgp.WrapError(err, "Release", za0005)
 					return
 				}
 			}
@@ -229,33 +245,24 @@
 func (z *Command) Msgsize() (s int) {
 	s = 1 + 3 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Ends {
-		s += 1 + msgp.StringPrefixSize + len(z.Ends[za0001].Replica) + msgp.ArrayHeaderSize + (len(z.Ends[za0001].Under) * (DigestBytes * (msgp.ByteSize)))
+		s += 1 + msgp.StringPrefixSize + len(z.Ends[za0001].Replica) + msgp.ArrayHeaderSize
+		for za0002 := range z.Ends[za0001].Under {
+			s += z.Ends[za0001].Under[za0002].Msgsize()
+		}
 	}
-	s += 9 + msgp.ArrayHeaderSize + (len(z.RanWell) * (DigestBytes * (msgp.ByteSize))) + 5 + msgp.ArrayHeaderSize + (len(z.Hold) * (DigestBytes * (msgp.ByteSize))) + 8 + msgp.ArrayHeaderSize + (len(z.Release) * (DigestBytes * (msgp.ByteSize))) + 14 + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendBytes(o, (z)[:])
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Digest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	bts, err = msgp.ReadExactBytes(bts, (z)[:])
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+	s += 9 + msgp.ArrayHeaderSize
+	for za0003 := range z.RanWell {
+		s += z.RanWell[za0003].Msgsize()
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Digest) Msgsize() (s int) {
-	s = msgp.ArrayHeaderSize + (DigestBytes * (msgp.ByteSize))
+	s += 5 + msgp.ArrayHeaderSize
+	for za0004 := range z.Hold {
+		s += z.Hold[za0004].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0005 := range z.Release {
+		s += z.Release[za0005].Msgsize()
+	}
+	s += 14 + msgp.Int64Size
 	return
 }
 
@@ -267,7 +274,11 @@
 	o = msgp.AppendString(o, z.Replica)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Under)))
 	for za0001 := range z.Under {
-		o = msgp.AppendBytes(o, (z.Under[za0001])[:])
+		o, err = z.Under[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Under", za0001)
+			return
+		}
 	}
 	return
 }
@@ -305,7 +316,7 @@
 		z.Under = make([]Digest, zb0002)
 	}
 	for za0001 := range z.Under {
-		bts, err = msgp.ReadExactBytes(bts, (z.Under[za0001])[:])
+		bts, err = z.Under[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Under", za0001)
 			return
@@ -317,7 +328,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *End) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.ArrayHeaderSize + (len(z.Under) * (DigestBytes * (msgp.ByteSize)))
+	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.ArrayHeaderSize
+	for za0001 := range z.Under {
+		s += z.Under[za0001].Msgsize()
+	}
 	return
 }
 
@@ -326,7 +340,11 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.Digest)[:])
+	o, err = z.Digest.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	o = msgp.AppendUint64(o, z.Revision)
 	return
 }
@@ -343,7 +361,7 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	bts, err = msgp.ReadExactBytes(bts, (z.Digest)[:])
+	bts, err = z.Digest.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Digest")
 		return
@@ -359,7 +377,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FreedRecord) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (DigestBytes * (msgp.ByteSize)) + msgp.Uint64Size
+	s = 1 + z.Digest.Msgsize() + msgp.Uint64Size
 	return
 }
 
@@ -379,14 +397,22 @@
 	for za0001 := range z.Entries {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendBytes(o, (z.Entries[za0001].Digest)[:])
+		o, err = z.Entries[za0001].Digest.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001, "Digest")
+			return
+		}
 		o = msgp.AppendBool(o, z.Entries[za0001].Held)
 	}
 	// string "freed"
 	o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Freed)))
-	for za0003 := range z.Freed {
-		o = msgp.AppendBytes(o, (z.Freed[za0003])[:])
+	for za0002 := range z.Freed {
+		o, err = z.Freed[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Freed", za0002)
+			return
+		}
 	}
 	return
 }
@@ -452,7 +478,7 @@
 					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 					return
 				}
-				bts, err = msgp.ReadExactBytes(bts, (z.Entries[za0001].Digest)[:])
+				bts, err = z.Entries[za0001].Digest.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Entries", za0001, "Digest")
 					return
@@ -479,10 +505,10 @@
 			} else {
 				z.Freed = make([]Digest, zb0004)
 			}
-			for za0003 := range z.Freed {
-				bts, err = msgp.ReadExactBytes(bts, (z.Freed[za0003])[:])
+			for za0002 := range z.Freed {
+				bts, err = z.Freed[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Freed", za0003)
+					err = msgp.WrapError(err, "Freed", za0002)
 					return
 				}
 			}
@@ -500,7 +526,14 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *News) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize + (len(z.Entries) * (13 + (DigestBytes * (msgp.ByteSize)) + msgp.BoolSize)) + 6 + msgp.ArrayHeaderSize + (len(z.Freed) * (DigestBytes * (msgp.ByteSize)))
+	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += 1 + z.Entries[za0001].Digest.Msgsize() + msgp.BoolSize
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Freed {
+		s += z.Freed[za0002].Msgsize()
+	}
 	return
 }
 
@@ -509,7 +542,11 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
-	o = msgp.AppendBytes(o, (z.Digest)[:])
+	o, err = z.Digest.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	o = msgp.AppendBool(o, z.Held)
 	return
 }
@@ -526,7 +563,7 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	bts, err = msgp.ReadExactBytes(bts, (z.Digest)[:])
+	bts, err = z.Digest.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Digest")
 		return
@@ -542,7 +579,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *NewsEntry) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (DigestBytes * (msgp.ByteSize)) + msgp.BoolSize
+	s = 1 + z.Digest.Msgsize() + msgp.BoolSize
 	return
 }
 
@@ -551,10 +588,14 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 8
 	o = append(o, 0x98)
-	o = msgp.AppendBytes(o, (z.Digest)[:])
+	o, err = z.Digest.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-	for za0002 := range z.Ends {
-		o = msgp.AppendUint64(o, z.Ends[za0002])
+	for za0001 := range z.Ends {
+		o = msgp.AppendUint64(o, z.Ends[za0001])
 	}
 	o = msgp.AppendUint32(o, z.Total)
 	o = msgp.AppendInt64(o, z.FirstAt)
@@ -577,7 +618,7 @@
 		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
-	bts, err = msgp.ReadExactBytes(bts, (z.Digest)[:])
+	bts, err = z.Digest.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Digest")
 		return
@@ -597,10 +638,10 @@
 	} else {
 		z.Ends = make([]uint64, zb0002)
 	}
-	for za0002 := range z.Ends {
-		z.Ends[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+	for za0001 := range z.Ends {
+		z.Ends[za0001], bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0002)
+			err = msgp.WrapError(err, "Ends", za0001)
 			return
 		}
 	}
@@ -640,7 +681,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (DigestBytes * (msgp.ByteSize)) + msgp.ArrayHeaderSize + (len(z.Ends) * (msgp.Uint64Size)) + msgp.Uint32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + z.Digest.Msgsize() + msgp.ArrayHeaderSize + (len(z.Ends) * (msgp.Uint64Size)) + msgp.Uint32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
@@ -660,14 +701,22 @@
 		o = msgp.AppendString(o, z.Ends[za0001].Replica)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Ends[za0001].Under)))
 		for za0002 := range z.Ends[za0001].Under {
-			o = msgp.AppendBytes(o, (z.Ends[za0001].Under[za0002])[:])
+			o, err = z.Ends[za0001].Under[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
+				return
+			}
 		}
 	}
 	// string "ran_well"
 	o = append(o, 0xa8, 0x72, 0x61, 0x6e, 0x5f, 0x77, 0x65, 0x6c, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.RanWell)))
-	for za0004 := range z.RanWell {
-		o = msgp.AppendBytes(o, (z.RanWell[za0004])[:])
+	for za0003 := range z.RanWell {
+		o, err = z.RanWell[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "RanWell", za0003)
+			return
+		}
 	}
 	return
 }
@@ -748,7 +797,7 @@
 					z.Ends[za0001].Under = make([]Digest, zb0004)
 				}
 				for za0002 := range z.Ends[za0001].Under {
-					bts, err = msgp.ReadExactBytes(bts, (z.Ends[za0001].Under[za0002])[:])
+					bts, err = z.Ends[za0001].Under[za0002].UnmarshalMsg(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
 						return
@@ -771,10 +820,10 @@
 			} else {
 				z.RanWell = make([]Digest, zb0005)
 			}
-			for za0004 := range z.RanWell {
-				bts, err = msgp.ReadExactBytes(bts, (z.RanWell[za0004])[:])
+			for za0003 := range z.RanWell {
+				bts, err = z.RanWell[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "RanWell", za0004)
+					err = msgp.WrapError(err, "RanWell", za0003)
 					return
 				}
 			}
@@ -794,9 +843,15 @@
 func (z *Report) Msgsize() (s int) {
 	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Ends {
-		s += 1 + msgp.StringPrefixSize + len(z.Ends[za0001].Replica) + msgp.ArrayHeaderSize + (len(z.Ends[za0001].Under) * (DigestBytes * (msgp.ByteSize)))
+		s += 1 + msgp.StringPrefixSize + len(z.Ends[za0001].Replica) + msgp.ArrayHeaderSize
+		for za0002 := range z.Ends[za0001].Under {
+			s += z.Ends[za0001].Under[za0002].Msgsize()
+		}
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0003 := range z.RanWell {
+		s += z.RanWell[za0003].Msgsize()
 	}
-	s += 9 + msgp.ArrayHeaderSize + (len(z.RanWell) * (DigestBytes * (msgp.ByteSize)))
 	return
 }
 
@@ -823,7 +878,11 @@
 	for za0002 := range z.Freed {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendBytes(o, (z.Freed[za0002].Digest)[:])
+		o, err = z.Freed[za0002].Digest.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Freed", za0002, "Digest")
+			return
+		}
 		o = msgp.AppendUint64(o, z.Freed[za0002].Revision)
 	}
 	// string "freed_since"
@@ -913,7 +972,7 @@
 					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 					return
 				}
-				bts, err = msgp.ReadExactBytes(bts, (z.Freed[za0002].Digest)[:])
+				bts, err = z.Freed[za0002].Digest.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Freed", za0002, "Digest")
 					return
@@ -954,6 +1013,10 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
-	s += 9 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize + (len(z.Freed) * (17 + (DigestBytes * (msgp.ByteSize)) + msgp.Uint64Size)) + 12 + msgp.Uint64Size + 8 + msgp.Uint64Size
+	s += 9 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Freed {
+		s += 1 + z.Freed[za0002].Digest.Msgsize() + msgp.Uint64Size
+	}
+	s += 12 + msgp.Uint64Size + 8 + msgp.Uint64Size
 	return
 }
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -13,6 +13,9 @@
 	// HoldAfter is the number of replicas that a request may end before it is held. Two may end
 	// under an innocent request by bad luck: it is sent on with the one that ended the first.
 	HoldAfter = 3
+	// DefaultHold is for how long a request that ends replicas is held, if the settings do not
+	// say: what it meets there changes with their software, some times a week.
+	DefaultHold = 24 * time.Hour
 	// watchAfter is the number from which on gateways tell of a good end, which clears the
 	// request: one that comes often meets an end now and then, and would be held some day.
 	watchAfter = 2
--- a/internal/relay/daemon/evidence.go
+++ b/internal/relay/daemon/evidence.go
@@ -28,7 +28,7 @@
 		settings.Contact = coordinator.DefaultContact
 	}
 	if settings.Hold == 0 {
-		settings.Hold = coordinator.DefaultHold
+		settings.Hold = poison.DefaultHold
 	}
 	e := &evidence{client: client}
 	logger := settings.Logger
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -5,23 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
-// newEndWatch returns what finds out whether replicas have ended under requests.
-func newEndWatch(runner *Runner) *poison.EndWatch {
-	return &poison.EndWatch{
-		Refuses: runner.client.Refuses,
-		Lost: func(replica string, loss poison.Loss, ended bool) {
-			runner.logger.Info(event.ReplicaLost, "request", loss.Request, "digest", loss.Digest.String(), "replica", replica,
-				"ended", ended, "events", loss.Events, "there_ms", loss.After.Milliseconds())
-		},
-		Ended: func(string, []poison.Digest) {},
-	}
-}
-
 // replicaLost notes that the connection to a replica has broken under the request, unless this
 // gateway has closed it, the replica has fallen silent or was known to leave.
 func (r *run) replicaLost(ctx context.Context, lease *Lease, cause error) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -45,7 +45,7 @@
 		logger:    logger,
 		begun:     func(string, time.Time) {},
 	}
-	runner.ends = newEndWatch(runner)
+	runner.ends = poison.NewLoggedWatch(upstream.Refuses, logger)
 	return runner
 }
 
@@ -57,7 +57,7 @@
 // before any use.
 func (r *Runner) GuardWith(guard *poison.Guard) {
 	r.guard = guard
-	r.ends.Ended = guard.Ended
+	r.ends = poison.NewGuardedWatch(guard, upstream.Refuses, r.logger)
 }
 
 // AskPlacements has a coordinator asked for replicas. It is called before any use.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -145,8 +145,8 @@
 const defaultIdleTime = 4 * time.Second
 
 // Refuses reports whether nothing listens at an address: the process that did has ended.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
-	opened, err := c.dialer.DialContext(ctx, "tcp", address)
+func Refuses(ctx context.Context, address string) bool {
+	opened, err := newDialer(0).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -3,6 +3,8 @@
 // them.
 package wire
 
+import "github.com/pierhaven/pierhaven/internal/poison"
+
 //go:generate go tool msgp -file session.go -tests=false -io=false
 //go:generate go tool msgp -file view.go -tests=false -io=false
 //go:generate go tool msgp -file onceonly.go -tests=false -io=false
@@ -21,6 +23,7 @@
 	PathConsensus    = "/internal/v1/consensus"
 	PathConfigPull   = "/internal/v1/config/pull"
 	PathForward      = "/internal/v1/forward"
+	PathPoison       = "/internal/v1/poison"
 )
 
 // OpenSessionRequest registers a gateway with its zone group. A session of the
@@ -85,6 +88,8 @@
 	Versions []VersionOutcome `msg:"versions,omitempty"`
 	// PolicyFailures are the ranking programs that have failed at run time.
 	PolicyFailures []PolicyFailure `msg:"policy_failures,omitempty"`
+	// PoisonRevision is what the gateway knows of requests that end engines.
+	PoisonRevision uint64 `msg:"poison_revision,omitempty"`
 }
 
 // PolicyFailure counts the run-time failures of one program of a policy since
@@ -149,6 +154,8 @@
 	// the leader lately. They may have announced their leaving since, so the
 	// gateway asks them itself before it gives them new work.
 	Unheard []string `msg:"unheard,omitempty"`
+	// Poison is what is new on requests that end engines, nil if nothing is.
+	Poison *poison.News `msg:"poison,omitempty"`
 }
 
 // TenantShare is the part of a tenant's budget that a gateway may use until
--- a/internal/wire/session_gen.go
+++ b/internal/wire/session_gen.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -228,8 +229,8 @@
 func (z *HeartbeatReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.View == nil {
 		zb0001Len--
@@ -243,6 +244,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Poison == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -299,6 +304,19 @@
 				o = msgp.AppendString(o, z.Unheard[za0002])
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "poison"
+			o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+			if z.Poison == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Poison.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -465,6 +483,23 @@
 					return
 				}
 			}
+		case "poison":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Poison = nil
+			} else {
+				if z.Poison == nil {
+					z.Poison = new(poison.News)
+				}
+				bts, err = z.Poison.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -493,6 +528,12 @@
 	for za0002 := range z.Unheard {
 		s += msgp.StringPrefixSize + len(z.Unheard[za0002])
 	}
+	s += 7
+	if z.Poison == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Poison.Msgsize()
+	}
 	return
 }
 
@@ -500,8 +541,8 @@
 func (z *HeartbeatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Demand == nil {
 		zb0001Len--
@@ -519,6 +560,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.PoisonRevision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -586,6 +631,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "poison_revision"
+			o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.PoisonRevision)
+		}
 	}
 	return
 }
@@ -749,6 +799,12 @@
 					return
 				}
 			}
+		case "poison_revision":
+			z.PoisonRevision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PoisonRevision")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -779,6 +835,7 @@
 	for za0004 := range z.PolicyFailures {
 		s += z.PolicyFailures[za0004].Msgsize()
 	}
+	s += 16 + msgp.Uint64Size
 	return
 }
 
--- a/internal/zonestate/apply.go
+++ b/internal/zonestate/apply.go
@@ -96,6 +96,9 @@
 		return s.assignIsolation(index, command.Sessions)
 	case command.Kind == KindSetDesired:
 		return s.setDesired(index, command.Desired)
+	case command.Kind == KindPoison && command.Poison != nil:
+		s.poison.Apply(index, command.Poison)
+		return done()
 	case command.Kind == KindAdvanceTime:
 		s.stepOnceOnly(command, onceonly.Command{Kind: onceonly.KindAdvance})
 		return done()
--- a/internal/zonestate/command.go
+++ b/internal/zonestate/command.go
@@ -6,6 +6,7 @@
 	"github.com/pierhaven/pierhaven/coordination/onceonly"
 	"github.com/pierhaven/pierhaven/internal/api/engineapi"
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 //go:generate go tool msgp -file command.go -o command_gen.go -tests=false -io=false
@@ -88,6 +89,8 @@
 	KindClaim    Kind = "claim"
 	KindComplete Kind = "complete"
 	KindRelease  Kind = "release"
+	// KindPoison changes what is known of requests that end engines.
+	KindPoison Kind = "poison"
 	// KindAdvanceTime lets the log time pass and forgets old claims.
 	KindAdvanceTime Kind = "advance_time"
 )
@@ -113,6 +116,7 @@
 	Sessions []SessionCommand `msg:"sessions,omitempty"`
 	OnceOnly *OnceOnlyCommand `msg:"once_only,omitempty"`
 	Rollout  *RolloutCommand  `msg:"rollout,omitempty"`
+	Poison   *poison.Command  `msg:"poison,omitempty"`
 }
 
 // Found starts a group's state.
--- a/internal/zonestate/command_gen.go
+++ b/internal/zonestate/command_gen.go
@@ -6,6 +6,7 @@
 	"github.com/pierhaven/pierhaven/coordination/onceonly"
 	"github.com/pierhaven/pierhaven/internal/api/engineapi"
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -153,8 +154,8 @@
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.RequestID == "" {
 		zb0001Len--
@@ -200,6 +201,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.Poison == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -353,6 +358,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "poison"
+			o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+			if z.Poison == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Poison.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -622,6 +640,23 @@
 					return
 				}
 			}
+		case "poison":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Poison = nil
+			} else {
+				if z.Poison == nil {
+					z.Poison = new(poison.Command)
+				}
+				bts, err = z.Poison.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Poison")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -692,6 +727,12 @@
 	} else {
 		s += z.Rollout.Msgsize()
 	}
+	s += 7
+	if z.Poison == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Poison.Msgsize()
+	}
 	return
 }
 
--- a/internal/zonestate/snapshot.go
+++ b/internal/zonestate/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/pierhaven/pierhaven/coordination/membership"
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 //go:generate go tool msgp -file snapshot.go -o snapshot_gen.go -tests=false -io=false -unexported
@@ -31,6 +32,7 @@
 	Rollouts      []Rollout            `msg:"rollouts"`
 	Sessions      []membership.Session `msg:"sessions"`
 	Requests      []requestRecord      `msg:"requests"`
+	Poison        poison.State         `msg:"poison"`
 }
 
 // Snapshot implements replica.StateMachine.
@@ -68,6 +70,7 @@
 		Retired:       s.retired,
 		Sessions:      s.sessions.Export(),
 		Requests:      s.requests.list(),
+		Poison:        s.poison,
 	}
 	for _, engine := range s.Engines() {
 		snapshot.Engines = append(snapshot.Engines, *engine)
@@ -114,6 +117,7 @@
 	s.removals = snapshot.Removals
 	s.retired = snapshot.Retired
 	s.sessions.Import(snapshot.Sessions)
+	s.poison = snapshot.Poison
 	for i := range snapshot.Engines {
 		s.engines[snapshot.Engines[i].ID] = &snapshot.Engines[i]
 	}
--- a/internal/zonestate/snapshot_gen.go
+++ b/internal/zonestate/snapshot_gen.go
@@ -18,15 +18,15 @@
 func (z *stateSnapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
 	_ = zb0001Mask
 	if z.Config == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -132,6 +132,13 @@
 				return
 			}
 		}
+		// string "poison"
+		o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+		o, err = z.Poison.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Poison")
+			return
+		}
 	}
 	return
 }
@@ -344,6 +351,12 @@
 					return
 				}
 			}
+		case "poison":
+			bts, err = z.Poison.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Poison")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -358,7 +371,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *stateSnapshot) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Zone) + 11 + msgp.Uint64Size + 11 + z.Parameters.Msgsize() + 15 + msgp.BoolSize + 8 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7
+	s = 3 + 7 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Zone) + 11 + msgp.Uint64Size + 11 + z.Parameters.Msgsize() + 15 + msgp.BoolSize + 8 + msgp.Uint64Size + 9 + msgp.Uint64Size + 7
 	if z.Config == nil {
 		s += msgp.NilSize
 	} else {
@@ -384,5 +397,6 @@
 	for za0005 := range z.Requests {
 		s += z.Requests[za0005].Msgsize()
 	}
+	s += 7 + z.Poison.Msgsize()
 	return
 }
--- a/internal/zonestate/state.go
+++ b/internal/zonestate/state.go
@@ -6,6 +6,7 @@
 	"github.com/pierhaven/pierhaven/coordination/membership"
 	"github.com/pierhaven/pierhaven/coordination/onceonly"
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
+	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
 // Bounds of the state. They are part of the replicated behaviour.
@@ -51,6 +52,8 @@
 	sessions *membership.Table
 	onceOnly *onceonly.Table
 	requests *requestTable
+	// poison is what is known of requests under which engines have ended.
+	poison poison.State
 }
 
 // New returns the state of a group that has not been founded.
@@ -105,6 +108,10 @@
 	return s.config.Revision
 }
 
+// Poison is what is known of requests under which engines have ended. The caller must not
+// change it.
+func (s *State) Poison() poison.State { return s.poison }
+
 // Engine returns an engine. The caller must not change it.
 func (s *State) Engine(id string) (*Engine, bool) {
 	engine, found := s.engines[id]
