--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -74,7 +74,9 @@
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
 // MarshalMsg implements msgp.Marshaler.
-func (d Digest) MarshalMsg(encoded []byte) ([]byte, error) { return msgp.AppendBytes(encoded, d[:]), nil }
+func (d Digest) MarshalMsg(encoded []byte) ([]byte, error) {
+	return msgp.AppendBytes(encoded, d[:]), nil
+}
 
 // UnmarshalMsg implements msgp.Unmarshaler. The generated one (msgp v1.6) takes a digest whose
 // last bytes are cut off for one that ends in zeros.
