--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -24,8 +24,10 @@
 	randomMutex sync.Mutex
 	random      *rand.Rand
 
-	mutex       sync.Mutex
-	listeners   []interface{ Close() error }
+	mutex     sync.Mutex
+	listeners []interface{ Close() error }
+	// named are the listeners by their destinations.
+	named       map[string]net.Listener
 	connections map[*connection]struct{}
 }
 
@@ -39,6 +41,7 @@
 		cancel:      cancel,
 		random:      random,
 		connections: make(map[*connection]struct{}),
+		named:       make(map[string]net.Listener),
 	}
 }
 
@@ -50,6 +53,9 @@
 		return "", merry.Prependf(err, "fault proxy before %s", destination)
 	}
 	p.keep(listener)
+	p.mutex.Lock()
+	p.named[destination] = listener
+	p.mutex.Unlock()
 	p.tasks.Go(func() { p.accept(listener, destination, target) })
 	return listener.Addr().String(), nil
 }
@@ -158,6 +164,19 @@
 	return int(chosen.Load())
 }
 
+// End ends a destination as the end of its process does: its connections are reset, and its port
+// takes none until ListenTCP is called again.
+func (p *Proxy) End(destination string) {
+	p.mutex.Lock()
+	listener := p.named[destination]
+	delete(p.named, destination)
+	p.mutex.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	p.Reset(Match{Destination: destination})
+}
+
 // Close ends all endpoints and connections and waits until they are gone.
 func (p *Proxy) Close() {
 	p.cancel()
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -141,6 +141,9 @@
 	proxy   *faultproxy.Proxy
 	list    []platformtest.Listed
 	engines *platformtest.Engines
+	// replicas are those that requests may end.
+	mutex    sync.Mutex
+	replicas []*replicaProcess
 	// duties takes the calls that one coordinator makes at a time.
 	duties *platformtest.Duties
 }
@@ -158,18 +161,18 @@
 	f.duties.Lose, f.duties.LateBy = lostCalls, lateBy
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
-		id := fmt.Sprintf("i-%d", number)
-		server := httptest.NewServer(platformtest.ReplicaHandler(id, func(request platformtest.Request) platformtest.Reply {
-			return run(number, request)
+		added := &replicaProcess{name: replicaName(number), address: fmt.Sprintf("127.79.%d.%d:0", f.subnet, number+1)}
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			platformtest.ReplicaHandler(f.instanceOf(added), func(request platformtest.Request) platformtest.Reply {
+				return run(number, request)
+			}).ServeHTTP(writer, request)
 		}))
 		f.servers = append(f.servers, server)
-		address, err := f.proxy.ListenTCP(id, "127.0.0.1:0", server.Listener.Addr().String())
-		if err != nil {
+		added.target = server.Listener.Addr().String()
+		f.replicas = append(f.replicas, added)
+		if err := f.startReplica(number); err != nil {
 			return f, err
 		}
-		f.list = append(f.list, platformtest.Listed{
-			ID: id, Service: "service", Address: address, Zone: "zone", Slots: 16, State: "ready",
-		})
 	}
 	list := httptest.NewServer(f.platform())
 	f.servers = append(f.servers, list)
@@ -181,7 +184,7 @@
 		return f, err
 	}
 	for number := range coordinators + gateways {
-		if err := f.lay(number, listed); err != nil {
+		if err := f.lay(number, listed, options); err != nil {
 			return f, err
 		}
 	}
@@ -221,8 +224,17 @@
 
 // listed is the platform's list, with the engines' stages as they are.
 func (f *fleet) listed() []platformtest.Listed {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	list := slices.Clone(f.list)
-	for index := range list {
+	for _, replica := range f.replicas {
+		if replica.runs {
+			list = append(list, platformtest.Listed{
+				ID: replica.instance(), Service: "service", Address: replica.address, Zone: "zone", Slots: 16, State: "ready",
+			})
+		}
+	}
+	for index := range f.list {
 		if list[index].Stage != "" {
 			list[index].Stage = f.engines.Stage(list[index].ID)
 		}
@@ -230,6 +242,53 @@
 	return list
 }
 
+// replicaProcess is a replica that requests may end. Each start is another incarnation at the same
+// address.
+type replicaProcess struct {
+	// name is that of the proxy's destination.
+	name, address, target string
+	starts                int
+	runs                  bool
+}
+
+func replicaName(number int) string { return fmt.Sprintf("i-%d", number) }
+
+func (r *replicaProcess) instance() string { return fmt.Sprintf("%s.%d", r.name, r.starts) }
+
+func (f *fleet) instanceOf(replica *replicaProcess) string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return replica.instance()
+}
+
+// startReplica starts the next incarnation of a replica.
+func (f *fleet) startReplica(number int) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	replica := f.replicas[number]
+	address, err := f.proxy.ListenTCP(replica.name, replica.address, replica.target)
+	if err != nil {
+		return err
+	}
+	replica.address = address
+	replica.starts++
+	replica.runs = true
+	return nil
+}
+
+// endReplica ends a replica as a crash does, and reports whether it ran.
+func (f *fleet) endReplica(number int) bool {
+	f.mutex.Lock()
+	replica := f.replicas[number]
+	ran := replica.runs
+	replica.runs = false
+	f.mutex.Unlock()
+	if ran {
+		f.proxy.End(replica.name)
+	}
+	return ran
+}
+
 func (f *fleet) ip(number int) string { return fmt.Sprintf("127.77.%d.%d", f.subnet, number+1) }
 
 // hiddenIP is where a coordinator listens behind the proxy.
@@ -249,7 +308,7 @@
 }
 
 // lay writes the settings of one process.
-func (f *fleet) lay(number int, list string) error {
+func (f *fleet) lay(number int, list string, options Options) error {
 	var seeds []string
 	for seed := range coordinators {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(seed), operatorPort)))
@@ -272,6 +331,9 @@
 	} else {
 		laid.role = "relay"
 		laid.address = fmt.Sprintf("%s:%d", ip, callerPort)
+		if len(options.Without) > 0 {
+			common += fmt.Sprintf("without: [%s]\n", strings.Join(options.Without, ", "))
+		}
 		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\n",
 			laid.address, ip, readyPort)
 		f.gateways = append(f.gateways, laid)
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -44,14 +44,14 @@
 		s.disturb(ctx, cutOff, faultproxy.Match{Source: s.anyOf(s.fleet.gateways).name})
 	}},
 	{"cut a replica off", func(s *soak, ctx context.Context) {
-		s.disturb(ctx, cutOff, faultproxy.Match{Destination: s.fleet.list[s.random.IntN(replicas)].ID})
+		s.disturb(ctx, cutOff, faultproxy.Match{Destination: replicaName(s.random.IntN(replicas))})
 	}},
 	{"lose packets everywhere", func(s *soak, ctx context.Context) {
 		s.disturb(ctx, faultproxy.Faults{Loss: 0.05, Delay: 2 * time.Millisecond}, faultproxy.Match{})
 	}},
 	{"slow a replica's link down", func(s *soak, ctx context.Context) {
 		slow := faultproxy.Faults{BytesPerSecond: 2000, Delay: 50 * time.Millisecond}
-		s.disturb(ctx, slow, faultproxy.Match{Destination: s.fleet.list[s.random.IntN(replicas)].ID})
+		s.disturb(ctx, slow, faultproxy.Match{Destination: replicaName(s.random.IntN(replicas))})
 	}},
 	{"cut the platform's list off", func(s *soak, ctx context.Context) {
 		s.disturb(ctx, cutOff, faultproxy.Match{Destination: listName})
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,7 +33,9 @@
 	Binary string
 	// Folder takes settings, data and logs.
 	Folder string
-	Log    io.Writer
+	// Without are mechanisms of the gateways that are switched off, to see that the checker notices.
+	Without []string
+	Log     io.Writer
 }
 
 // Result is what a soak has found.
@@ -49,6 +52,9 @@
 	Moves   int
 	// Windows are the windows of usage that were reported.
 	Windows int
+	// Ends are the replicas that requests have ended, and Held the answers that said so.
+	Ends int
+	Held int
 }
 
 const (
@@ -99,6 +105,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.operate(work) })
 	running.Go(func() { s.readBack(work) })
+	running.Go(func() { s.sendEnding(work) })
 	for number := range callers {
 		running.Go(func() { s.call(work, number) })
 	}
@@ -107,6 +114,7 @@
 	s.awaitService(ctx, "after the last fault")
 	cancel()
 	running.Wait()
+	s.truth.endings()
 	s.truth.duties(s.fleet.duties.Broken(), len(s.fleet.duties.Windows()))
 	return s.truth.result(options.Seed, s.faults), nil
 }
@@ -120,7 +128,7 @@
 
 // runAtReplica is what the replicas do: mostly run and answer, sometimes refuse,
 // lose the answer, or drop the connection before they run.
-func (s *soak) runAtReplica(_ int, request platformtest.Request) platformtest.Reply {
+func (s *soak) runAtReplica(replica int, request platformtest.Request) platformtest.Reply {
 	switch {
 	case s.roll(0.03):
 		return platformtest.Reply{Status: http.StatusServiceUnavailable, NotRun: true}
@@ -129,6 +137,10 @@
 	}
 	s.truth.ran(request.ID)
 	s.truth.ranFor(request.ID, request.Tenant, request.Key)
+	if strings.HasPrefix(request.ID, endingPrefix) {
+		s.endReplica(replica, endingContent(request.ID))
+		return platformtest.Reply{Drop: true}
+	}
 	time.Sleep(5 * time.Millisecond)
 	if s.roll(0.02) {
 		return platformtest.Reply{Drop: true}
@@ -319,8 +331,9 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d violations\n",
-			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows, len(result.Violations))
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d violations\n",
+			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
+			result.Ends, result.Held, len(result.Violations))
 		for _, violation := range result.Violations {
 			_, _ = fmt.Fprintln(out, "  "+violation)
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 )
 
 // regressionSeeds are played in every run of the tests: one with coordinators that choose the
@@ -22,6 +25,18 @@
 			require.NoError(t, err)
 			require.Empty(t, result.Violations)
 			require.Positive(t, result.Served)
+			require.Positive(t, result.Ends, "a request has ended replicas")
+			require.Positive(t, result.Held)
 		})
 	}
 }
+
+func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Seed: 13, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Without: []string{string(mechanism.RequestHolds)},
+	})
+	require.NoError(t, err)
+	require.Zero(t, result.Held)
+	require.Contains(t, strings.Join(result.Violations, "\n"), "later than 3s after the third")
+}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -25,6 +25,9 @@
 	streams    int
 	orders     int
 	moves      int
+	ends       int
+	held       int
+	ending     map[string]*ending
 	violations []string
 }
 
@@ -36,6 +39,7 @@
 		runs:     map[string]int{},
 		promised: map[string]bool{},
 		sent:     map[uint64]string{},
+		ending:   map[string]*ending{},
 	}
 }
 
@@ -216,5 +220,7 @@
 		Orders:     t.orders,
 		Moves:      t.moves,
 		Windows:    t.windows,
+		Ends:       t.ends,
+		Held:       t.held,
 	}
 }
--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -65,6 +65,31 @@
 		"orders with one fence": {func(t *truth) {
 			t.ordered("e", platformtest.Order{Holder: "y", FencingToken: 3}, platformtest.Order{Holder: "x", FencingToken: 3}, time.Minute)
 		}, "with fence 3 after"},
+		"few arrivals of an ending request": {func(t *truth) {
+			for number := range 16 {
+				t.endingArrived("0", time.Unix(int64(number/8), 0), true)
+			}
+			t.endings()
+		}, ""},
+		"many arrivals of an ending request": {func(t *truth) {
+			for number := range 20 {
+				t.endingArrived("0", time.Unix(int64(number), 0), true)
+			}
+			t.endings()
+		}, "reached 14 later than 3s after the third"},
+		"a held request that had run": {func(t *truth) {
+			t.begin("a", false, "", "")
+			t.ran("a")
+			t.endingAnswered("a", platformtest.Answer{Status: 502, Body: `{"type":"request_held","ran":"no"}`})
+		}, "answered as not run"},
+		"a held request that may have run": {func(t *truth) {
+			t.begin("a", false, "", "")
+			t.ran("a")
+			t.endingAnswered("a", platformtest.Answer{Status: 502, Body: `{"type":"request_held","ran":"unknown"}`})
+		}, ""},
+		"a held request that is to come back": {func(t *truth) {
+			t.endingAnswered("a", platformtest.Answer{Status: 502, Body: `{"type":"request_held","ran":"no","retry_after_ms":100}`})
+		}, "told to come back"},
 		"other content": {func(t *truth) {
 			t.sends(3, []byte(`{"Version":3,"Routes":null}`))
 			t.readBack("c", 3, []byte(`{"Version":3}`))
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -41,6 +41,8 @@
 	Ejection Mechanism = "ejection"
 	// Retries offers a request to further replicas.
 	Retries Mechanism = "retries"
+	// RequestHolds sends a request that ends replicas to none any more.
+	RequestHolds Mechanism = "request_holds"
 	// StreamMoves moves streams away from replicas that leave or change their stage.
 	StreamMoves Mechanism = "stream_moves"
 )
@@ -72,6 +74,7 @@
 		ReportedLoad,
 		Ejection,
 		Retries,
+		RequestHolds,
 		StreamMoves,
 		StageChanges,
 		Forecast,
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -1,11 +1,14 @@
 package relay
 
-import "github.com/pierhaven/pierhaven/internal/poison"
+import (
+	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/poison"
+)
 
 // isHeld reports whether the request must be sent to no replica, since it ends those that run it.
 // It is asked before each send: the others may have learned so while this one was under way.
 func (r *run) isHeld() bool {
-	return r.guard != nil && r.guard.Holds(poison.TargetOf(r.call.Host, r.call.Target), r.call.Digest)
+	return r.guard != nil && !r.directory.off[mechanism.RequestHolds] && r.guard.Holds(poison.TargetOf(r.call.Host, r.call.Target), r.call.Digest)
 }
 
 // heldDigest is the digest of a request that is held, for the log; empty for others.
