--- a/internal/gateway/application/held.go
+++ b/internal/gateway/application/held.go
@@ -8,14 +8,17 @@
 	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
-// digest identifies the call by its content, whatever idempotency key it has.
-func (c *Call) digest() poison.Digest {
+// Digest identifies the call by its content, whatever idempotency key it has.
+func (c *Call) Digest() poison.Digest {
 	return poison.Content{Caller: c.Tenant, Host: c.Application, Target: c.Operation, Body: c.Body}.Digest()
 }
 
+// TargetHash implements poison.Request.
+func (c *Call) TargetHash() uint32 { return poison.TargetOf(c.Application, c.Operation) }
+
 // isHeld reports whether a call must be sent to no back end, since it ends those that run it.
 func (r *Runner) isHeld(call *Call) bool {
-	return r.guard != nil && r.guard.Holds(poison.TargetOf(call.Application, call.Operation), call.digest)
+	return r.guard != nil && r.guard.Holds(call)
 }
 
 // heldDetail is the message to a caller whose call is held.
@@ -27,9 +30,9 @@
 	switch {
 	case r.guard == nil:
 	case result.Reply != nil:
-		r.guard.RanWell(poison.TargetOf(call.Application, call.Operation), call.digest, false)
+		r.guard.RanWell(call, false)
 	case result.Err != nil && result.HandedOver && ctx.Err() == nil:
-		r.watch.Note(backEndID, address, poison.Loss{Request: call.RequestID, Digest: call.digest()})
+		r.watch.Note(backEndID, address, poison.Loss{Request: call.RequestID, Digest: call.Digest()})
 	}
 }
 
--- a/internal/gateway/completion/held.go
+++ b/internal/gateway/completion/held.go
@@ -10,8 +10,8 @@
 	"github.com/pierhaven/pierhaven/internal/request"
 )
 
-// digest identifies the call by its content.
-func (c *Call) digest() poison.Digest {
+// Digest identifies the call by its content.
+func (c *Call) Digest() poison.Digest {
 	content := poison.Content{
 		Method: c.Model.Name,
 		Host:   c.Adapter,
@@ -24,17 +24,17 @@
 	return content.Digest()
 }
 
-// target is the part of the digest that follows from the model call's terms alone.
-func (c *Call) target() uint32 { return poison.TargetOf(c.Adapter, strconv.Itoa(c.MaximumTokens)) }
+// TargetHash implements poison.Request.
+func (c *Call) TargetHash() uint32 { return poison.TargetOf(c.Adapter, strconv.Itoa(c.MaximumTokens)) }
 
 // refusalIfHeld refuses a call that must be sent to no engine, since it ends those that run it.
 // It is asked before each attempt: the others may have learned so while one was under way.
 func (r *run) refusalIfHeld() *scheduler.Refusal {
 	guard := r.runner.guard
-	if guard == nil || !guard.Holds(r.call.target(), r.call.digest) {
+	if guard == nil || !guard.Holds(&r.call) {
 		return nil
 	}
-	r.runner.logger.Info("held request refused", "request", r.call.RequestID, "digest", r.call.digest().String())
+	r.runner.logger.Info("held request refused", "request", r.call.RequestID, "digest", r.call.Digest().String())
 	return &scheduler.Refusal{Kind: failure.RequestHeld, Detail: "engines have ended under this request"}
 }
 
@@ -44,12 +44,12 @@
 		return
 	}
 	r.lost.Store(true)
-	r.runner.watch.Note(asked.Engine.ID, asked.Engine.Address, poison.Loss{Request: r.call.RequestID, Digest: r.call.digest()})
+	r.runner.watch.Note(asked.Engine.ID, asked.Engine.Address, poison.Loss{Request: r.call.RequestID, Digest: r.call.Digest()})
 }
 
 // ranWell notes that an engine has run the call to its end.
 func (r *run) ranWell() {
 	if r.runner.guard != nil {
-		r.runner.guard.RanWell(r.call.target(), r.call.digest, r.lost.Load())
+		r.runner.guard.RanWell(&r.call, r.lost.Load())
 	}
 }
--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// Due returns the requests that the evidence convicts at a time: HoldAfter replicas or more have
-// ended under each of which no other request has as much evidence against it. The request that
+// Due returns the requests that the evidence convicts at a time: HoldAfter replicas or more, twice
+// as many if they ended in crowds, have ended under each of which no other request has as much
+// evidence against it. The request that
 // ends replicas is at all of them, while those beside it are at some. Where two can't be told
 // apart both are sent on until one has run to a good end or ended another replica.
 //
@@ -18,10 +19,14 @@
 		return nil
 	}
 	others := s.byEnd()
+	crowds := make(map[uint64]uint64, len(s.Crowds))
+	for _, end := range s.Crowds {
+		crowds[end.Replica] = end.Crowd
+	}
 	explained := map[uint64]bool{}
 	var due []Digest
 	for _, candidate := range candidates {
-		if s.convicted(candidate, others, explained) {
+		if convicted(candidate, others, explained, crowds) {
 			due = append(due, candidate.Digest)
 			for _, end := range candidate.Ends {
 				explained[end] = true
@@ -59,19 +64,34 @@
 	return byEnd
 }
 
+// An end counts fullEnd, and crowdEnd if it is the only one under the request of a crowd: a request
+// that was at several replicas at once may have ended all of the crowd.
+const (
+	fullEnd  = 2
+	crowdEnd = 1
+)
+
 // convicted reports whether enough replicas have ended for which no other request answers as much.
-func (s *State) convicted(candidate *Record, byEnd map[uint64][]*Record, explained map[uint64]bool) bool {
+func convicted(candidate *Record, byEnd map[uint64][]*Record, explained map[uint64]bool, crowds map[uint64]uint64) bool {
 	evidence := unexplained(candidate, explained)
 	own := 0
+	inCrowd := map[uint64]int{}
+	for _, end := range candidate.Ends {
+		inCrowd[crowds[end]]++
+	}
 	for _, end := range candidate.Ends {
 		outweighed := slices.ContainsFunc(byEnd[end], func(other *Record) bool {
 			return other != candidate && unexplained(other, explained) >= evidence
 		})
-		if !explained[end] && !outweighed {
-			own++
+		switch {
+		case explained[end] || outweighed:
+		case crowds[end] != 0 && inCrowd[crowds[end]] == 1:
+			own += crowdEnd
+		default:
+			own += fullEnd
 		}
 	}
-	return own >= HoldAfter
+	return own >= HoldAfter*fullEnd
 }
 
 // unexplained counts the replicas that have ended under a request and under none that was
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -78,18 +78,33 @@
 	}
 }
 
-// Holds reports whether a request must be sent to no replica. The digest is asked for only if
-// something is known of its target.
-func (g *Guard) Holds(target uint32, digest func() Digest) bool {
+// Request is one whose content identifies it.
+type Request interface {
+	// TargetHash is TargetOf its host and target.
+	TargetHash() uint32
+	// Digest is that of its content.
+	Digest() Digest
+}
+
+// Holds reports whether a request must be sent to no replica. Its content is hashed only if
+// something is known of its target: a call then costs 17 us for 17 KB of body, and else 0.15 us
+// (BenchmarkGuardedCall, one processor).
+func (g *Guard) Holds(request Request) bool {
 	view := g.view.Load()
-	if view == nil {
+	if !view.watches(request) {
 		return false
 	}
-	if _, known := view.targets[target]; !known {
+	_, held := view.held[request.Digest()]
+	return held
+}
+
+// watches reports whether something is known of a request's target.
+func (v *guardView) watches(request Request) bool {
+	if v == nil || len(v.targets) == 0 {
 		return false
 	}
-	_, held := view.held[digest()]
-	return held
+	_, known := v.targets[request.TargetHash()]
+	return known
 }
 
 // Ended notes that a replica has ended under requests of this gateway.
@@ -105,24 +120,22 @@
 
 // RanWell notes that a replica has run a request to a good end. met says that a replica had ended
 // under it before; else it is told only if the request is watched.
-func (g *Guard) RanWell(target uint32, digest func() Digest, met bool) {
+func (g *Guard) RanWell(request Request, met bool) {
 	if !met {
 		view := g.view.Load()
-		if view == nil {
-			return
-		}
-		if _, known := view.targets[target]; !known {
+		if !view.watches(request) {
 			return
 		}
-		if _, watched := view.watched[digest()]; !watched {
+		if _, watched := view.watched[request.Digest()]; !watched {
 			return
 		}
 	}
+	digest := request.Digest()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.applyOwn(&Command{RanWell: []Digest{digest()}})
-	delete(g.ownHeld, digest())
-	g.ranWell = append(g.ranWell, digest())
+	g.applyOwn(&Command{RanWell: []Digest{digest}})
+	delete(g.ownHeld, digest)
+	g.ranWell = append(g.ranWell, digest)
 	g.bound()
 	g.refresh()
 	g.wakeUp()
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -2,7 +2,7 @@
 
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Record FreedRecord End NewsEntry
+//msgp:tuple Record FreedRecord End NewsEntry ReplicaEnd CrowdEnd
 //msgp:ignore Held Digest
 
 // State is what is known of all requests under which replicas have ended. Its slices are never
@@ -18,6 +18,22 @@
 	FreedSince uint64        `msg:"freed_since"`
 	// Dropped counts the records that were given up for lack of room.
 	Dropped uint64 `msg:"dropped"`
+	// Recent are the replicas that have ended last, oldest first, and Crowds those of late that
+	// ended together with many others.
+	Recent []ReplicaEnd `msg:"recent"`
+	Crowds []CrowdEnd   `msg:"crowds"`
+}
+
+// CrowdEnd is a replica, hashed, that has ended together with others of the same crowd.
+type CrowdEnd struct {
+	Replica uint64
+	Crowd   uint64
+}
+
+// ReplicaEnd is a replica that has ended, hashed, and when that was first told.
+type ReplicaEnd struct {
+	Replica uint64
+	At      int64
 }
 
 // Record is the evidence against one request. Times are in nanoseconds since 1970, by the
--- a/internal/poison/messages_gen.go
+++ b/internal/poison/messages_gen.go
@@ -266,6 +266,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z CrowdEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Replica)
+	o = msgp.AppendUint64(o, z.Crowd)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrowdEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	z.Crowd, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crowd")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CrowdEnd) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -685,6 +727,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ReplicaEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Replica)
+	o = msgp.AppendInt64(o, z.At)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReplicaEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	z.At, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReplicaEnd) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -858,9 +942,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "records"
-	o = append(o, 0x85, 0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
+	o = append(o, 0x87, 0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
 		o, err = z.Records[za0001].MarshalMsg(o)
@@ -891,6 +975,24 @@
 	// string "dropped"
 	o = append(o, 0xa7, 0x64, 0x72, 0x6f, 0x70, 0x70, 0x65, 0x64)
 	o = msgp.AppendUint64(o, z.Dropped)
+	// string "recent"
+	o = append(o, 0xa6, 0x72, 0x65, 0x63, 0x65, 0x6e, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
+	for za0003 := range z.Recent {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Recent[za0003].Replica)
+		o = msgp.AppendInt64(o, z.Recent[za0003].At)
+	}
+	// string "crowds"
+	o = append(o, 0xa6, 0x63, 0x72, 0x6f, 0x77, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crowds)))
+	for za0004 := range z.Crowds {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Crowds[za0004].Replica)
+		o = msgp.AppendUint64(o, z.Crowds[za0004].Crowd)
+	}
 	return
 }
 
@@ -995,6 +1097,82 @@
 				err = msgp.WrapError(err, "Dropped")
 				return
 			}
+		case "recent":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recent")
+				return
+			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Recent) >= int(zb0005) {
+				z.Recent = (z.Recent)[:zb0005]
+			} else {
+				z.Recent = make([]ReplicaEnd, zb0005)
+			}
+			for za0003 := range z.Recent {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003)
+					return
+				}
+				if zb0006 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+					return
+				}
+				z.Recent[za0003].Replica, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "Replica")
+					return
+				}
+				z.Recent[za0003].At, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "At")
+					return
+				}
+			}
+		case "crowds":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crowds")
+				return
+			}
+			if zb0007 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crowds) >= int(zb0007) {
+				z.Crowds = (z.Crowds)[:zb0007]
+			} else {
+				z.Crowds = make([]CrowdEnd, zb0007)
+			}
+			for za0004 := range z.Crowds {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crowds", za0004)
+					return
+				}
+				if zb0008 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+					return
+				}
+				z.Crowds[za0004].Replica, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crowds", za0004, "Replica")
+					return
+				}
+				z.Crowds[za0004].Crowd, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crowds", za0004, "Crowd")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1017,6 +1195,6 @@
 	for za0002 := range z.Freed {
 		s += 1 + z.Freed[za0002].Digest.Msgsize() + msgp.Uint64Size
 	}
-	s += 12 + msgp.Uint64Size + 8 + msgp.Uint64Size
+	s += 12 + msgp.Uint64Size + 8 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize + (len(z.Recent) * (12 + msgp.Uint64Size + msgp.Int64Size)) + 7 + msgp.ArrayHeaderSize + (len(z.Crowds) * (15 + msgp.Uint64Size + msgp.Uint64Size))
 	return
 }
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -23,6 +23,15 @@
 	// known of each: 2,048 records of at most 600 bytes are 1.2 MB.
 	MaximumRecords = 2048
 	MaximumEnds    = 64
+	// crowdSize replicas that end within crowdWindow end for a cause that they share more likely than
+	// each under a request of its own: one end among them is half of the evidence of another. Where
+	// half of 18 replicas crash every 5 s, 32 in 100,000 innocent requests with up to 9 tries were held
+	// without it (TestInnocentRequestsAreServed).
+	crowdSize   = 5
+	crowdWindow = 300 * time.Millisecond
+	// maximumRecent and maximumCrowd bound the replicas that are known of these: 12 KB.
+	maximumRecent = 512
+	maximumCrowd  = 512
 	// maximumFreed bounds the digests that are known to have gone; a gateway that knows less is
 	// told everything.
 	maximumFreed = 512
@@ -37,6 +46,7 @@
 	explained := change.explained()
 	for _, end := range command.Ends {
 		replica := xxhash.Sum64String(end.Replica)
+		change.noteEnd(replica)
 		for _, digest := range end.Under {
 			change.ended(digest, replica, explained)
 		}
@@ -85,6 +95,42 @@
 	c.Revision = c.position
 }
 
+// noteEnd notes that a replica has ended, and whether it is one of a crowd.
+func (c *stateChange) noteEnd(replica uint64) {
+	known := slices.ContainsFunc(c.Recent, func(end ReplicaEnd) bool { return end.Replica == replica })
+	if known {
+		return
+	}
+	recent := slices.DeleteFunc(slices.Clone(c.Recent), func(end ReplicaEnd) bool { return c.at-end.At > crowdWindow.Nanoseconds() })
+	if len(recent) >= maximumRecent {
+		recent = recent[1:]
+	}
+	recent = append(recent, ReplicaEnd{Replica: replica, At: c.at})
+	c.Recent = recent
+	if len(recent) >= crowdSize {
+		c.noteCrowd(recent)
+	}
+}
+
+// noteCrowd notes that replicas have ended together.
+func (c *stateChange) noteCrowd(ends []ReplicaEnd) {
+	crowds := slices.Clone(c.Crowds)
+	number := c.position
+	var added []uint64
+	for _, end := range ends {
+		at := slices.IndexFunc(crowds, func(known CrowdEnd) bool { return known.Replica == end.Replica })
+		if at < 0 {
+			added = append(added, end.Replica)
+			continue
+		}
+		number = crowds[at].Crowd
+	}
+	for _, replica := range added {
+		crowds = append(crowds, CrowdEnd{Replica: replica, Crowd: number})
+	}
+	c.Crowds = crowds[max(0, len(crowds)-maximumCrowd):]
+}
+
 // explained are the replicas that have ended under requests that are held.
 func (c *stateChange) explained() map[uint64]bool {
 	explained := map[uint64]bool{}
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -22,6 +22,12 @@
 	return digests
 }
 
+// fixedRequest is a request with a digest.
+type fixedRequest Digest
+
+func (r fixedRequest) TargetHash() uint32 { return Digest(r).Target() }
+func (r fixedRequest) Digest() Digest     { return Digest(r) }
+
 // evidence applies commands one after the other.
 type evidence struct {
 	State
@@ -80,6 +86,27 @@
 	assert.True(t, known)
 }
 
+func TestAnEndInACrowdIsHalfTheEvidence(t *testing.T) {
+	e := &evidence{}
+	crash := func(crash int) {
+		for number := range 9 {
+			e.ended(fmt.Sprint("i-", crash, "-", number), fmt.Sprint("beside ", crash, " ", number))
+		}
+		e.ended(fmt.Sprint("i-", crash, "-8"), "innocent")
+		e.at += int64(time.Minute)
+	}
+	for number := range 5 {
+		crash(number)
+	}
+	assert.Empty(t, e.Due(e.at, 0), "five ends, each in a crowd")
+	crash(5)
+	assert.Equal(t, digestsOf("innocent"), e.Due(e.at, 0))
+	for number := range 5 {
+		e.ended(fmt.Sprint("j-", number), "poison")
+	}
+	assert.ElementsMatch(t, digestsOf("innocent", "poison"), e.Due(e.at, 0), "a request at five gateways at once makes the crowd itself")
+}
+
 func TestAGoodEndClearsARequest(t *testing.T) {
 	e := &evidence{}
 	e.ended("i-1", "often")
@@ -198,7 +225,7 @@
 			watched := 0
 			for _, record := range e.Records {
 				digest := record.Digest
-				holds := guard.Holds(digest.Target(), func() Digest { return digest })
+				holds := guard.Holds(fixedRequest(digest))
 				require.Equal(t, record.HeldAt != 0, holds, "seed %d, step %d", seed, step)
 				if record.watched() {
 					watched++
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -31,6 +31,9 @@
 	digest     poison.Digest
 }
 
+// TargetHash implements poison.Request.
+func (c *Call) TargetHash() uint32 { return poison.TargetOf(c.Host, c.Target) }
+
 // Digest identifies the call by its content. It is worked out when it is first asked for, since
 // most calls never need it.
 func (c *Call) Digest() poison.Digest {
--- /dev/null
+++ b/internal/relay/ending_test.go
@@ -0,0 +1,214 @@
+package relay_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// guarded has a guard take part in a world's calls.
+func (w *world) guarded() *poison.Guard {
+	guard := poison.NewGuard(poison.Options{
+		Now: func() time.Duration { return time.Hour }, InTouch: func() bool { return true },
+		Contact: time.Second, Memory: time.Hour,
+	})
+	w.runner.GuardWith(guard)
+	return guard
+}
+
+// addMortal adds a replica whose process ends with the first request, after what the handler does.
+func (w *world) addMortal(id, stage string, before http.HandlerFunc) {
+	w.t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		before(writer, request)
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	w.t.Cleanup(server.CloseClientConnections)
+	w.list(id, stage, server.Listener.Addr().String())
+}
+
+// endsTold waits for the evidence that a guard has to tell, and returns the replicas that ended.
+func endsTold(t *testing.T, guard *poison.Guard, digest poison.Digest, count int) []string {
+	t.Helper()
+	var ended []string
+	require.Eventually(t, func() bool {
+		if report := guard.Report("gateway"); report != nil {
+			for _, end := range report.Ends {
+				assert.Equal(t, []poison.Digest{digest}, end.Under)
+				ended = append(ended, end.Replica)
+			}
+		}
+		return len(ended) >= count
+	}, 10*time.Second, 5*time.Millisecond)
+	return ended
+}
+
+func nothing(http.ResponseWriter, *http.Request) {}
+
+func TestTheEndOfAReplicaCountsForEachKindOfRequest(t *testing.T) {
+	for _, kind := range []traffic.Kind{traffic.KindOnce, traffic.KindRepeatable, traffic.KindStream} {
+		w := newWorld(t)
+		guard := w.guarded()
+		w.addMortal("a", "", nothing)
+		call := callOf(kind, 1)
+		w.run(call)
+		assert.Equal(t, []string{"a"}, endsTold(t, guard, call.Digest(), 1), kind)
+	}
+}
+
+func TestEachReplicaThatAResumedStreamEndsCounts(t *testing.T) {
+	w := newWorld(t)
+	guard := w.guarded()
+	for _, id := range []string{"a", "b"} {
+		w.addMortal(id, "", func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Sealed", "yes")
+			writeEvents(writer, 1, 2)
+		})
+	}
+	call := callOf(traffic.KindStream, 2)
+	call.Route.Resumable = true
+	assert.True(t, w.run(call).aborted)
+	assert.ElementsMatch(t, []string{"a", "b"}, endsTold(t, guard, call.Digest(), 2))
+}
+
+func TestTheEndOfAReaderCounts(t *testing.T) {
+	w := newWorld(t)
+	guard := w.guarded()
+	w.addMortal("reader", region.StagePrefill, nothing)
+	w.add("generator", region.StageDecode, events(1, 2, false))
+	call := modelCall(4000, "own")
+	assert.True(t, w.run(call).ended, "the generator reads the prompt itself")
+	assert.Equal(t, []string{"reader"}, endsTold(t, guard, call.Digest(), 1))
+}
+
+func TestOtherLossesThanEndsDoNotCount(t *testing.T) {
+	for name, arrange := range map[string]func(*world){
+		"a connection that breaks": func(w *world) { w.add("a", "", dropping) },
+		"a replica that leaves": func(w *world) {
+			w.addMortal("a", "", func(http.ResponseWriter, *http.Request) {
+				w.replicas[0].Draining = true
+				w.directory.Replace(w.replicas)
+			})
+		},
+	} {
+		w := newWorld(t)
+		guard := w.guarded()
+		arrange(w)
+		w.run(callOf(traffic.KindRepeatable, 1))
+		time.Sleep(300 * time.Millisecond)
+		assert.Nil(t, guard.Report("gateway"), name)
+	}
+}
+
+// hold has a guard hold a call.
+func hold(guard *poison.Guard, digest poison.Digest, revision uint64) {
+	guard.Take(&poison.News{Revision: revision, Whole: true, Entries: []poison.NewsEntry{{Digest: digest, Held: true}}})
+}
+
+func TestAHeldRequestIsSentToNoReplica(t *testing.T) {
+	w := newWorld(t)
+	guard := w.guarded()
+	w.add("a", "", sealed(http.StatusOK, "answer"))
+	call := callOf(traffic.KindRepeatable, 2)
+	hold(guard, call.Digest(), 1)
+	answer := w.run(call)
+	assert.Equal(t, failure.RequestHeld, failure.KindOf(answer.err))
+	told := failure.AnswerFor(answer.err)
+	assert.Equal(t, failure.RanNo, told.Ran)
+	assert.Zero(t, told.RetryAfter)
+	assert.Zero(t, w.visits("a"))
+	other := callOf(traffic.KindRepeatable, 2)
+	other.Body = []byte("bodz")
+	assert.Equal(t, http.StatusOK, w.run(other).status)
+	tenants := callOf(traffic.KindRepeatable, 2)
+	tenants.Tenant = "another"
+	assert.Equal(t, http.StatusOK, w.run(tenants).status)
+	guard.Take(&poison.News{Revision: 2, Freed: []poison.Digest{call.Digest()}})
+	assert.Equal(t, http.StatusOK, w.run(callOf(traffic.KindRepeatable, 2)).status)
+}
+
+func TestARequestThatIsHeldWhileItIsUnderWayGoesToNoOtherReplica(t *testing.T) {
+	w := newWorld(t)
+	guard := w.guarded()
+	call := callOf(traffic.KindRepeatable, 3)
+	w.add("a", "", func(writer http.ResponseWriter, request *http.Request) {
+		hold(guard, call.Digest(), 1)
+		dropping(writer, request)
+	})
+	w.add("b", "", func(writer http.ResponseWriter, request *http.Request) {
+		hold(guard, call.Digest(), 1)
+		dropping(writer, request)
+	})
+	answer := w.run(call)
+	assert.Equal(t, failure.RequestHeld, failure.KindOf(answer.err))
+	assert.Equal(t, failure.RanUnknown, failure.AnswerFor(answer.err).Ran)
+	assert.Equal(t, 1, w.visits("a")+w.visits("b"))
+}
+
+func TestAHeldStreamIsNotMovedToAnotherReplica(t *testing.T) {
+	w := newWorld(t)
+	guard := w.guarded()
+	leaving := newStoppable()
+	w.add("a", region.StageDecode, leaving.serve)
+	call := modelCall(10, "own")
+	answered := make(chan *recorder, 1)
+	go func() { answered <- w.run(call) }()
+	<-leaving.begun
+	w.add("b", region.StageDecode, events(4, 6, false))
+	hold(guard, call.Digest(), 1)
+	w.replicas[0].Draining = true
+	w.directory.Replace(w.replicas)
+	time.Sleep(300 * time.Millisecond)
+	close(leaving.goOn)
+	answer := <-answered
+	assert.True(t, answer.ended)
+	assert.Equal(t, text(1, 6), answer.body.String())
+	assert.Zero(t, w.visits("b"))
+	assert.Equal(t, []poison.Digest{call.Digest()}, guard.Report("gateway").RanWell, "it has run to its end, and is let go")
+}
+
+// BenchmarkGuardedCall gives what the guard adds to a call, which is asked before each send: 441 ns
+// and 4 allocations without a guard, 433 and 4 with nothing held, 592 and 5 with other targets held,
+// and 15 us with the same target held, which has 17 KB of content hashed.
+func BenchmarkGuardedCall(b *testing.B) {
+	body := make([]byte, 17_000)
+	digestOf := func(target string, caller string) poison.Digest {
+		return poison.Content{Caller: caller, Method: http.MethodPost, Host: "h", Target: target, Body: body}.Digest()
+	}
+	for name, entries := range map[string][]poison.NewsEntry{
+		"nothing held":      nil,
+		"others held":       {{Digest: digestOf("/other", ""), Held: true}},
+		"same target, held": {{Digest: digestOf("/a/b?c", "another"), Held: true}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			guard := poison.NewGuard(poison.Options{Now: func() time.Duration { return 0 }, InTouch: func() bool { return true }})
+			guard.Take(&poison.News{Revision: 1, Whole: true, Entries: entries})
+			b.ReportAllocs()
+			for b.Loop() {
+				call := callOf(traffic.KindRepeatable, 2)
+				call.Body = body
+				if guard.Holds(call) {
+					b.Fatal("another one is held")
+				}
+			}
+		})
+	}
+	b.Run("no guard", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			call := callOf(traffic.KindRepeatable, 2)
+			call.Body = body
+		}
+	})
+}
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -1,14 +1,11 @@
 package relay
 
-import (
-	"github.com/pierhaven/pierhaven/internal/mechanism"
-	"github.com/pierhaven/pierhaven/internal/poison"
-)
+import "github.com/pierhaven/pierhaven/internal/mechanism"
 
 // isHeld reports whether the request must be sent to no replica, since it ends those that run it.
 // It is asked before each send: the others may have learned so while this one was under way.
 func (r *run) isHeld() bool {
-	return r.guard != nil && !r.directory.off[mechanism.RequestHolds] && r.guard.Holds(poison.TargetOf(r.call.Host, r.call.Target), r.call.Digest)
+	return r.guard != nil && !r.directory.off[mechanism.RequestHolds] && r.guard.Holds(r.call)
 }
 
 // heldDigest is the digest of a request that is held, for the log; empty for others.
@@ -22,7 +19,7 @@
 // tellIfWell tells of a request that a replica has run to its end: it doesn't end replicas.
 func (r *run) tellIfWell() {
 	if r.guard != nil && r.ranWell {
-		r.guard.RanWell(poison.TargetOf(r.call.Host, r.call.Target), r.call.Digest, r.lost)
+		r.guard.RanWell(r.call, r.lost)
 	}
 }
 
