Go by a clock that counts suspensions wherever another process relies on a time

Leases, ages of views and copies, the time between a proposal and its order, holds, the region's time and callers' deadlines went by Go's monotonic clock, which stands still while a machine is suspended: a view of five seconds ago passed for fresh. uptime.Now (CLOCK_BOOTTIME) is the one source; a suspension is a jump of it in the tests.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"github.com/pierhaven/pierhaven/internal/replication"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 	"github.com/pierhaven/pierhaven/internal/zonestate"
 )
 
@@ -41,7 +42,7 @@
 type Controller struct {
 	settings Settings
 	logger   logr.Logger
-	started  time.Time
+	uptime   func() time.Duration
 
 	client           *rpc.Client
 	membershipClient *rpc.Client
@@ -74,7 +75,7 @@
 	c := &Controller{
 		settings:      settings,
 		logger:        settings.Logger.WithName("controller"),
-		started:       time.Now(),
+		uptime:        uptime.Since(uptime.Now),
 		watches:       semaphore.NewWeighted(int64(settings.MaximumWatches)),
 		directory:     newDirectory(settings),
 		zoneMachine:   newZoneMachine(),
@@ -139,8 +140,8 @@
 	return []*replication.Group{c.zone, c.config}
 }
 
-// now is the time on the process's monotonic clock.
-func (c *Controller) now() time.Duration { return time.Since(c.started) }
+// now is the time since the process began, with what the machine was suspended.
+func (c *Controller) now() time.Duration { return c.uptime() }
 
 // currentTerm is the present time of leading the zone group, nil if there is
 // none.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 	"github.com/pierhaven/pierhaven/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 	demand    *demandTable
 	reported  *demandTable
 	freshness freshness
-	started   time.Time
+	clock     func() time.Duration
 	members   memberWatch
 	placement *placementService
 	usage     *usageState
@@ -59,7 +60,10 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
 	}
-	started := time.Now()
+	if settings.Now == nil {
+		settings.Now = uptime.Now
+	}
+	clock := uptime.Since(settings.Now)
 	transport, err := replication.NewTransport(client, settings.Address, transportTimeout, settings.Logger)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
@@ -69,13 +73,13 @@
 		logger:    settings.Logger,
 		client:    client,
 		transport: transport,
-		machine:   newMachine(func() time.Duration { return time.Since(started) }),
+		machine:   newMachine(clock),
 		gateways:  newGatewayList(),
 		demand:    newDemandTable(),
 		reported:  newDemandTable(),
-		started:   started,
+		clock:     clock,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
-		usage:     newUsageState(),
+		usage:     newUsageState(uptime.SuspendedBy(settings.Now)),
 	}
 	c.group, err = replication.OpenPatiently(replication.Options{
 		Name:             groupName,
@@ -102,8 +106,8 @@
 	return c, nil
 }
 
-// now is the time on the process's monotonic clock.
-func (c *Coordinator) now() time.Duration { return time.Since(c.started) }
+// now is the time since the process began, with what the machine was suspended.
+func (c *Coordinator) now() time.Duration { return c.clock() }
 
 // Run works until the context ends. It hands leadership over before it returns.
 func (c *Coordinator) Run(ctx context.Context) error {
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
 // jsonCodec reads configurations as Go writes them.
@@ -254,6 +256,38 @@
 	}
 }
 
+// A coordinator whose machine was suspended must not pass its copy off as fresh: what others have
+// acknowledged meanwhile is not in it.
+func TestACopyAgesWhileTheMachineIsSuspended(t *testing.T) {
+	var suspended atomic.Int64
+	g := newGroupWith(t, func(settings *coordinator.Settings) {
+		settings.Now = func() time.Duration { return uptime.Now() + time.Duration(suspended.Load()) }
+	})
+	g.replace(g.addresses[0], 3)
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	view := func(address string) (region.View, error) {
+		var view region.View
+		err := client.Call(context.Background(), address, region.PathView, &region.ViewRequest{Address: "127.0.0.1:2"}, &view)
+		return view, err
+	}
+	eventually(t, func(context.Context) error {
+		shown, err := view(g.addresses[0])
+		if err == nil && shown.AgeMillis < 0 {
+			err = errors.New("not confirmed yet")
+		}
+		return err
+	})
+	// Alone, it is confirmed by nobody.
+	g.stop(g.addresses[1])
+	g.stop(g.addresses[2])
+	suspended.Store(int64(time.Minute))
+	shown, err := view(g.addresses[0])
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, shown.AgeMillis, time.Minute.Milliseconds())
+}
+
 func init() { hlog.SetLevel(hlog.LevelError) }
 
 func TestAReplicaWithoutAnIdentityIsNotTakenIn(t *testing.T) {
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -62,6 +62,8 @@
 	// Hold for how long a request is held under which replicas have ended.
 	Contact time.Duration
 	Hold    time.Duration
+	// Now is the time on a clock that goes on while the machine is suspended; nil for uptime.Now.
+	Now func() time.Duration
 	// ListInterval is the time between two polls of the list.
 	ListInterval time.Duration
 	// Metrics is the process's registry; nil keeps none.
--- a/internal/coordinator/usage.go
+++ b/internal/coordinator/usage.go
@@ -72,8 +72,13 @@
 	toldRevision uint64
 }
 
-func newUsageState() *usageState {
-	return &usageState{clock: regionclock.New(), own: regionclock.NewSamples(), all: regionclock.NewSamples(), book: usage.NewBook()}
+func newUsageState(suspended func() time.Duration) *usageState {
+	return &usageState{
+		clock: regionclock.New(suspended),
+		own:   regionclock.NewSamples(suspended),
+		all:   regionclock.NewSamples(suspended),
+		book:  usage.NewBook(),
+	}
 }
 
 // takeUsage notes what a gateway has counted.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/pierhaven/pierhaven/internal/session"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/upstream"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
 // Conditions of readiness, as the health pages name them.
@@ -46,7 +47,7 @@
 	logger   logr.Logger
 	health   *telemetry.Health
 	metrics  *telemetry.Metrics
-	started  time.Time
+	uptime   func() time.Duration
 
 	fleet     *fleet.Fleet
 	scheduler *scheduler.Scheduler
@@ -89,7 +90,7 @@
 		settings:   settings,
 		health:     telemetry.NewHealth(conditionSession, conditionConfiguration),
 		metrics:    telemetry.NewMetrics("gateway"),
-		started:    time.Now(),
+		uptime:     uptime.Since(uptime.Now),
 		doors:      newDoors(settings.Limits.MaximumRequests),
 		collecting: newDoors(settings.Limits.MaximumRequests),
 	}
@@ -272,9 +273,9 @@
 // maximumIdlePerEngine bounds the unused connections kept to one engine.
 const maximumIdlePerEngine = 64
 
-// clock is the time on the process's monotonic clock. It starts above zero,
+// clock is the time since the process began, with what the machine was suspended. It starts above zero,
 // because zero means "never" in deadlines.
-func (g *Gateway) clock() time.Duration { return time.Since(g.started) + time.Nanosecond }
+func (g *Gateway) clock() time.Duration { return g.uptime() + time.Nanosecond }
 
 // Address is where callers are served, with the port that was chosen.
 func (g *Gateway) Address() string { return g.callers.listener.Addr().String() }
--- a/internal/regionclock/clock_test.go
+++ b/internal/regionclock/clock_test.go
@@ -10,8 +10,27 @@
 	"github.com/pierhaven/pierhaven/internal/regionclock"
 )
 
+// never is how long a machine was suspended that never was.
+func never() time.Duration { return 0 }
+
+func TestAClockAndItsSamplesGoOnWhileTheMachineIsSuspended(t *testing.T) {
+	var suspended time.Duration
+	clock := regionclock.New(func() time.Duration { return suspended })
+	samples := regionclock.NewSamples(func() time.Duration { return suspended })
+	at, region := time.Now(), time.Unix(1_000_000, 0)
+	clock.Set(at, region)
+	samples.Take("other", region.UnixNano())
+	suspended = 3 * time.Second
+	assert.Equal(t, region.Add(3*time.Second), clock.At(at))
+	assert.GreaterOrEqual(t, samples.Read()[0], region.Add(3*time.Second).UnixNano())
+	clock.Set(at, region)
+	assert.Equal(t, region, clock.At(at), "set again after it")
+	suspended = 9 * time.Second
+	assert.Empty(t, samples.Read(), "too long ago")
+}
+
 func TestAClockGoesOnFromWhatItWasSetTo(t *testing.T) {
-	clock := regionclock.New()
+	clock := regionclock.New(never)
 	at := time.Now()
 	region := time.Unix(1_000_000, 0)
 	clock.Set(at, region)
@@ -37,7 +56,7 @@
 }
 
 func TestSamplesAreReadAsOfNow(t *testing.T) {
-	samples := regionclock.NewSamples()
+	samples := regionclock.NewSamples(never)
 	samples.Take("none", 0)
 	assert.Empty(t, samples.Read(), "a machine that tells no time")
 	wall := time.Now().UnixNano()
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/upstream"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 	"github.com/pierhaven/pierhaven/internal/usage"
 )
 
@@ -47,7 +48,12 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
 	}
+	if settings.Now == nil {
+		settings.Now = uptime.Now
+	}
+	suspended := uptime.SuspendedBy(settings.Now)
 	started := time.Now()
+	// Estimates of load go by the steady clock, which costs no system call.
 	clock := func() time.Duration { return time.Since(started) }
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes})
 	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
@@ -64,14 +70,15 @@
 		Socket:            socket,
 	})
 	asker := placement.NewClient(settings.Name, life, directory, socket, settings.Logger)
-	evidence := newEvidence(settings, client, clock)
-	counted := &countedUsage{life: life, clock: regionclock.New(), ledger: usage.NewLedger(settings.UsageWindow)}
+	evidence := newEvidence(settings, client)
+	counted := &countedUsage{life: life, clock: regionclock.New(suspended), ledger: usage.NewLedger(settings.UsageWindow)}
 	keeper := newViewKeeper(settings, client, directory, budgets, &deciders{peers: peers, asker: asker}, counted)
 	keeper.evidence, evidence.keeper = evidence, keeper
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.AskPlacements(asker.Remote())
 	runner.CountBegun(counted.begun)
 	runner.GuardWith(evidence.guard)
+	runner.CountSuspensions(suspended)
 	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
--- a/internal/relay/daemon/evidence.go
+++ b/internal/relay/daemon/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -11,6 +10,7 @@
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
 // evidence tells coordinators under which requests replicas have ended, and learns which are held.
@@ -23,7 +23,7 @@
 	dropped atomic.Int64
 }
 
-func newEvidence(settings Settings, client *rpc.Client, clock func() time.Duration) *evidence {
+func newEvidence(settings Settings, client *rpc.Client) *evidence {
 	if settings.Contact == 0 {
 		settings.Contact = coordinator.DefaultContact
 	}
@@ -33,7 +33,7 @@
 	e := &evidence{client: client}
 	logger := settings.Logger
 	e.guard = poison.NewGuard(poison.Options{
-		Now:     clock,
+		Now:     uptime.Since(settings.Now),
 		InTouch: func() bool { return e.inTouch() },
 		Contact: settings.Contact,
 		Memory:  settings.Hold,
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -33,6 +33,8 @@
 	// KeyMemory is how old the view may be by which API keys are still accepted; 0 sets no
 	// bound, so that a gateway which is cut off serves the keys that it knows.
 	KeyMemory time.Duration
+	// Now is the time on a clock that goes on while the machine is suspended; nil for uptime.Now.
+	Now func() time.Duration
 	// Contact is how long processes that reach each other may take to know what one knows, and
 	// Hold for how long evidence against a request counts.
 	Contact time.Duration
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -18,6 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
 // viewKeeper keeps the gateway's view of the region. What it shows only moves
@@ -31,7 +32,7 @@
 	deciders  *deciders
 	usage     *countedUsage
 	evidence  *evidence
-	started   time.Time
+	clock     func() time.Duration
 	// asked is the coordinator that is polled.
 	asked atomic.Pointer[string]
 
@@ -64,14 +65,16 @@
 		budgets:   budgets,
 		deciders:  deciders,
 		usage:     usage,
-		started:   time.Now(),
+		clock:     uptime.Since(settings.Now),
 		zones:     map[string]string{},
 
 		configured: make(chan struct{}),
 	}
 }
 
-func (k *viewKeeper) now() time.Duration { return time.Since(k.started) }
+// now is the time since the process began, with what the machine was suspended: a view ages
+// meanwhile.
+func (k *viewKeeper) now() time.Duration { return k.clock() }
 
 // Table returns the configuration in force, nil if none is known yet.
 func (k *viewKeeper) Table() *traffic.Table { return k.table.Load() }
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
+	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
 // fixedCodec reads any document as the same configuration.
@@ -23,7 +24,7 @@
 
 func newTestKeeper() *viewKeeper {
 	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logr.Discard())
-	return newViewKeeper(Settings{Codec: fixedCodec{}, Logger: logr.Discard()}, nil, directory, nil, nil, nil)
+	return newViewKeeper(Settings{Codec: fixedCodec{}, Logger: logr.Discard(), Now: uptime.Now}, nil, directory, nil, nil, nil)
 }
 
 func TestARequestThatComesBeforeTheFirstConfigurationIsHeldForIt(t *testing.T) {
@@ -45,3 +46,21 @@
 	assert.Equal(t, firstTableWait, firstTableHold(time.Minute))
 	assert.Equal(t, 300*time.Millisecond, firstTableHold(900*time.Millisecond))
 }
+
+// A machine that was suspended is told nothing meanwhile: its view is as old as the suspension was
+// long, though the steady clock has stood still.
+func TestAViewAgesWhileTheMachineIsSuspended(t *testing.T) {
+	var suspended time.Duration
+	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logr.Discard())
+	budgets := relay.NewBudgets(func() time.Duration { return 0 }, relay.BudgetTerms{Window: time.Second}, 1)
+	asked := &deciders{peers: newDeciders().peers, asker: newDeciders().asker}
+	settings := Settings{Codec: fixedCodec{}, Logger: logr.Discard(), Now: func() time.Duration { return uptime.Now() + suspended }}
+	keeper := newViewKeeper(settings, nil, directory, budgets, asked, nil)
+	assert.NoError(t, keeper.take("coordinator", &region.View{AgeMillis: 10, Gateways: 1}))
+	age, known := keeper.age()
+	assert.True(t, known)
+	assert.Less(t, age, staleAge)
+	suspended = 5 * time.Second
+	age, _ = keeper.age()
+	assert.GreaterOrEqual(t, age, 5*time.Second)
+}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -70,7 +70,7 @@
 		Objective: objective,
 		TargetGap: r.call.Route.TargetGap,
 		AimLeft:   time.Until(r.call.Arrived.Add(objective)),
-		Left:      time.Until(r.deadline),
+		Left:      r.left(),
 		Zone:      r.directory.zone,
 		Excluded:  r.tried,
 	}
@@ -134,7 +134,7 @@
 // prompt is taken from it. What is late already is left where it is.
 func (r *run) stallBound(placed *placedReading) time.Duration {
 	if placed.urgency == Late {
-		return time.Until(r.deadline)
+		return r.left()
 	}
 	return r.call.objective() + slowReading*placed.whole
 }
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -29,6 +29,8 @@
 	// begun is told of each request of a tenant that begins to run, once, and when.
 	begun func(tenant string, at time.Time)
 	ends  *poison.EndWatch
+	// suspended is for how long the machine was suspended since some moment.
+	suspended func() time.Duration
 	// guard knows the requests that must be sent to no replica.
 	guard *poison.Guard
 }
@@ -44,6 +46,7 @@
 		metrics:   metrics,
 		logger:    logger,
 		begun:     func(string, time.Time) {},
+		suspended: func() time.Duration { return 0 },
 	}
 	runner.ends = poison.NewLoggedWatch(upstream.Refuses, logger)
 	return runner
@@ -60,6 +63,11 @@
 	r.ends = poison.NewGuardedWatch(guard, upstream.Refuses, r.logger)
 }
 
+// CountSuspensions has the machine's suspensions counted into the time that calls have taken: the
+// steady clock, by which their deadlines are kept, stands still meanwhile, and replicas would be told
+// of more time than their callers have left. It is called before any use.
+func (r *Runner) CountSuspensions(suspended func() time.Duration) { r.suspended = suspended }
+
 // AskPlacements has a coordinator asked for replicas. It is called before any use.
 func (r *Runner) AskPlacements(remote *RemotePlacement) { r.placer.Remote = remote }
 
@@ -86,6 +94,8 @@
 	call      *Call
 	responder Responder
 	deadline  time.Time
+	// suspendedBefore is Runner.suspended when the call arrived.
+	suspendedBefore time.Duration
 	// attempts are the sends that a replica may have run; sends are all.
 	attempts int
 	sends    int
@@ -148,7 +158,7 @@
 
 // Run serves a call until the caller has its answer or is gone.
 func (r *Runner) Run(ctx context.Context, call *Call, responder Responder) {
-	state := &run{Runner: r, call: call, responder: responder, deadline: call.deadline()}
+	state := &run{Runner: r, call: call, responder: responder, deadline: call.deadline(), suspendedBefore: r.suspended()}
 	r.budgets.Request(call.Service.Name)
 	bounded, cancel := context.WithDeadlineCause(ctx, state.deadline, errDeadline)
 	defer cancel()
@@ -171,6 +181,11 @@
 		"longest_pause_ms", state.longestPause().Milliseconds(), "after_ms", time.Since(call.Arrived).Milliseconds())
 }
 
+// left is the time that the caller has left.
+func (r *run) left() time.Duration {
+	return time.Until(r.deadline) - (r.suspended() - r.suspendedBefore)
+}
+
 // eventCount is the number of event batches handed on.
 func (r *run) eventCount() int {
 	if r.stream == nil {
@@ -238,7 +253,7 @@
 	if r.isHeld() {
 		return failure.New(failure.RequestHeld, "replicas have ended under this request")
 	}
-	if time.Until(r.deadline) < minimumLeft {
+	if r.left() < minimumLeft {
 		return failure.Wrap(errDeadline, failure.DeadlineExceeded)
 	}
 	if r.moved != nil {
@@ -330,7 +345,7 @@
 func (r *run) request(replica *Replica, send Send) *upstream.Request {
 	send.Instance = replica.ID
 	send.Tenant = r.call.Tenant
-	send.Left = time.Until(r.deadline)
+	send.Left = r.left()
 	request := &upstream.Request{
 		Address:  replica.Address,
 		Instance: replica.ID,
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -539,3 +540,25 @@
 	})
 	assert.Equal(t, text(1, 2), w.run(modelCall(8000, "own")).body.String())
 }
+
+// A replica is told of no more time than the caller has left, though the steady clock stood still
+// while the machine was suspended between two sends.
+func TestTheTimeOfACallGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	w := newWorld(t)
+	var suspended atomic.Int64
+	w.runner.CountSuspensions(func() time.Duration { return time.Duration(suspended.Load()) })
+	var lefts []int
+	handler := func(writer http.ResponseWriter, request *http.Request) {
+		left, err := strconv.Atoi(request.Header.Get("Left"))
+		assert.NoError(t, err)
+		lefts = append(lefts, left)
+		suspended.Store(int64(15 * time.Second))
+		dropping(writer, request)
+	}
+	w.add("a", "", handler)
+	w.add("b", "", handler)
+	w.run(callOf(traffic.KindRepeatable, 2))
+	require.Len(t, lefts, 2)
+	assert.Greater(t, lefts[0], 15_000)
+	assert.LessOrEqual(t, lefts[1], 5_000)
+}
