--- a/bench/simulation/faults.go
+++ b/bench/simulation/faults.go
@@ -66,6 +66,29 @@
 	f.begin(p.name, "paused", lasts, p.resume)
 }
 
+func suspendController(f *faultInjector) {
+	f.suspend(&pick(f.world, f.world.controllers).process, f.lasting(mediumFault))
+}
+
+func suspendLeader(f *faultInjector) {
+	if leader := pick(f.world, f.world.groups).leader(); leader != nil {
+		f.suspend(&leader.owner.process, f.lasting(mediumFault))
+	}
+}
+
+func suspendGateway(f *faultInjector) {
+	f.suspend(&pick(f.world, f.world.gateways).process, f.lasting(mediumFault))
+}
+
+// suspend stops a machine for a time that its steady clock does not count.
+func (f *faultInjector) suspend(p *process, lasts time.Duration) {
+	if !p.alive || p.paused {
+		return
+	}
+	p.suspend()
+	f.begin(p.name, "suspended", lasts, p.resume)
+}
+
 // isolateController cuts a controller off from everyone.
 func isolateController(f *faultInjector) {
 	c := pick(f.world, f.world.controllers)
--- a/bench/simulation/plant.go
+++ b/bench/simulation/plant.go
@@ -47,6 +47,8 @@
 	// PlantStaleRenewal: leases are renewed although the gateway has an old
 	// view.
 	PlantStaleRenewal Plant = "stale-renewal"
+	// PlantSteadyClock: processes go by a clock that does not count suspensions.
+	PlantSteadyClock Plant = "steady-clock"
 )
 
 // planted describes a plant: the scenario that brings it out, and the rules
@@ -71,6 +73,7 @@
 	{PlantDispatchToLeaving, "leaving", []Rule{Rule(truth.DispatchedToLeaving)}},
 	{PlantLocalRead, "racing-operators", []Rule{ruleLinearizable}},
 	{PlantStaleRenewal, "isolated-gateways", []Rule{ruleChangedInUse}},
+	{PlantSteadyClock, "suspensions", []Rule{ruleChangedInUse, Rule(truth.DispatchedToLeaving)}},
 }
 
 // segmentBytes keeps one segment when syncs lie, because a torn write in an
--- a/bench/simulation/process.go
+++ b/bench/simulation/process.go
@@ -20,6 +20,11 @@
 	// since then, as it runs for this machine.
 	startedAt time.Duration
 	clockRate float64
+	// suspendedAt is when the machine was suspended, while it is; suspended is for how long it was in
+	// all. Timers stand still meanwhile, and the clock goes on.
+	suspendedAt time.Duration
+	isSuspended bool
+	suspended   time.Duration
 	// wallOffset is the error of the machine's wall clock.
 	wallOffset time.Duration
 	// connections are the peers' ends of open connections.
@@ -60,6 +65,7 @@
 	p.life++
 	p.alive = true
 	p.paused = false
+	p.isSuspended, p.suspended = false, 0
 	p.startedAt = p.world.now
 	p.world.note(p.name, "started, life %d", p.life)
 }
@@ -106,7 +112,11 @@
 
 // now is the process's monotonic clock; it never shows zero.
 func (p *process) now() time.Duration {
-	return time.Nanosecond + time.Duration(float64(p.world.now-p.startedAt)*p.clockRate)
+	passed := p.world.now - p.startedAt
+	if p.world.plant == PlantSteadyClock {
+		passed -= p.suspended
+	}
+	return time.Nanosecond + time.Duration(float64(passed)*p.clockRate)
 }
 
 // wallMillis is the machine's wall clock.
@@ -129,8 +139,33 @@
 
 // after is a timer on the process's own clock.
 func (p *process) after(delay time.Duration, action func()) {
-	life := p.life
-	p.world.after(time.Duration(float64(delay)/p.clockRate), func() { p.run(life, action) })
+	p.afterTrue(p.life, time.Duration(float64(delay)/p.clockRate), action)
+}
+
+// afterTrue runs an action after a time, and as much later as the machine is suspended meanwhile.
+func (p *process) afterTrue(life int, delay time.Duration, action func()) {
+	before := p.suspended
+	p.world.after(delay, func() {
+		switch {
+		case p.life != life || !p.alive:
+		case p.isSuspended:
+			left := p.world.now - p.suspendedAt
+			p.backlog = append(p.backlog, func() { p.afterTrue(life, left, action) })
+		case p.suspended > before:
+			p.afterTrue(life, p.suspended-before, action)
+		default:
+			p.run(life, action)
+		}
+	})
+}
+
+// suspend stops the machine, its timers included.
+func (p *process) suspend() {
+	if !p.alive || p.paused {
+		return
+	}
+	p.pause()
+	p.isSuspended, p.suspendedAt = true, p.world.now
 }
 
 func (p *process) pause() {
@@ -147,6 +182,10 @@
 		return
 	}
 	p.paused = false
+	if p.isSuspended {
+		p.isSuspended = false
+		p.suspended += p.world.now - p.suspendedAt
+	}
 	p.world.note(p.name, "resumed with %d waiting", len(p.backlog))
 	backlog := p.backlog
 	p.backlog = nil
--- a/bench/simulation/scenarios.go
+++ b/bench/simulation/scenarios.go
@@ -111,6 +111,11 @@
 			f.every(2*time.Second, pauseGateway)
 			f.every(2*time.Second, wishRoles)
 		}),
+		usual("suspensions", "machines suspended for seconds that their steady clocks do not count", oneZone, func(f *faultInjector) {
+			operate(f)
+			f.every(2*time.Second, suspendGateway, suspendGateway, suspendController, suspendLeader)
+			f.every(2*time.Second, wishRoles)
+		}),
 		usual("isolated-gateways", "gateways cut off from their controllers during changes", oneZone, func(f *faultInjector) {
 			operate(f)
 			f.every(5*time.Second, isolateGateway, killLeader)
@@ -176,7 +181,7 @@
 	return usual("mixture", "all faults together, twice and at any moment", threeZones, func(f *faultInjector) {
 		operate(f)
 		f.every(1500*time.Millisecond,
-			killController, killLeader, killAllControllers, pauseController, pauseLeader,
+			killController, killLeader, killAllControllers, pauseController, pauseLeader, suspendController, suspendLeader, suspendGateway,
 			isolateController, isolateLeaderFromPeers, cutControllerOneWay, cutZone,
 			killGateway, stopGateway, pauseGateway, isolateGateway, cutGatewayFromBackEnds,
 			killEngine, crashChangingEngine, pauseEngine, killBackEnd, pauseBackEnd, crossAnswers,
