--- a/bench/simulation/enginestream.go
+++ b/bench/simulation/enginestream.go
@@ -62,6 +62,9 @@
 
 // submit takes an attempt that has arrived.
 func (e *engine) submit(from *process, call *engineCall) {
+	if e.endUnder(from, call) {
+		return
+	}
 	answers := e.world.newStream(&e.process, from)
 	open := &engineStream{stream: answers, attemptID: call.request.AttemptID}
 	open.receive = func(event *engineapi.StreamEvent) {
--- a/bench/simulation/gateway.go
+++ b/bench/simulation/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/fleet"
 	"github.com/pierhaven/pierhaven/internal/gateway/scheduler"
+	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/retry"
 	"github.com/pierhaven/pierhaven/internal/routing"
 	"github.com/pierhaven/pierhaven/internal/session"
@@ -38,6 +39,9 @@
 	// firstConfig is what a planted fault goes back to at each restart.
 	firstConfig uint64
 	peerTurn    int
+	guard       *poison.Guard
+	// touchSince is the virtual time since when the gateway has a lease, 0 if it has none.
+	touchSince time.Duration
 }
 
 const (
@@ -83,6 +87,8 @@
 	g.leaving = false
 	g.withheld = fleet.NewWithheld(moveAfter)
 	g.plantRevertedConfig()
+	g.guard, g.touchSince = g.newGuard(), 0
+	g.lookAtPoison()
 	g.keepSession()
 	g.watchEngines()
 	g.tickQueues()
--- a/bench/simulation/gatewaysession.go
+++ b/bench/simulation/gatewaysession.go
@@ -42,6 +42,7 @@
 			})
 	case call.Heartbeat != nil:
 		g.scheduler.Report(call.Heartbeat)
+		call.Heartbeat.PoisonRevision = g.guard.Revision()
 		g.caller.call(call.Timeout, func(c *controller, e *exchange) { c.heartbeat(e, call.Heartbeat) },
 			func(reply any, err *callError) {
 				if err != nil {
@@ -49,6 +50,7 @@
 					return
 				}
 				answered := reply.(*wire.HeartbeatReply)
+				g.guard.Take(answered.Poison)
 				g.feed(func() { g.session.HeartbeatAnswered(g.now(), call.Number, answered) })
 			})
 	case call.Watch != nil:
--- a/bench/simulation/handlers.go
+++ b/bench/simulation/handlers.go
@@ -133,6 +133,8 @@
 			e.refuse(c.notLeading())
 		default:
 			reply := t.core.AnswerHeartbeat(request, c.zoneState)
+			known := c.zoneState.Poison()
+			reply.Poison = known.NewsSince(request.PoisonRevision)
 			c.plantHeartbeat(&reply)
 			e.reply(&reply)
 		}
--- a/bench/simulation/modelattempt.go
+++ b/bench/simulation/modelattempt.go
@@ -98,6 +98,7 @@
 	}
 	g.scheduler.AttemptEnded(current.engine.ID, current.id, ended)
 	if outcome.handedOver && !outcome.refused {
+		r.engineLost(current.engine.ID, current.engine.Address)
 		g.tellCancelled(current, cancelAttempts)
 	}
 	r.input(func() []request.Output {
--- a/bench/simulation/modelrun.go
+++ b/bench/simulation/modelrun.go
@@ -37,6 +37,8 @@
 	pending   []func() []request.Output
 	acting    bool
 	timer     int
+	// lost says that a connection to an engine has broken under the call.
+	lost bool
 }
 
 // modelAttempt is the attempt that the machine waits for.
@@ -129,6 +131,8 @@
 		r.cancel(asked)
 	case request.Finish:
 		r.gateway.scheduler.Answered(r.entry, asked.Usage.OutputTokens, r.gateway.now()-r.begun, false)
+		r.gateway.guard.RanWell(&r.asked, r.lost)
+		r.gateway.tellPoison()
 		r.answer.finish()
 	case request.Refuse:
 		r.answer.fail(&callError{kind: asked.Kind, ran: asked.Ran, answered: true, detail: asked.Detail})
@@ -136,6 +140,10 @@
 }
 
 func (r *modelRun) pick(asked request.Pick) {
+	if refusal := r.refusalIfHeld(); refusal != nil {
+		r.rejected(refusal)
+		return
+	}
 	if r.admitted {
 		r.placed(r.gateway.scheduler.Select(r.entry, asked))
 		return
--- a/bench/simulation/plant.go
+++ b/bench/simulation/plant.go
@@ -47,6 +47,8 @@
 	// PlantStaleRenewal: leases are renewed although the gateway has an old
 	// view.
 	PlantStaleRenewal Plant = "stale-renewal"
+	// PlantNothingHeld: gateways send on what has ended engines.
+	PlantNothingHeld Plant = "nothing-held"
 	// PlantSteadyClock: processes go by a clock that does not count suspensions.
 	PlantSteadyClock Plant = "steady-clock"
 )
@@ -73,6 +75,7 @@
 	{PlantDispatchToLeaving, "leaving", []Rule{Rule(truth.DispatchedToLeaving)}},
 	{PlantLocalRead, "racing-operators", []Rule{ruleLinearizable}},
 	{PlantStaleRenewal, "isolated-gateways", []Rule{ruleChangedInUse}},
+	{PlantNothingHeld, "ending-requests", []Rule{ruleEnding}},
 	{PlantSteadyClock, "suspensions", []Rule{ruleChangedInUse, Rule(truth.DispatchedToLeaving)}},
 }
 
--- a/bench/simulation/rules.go
+++ b/bench/simulation/rules.go
@@ -38,6 +38,8 @@
 	// ruleLiveness: after the faults have ended everything is brought to its
 	// end in bounded time.
 	ruleLiveness Rule = "not_settled"
+	// ruleEnding: a prompt that has ended three engines reaches few more.
+	ruleEnding Rule = "ends_engines"
 	// ruleInternal: something that can't happen has happened.
 	ruleInternal Rule = "internal"
 )
@@ -69,6 +71,8 @@
 	obeyed    []obeyedOrder
 	claims    *claimHistory
 	documents *documentHistory
+	// poisoned are the prompts that end engines.
+	poisoned map[string]*poisoned
 }
 
 // obeyedOrder is an order that an engine has begun to carry out.
--- a/bench/simulation/scenarios.go
+++ b/bench/simulation/scenarios.go
@@ -111,6 +111,11 @@
 			f.every(2*time.Second, pauseGateway)
 			f.every(2*time.Second, wishRoles)
 		}),
+		usual("ending-requests", "prompts that end the engines which run them", threeZones, func(f *faultInjector) {
+			operate(f)
+			endsEngines(f)
+			f.every(4*time.Second, killGateway, killLeader, pauseGateway, suspendGateway, isolateGateway)
+		}),
 		usual("suspensions", "machines suspended for seconds that their steady clocks do not count", oneZone, func(f *faultInjector) {
 			operate(f)
 			f.every(2*time.Second, suspendGateway, suspendGateway, suspendController, suspendLeader)
--- a/bench/simulation/term.go
+++ b/bench/simulation/term.go
@@ -25,6 +25,11 @@
 	offered *dynamic.Snapshot
 	// guessed are the orders that a planted fault sends before their commit.
 	guessed map[string]bool
+	// holding says that a hold is being proposed.
+	holding bool
+	// told are the holds that other zones were told of, and telling the zones that are being told.
+	told    map[toldHold]bool
+	telling map[string]bool
 }
 
 const (
@@ -77,7 +82,7 @@
 	if c.term != nil {
 		c.endTerm(c.term)
 	}
-	t := &term{owner: c, number: number, core: reconcile.New(c.now(), c.reconcileConfig()), guessed: map[string]bool{}}
+	t := &term{owner: c, number: number, core: reconcile.New(c.now(), c.reconcileConfig()), guessed: map[string]bool{}, told: map[toldHold]bool{}, telling: map[string]bool{}}
 	c.term = t
 	c.world.note(c.name, "begins term %d of %s", number, c.zone)
 	t.offerOwn()
@@ -139,6 +144,8 @@
 	for _, order := range outputs.Orders {
 		t.sendOrder(order)
 	}
+	t.holdPoison()
+	t.tellHolds()
 	t.nextTick = 0
 	t.scheduleTick(c.world.timing.leaderTick)
 }
--- a/bench/simulation/world.go
+++ b/bench/simulation/world.go
@@ -18,6 +18,8 @@
 
 // world is one deployment in virtual time.
 type world struct {
+	// injector notes the ends of engines under prompts as faults.
+	injector *faultInjector
 	seed     uint64
 	scenario *scenario
 	timing   timing
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -68,6 +68,11 @@
 	running.Go(c.guard(func() { c.watchMachines(ctx, t) }))
 	running.Go(c.guard(func() { c.plan(ctx, t) }))
 	running.Go(c.guard(func() { c.keepPoison(ctx) }))
+	for _, zone := range c.settings.Zones {
+		if zone != c.settings.Zone {
+			running.Go(c.guard(func() { c.tellHolds(ctx, zone) }))
+		}
+	}
 	c.tickUntilDone(ctx, t)
 }
 
--- a/internal/controller/peer/peer.go
+++ b/internal/controller/peer/peer.go
@@ -21,6 +21,7 @@
 	PathMembership   = "/internal/v1/group/membership"
 	PathDocuments    = "/internal/v1/config/documents"
 	PathZoneReport   = "/internal/v1/zone/report"
+	PathZoneHolds    = "/internal/v1/zone/holds"
 	PathEngineChange = "/internal/v1/zone/engine"
 )
 
--- a/internal/controller/poison.go
+++ b/internal/controller/poison.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
@@ -93,22 +96,91 @@
 	}
 }
 
+// tellInterval is the pause between two looks for something to tell another zone, and
+// maximumTold bounds the digests of one call.
+const (
+	tellInterval = 100 * time.Millisecond
+	maximumTold  = 256
+)
+
+// tellHolds tells another zone's leader of the requests that this zone holds, each until it has
+// taken it: requests go from zone to zone, and each zone would have to lose engines to learn of them.
+func (c *Controller) tellHolds(ctx context.Context, zone string) {
+	told := map[poison.Digest]bool{}
+	for lifecycle.Sleep(ctx, tellInterval) {
+		known := c.poisonState()
+		untold := slices.DeleteFunc(known.HeldDigests(), func(digest poison.Digest) bool { return told[digest] })
+		if len(untold) == 0 {
+			continue
+		}
+		untold = untold[:min(len(untold), maximumTold)]
+		if err := c.callHolds(ctx, zone, &poison.Command{HeldElsewhere: untold}); err != nil {
+			c.logger.V(1).Info("holds not told", "zone", zone, "holds", len(untold), "error", err.Error())
+			continue
+		}
+		for _, digest := range untold {
+			told[digest] = true
+		}
+	}
+}
+
+// callHolds tells another zone's leader of holds and releases.
+func (c *Controller) callHolds(ctx context.Context, zone string, command *poison.Command) error {
+	call, err := c.zoneLeaderCall(zone, func(ctx context.Context, address string) error {
+		return c.client.Call(ctx, address, peer.PathZoneHolds, command, &peer.Empty{})
+	})
+	if err != nil {
+		return err
+	}
+	return call.run(ctx)
+}
+
+// handleZoneHolds takes what another zone holds or has let go, at the leader.
+func (c *Controller) handleZoneHolds(ctx context.Context, told *poison.Command) (*peer.Empty, error) {
+	if c.currentTerm() == nil {
+		return nil, c.notLeading()
+	}
+	known := c.poisonState()
+	command := &poison.Command{
+		HeldElsewhere: slices.DeleteFunc(slices.Clone(told.HeldElsewhere), known.Holds),
+		Release:       slices.DeleteFunc(slices.Clone(told.Release), func(digest poison.Digest) bool { return !known.Holds(digest) }),
+	}
+	if len(command.HeldElsewhere)+len(command.Release) == 0 {
+		return &peer.Empty{}, nil
+	}
+	return &peer.Empty{}, c.commitPoison(ctx, command)
+}
+
 // HeldRequests implements operatorapi.Backend. A controller that does not lead may lack the newest.
 func (c *Controller) HeldRequests(context.Context) ([]poison.Held, error) {
 	known := c.poisonState()
 	return known.Held(), nil
 }
 
-// ReleaseRequest implements operatorapi.Backend.
+// ReleaseRequest implements operatorapi.Backend: it lets a request go in all zones. An error says
+// that a zone may still hold it; it may be repeated.
 func (c *Controller) ReleaseRequest(ctx context.Context, digest poison.Digest) error {
 	if c.currentTerm() == nil {
 		return c.notLeading()
 	}
 	known := c.poisonState()
-	if !known.Holds(digest) {
+	release := &poison.Command{Release: []poison.Digest{digest}}
+	problems := make([]error, 0, len(c.settings.Zones))
+	for _, zone := range c.settings.Zones {
+		if zone != c.settings.Zone {
+			problems = append(problems, c.callHolds(ctx, zone, release))
+		}
+	}
+	if known.Holds(digest) {
+		problems = append(problems, c.commitPoison(ctx, release))
+	}
+	err := errors.Join(problems...)
+	c.logger.Info(event.RequestReleased, "digest", digest.String(), "known", known.Holds(digest), "error", failure.Text(err))
+	switch {
+	case err != nil:
+		return failure.Wrap(err, failure.NoQuorum)
+	case !known.Holds(digest):
 		return failure.New(failure.NotFound, "no request with this digest is held")
 	}
-	err := c.commitPoison(ctx, &poison.Command{Release: []poison.Digest{digest}})
-	c.logger.Info(event.RequestReleased, "digest", digest.String(), "error", failure.Text(err))
-	return err
+	return nil
 }
--- a/internal/controller/poison_test.go
+++ b/internal/controller/poison_test.go
@@ -45,8 +45,8 @@
 }
 
 func TestAZoneHoldsARequestThatEndsItsEngines(t *testing.T) {
-	c := startCluster(t, layout{zones: []string{"north"}, controllers: 3, inMemory: true})
-	gateways := []*testGateway{openGateway(c, "north", "g1"), openGateway(c, "north", "g2")}
+	c := startCluster(t, layout{zones: []string{"north", "south"}, controllers: 3, inMemory: true})
+	gateways := []*testGateway{openGateway(c, "north", "g1"), openGateway(c, "north", "g2"), openGateway(c, "south", "g3")}
 	for number, engine := range []string{"e1", "e2", "e3"} {
 		// Both gateways had requests there, one of them the request that has ended it.
 		c.eventually("report", func() error { return gateways[number%2].report(engine, "poison", fmt.Sprint("beside ", number)) })
@@ -68,26 +68,27 @@
 		}
 		return nil
 	}
-	c.eventually("the hold at both gateways", expectHeld)
+	c.eventually("the hold at all gateways, those of the other zone among them", expectHeld)
 	c.leader("north").crash(t)
 	for _, gateway := range gateways {
 		c.eventually("session", gateway.open)
 	}
 	c.eventually("the hold by another leader", expectHeld)
 
-	operators := c.operators()
+	operators := c.operators("north")
 	leader := c.operatorsAt(c.leader("north").settings.OperatorListenAddress)
 	list, err := leader.HeldRequests(context.Background())
 	require.NoError(t, err)
 	require.Len(t, list.Requests, 1)
 	require.Equal(t, endingDigest("poison").String(), list.Requests[0].Digest)
 	c.eventually("release", func() error { return operators.ReleaseRequest(context.Background(), endingDigest("poison")) })
-	c.eventually("nothing held", func() error {
-		held, err := gateways[0].learn()
-		if err == nil && len(held) > 0 {
-			err = errors.New("still held")
+	c.eventually("nothing held in any zone", func() error {
+		for _, gateway := range gateways {
+			if held, err := gateway.learn(); err != nil || len(held) > 0 {
+				return errors.Join(err, errors.New("still held"))
+			}
 		}
-		return err
+		return nil
 	})
 	requireKind(t, failure.NotFound, leader.ReleaseRequest(context.Background(), endingDigest("poison")))
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -65,6 +65,7 @@
 	rpc.Handle(calls, peer.PathZoneReport, c.handleZoneReport)
 	rpc.Handle(calls, peer.PathEngineChange, c.handleEngineChange)
 	rpc.Handle(calls, wire.PathPoison, c.handlePoison)
+	rpc.Handle(calls, peer.PathZoneHolds, c.handleZoneHolds)
 	return engine
 }
 
--- a/internal/gateway/completion/held.go
+++ b/internal/gateway/completion/held.go
@@ -31,13 +31,22 @@
 // It is asked before each attempt: the others may have learned so while one was under way.
 func (r *run) refusalIfHeld() *scheduler.Refusal {
 	guard := r.runner.guard
-	if guard == nil || !guard.Holds(&r.call) {
+	switch {
+	case guard == nil:
+		return nil
+	case guard.Holds(&r.call):
+		r.runner.logger.Info("held request refused", "request", r.call.RequestID, "digest", r.call.Digest().String())
+		return &scheduler.Refusal{Kind: failure.RequestHeld, Detail: "engines have ended under this request"}
+	case r.lost.Load() && !guard.MayRepeat(&r.call):
+		return &scheduler.Refusal{Kind: failure.OutcomeUnknown, Detail: "engines have ended under this request, and it is not known under which of several"}
+	default:
 		return nil
 	}
-	r.runner.logger.Info("held request refused", "request", r.call.RequestID, "digest", r.call.Digest().String())
-	return &scheduler.Refusal{Kind: failure.RequestHeld, Detail: "engines have ended under this request"}
 }
 
+// MayLeave reports whether a call may be passed on to another zone.
+func (r *Runner) MayLeave(call *Call) bool { return r.guard == nil || r.guard.MayLeave(call) }
+
 // engineLost notes that the connection to an engine has broken under an attempt.
 func (r *run) engineLost(asked request.Dispatch, outcome engineclient.Outcome) {
 	if r.runner.watch == nil || outcome.Whole || outcome.Refused || !outcome.HandedOver {
--- a/internal/gateway/handler/completions.go
+++ b/internal/gateway/handler/completions.go
@@ -74,7 +74,12 @@
 	}
 	spilling := &spillAnswer{Answer: answer}
 	h.runHere(ctx, model, spilling)
-	if spilling.held != nil {
+	switch {
+	case spilling.held == nil:
+	case !h.runner.MayLeave(&model):
+		// Another zone would have to lose engines to learn what is known here.
+		middleware.RefuseWith(call, *spilling.held)
+	default:
 		spill(ctx, call, h.forwarder, *spilling.held)
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -48,8 +48,8 @@
 
 	mutex    sync.Mutex
 	revision uint64
-	// entries are those that the coordinators have told, with whether they are held.
-	entries map[Digest]bool
+	// entries are those that the coordinators have told.
+	entries map[Digest]NewsEntry
 	// own is the evidence of this gateway alone, by which it holds requests while it reaches no
 	// coordinator; ownHeld are those, with the time up to which they are held.
 	own      State
@@ -66,6 +66,8 @@
 	targets map[uint32]struct{}
 	held    map[Digest]struct{}
 	watched map[Digest]struct{}
+	// onProbation are those that may be held soon.
+	onProbation map[Digest]struct{}
 }
 
 // NewGuard returns a Guard that knows of nothing.
@@ -73,7 +75,7 @@
 	return &Guard{
 		options: options,
 		wake:    make(chan struct{}, 1),
-		entries: map[Digest]bool{},
+		entries: map[Digest]NewsEntry{},
 		ownHeld: map[Digest]time.Duration{},
 	}
 }
@@ -98,6 +100,34 @@
 	return held
 }
 
+// MayRepeat reports whether a request that has lost a replica may be sent to another one in the
+// same call. One that has ended as many replicas as one that is held, and can't be told from others
+// that were there, is sent once a call: in one call it may end several more before the evidence of
+// the first has arrived.
+func (g *Guard) MayRepeat(request Request) bool {
+	view := g.view.Load()
+	if !view.watches(request) {
+		return true
+	}
+	_, onProbation := view.onProbation[request.Digest()]
+	return !onProbation
+}
+
+// MayLeave reports whether a request may be passed on to others that do not know the evidence that
+// is known here: not if two replicas or more have ended under it.
+func (g *Guard) MayLeave(request Request) bool {
+	view := g.view.Load()
+	if !view.watches(request) {
+		return true
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	digest := request.Digest()
+	_, told := g.entries[digest]
+	own, _ := g.own.Find(digest)
+	return !told && !own.watched()
+}
+
 // watches reports whether something is known of a request's target.
 func (v *guardView) watches(request Request) bool {
 	if v == nil || len(v.targets) == 0 {
@@ -205,7 +235,7 @@
 		clear(g.entries)
 	}
 	for _, entry := range news.Entries {
-		g.entries[entry.Digest] = entry.Held
+		g.entries[entry.Digest] = entry
 		if entry.Held {
 			// The replicas that it has ended are no evidence against requests beside it.
 			g.applyOwn(&Command{Hold: []Digest{entry.Digest}})
@@ -262,19 +292,29 @@
 
 // refresh shows the present state. It is called with the mutex held.
 func (g *Guard) refresh() {
-	view := &guardView{targets: map[uint32]struct{}{}, held: map[Digest]struct{}{}, watched: map[Digest]struct{}{}}
+	view := &guardView{
+		targets: map[uint32]struct{}{}, held: map[Digest]struct{}{}, watched: map[Digest]struct{}{},
+		onProbation: map[Digest]struct{}{},
+	}
 	watch := func(digest Digest) {
 		view.targets[digest.Target()] = struct{}{}
 		view.watched[digest] = struct{}{}
 	}
-	for digest, held := range g.entries {
+	for digest, entry := range g.entries {
 		watch(digest)
-		if held {
+		if entry.Held {
 			view.held[digest] = struct{}{}
 		}
+		if entry.OnProbation {
+			view.onProbation[digest] = struct{}{}
+		}
 	}
 	for index := range g.own.Records {
-		watch(g.own.Records[index].Digest)
+		record := &g.own.Records[index]
+		watch(record.Digest)
+		if record.onProbation() {
+			view.onProbation[record.Digest] = struct{}{}
+		}
 	}
 	for digest := range g.ownHeld {
 		watch(digest)
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -75,9 +75,11 @@
 	// end.
 	Ends    []End    `msg:"ends"`
 	RanWell []Digest `msg:"ran_well"`
-	// Hold are requests to be held, and Release those that an operator lets go.
-	Hold    []Digest `msg:"hold"`
-	Release []Digest `msg:"release"`
+	// Hold are requests to be held, HeldElsewhere those that others hold by evidence of their own,
+	// and Release those that an operator lets go.
+	Hold          []Digest `msg:"hold"`
+	HeldElsewhere []Digest `msg:"held_elsewhere,omitempty"`
+	Release       []Digest `msg:"release"`
 	// ForgetBefore, if above 0, is the time before which evidence and holds have lapsed.
 	ForgetBefore int64 `msg:"forget_before"`
 }
@@ -99,10 +101,13 @@
 	Freed   []Digest    `msg:"freed"`
 }
 
-// NewsEntry is a request that gateways watch: it is held, or a good end of it should be told.
+// NewsEntry is a request that gateways watch: a good end of it should be told.
 type NewsEntry struct {
 	Digest Digest
 	Held   bool
+	// OnProbation says that it has enough evidence against it to be held, as others have that were at
+	// the same replicas.
+	OnProbation bool
 }
 
 // Held is a request that is held, as operators see it.
--- a/internal/poison/messages_gen.go
+++ b/internal/poison/messages_gen.go
@@ -15,59 +15,84 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "at"
-	o = append(o, 0x86, 0xa2, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.At)
-	// string "ends"
-	o = append(o, 0xa4, 0x65, 0x6e, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-	for za0001 := range z.Ends {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Ends[za0001].Replica)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Ends[za0001].Under)))
-		for za0002 := range z.Ends[za0001].Under {
-			o, err = z.Ends[za0001].Under[za0002].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.HeldElsewhere == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "at"
+		o = append(o, 0xa2, 0x61, 0x74)
+		o = msgp.AppendInt64(o, z.At)
+		// string "ends"
+		o = append(o, 0xa4, 0x65, 0x6e, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
+		for za0001 := range z.Ends {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Ends[za0001].Replica)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends[za0001].Under)))
+			for za0002 := range z.Ends[za0001].Under {
+				o, err = z.Ends[za0001].Under[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
+					return
+				}
+			}
+		}
+		// string "ran_well"
+		o = append(o, 0xa8, 0x72, 0x61, 0x6e, 0x5f, 0x77, 0x65, 0x6c, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.RanWell)))
+		for za0003 := range z.RanWell {
+			o, err = z.RanWell[za0003].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends", za0001, "Under", za0002)
+				err = msgp.WrapError(err, "RanWell", za0003)
 				return
 			}
 		}
-	}
-	// string "ran_well"
-	o = append(o, 0xa8, 0x72, 0x61, 0x6e, 0x5f, 0x77, 0x65, 0x6c, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.RanWell)))
-	for za0003 := range z.RanWell {
-		o, err = z.RanWell[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "RanWell", za0003)
-			return
+		// string "hold"
+		o = append(o, 0xa4, 0x68, 0x6f, 0x6c, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Hold)))
+		for za0004 := range z.Hold {
+			o, err = z.Hold[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Hold", za0004)
+				return
+			}
 		}
-	}
-	// string "hold"
-	o = append(o, 0xa4, 0x68, 0x6f, 0x6c, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Hold)))
-	for za0004 := range z.Hold {
-		o, err = z.Hold[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Hold", za0004)
-			return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "held_elsewhere"
+			o = append(o, 0xae, 0x68, 0x65, 0x6c, 0x64, 0x5f, 0x65, 0x6c, 0x73, 0x65, 0x77, 0x68, 0x65, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.HeldElsewhere)))
+			for za0005 := range z.HeldElsewhere {
+				o, err = z.HeldElsewhere[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "HeldElsewhere", za0005)
+					return
+				}
+			}
 		}
-	}
-	// string "release"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
-	for za0005 := range z.Release {
-		o, err = z.Release[za0005].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Release", za0005)
-			return
+		// string "release"
+		o = append(o, 0xa7, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Release)))
+		for za0006 := range z.Release {
+			o, err = z.Release[za0006].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Release", za0006)
+				return
+			}
 		}
+		// string "forget_before"
+		o = append(o, 0xad, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x62, 0x65, 0x66, 0x6f, 0x72, 0x65)
+		o = msgp.AppendInt64(o, z.ForgetBefore)
 	}
-	// string "forget_before"
-	o = append(o, 0xad, 0x66, 0x6f, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x62, 0x65, 0x66, 0x6f, 0x72, 0x65)
-	o = msgp.AppendInt64(o, z.ForgetBefore)
 	return
 }
 
@@ -200,26 +225,49 @@
 					return
 				}
 			}
-		case "release":
+		case "held_elsewhere":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Release")
+				err = msgp.WrapError(err, "HeldElsewhere")
 				return
 			}
 			if zb0007 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Release) >= int(zb0007) {
-				z.Release = (z.Release)[:zb0007]
+			if cap(z.HeldElsewhere) >= int(zb0007) {
+				z.HeldElsewhere = (z.HeldElsewhere)[:zb0007]
 			} else {
-				z.Release = make([]Digest, zb0007)
+				z.HeldElsewhere = make([]Digest, zb0007)
 			}
-			for za0005 := range z.Release {
-				bts, err = z.Release[za0005].UnmarshalMsg(bts)
+			for za0005 := range z.HeldElsewhere {
+				bts, err = z.HeldElsewhere[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Release", za0005)
+					err = msgp.WrapError(err, "HeldElsewhere", za0005)
+					return
+				}
+			}
+		case "release":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+			if zb0008 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Release) >= int(zb0008) {
+				z.Release = (z.Release)[:zb0008]
+			} else {
+				z.Release = make([]Digest, zb0008)
+			}
+			for za0006 := range z.Release {
+				bts, err = z.Release[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Release", za0006)
 					return
 				}
 			}
@@ -258,9 +306,13 @@
 	for za0004 := range z.Hold {
 		s += z.Hold[za0004].Msgsize()
 	}
+	s += 15 + msgp.ArrayHeaderSize
+	for za0005 := range z.HeldElsewhere {
+		s += z.HeldElsewhere[za0005].Msgsize()
+	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0005 := range z.Release {
-		s += z.Release[za0005].Msgsize()
+	for za0006 := range z.Release {
+		s += z.Release[za0006].Msgsize()
 	}
 	s += 14 + msgp.Int64Size
 	return
@@ -437,14 +489,15 @@
 	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
 	for za0001 := range z.Entries {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o, err = z.Entries[za0001].Digest.MarshalMsg(o)
 		if err != nil {
 			err = msgp.WrapError(err, "Entries", za0001, "Digest")
 			return
 		}
 		o = msgp.AppendBool(o, z.Entries[za0001].Held)
+		o = msgp.AppendBool(o, z.Entries[za0001].OnProbation)
 	}
 	// string "freed"
 	o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x65, 0x64)
@@ -516,8 +569,8 @@
 					err = msgp.WrapError(err, "Entries", za0001)
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 					return
 				}
 				bts, err = z.Entries[za0001].Digest.UnmarshalMsg(bts)
@@ -530,6 +583,11 @@
 					err = msgp.WrapError(err, "Entries", za0001, "Held")
 					return
 				}
+				z.Entries[za0001].OnProbation, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001, "OnProbation")
+					return
+				}
 			}
 		case "freed":
 			var zb0004 uint32
@@ -570,7 +628,7 @@
 func (z *News) Msgsize() (s int) {
 	s = 1 + 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
-		s += 1 + z.Entries[za0001].Digest.Msgsize() + msgp.BoolSize
+		s += 1 + z.Entries[za0001].Digest.Msgsize() + msgp.BoolSize + msgp.BoolSize
 	}
 	s += 6 + msgp.ArrayHeaderSize
 	for za0002 := range z.Freed {
@@ -582,14 +640,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *NewsEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o, err = z.Digest.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
 	o = msgp.AppendBool(o, z.Held)
+	o = msgp.AppendBool(o, z.OnProbation)
 	return
 }
 
@@ -601,8 +660,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	bts, err = z.Digest.UnmarshalMsg(bts)
@@ -615,13 +674,18 @@
 		err = msgp.WrapError(err, "Held")
 		return
 	}
+	z.OnProbation, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OnProbation")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *NewsEntry) Msgsize() (s int) {
-	s = 1 + z.Digest.Msgsize() + msgp.BoolSize
+	s = 1 + z.Digest.Msgsize() + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -57,6 +57,9 @@
 	for _, digest := range command.Hold {
 		change.hold(digest)
 	}
+	for _, digest := range command.HeldElsewhere {
+		change.holdAsOthers(digest)
+	}
 	for _, digest := range command.Release {
 		change.remove(digest)
 	}
@@ -170,11 +173,21 @@
 	if len(record.Ends) >= HoldAfter && record.DueAt == 0 {
 		record.DueAt = c.at
 	}
-	if len(record.Ends) == watchAfter {
+	if len(record.Ends) == watchAfter || len(record.Ends) == HoldAfter {
 		c.shown(record)
 	}
 }
 
+// holdAsOthers holds a request that others hold, whatever is known of it here.
+func (c *stateChange) holdAsOthers(digest Digest) {
+	if _, found := find(c.records, digest); !found {
+		c.makeRoom()
+		at, _ := find(c.records, digest)
+		c.records = slices.Insert(c.records, at, Record{Digest: digest, FirstAt: c.at, LastAt: c.at})
+	}
+	c.hold(digest)
+}
+
 // hold holds a request. Replicas that have ended under it are no evidence against others.
 func (c *stateChange) hold(digest Digest) {
 	at, found := find(c.records, digest)
@@ -189,7 +202,7 @@
 		if record.HeldAt == 0 {
 			record = c.without(record, ends)
 		}
-		if len(record.Ends) > 0 {
+		if record.HeldAt != 0 || len(record.Ends) > 0 {
 			kept = append(kept, record)
 		}
 	}
@@ -199,13 +212,17 @@
 // without returns a record without some of its ends.
 func (c *stateChange) without(record Record, ends []uint64) Record {
 	left := slices.DeleteFunc(slices.Clone(record.Ends), func(end uint64) bool { return slices.Contains(ends, end) })
-	if len(left) < watchAfter && len(record.Ends) >= watchAfter {
-		c.free(record.Digest)
-	}
+	before := record
 	record.Ends = left
 	if len(left) < HoldAfter {
 		record.DueAt = 0
 	}
+	switch {
+	case before.watched() && !record.watched():
+		c.free(record.Digest)
+	case before.onProbation() && !record.onProbation():
+		c.shown(&record)
+	}
 	return record
 }
 
@@ -230,6 +247,9 @@
 // watched reports whether gateways have to know the request.
 func (r *Record) watched() bool { return r.HeldAt != 0 || len(r.Ends) >= watchAfter }
 
+// onProbation reports whether there is enough evidence to hold the request, which others may share.
+func (r *Record) onProbation() bool { return r.HeldAt == 0 && len(r.Ends) >= HoldAfter }
+
 // makeRoom gives a record up if there are as many as there may be: the one with the least
 // evidence, of these the oldest; one that is held only if all are.
 func (c *stateChange) makeRoom() {
@@ -294,7 +314,7 @@
 	news := &News{Revision: s.Revision, Whole: revision == 0 || revision < s.FreedSince}
 	for _, record := range s.Records {
 		if record.watched() && (news.Whole || record.Revision > revision) {
-			news.Entries = append(news.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0})
+			news.Entries = append(news.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: record.onProbation()})
 		}
 	}
 	if news.Whole {
@@ -317,6 +337,17 @@
 	return s.Records[at], true
 }
 
+// HeldDigests are the requests that are held.
+func (s *State) HeldDigests() []Digest {
+	var held []Digest
+	for _, record := range s.Records {
+		if record.HeldAt != 0 {
+			held = append(held, record.Digest)
+		}
+	}
+	return held
+}
+
 // Holds reports whether a request is held.
 func (s *State) Holds(digest Digest) bool {
 	record, _ := s.Find(digest)
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -86,6 +86,40 @@
 	assert.True(t, known)
 }
 
+// Two requests were at the same three engines, and nothing tells which of them has ended these: both
+// go on, one send a call, and are not passed on to those who know nothing of it.
+func TestRequestsThatCanNotBeToldApartAreOnProbation(t *testing.T) {
+	e := &evidence{}
+	guard := NewGuard(Options{Now: func() time.Duration { return 0 }, InTouch: func() bool { return true }})
+	poison, beside := fixedRequest(digestOf("poison")), fixedRequest(digestOf("beside"))
+	for number := range 3 {
+		assert.True(t, guard.MayRepeat(poison))
+		e.ended(fmt.Sprint("i-", number), "poison", "beside")
+		guard.Take(e.NewsSince(guard.Revision()))
+		assert.Equal(t, number < 1, guard.MayLeave(poison))
+	}
+	assert.False(t, guard.MayRepeat(poison))
+	assert.False(t, guard.MayRepeat(beside))
+	assert.False(t, guard.Holds(poison))
+	e.ended("i-4", "poison")
+	e.holdDue()
+	guard.Take(e.NewsSince(guard.Revision()))
+	assert.True(t, guard.Holds(poison))
+	assert.True(t, guard.MayRepeat(beside))
+	assert.True(t, guard.MayLeave(beside))
+}
+
+func TestWhatOthersHoldIsHeldHere(t *testing.T) {
+	e := &evidence{}
+	e.ended("i-1", "known", "beside")
+	e.apply(Command{HeldElsewhere: digestsOf("known", "unknown")})
+	assert.ElementsMatch(t, digestsOf("known", "unknown"), e.HeldDigests())
+	_, left := e.Find(digestOf("beside"))
+	assert.False(t, left, "its replica has ended under the one that is held")
+	e.apply(Command{HeldElsewhere: digestsOf("known"), Release: digestsOf("unknown")})
+	assert.Equal(t, digestsOf("known"), e.HeldDigests())
+}
+
 func TestAnEndInACrowdIsHalfTheEvidence(t *testing.T) {
 	e := &evidence{}
 	crash := func(crash int) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -253,6 +253,9 @@
 	if r.isHeld() {
 		return failure.New(failure.RequestHeld, "replicas have ended under this request")
 	}
+	if r.lost && r.guard != nil && !r.guard.MayRepeat(r.call) {
+		return failure.New(failure.OutcomeUnknown, "replicas have ended under this request, and it is not known under which of several")
+	}
 	if r.left() < minimumLeft {
 		return failure.Wrap(errDeadline, failure.DeadlineExceeded)
 	}
