--- /dev/null
+++ b/internal/coordinator/powerloss_test.go
@@ -0,0 +1,115 @@
+package coordinator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/coordination/storage"
+	"github.com/pierhaven/pierhaven/coordination/storage/memoryfs"
+	"github.com/pierhaven/pierhaven/internal/coordinator"
+	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/rpc"
+)
+
+// disks are the disks of a group's coordinators, which can lose their power and be lost.
+type disks struct {
+	mutex sync.Mutex
+	of    map[string]*memoryfs.FileSystem
+}
+
+// adapt gives a coordinator its disk, an empty one if it has none yet.
+func (d *disks) adapt(settings *coordinator.Settings) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.of[settings.Address] == nil {
+		d.of[settings.Address] = memoryfs.New()
+	}
+	settings.FileSystem, settings.DataFolder = storage.FileSystem(d.of[settings.Address]), "/data"
+}
+
+// cutPower ends all coordinators at the same moment: what was not synced is lost, and of one all.
+func (g *group) cutPower(d *disks, lost string, random *rand.Rand) {
+	g.t.Helper()
+	for address, process := range g.running {
+		d.of[address].Crash(random)
+		process.stop()
+	}
+	for address, process := range g.running {
+		// It may have found out that its disk is gone.
+		<-process.done
+		delete(g.running, address)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.of, lost)
+}
+
+// holdOne reports three ends of replicas under a request, and waits until it is held.
+func (g *group) holdOne() poison.Digest {
+	g.t.Helper()
+	digest := poison.Content{Body: []byte("ends replicas")}.Digest()
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(g.t, err)
+	defer client.Close()
+	for number, address := range g.addresses {
+		report := &poison.Report{Gateway: "g", Ends: []poison.End{{Replica: fmt.Sprint("i-", number), Under: []poison.Digest{digest}}}}
+		eventually(g.t, func(ctx context.Context) error {
+			return client.Call(ctx, address, region.PathPoison, report, &region.PoisonReply{})
+		})
+	}
+	eventually(g.t, func(ctx context.Context) error {
+		held, err := g.running[g.addresses[0]].HeldRequests(ctx)
+		if err == nil && len(held) == 0 {
+			err = errors.New("nothing is held yet")
+		}
+		return err
+	})
+	return digest
+}
+
+// All machines lose their power at the very moment at which one of the disks is lost, right after a
+// configuration was acknowledged: it has to be on the disks that remain, since a majority had synced
+// it before.
+func TestWhatWasAcknowledgedIsOnTheDisksThatRemainWhenAllLosePower(t *testing.T) {
+	random := rand.New(rand.NewPCG(31, 7))
+	stored := &disks{of: map[string]*memoryfs.FileSystem{}}
+	g := newGroupWith(t, stored.adapt)
+	for round := 1; round <= 4; round++ {
+		acknowledging := g.addresses[random.IntN(len(g.addresses))]
+		g.replace(acknowledging, round)
+		lost := g.addresses[random.IntN(len(g.addresses))]
+		g.cutPower(stored, lost, random)
+		for _, address := range g.addresses {
+			g.start(address, address, false)
+		}
+		g.expectEverywhere(round)
+		// The group stands the next loss once the one with the empty disk votes again.
+		g.awaitVote(lost)
+	}
+}
+
+// The same right after a request was held: the hold is on the disks that remain.
+func TestHoldsOutliveALossOfPowerAndOfADisk(t *testing.T) {
+	random := rand.New(rand.NewPCG(32, 7))
+	stored := &disks{of: map[string]*memoryfs.FileSystem{}}
+	g := newGroupWith(t, stored.adapt)
+	g.replace(g.addresses[0], 1)
+	digest := g.holdOne()
+	g.cutPower(stored, g.addresses[random.IntN(len(g.addresses))], random)
+	for _, address := range g.addresses {
+		g.start(address, address, false)
+	}
+	g.expectEverywhere(1)
+	held, err := g.running[g.addresses[0]].HeldRequests(t.Context())
+	require.NoError(t, err)
+	require.Len(t, held, 1)
+	assert.Equal(t, digest.String(), held[0].Digest)
+}
