--- /dev/null
+++ b/internal/poison/benchmark_test.go
@@ -0,0 +1,69 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+)
+
+// full returns as much evidence as there may be: of each request two replicas.
+func full() *evidence {
+	e := &evidence{}
+	for number := range MaximumRecords {
+		name := fmt.Sprint("r", number)
+		e.ended(fmt.Sprint("i-", number), name)
+		e.ended(fmt.Sprint("j-", number), name)
+	}
+	return e
+}
+
+// BenchmarkEvidence gives what the evidence costs a coordinator: 0.58 ms for a report of an end with
+// 64 requests among 2,048 known ones, and 3.3 us for a look whether a request is due while none is.
+// A report with one request takes 70 bytes, one with 64 1,206, a change told to a gateway 57, and all
+// of the evidence 130 KB.
+func BenchmarkEvidence(b *testing.B) {
+	var under []string
+	for number := range 64 {
+		under = append(under, fmt.Sprint("r", number))
+	}
+	b.Run("report of an end", func(b *testing.B) {
+		e := full()
+		b.ReportAllocs()
+		for b.Loop() {
+			e.ended(fmt.Sprint("k-", e.position), under...)
+		}
+	})
+	b.Run("look", func(b *testing.B) {
+		e := full()
+		b.ReportAllocs()
+		for b.Loop() {
+			if len(e.Due(e.at, 0)) > 0 {
+				b.Fatal("nothing is due")
+			}
+		}
+	})
+	b.Run("bytes", func(b *testing.B) {
+		one := Report{Gateway: "gateway-480", Ends: []End{{Replica: "i-0123456789", Under: digestsOf("r1")}}}
+		many := Report{Gateway: "gateway-480", Ends: []End{{Replica: "i-0123456789", Under: digestsOf(under...)}}}
+		e := full()
+		revision := e.Revision
+		e.ended("k", "r1")
+		news := e.NewsSince(revision)
+		for b.Loop() {
+		}
+		b.ReportMetric(float64(encoded(b, &one)), "report-B")
+		b.ReportMetric(float64(encoded(b, &many)), "report64-B")
+		b.ReportMetric(float64(encoded(b, news)), "news-B")
+		b.ReportMetric(float64(encoded(b, &e.State)), "state-B")
+	})
+}
+
+func encoded(b *testing.B, message interface {
+	MarshalMsg([]byte) ([]byte, error)
+},
+) int {
+	data, err := message.MarshalMsg(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(data)
+}
