--- a/bench/simulation/poison.go
+++ b/bench/simulation/poison.go
@@ -81,6 +81,7 @@
 	r.lost = true
 	g.after(endLook, func() {
 		if target := g.world.engineAt(address); !target.alive && g.world.network.passes(&g.process, &target.process) {
+			g.scheduler.ProcessEnded(engineID)
 			g.guard.Ended(engineID, []poison.Digest{r.asked.Digest()})
 			g.tellPoison()
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,6 +156,10 @@
 		Stall:      g.settings.Times.StallTimeout,
 	}
 	watch := poison.NewGuardedWatch(g.evidence.Guard, upstream.Refuses, g.logger)
+	watch.Ended = func(engineID string, under []poison.Digest) {
+		g.scheduler.ProcessEnded(engineID)
+		g.evidence.Guard.Ended(engineID, under)
+	}
 	g.runner = completion.NewRunner(g.engines, g.scheduler, g.fleet, workers, times, g.clock, g.cut, g.logger)
 	g.runner.GuardWith(g.evidence.Guard, watch)
 	g.withheld = fleet.NewWithheld(g.settings.Times.MoveAfter)
--- a/internal/gateway/scheduler/attempt.go
+++ b/internal/gateway/scheduler/attempt.go
@@ -59,6 +59,13 @@
 	s.pump()
 }
 
+// ProcessEnded notes that an engine's process has ended.
+func (s *Scheduler) ProcessEnded(engineID string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.router.ProcessEnded(s.clock(), engineID)
+}
+
 // Answered notes a whole answer.
 func (s *Scheduler) Answered(answered *Request, outputTokens int, took time.Duration, missed bool) {
 	s.mutex.Lock()
--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// ProcessEnded notes that an engine's process has ended.
+func (r *Router) ProcessEnded(now time.Duration, engineID string) {
+	if state, found := r.engines[engineID]; found {
+		state.health.processEnded(now, r.options.Ejection)
+	}
+}
+
 // KVMoved notes how long a KV cache took to move.
 func (r *Router) KVMoved(tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
--- a/internal/routing/ejection.go
+++ b/internal/routing/ejection.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// processEnded notes that the engine's process has ended: it is out for the shortest ejection, while
+// it starts again, and its failures were no sign of what it is like then. An engine that one request
+// had ended a few times was left out for up to a minute.
+func (h *health) processEnded(now time.Duration, options EjectionOptions) {
+	*h = health{ejections: min(h.ejections, 1), ejectedUntil: now + options.Base}
+}
+
 func (h *health) observeSlowness(now time.Duration, ratio float64, options EjectionOptions) {
 	if h.slownessSamples == 0 {
 		h.slowness = ratio
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -56,6 +56,25 @@
 	assert.GreaterOrEqual(t, kept, 9)
 }
 
+func TestAnEngineWhoseProcessHasEndedIsSoonBack(t *testing.T) {
+	options := DefaultEjectionOptions()
+	var ended health
+	now := time.Duration(0)
+	for range 5 {
+		for range options.ConsecutiveFailures {
+			ended.failed(now, options)
+		}
+		ended.processEnded(now, options)
+		require.True(t, ended.ejected(now))
+		now += options.Base
+		require.False(t, ended.ejected(now), "not longer the more often it has ended")
+		now += time.Second
+	}
+	now += options.Return
+	ended.succeeded(now, options)
+	require.EqualValues(t, 1, ended.share(now, options))
+}
+
 func TestEjectionAndSlowReturn(t *testing.T) {
 	options := DefaultEjectionOptions()
 	var record health
