Count crowds by how many of them ended under a request, so that a caller who repeats at once is not held

A crash of half of the replicas ends some of those at which such a caller's request was at the same moment. News of holds are taken before the first configuration, with which a started gateway begins to serve.

--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -19,10 +19,7 @@
 		return nil
 	}
 	others := s.byEnd()
-	crowds := make(map[uint64]uint64, len(s.Crowds))
-	for _, end := range s.Crowds {
-		crowds[end.Replica] = end.Crowd
-	}
+	crowds := s.crowds()
 	explained := map[uint64]bool{}
 	var due []Digest
 	for _, candidate := range candidates {
@@ -36,6 +33,35 @@
 	return due
 }
 
+// crowds are the replicas that have ended together with many others, and how many each crowd was.
+type crowds struct {
+	of   map[uint64]uint64
+	size map[uint64]int
+}
+
+func (s *State) crowds() crowds {
+	known := crowds{of: make(map[uint64]uint64, len(s.Crowds)), size: map[uint64]int{}}
+	for _, end := range s.Crowds {
+		known.of[end.Replica] = end.Crowd
+		known.size[end.Crowd]++
+	}
+	return known
+}
+
+// explainedBy returns the crowds most of which ended under one request: it may have ended them itself,
+// being at many replicas at once. A caller that repeats at once is at a few.
+func (c crowds) explainedBy(record *Record) map[uint64]bool {
+	count := map[uint64]int{}
+	for _, end := range record.Ends {
+		count[c.of[end]]++
+	}
+	explained := map[uint64]bool{}
+	for crowd, ends := range count {
+		explained[crowd] = crowd == 0 || 2*ends > c.size[crowd]
+	}
+	return explained
+}
+
 // candidates are the records with enough evidence for long enough, those with the most first.
 func (s *State) candidates(now int64, settle time.Duration) []*Record {
 	var candidates []*Record
@@ -64,28 +90,25 @@
 	return byEnd
 }
 
-// An end counts fullEnd, and crowdEnd if it is the only one under the request of a crowd: a request
-// that was at several replicas at once may have ended all of the crowd.
+// An end counts fullEnd, and crowdEnd if many replicas have ended at the same time, most of them not
+// under the request.
 const (
 	fullEnd  = 2
 	crowdEnd = 1
 )
 
 // convicted reports whether enough replicas have ended for which no other request answers as much.
-func convicted(candidate *Record, byEnd map[uint64][]*Record, explained map[uint64]bool, crowds map[uint64]uint64) bool {
+func convicted(candidate *Record, byEnd map[uint64][]*Record, explained map[uint64]bool, known crowds) bool {
 	evidence := unexplained(candidate, explained)
 	own := 0
-	inCrowd := map[uint64]int{}
-	for _, end := range candidate.Ends {
-		inCrowd[crowds[end]]++
-	}
+	itsOwn := known.explainedBy(candidate)
 	for _, end := range candidate.Ends {
 		outweighed := slices.ContainsFunc(byEnd[end], func(other *Record) bool {
 			return other != candidate && unexplained(other, explained) >= evidence
 		})
 		switch {
 		case explained[end] || outweighed:
-		case crowds[end] != 0 && inCrowd[crowds[end]] == 1:
+		case !itsOwn[known.of[end]]:
 			own += crowdEnd
 		default:
 			own += fullEnd
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -292,7 +292,7 @@
 			continue
 		default:
 			record.HeldAt, record.DueAt, record.LastAt = 0, 0, c.at
-			record.Ends = slices.Clone(record.Ends[max(0, len(record.Ends)-HoldAfter+1):])
+			record.Ends = lapsedEnds(record.Digest)
 			c.shown(&record)
 		}
 		kept = append(kept, record)
@@ -300,6 +300,16 @@
 	c.records = kept
 }
 
+// lapsedEnds stand for the evidence of a hold that has lapsed: one less than is needed, shared with no
+// other request.
+func lapsedEnds(digest Digest) []uint64 {
+	ends := make([]uint64, HoldAfter-1)
+	for index := range ends {
+		ends[index] = xxhash.Sum64(append(digest[:], byte(index)))
+	}
+	return ends
+}
+
 // Lapsed reports whether a command that forgets what is older than a time would change anything.
 func (s *State) Lapsed(before int64) bool {
 	return slices.ContainsFunc(s.Records, func(r Record) bool { return max(r.LastAt, r.HeldAt) < before })
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -120,6 +120,19 @@
 	assert.Equal(t, digestsOf("known"), e.HeldDigests())
 }
 
+// A caller that repeats at once has its request at several replicas, of which a crash of many ends
+// some.
+func TestARequestAtSeveralReplicasOfACrowdIsNotHeld(t *testing.T) {
+	e := &evidence{}
+	for number := range 9 {
+		e.ended(fmt.Sprint("i-", number), fmt.Sprint("beside ", number))
+	}
+	for number := range 4 {
+		e.ended(fmt.Sprint("i-", number), "repeated at once")
+	}
+	assert.Empty(t, e.Due(e.at, 0))
+}
+
 func TestAnEndInACrowdIsHalfTheEvidence(t *testing.T) {
 	e := &evidence{}
 	crash := func(crash int) {
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -219,14 +219,15 @@
 
 // take takes a view over.
 func (k *viewKeeper) take(coordinator string, view *region.View) error {
+	if k.evidence != nil {
+		// Before the configuration, with which a gateway that has started begins to serve.
+		k.evidence.guard.Take(view.Poison)
+	}
 	if len(view.Document) > 0 {
 		if err := k.takeConfiguration(view); err != nil {
 			return err
 		}
 	}
-	if k.evidence != nil {
-		k.evidence.guard.Take(view.Poison)
-	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if view.HasList && view.ListRevision > k.listRevision {
