--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	batchWorkers *ants.Pool
 	runner       *completion.Runner
 	keeper       *zonegroup.Keeper
-	evidence     *zonegroup.Evidence
+	evidence     *poison.Teller
 	rpc          *rpc.Client
 	callers      *door
 	// peers is nil without a listener for other zones' gateways.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,13 @@
 	g.metrics.GaugeFunc("workers_running", "Attempts, cancels and reports under way, bounded by gateway.max_workers.", func() float64 {
 		return float64(g.workers.Running())
 	})
+	g.metrics.GaugeFunc("requests_held", "Requests that are sent to no engine, since engines have ended under them.", func() float64 {
+		held, _ := g.evidence.Guard.Counts()
+		return float64(held)
+	})
+	g.metrics.GaugeFunc("evidence_dropped", "Digests of requests under which engines have ended that were given up for lack of room.", func() float64 {
+		return float64(g.evidence.Dropped())
+	})
 	g.metrics.GaugeFunc("policy_failures", "Failures at run time of ranking programs, since each policy's last change.", func() float64 {
 		return float64(g.scheduler.PolicyFailures())
 	})
--- a/internal/poison/teller.go
+++ b/internal/poison/teller.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 )
 
@@ -19,15 +24,29 @@
 // Teller tells what a Guard has learned, and has it look at its own evidence.
 type Teller struct {
 	Guard   *Guard
-	Gateway string
-	// Tell makes one call with a report, to whoever replicates the evidence.
-	Tell func(ctx context.Context, report *Report) error
-	// Told is called when reports begin to fail, and when one is taken again (err is nil).
-	Told func(report *Report, err error)
-	// HeldHere is told of each request that the gateway holds by its own evidence.
-	HeldHere func(digest Digest)
+	gateway string
+	// tell makes one call with a report, to whoever replicates the evidence.
+	tell   func(ctx context.Context, report *Report) error
+	logger logr.Logger
+	// dropped counts the digests that were given up for lack of room.
+	dropped atomic.Int64
 }
 
+// NewTeller returns a Teller with a Guard of its own, and logs what they give up, what can't be told
+// and what is held by the gateway's own evidence. Options.Dropped is its own.
+func NewTeller(gateway string, options Options, tell func(ctx context.Context, report *Report) error, logger logr.Logger) *Teller {
+	t := &Teller{gateway: gateway, tell: tell, logger: logger}
+	options.Dropped = func(digests int) {
+		t.dropped.Add(int64(digests))
+		logger.Info(event.PoisonDropped, "digests", digests)
+	}
+	t.Guard = NewGuard(options)
+	return t
+}
+
+// Dropped counts the digests that were given up for lack of room.
+func (t *Teller) Dropped() int64 { return t.dropped.Load() }
+
 // Run works until the context ends.
 func (t *Teller) Run(ctx context.Context) {
 	go t.look(ctx)
@@ -41,7 +60,7 @@
 		if !lifecycle.Sleep(ctx, tellPause) {
 			return
 		}
-		report := t.Guard.Report(t.Gateway)
+		report := t.Guard.Report(t.gateway)
 		if report == nil {
 			continue
 		}
@@ -51,7 +70,7 @@
 		}
 		if (err != nil) != failed {
 			failed = err != nil
-			t.Told(report, err)
+			t.logger.Info(event.PoisonUntold, "ends", len(report.Ends), "ran_well", len(report.RanWell), "error", failure.Text(err))
 		}
 	}
 }
@@ -59,13 +78,13 @@
 func (t *Teller) tellOnce(ctx context.Context, report *Report) error {
 	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return t.Tell(bounded, report)
+	return t.tell(bounded, report)
 }
 
 func (t *Teller) look(ctx context.Context) {
 	for lifecycle.Sleep(ctx, lookInterval) {
 		for _, digest := range t.Guard.Look() {
-			t.HeldHere(digest)
+			t.logger.Info(event.RequestHeldHere, "digest", digest.String())
 		}
 	}
 }
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -77,7 +77,7 @@
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.AskPlacements(asker.Remote())
 	runner.CountBegun(counted.begun)
-	runner.GuardWith(evidence.guard)
+	runner.GuardWith(evidence.Guard)
 	runner.CountSuspensions(suspended)
 	created := &Daemon{
 		settings:  settings,
@@ -112,15 +112,15 @@
 		return float64(d.placement.Counts().Suspended)
 	})
 	registry.GaugeFunc("requests_held", "Requests that are sent to no replica, since replicas have ended under them.", func() float64 {
-		held, _ := d.evidence.guard.Counts()
+		held, _ := d.evidence.Guard.Counts()
 		return float64(held)
 	})
 	registry.GaugeFunc("requests_watched", "Requests under which replicas have ended, those that are held among them.", func() float64 {
-		_, watched := d.evidence.guard.Counts()
+		_, watched := d.evidence.Guard.Counts()
 		return float64(watched)
 	})
 	registry.GaugeFunc("evidence_dropped", "Digests of requests under which replicas have ended that were given up for lack of room.", func() float64 {
-		return float64(d.evidence.dropped.Load())
+		return float64(d.evidence.Dropped())
 	})
 	registry.GaugeFunc("view_age_seconds", "Age of the view of the region, -1 before there is one.", func() float64 {
 		age, known := d.keeper.age()
@@ -156,7 +156,7 @@
 	go d.peers.Tell(work)
 	go d.placement.Run(work)
 	go d.warmUp(work)
-	go d.evidence.teller.Run(work)
+	go d.evidence.Run(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
 	go func() { _ = d.front.newServer(callers).Run() }()
 	<-stopping.Done()
--- a/internal/relay/daemon/evidence.go
+++ b/internal/relay/daemon/evidence.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"sync/atomic"
 
 	"github.com/pierhaven/pierhaven/internal/coordinator"
-	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -13,14 +11,12 @@
 	"github.com/pierhaven/pierhaven/internal/uptime"
 )
 
-// evidence tells coordinators under which requests replicas have ended, and learns which are held.
+// evidence tells coordinators under which requests replicas have ended; its guard learns with the
+// view which are held.
 type evidence struct {
+	*poison.Teller
 	client *rpc.Client
 	keeper *viewKeeper
-	guard  *poison.Guard
-	teller *poison.Teller
-	// dropped counts the digests that were given up for lack of room.
-	dropped atomic.Int64
 }
 
 func newEvidence(settings Settings, client *rpc.Client) *evidence {
@@ -31,26 +27,13 @@
 		settings.Hold = poison.DefaultHold
 	}
 	e := &evidence{client: client}
-	logger := settings.Logger
-	e.guard = poison.NewGuard(poison.Options{
+	options := poison.Options{
 		Now:     uptime.Since(settings.Now),
 		InTouch: func() bool { return e.inTouch() },
 		Contact: settings.Contact,
 		Memory:  settings.Hold,
-		Dropped: func(digests int) {
-			e.dropped.Add(int64(digests))
-			logger.Info(event.PoisonDropped, "digests", digests)
-		},
-	})
-	e.teller = &poison.Teller{
-		Guard:   e.guard,
-		Gateway: settings.Name,
-		Tell:    e.tell,
-		Told: func(report *poison.Report, err error) {
-			logger.Info(event.PoisonUntold, "ends", len(report.Ends), "ran_well", len(report.RanWell), "error", failure.Text(err))
-		},
-		HeldHere: func(digest poison.Digest) { logger.Info(event.RequestHeldHere, "digest", digest.String()) },
 	}
+	e.Teller = poison.NewTeller(settings.Name, options, e.tell, settings.Logger)
 	return e
 }
 
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -199,7 +199,7 @@
 	}
 	k.asked.Store(&coordinator)
 	if k.evidence != nil {
-		request.PoisonRevision = k.evidence.guard.Revision()
+		request.PoisonRevision = k.evidence.Guard.Revision()
 	}
 	if table := k.Table(); table != nil {
 		request.Version = table.Configuration.Version
@@ -221,7 +221,7 @@
 func (k *viewKeeper) take(coordinator string, view *region.View) error {
 	if k.evidence != nil {
 		// Before the configuration, with which a gateway that has started begins to serve.
-		k.evidence.guard.Take(view.Poison)
+		k.evidence.Guard.Take(view.Poison)
 	}
 	if len(view.Document) > 0 {
 		if err := k.takeConfiguration(view); err != nil {
