--- a/internal/poison/digest_test.go
+++ b/internal/poison/digest_test.go
@@ -27,6 +27,14 @@
 	}
 }
 
+func TestLongContentsThatDifferInTheirLastByteHaveDifferentDigests(t *testing.T) {
+	long := make([]byte, 4<<20)
+	digest := Content{Target: "/t", Body: long}.Digest()
+	long[len(long)-1] = 1
+	assert.NotEqual(t, digest, Content{Target: "/t", Body: long}.Digest())
+	assert.NotEqual(t, digest, Content{Target: "/t", Body: long[:len(long)-1]}.Digest())
+}
+
 func TestADigestTellsItsTargetAndIsReadBack(t *testing.T) {
 	digest := Content{Host: "h", Target: "/t"}.Digest()
 	assert.Equal(t, TargetOf("h", "/t"), digest.Target())
