Remove the old voter that an unfinished replacement leaves

Cause: Runner.Replace promotes the newcomer before it removes the old voter. If the leader is lost in between, four voters are left, one of them gone for good, and nextChange decided nothing without a follower that waits for a vote. One more loss leaves two of four: no leader any more. Change: of two voters at one address the more silent one is removed; IsVoter says no while two voters share its address. The row 'two voters at one address' failed before.

--- a/internal/coordinator/memberchange.go
+++ b/internal/coordinator/memberchange.go
@@ -32,7 +32,11 @@
 //     it takes the voter's place, since the voter can't come back;
 //   - with too few voters, a follower gets a vote;
 //   - a voter that has been silent for long gives its place to a follower;
-//   - a follower that has been silent for very long is removed.
+//   - a follower that has been silent for very long is removed;
+//   - of two voters at one address, left by a replacement whose leader was lost
+//     between its two steps, the more silent one is removed: it can't come back,
+//     and while it counts, the loss of one more machine of three leaves two of
+//     four, which elect nobody.
 //
 // Without a follower to step in, a silent voter stays: it may come back with its
 // disk.
@@ -55,6 +59,11 @@
 			}
 		}
 	}
+	for _, voter := range voters {
+		if voter.ID != status.ID && replacedAt(voters, voter, silent) {
+			return memberChange{kind: changeRemove, replica: voter.ID}
+		}
+	}
 	if len(ready) == 0 {
 		return memberChange{}
 	}
@@ -69,8 +78,8 @@
 	return memberChange{}
 }
 
-// replacedAt reports whether another, active member without a vote has the same
-// address: then this one's disk is gone.
+// replacedAt reports whether another, active one of the members has the same
+// address and was heard later: then this one's disk is gone.
 func replacedAt(members []replica.MemberStatus, member replica.MemberStatus, silent map[consensus.ReplicaID]time.Duration) bool {
 	for _, other := range members {
 		if other.ID != member.ID && other.Address == member.Address && other.RecentlyActive &&
@@ -80,3 +89,13 @@
 	}
 	return false
 }
+
+// aloneAt reports whether no other voter has the member's address.
+func aloneAt(members []replica.MemberStatus, member replica.MemberStatus) bool {
+	for _, other := range members {
+		if other.ID != member.ID && !other.Learner && other.Address == member.Address {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordinator/memberchange_test.go
+++ b/internal/coordinator/memberchange_test.go
@@ -17,6 +17,16 @@
 	}
 }
 
+// Symptom: a group of three, one of which came back with an empty disk, had no
+// leader for good once another was stopped (TestAMachineWithAnEmptyDiskTakesItsPlaceAgain,
+// 2 of 72 with 24 processes at a time).
+// Sequence: the new replica at the old address was promoted, the leader lost its
+// lead before it removed the old voter, and the next leader saw no follower without
+// a vote and decided nothing: four voters, one of them gone for good.
+// Cause: nextChange looked for work only while a follower waited for a vote.
+// The log: "membership change" "change"="replace" "error"="outcome of the proposal
+// is unknown" beside "leader changed"; no "change"="remove" followed, and later
+// terms ended without a leader.
 func TestNextChange(t *testing.T) {
 	const long = time.Minute
 	voters := []replica.MemberStatus{member(1, "a", false, true), member(2, "b", false, true), member(3, "c", false, true)}
@@ -41,6 +51,16 @@
 			map[consensus.ReplicaID]time.Duration{4: time.Second}, 3,
 			memberChange{kind: changeRemove, replica: 4},
 		},
+		"two voters at one address": {
+			append(lost[:3:3], member(4, "c", false, true)),
+			map[consensus.ReplicaID]time.Duration{3: time.Second}, 3,
+			memberChange{kind: changeRemove, replica: 3},
+		},
+		"two voters at one address, neither heard yet": {
+			append(lost[:3:3], member(4, "c", false, false)),
+			map[consensus.ReplicaID]time.Duration{3: time.Second, 4: time.Second}, 3,
+			memberChange{},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			status := replica.Status{ID: 1, Members: test.members}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -48,12 +48,13 @@
 	return status.Stage == storage.StageMember && listed
 }
 
-// IsVoter reports whether this coordinator votes and knows that the change that
-// made it a voter is committed: only then does its vote outlive another's loss.
+// IsVoter reports whether this coordinator votes, knows that the change that
+// made it a voter is committed, and has replaced the one that its address had
+// before: only then does its vote outlive another's loss.
 func (c *Coordinator) IsVoter() bool {
 	status := c.group.Runner.Status()
 	self, listed := status.Member(status.ID)
-	return listed && !self.Learner && status.CommitIndex >= status.MembershipIndex
+	return listed && !self.Learner && status.CommitIndex >= status.MembershipIndex && aloneAt(status.Members, self)
 }
 
 // Leads reports whether this coordinator believes that it leads.
