--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -7,10 +7,10 @@
 )
 
 // Due returns the requests that the evidence convicts at a time: HoldAfter replicas or more, twice
-// as many if they ended in crowds, have ended under each of which no other request has as much
-// evidence against it. The request that
-// ends replicas is at all of them, while those beside it are at some. Where two can't be told
-// apart both are sent on until one has run to a good end or ended another replica.
+// as many if they ended in crowds, have ended under the request, and no other request that was at
+// these replicas has as much evidence against it. The request that ends replicas is at all of them,
+// while those beside it are at some. Where two can't be told apart both are sent on until one has
+// run to a good end or ended another replica.
 //
 // settle is how long the evidence has to stand, so that all gateways have told theirs.
 func (s *State) Due(now int64, settle time.Duration) []Digest {
