Decide in one place what a leader holds and forgets

Coordinator and controller each made the same command of Due and Lapsed; now State.Next makes it for both. The metric of held requests counts HeldDigests instead of filtering records again. Behaviour is as it was; tests are unchanged.

--- a/internal/controller/poison.go
+++ b/internal/controller/poison.go
@@ -80,12 +80,8 @@
 func (c *Controller) keepPoison(ctx context.Context) {
 	for lifecycle.Sleep(ctx, poisonInterval) {
 		known := c.poisonState()
-		now := time.Now().UnixNano()
-		command := &poison.Command{Hold: known.Due(now, poison.Settle(c.settings.SessionLease))}
-		if before := now - c.settings.RequestHold.Nanoseconds(); known.Lapsed(before) {
-			command.ForgetBefore = before
-		}
-		if len(command.Hold) == 0 && command.ForgetBefore == 0 {
+		command := known.Next(time.Now().UnixNano(), poison.Settle(c.settings.SessionLease), c.settings.RequestHold)
+		if command == nil {
 			continue
 		}
 		err := c.commitPoison(ctx, command)
--- a/internal/coordinator/poison.go
+++ b/internal/coordinator/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -74,11 +73,8 @@
 			dropped = state.Poison.Dropped
 		}
 		now := c.usage.clock.Now().UnixNano()
-		command := &poison.Command{Hold: state.Poison.Due(now, poison.Settle(c.settings.Contact))}
-		if before := now - c.settings.Hold.Nanoseconds(); state.Poison.Lapsed(before) {
-			command.ForgetBefore = before
-		}
-		if len(command.Hold) == 0 && command.ForgetBefore == 0 {
+		command := state.Poison.Next(now, poison.Settle(c.settings.Contact), c.settings.Hold)
+		if command == nil {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, proposalTimeout)
@@ -134,6 +130,5 @@
 // heldCount is the number of requests that are held, for the metrics.
 func (c *Coordinator) heldCount() int {
 	state, _ := c.machine.read()
-	held := slices.DeleteFunc(slices.Clone(state.Poison.Records), func(r poison.Record) bool { return r.HeldAt == 0 })
-	return len(held)
+	return len(state.Poison.HeldDigests())
 }
--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -33,6 +33,19 @@
 	return due
 }
 
+// Next returns the command of a leader that holds what the evidence convicts at a time, and forgets
+// what is older than memory, nil if there is nothing to do. settle is that of Due.
+func (s *State) Next(now int64, settle, memory time.Duration) *Command {
+	command := &Command{Hold: s.Due(now, settle)}
+	if before := now - memory.Nanoseconds(); s.Lapsed(before) {
+		command.ForgetBefore = before
+	}
+	if len(command.Hold) == 0 && command.ForgetBefore == 0 {
+		return nil
+	}
+	return command
+}
+
 // crowds are the replicas that have ended together with many others, and how many each crowd was.
 type crowds struct {
 	of   map[uint64]uint64
