Let a caller wait for an engine where there is no other zone, and tell it the true reason

Cause: a request that no engine took as it came had its wait cut to a second, for another zone to be tried. Where there was none it was refused then, as one whose deadline is too short, with minutes left. Ruled out: an engine that never comes back (the wait is bounded by maximum_wait as before). Not traced: why for some seconds neither engine counted as able in TestAModelsVersionChangesUnderLoad. Change: the cut holds where other zones are configured; the refusal names that no engine takes new work. Before and after: the new tests fail on the code before (refused after 1 s, deadline_too_short).

--- a/bench/simulation/gateway.go
+++ b/bench/simulation/gateway.go
@@ -103,7 +103,7 @@
 	retried := retry.DefaultOptions()
 	retried.Budget.MinimumPerSecond = retriesPerSecond
 	return scheduler.Options{
-		Admission: admitting, Routing: routed, Retry: retried, MaximumWait: maximumWait, Seed: g.random.Uint64(),
+		Admission: admitting, Routing: routed, Retry: retried, MaximumWait: maximumWait, OtherZones: true, Seed: g.random.Uint64(),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,7 @@
 		Retry:       retried,
 		Zone:        g.settings.Zone,
 		MaximumWait: g.settings.Times.MaximumWait,
+		OtherZones:  len(g.settings.peers()) > 0,
 		Seed:        rand.Uint64(),
 	}
 }
--- a/internal/gateway/scheduler/request.go
+++ b/internal/gateway/scheduler/request.go
@@ -63,7 +63,20 @@
 type waiting struct {
 	request   *Request
 	enteredAt time.Duration
-	decision  chan Decision
+	// stranded says that no engine took new work when the request came.
+	stranded bool
+	decision chan Decision
+}
+
+// refusal is that of a request which was given up in the queue. One that found no engine was not given up
+// for its deadline, which may be far away.
+func (w *waiting) refusal(given *admission.Refusal) *Refusal {
+	refused := refusalOf(given)
+	if w.stranded && given.Kind == failure.DeadlineTooShort {
+		refused.Kind = failure.NoBackEnd
+		refused.Detail = "no engine of this zone takes new work at present"
+	}
+	return refused
 }
 
 func refusalOf(refusal *admission.Refusal) *Refusal {
--- a/internal/gateway/scheduler/scheduler.go
+++ b/internal/gateway/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 	Zone string
 	// MaximumWait bounds the time in the queue whatever the deadline.
 	MaximumWait time.Duration
+	// OtherZones says that a request which this zone can't take may go to another.
+	OtherZones bool
 	// Seed seeds the random draws of routing and retries.
 	Seed uint64
 }
@@ -108,8 +110,9 @@
 	}
 }
 
-// strandedWait bounds the wait while no engine takes new work at all: long enough
-// for one that is just coming back, short enough to try another zone.
+// strandedWait bounds the wait while no engine takes new work at all, where another zone may: long
+// enough for one that is just coming back, short enough to try the other zone. Where there is none, the
+// caller is served best by waiting.
 const strandedWait = time.Second
 
 // miss returns why no engine could take a request even if all were idle.
@@ -144,10 +147,11 @@
 	}
 	item := s.item(now, entering, cost, seen)
 	item.Rank = s.rank(now, entering)
-	if miss != routing.MissNone {
+	stranded := miss != routing.MissNone
+	if stranded && s.options.OtherZones {
 		item.Deadline = min(item.Deadline, now+strandedWait)
 	}
-	queued := &waiting{request: entering, enteredAt: now, decision: make(chan Decision, 1)}
+	queued := &waiting{request: entering, enteredAt: now, stranded: stranded, decision: make(chan Decision, 1)}
 	item.Value = queued
 	if refusal := s.queue(entering.Model.Name).Offer(now, item); refusal != nil {
 		seen.missed++
@@ -242,7 +246,7 @@
 			s.waiting--
 			queued := given.Item.Value.(*waiting)
 			s.demand(now, queued.request.Model.Name).missed++
-			queued.decision <- Decision{Refusal: refusalOf(&given.Refusal)}
+			queued.decision <- Decision{Refusal: queued.refusal(&given.Refusal)}
 		}
 	}
 }
