Wake up a gateway only when there is something to do

Cause: a gateway looked for evidence ten times a second and for word to tell a hundred times, with neither peers nor evidence; each wake-up of 985 gateways costs the machine more than what they do. Change: evidence is looked at from when there is some; a process without peers looks for them twice a second.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/datagram"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/topology"
@@ -245,17 +246,24 @@
 // Tell tells the peers of this process's work whenever it has changed, within the
 // allowance, until the context ends.
 func (p *Peers) Tell(ctx context.Context) {
-	ticker := time.NewTicker(tellPoll)
-	defer ticker.Stop()
 	state := teller{peers: p, last: time.Now()}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			state.step(time.Now())
-		}
+	for lifecycle.Sleep(ctx, p.pause()) {
+		state.step(time.Now())
+	}
+}
+
+// alonePoll is the pause between two looks for peers of a process that has none: short against the time
+// in which they come to know each other.
+const alonePoll = 500 * time.Millisecond
+
+// pause is the time until the next look for something to tell.
+func (p *Peers) pause() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.addresses) == 0 {
+		return alonePoll
 	}
+	return tellPoll
 }
 
 // teller is the state of the telling.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -43,8 +43,9 @@
 	options Options
 	// view is what requests are held against; it is replaced, never changed.
 	view atomic.Pointer[guardView]
-	// wake has one token while there is something to tell.
-	wake chan struct{}
+	// wake has one token while there is something to tell, and noted while there may be own evidence
+	// to look at.
+	wake, noted chan struct{}
 
 	mutex    sync.Mutex
 	revision uint64
@@ -75,6 +76,7 @@
 	return &Guard{
 		options: options,
 		wake:    make(chan struct{}, 1),
+		noted:   make(chan struct{}, 1),
 		entries: map[Digest]NewsEntry{},
 		ownHeld: map[Digest]time.Duration{},
 	}
@@ -209,6 +211,10 @@
 }
 
 func (g *Guard) wakeUp() {
+	select {
+	case g.noted <- struct{}{}:
+	default:
+	}
 	select {
 	case g.wake <- struct{}{}:
 	default:
@@ -255,12 +261,25 @@
 	g.refresh()
 }
 
+// HasOwn reports whether there is own evidence to look at.
+func (g *Guard) HasOwn() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.hasOwn()
+}
+
+// hasOwn is called with the mutex held.
+func (g *Guard) hasOwn() bool { return len(g.own.Records) > 0 || len(g.ownHeld) > 0 }
+
+// Noted has a token once there may be own evidence.
+func (g *Guard) Noted() <-chan struct{} { return g.noted }
+
 // Look holds requests by the gateway's own evidence while it is out of touch, and for a contact
 // time after, in which the coordinators decide. It returns those that it has begun to hold.
 func (g *Guard) Look() []Digest {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if len(g.own.Records) == 0 && len(g.ownHeld) == 0 {
+	if !g.hasOwn() {
 		return nil
 	}
 	now := g.options.Now()
--- a/internal/poison/teller.go
+++ b/internal/poison/teller.go
@@ -81,10 +81,19 @@
 	return t.tell(bounded, report)
 }
 
+// look looks at the gateway's own evidence while there is any: most gateways never have some, and would
+// wake up for nothing.
 func (t *Teller) look(ctx context.Context) {
-	for lifecycle.Sleep(ctx, lookInterval) {
-		for _, digest := range t.Guard.Look() {
-			t.logger.Info(event.RequestHeldHere, "digest", digest.String())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Guard.Noted():
+		}
+		for t.Guard.HasOwn() && lifecycle.Sleep(ctx, lookInterval) {
+			for _, digest := range t.Guard.Look() {
+				t.logger.Info(event.RequestHeldHere, "digest", digest.String())
+			}
 		}
 	}
 }
