Prefer a replica that the gateway is connected to among those rated alike

Change: a kept connection counts as a tenth of the slots, less than a request takes at a small replica. Test: 40 requests in turn make one connection at 16, 64 and 256 replicas (40 draws before).

--- /dev/null
+++ b/internal/relay/connected_test.go
@@ -0,0 +1,35 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+// Symptom: 35,000 connections for 30,000 requests. Sequence: each of 985 gateways sends a request now and then to one of 256
+// replicas that are rated alike. Cause: the choice among these was drawn anew each time, so that a gateway hardly met a
+// replica twice while a connection to it was kept.
+func TestAGatewayMeetsTheSameFewReplicasWhateverTheirNumber(t *testing.T) {
+	for _, size := range []int{16, 64, 256} {
+		list := make([]region.Replica, size)
+		for index := range list {
+			list[index] = replica(fmt.Sprint("r", index), "")
+		}
+		d := newDirectory(list...)
+		connections := map[string]bool{}
+		d.KnowConnections(func(_, life string) bool { return connections[life] })
+		for range 40 {
+			lease := d.PickAny("s", nil)
+			connections[lease.Replica.Life().Name()] = true
+			lease.Release()
+		}
+		assert.Len(t, connections, 1, size)
+
+		first := d.PickAny("s", nil)
+		second := d.PickAny("s", nil)
+		assert.NotEqual(t, first.Replica.ID, second.Replica.ID, "load goes before a connection")
+	}
+}
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -63,6 +63,7 @@
 	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
 	directory.SwitchOff(settings.Without)
 	directory.KnowPlaces(settings.Topology)
+	directory.KnowConnections(replicas.Connected)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
 	socket := &datagram.Socket{}
 	life := started.UnixNano()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -48,6 +48,8 @@
 	// grants numbers the coordinator's lives, and the coordinators, whose grants count.
 	grants    uint64
 	onDropped func(address, life string)
+	// connected reports whether this process has a connection to a life; nil if it is not known.
+	connected func(address, life string) bool
 	// off are the mechanisms that are switched off.
 	off mechanism.Set
 	// draw returns a number from 0 up to 1. It decides between replicas that are rated alike.
@@ -58,6 +60,11 @@
 // SwitchOff switches mechanisms off. It is called before any use.
 func (d *Directory) SwitchOff(off mechanism.Set) { d.off = off }
 
+// KnowConnections has replicas preferred that this process is connected to. It is called before any use.
+func (d *Directory) KnowConnections(connected func(address, life string) bool) {
+	d.connected = connected
+}
+
 // DrawFrom replaces the process's own randomness, so that a run in virtual time repeats: with
 // it one seed served 0.825 to 0.862 of the same load. It is called before any use.
 func (d *Directory) DrawFrom(draw func() float64) { d.draw = draw }
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -142,12 +142,18 @@
 	typicalLatency float64
 	// draw decides between replicas that are rated alike.
 	draw func() float64
+	// connected reports whether there is a connection to a life; nil if it counts for nothing.
+	connected func(address, life string) bool
 }
 
 const (
 	errorWeight    = 2.0
 	slownessWeight = 0.1
 	jitterWeight   = 0.02
+	// connectedBonus is what a connection is worth, in shares of the slots in use: less than one request
+	// takes at a small replica, so that load goes before it. Without it each of many gateways hardly
+	// meets a replica twice, and each request waits for a connection to be made.
+	connectedBonus = 0.1
 )
 
 func (s loadScore) score(replica *Replica, now time.Duration) float64 {
@@ -155,6 +161,9 @@
 	if replica.Zone != s.zone {
 		score += s.distance
 	}
+	if s.connected != nil && s.connected(replica.Address, replica.name) {
+		score -= connectedBonus
+	}
 	if s.typicalLatency > 0 && replica.latency > s.typicalLatency {
 		score += slownessWeight * (replica.latency/s.typicalLatency - 1)
 	}
@@ -241,7 +250,7 @@
 
 // PickAny leases a replica for a request that is not for model engines.
 func (d *Directory) PickAny(service string, excluded []*Replica) *Lease {
-	rating := loadScore{zone: d.zone, distance: 0.2, typicalLatency: d.typicalLatency(service), draw: d.draw}
+	rating := loadScore{zone: d.zone, distance: 0.2, typicalLatency: d.typicalLatency(service), draw: d.draw, connected: d.connected}
 	return d.pick(service, excluded, anyReplica, rating)
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -61,6 +61,11 @@
 // Forget closes the idle connections to an incarnation.
 func (c *Client) Forget(address, instance string) { c.pool.drop(address + "/" + instance) }
 
+// Connected reports whether a connection to a replica is kept.
+func (c *Client) Connected(address, instance string) bool {
+	return c.pool.has(address+"/"+instance, time.Now())
+}
+
 // Do sends a request and reads the head of its answer. The end of the context
 // closes the connection, also while the body is read. Every error is an *Error. A
 // returned Exchange has to be closed.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,6 +50,14 @@
 	return newest
 }
 
+// has reports whether a connection is kept that may still be used.
+func (p *pool) has(key string, now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	waiting := p.idle[key]
+	return len(waiting) > 0 && now.Before(waiting[len(waiting)-1].idleUntil)
+}
+
 func (p *pool) set(key string, waiting []*connection) {
 	if len(waiting) == 0 {
 		delete(p.idle, key)
