--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -238,6 +238,8 @@
 		Quota:    settings.QuotaTerms(),
 
 		PlacesAbove:       settings.PlacesFrom(),
+		ActiveReplicas:    settings.ActiveReplicas,
+		ListInterval:      settings.ListInterval(),
 		LinkBitsPerSecond: settings.LinkMegabits * bitsPerMegabit,
 		OtherRegionsRate:  settings.OtherRegionsRate,
 
--- a/internal/cli/regions.go
+++ b/internal/cli/regions.go
@@ -30,9 +30,9 @@
 }
 
 func regionTable(regions []coordinator.RegionLoad) table {
-	content := table{header: []string{"region", "service", "replicas", "reading", "generating", "changing", "slots", "requests", "placed here", "word"}}
+	content := table{header: []string{"region", "service", "replicas", "standby", "reading", "generating", "changing", "slots", "requests", "placed here", "word"}}
 	for _, each := range regions {
-		content.add(regionName(each.Region), each.Service, each.Replicas, each.Reading, each.Generating, each.Changing,
+		content.add(regionName(each.Region), each.Service, each.Replicas, each.Standby, each.Reading, each.Generating, each.Changing,
 			each.Slots, each.Requests, each.PlacedHere, wordOf(each))
 	}
 	content.note("requests: as this coordinator knows them; placed here: those of its own gateways")
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -58,6 +58,12 @@
 	// PlacesAbove is the number of gateways above which coordinators choose the replicas for
 	// them, DefaultPlacesAbove if it is not given; below 0 for never.
 	PlacesAbove *int `yaml:"places_above"`
+	// ActiveReplicas is the number of replicas of a service and region that take work whatever the load
+	// is; the others stand by until they are needed. 0 is activeset.DefaultLeast.
+	ActiveReplicas int `yaml:"active_replicas"`
+	// DrainMillis is how long after the platform's list shows it a leaving replica may get requests, 0 if
+	// there is no bound.
+	DrainMillis int `yaml:"drain_ms"`
 	// LeaseMillis is how far the orders of two coordinators to a replica must lie
 	// apart.
 	LeaseMillis int `yaml:"lease_ms"`
@@ -183,6 +189,12 @@
 	if s.QuotaWindowSeconds < 0 || s.QuotaOver < 0 || s.QuotaSlack < 0 {
 		report("quota_window_seconds, quota_over and quota_slack must not be negative")
 	}
+	if s.ActiveReplicas < 0 {
+		report("active_replicas must not be negative")
+	}
+	if s.DrainMillis < 0 {
+		report("drain_ms must not be negative")
+	}
 	if s.ContactMillis < 0 {
 		report("contact_ms must not be negative")
 	}
@@ -276,6 +288,15 @@
 // default.
 func (s *Settings) Contact() time.Duration { return time.Duration(s.ContactMillis) * time.Millisecond }
 
+// listShare of the time within which a leaving replica may get requests passes between two looks at the
+// list: what is left is for the way to all gateways, and for a look that fails.
+const listShare = 0.25
+
+// ListInterval is the time between two looks at the platform's list, 0 for the default.
+func (s *Settings) ListInterval() time.Duration {
+	return time.Duration(listShare * float64(s.DrainMillis) * float64(time.Millisecond))
+}
+
 // Hold is for how long a request is held under which replicas have ended, 0 for the default.
 func (s *Settings) Hold() time.Duration {
 	return time.Duration(s.HoldSeconds * float64(time.Second))
--- /dev/null
+++ b/internal/coordinator/activity_test.go
@@ -0,0 +1,204 @@
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/activeset"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/stageplan"
+)
+
+// listStandby is a change of the list as a leader commits it that plans which replicas are active.
+func listStandby(replicas ...region.Replica) *region.ListCommand {
+	return &region.ListCommand{Changed: replicas, Standby: true}
+}
+
+// TestGatewaysHearOnlyOfActiveReplicas follows a list whose replicas come, go, change, are activated and sent to stand by at
+// random. Gateways that are far behind or near end up with the same ones.
+func TestGatewaysHearOnlyOfActiveReplicas(t *testing.T) {
+	for seed := range uint64(8) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		m := newTestMachine()
+		current := map[string]region.Replica{}
+		active := map[string]region.Replica{}
+		often, rarely := newFollower(), newFollower()
+		for index := uint64(1); index < 3000; index++ {
+			command := region.Command{Activity: &region.ActivityCommand{}}
+			for range random.IntN(4) {
+				id := fmt.Sprint("i-", random.IntN(60))
+				if random.IntN(3) == 0 {
+					delete(current, id)
+					continue
+				}
+				current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
+			}
+			for id := range active {
+				if replica, listed := current[id]; listed {
+					active[id] = replica
+				} else {
+					delete(active, id)
+				}
+			}
+			state, _ := m.read()
+			if command.List = listChange(state.Replicas, slices.Collect(maps.Values(current))); command.List != nil {
+				command.List.Standby = true
+			}
+			for id, replica := range current {
+				switch _, found := active[id]; {
+				case found && random.IntN(40) == 0:
+					command.Activity.Rest = append(command.Activity.Rest, id)
+					delete(active, id)
+				case !found && random.IntN(20) == 0:
+					command.Activity.Activate = append(command.Activity.Activate, id)
+					active[id] = replica
+				}
+			}
+			apply(t, m, index, command)
+			often.follow(m)
+			if index%400 == 0 {
+				rarely.follow(m)
+				require.Equal(t, active, rarely.list, "seed %d at %d", seed, index)
+			}
+			require.Equal(t, active, often.list, "seed %d at %d", seed, index)
+		}
+	}
+}
+
+// TestChangesOfReplicasThatStandByAreNotTold: each of 1,000 gateways was woken and told of every change of 10,000 replicas,
+// also of those that it never sends anything to.
+func TestChangesOfReplicasThatStandByAreNotTold(t *testing.T) {
+	m := newTestMachine()
+	apply(t, m, 1, region.Command{
+		List:     listStandby(region.Replica{ID: "a"}, region.Replica{ID: "b"}),
+		Activity: &region.ActivityCommand{Activate: []string{"a"}},
+	})
+	gateway := newFollower()
+	gateway.follow(m)
+	require.Equal(t, []string{"a"}, slices.Collect(maps.Keys(gateway.list)))
+	apply(t, m, 2, region.Command{List: listStandby(region.Replica{ID: "b", Draining: true}, region.Replica{ID: "c"})})
+	apply(t, m, 3, region.Command{List: &region.ListCommand{Removed: []string{"b"}, Standby: true}})
+	state, _ := m.read()
+	assert.EqualValues(t, 1, state.ListRevision)
+	apply(t, m, 4, region.Command{List: listStandby(region.Replica{ID: "a", Draining: true})})
+	gateway.follow(m)
+	assert.True(t, gateway.list["a"].Draining)
+}
+
+// TestALeaderThatKnowsOfNoStandbyHasAllActive: while a fleet is upgraded, or taken back, the leader may be of a version that
+// activates none. Those that stood by would never take work, and in the end none would be left.
+func TestALeaderThatKnowsOfNoStandbyHasAllActive(t *testing.T) {
+	m := newTestMachine()
+	apply(t, m, 1, region.Command{List: listStandby(region.Replica{ID: "a"}, region.Replica{ID: "b"})})
+	apply(t, m, 2, listed(region.Replica{ID: "c"}))
+	gateway := newFollower()
+	gateway.follow(m)
+	assert.Len(t, gateway.list, 3)
+}
+
+// bigList is a list of model replicas.
+func bigList(count int) []region.Replica {
+	replicas := make([]region.Replica, count)
+	for index := range replicas {
+		stage := region.StageDecode
+		if index%5 < 2 {
+			stage = region.StagePrefill
+		}
+		replicas[index] = region.Replica{
+			ID: fmt.Sprintf("i-%05d", index), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", index/250, index%250),
+			Zone: fmt.Sprint("z", index/5%5), Slots: 64, Stage: stage,
+		}
+	}
+	return replicas
+}
+
+// TestAGatewaysListDoesNotGrowWithTheFleet: a gateway's first view held all replicas, 1.5 MB of 10,000, and each process
+// asked all of them what they keep.
+func TestAGatewaysListDoesNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{1_000, 3_000, 10_000} {
+		m := newTestMachine()
+		state, _ := m.read()
+		changeList(&state, 0, listStandby(bigList(size)...))
+		planner := &activeset.Planner{Least: activeset.DefaultLeast}
+		change := planner.Step(0, activityInput(state, nil, func(string) string { return "" }))
+		apply(t, m, 1, region.Command{
+			List:     listStandby(bigList(size)...),
+			Activity: &region.ActivityCommand{Activate: change.Activate},
+		})
+		state, _ = m.read()
+		view := &region.View{}
+		shownSince(state, 0, view)
+		assert.Len(t, view.Replicas, activeset.DefaultLeast, size)
+		assert.Less(t, view.Msgsize(), 100_000, size)
+	}
+}
+
+// TestAFirstListIsTakenInOnePass: each replica was inserted by itself into a sorted list, which moved all behind it: 10,000
+// took 100 times as long as 1,000.
+func TestAFirstListIsTakenInOnePass(t *testing.T) {
+	for _, size := range []int{1_000, 3_000, 10_000} {
+		state := region.State{}
+		replicas := bigList(size)
+		slices.Reverse(replicas)
+		allocated := testing.AllocsPerRun(3, func() {
+			state = region.State{}
+			changeList(&state, 1, listStandby(replicas...))
+		})
+		assert.Less(t, allocated, 20.0, "%d: allocations grow with the replicas", size)
+		assert.True(t, slices.IsSortedFunc(state.Replicas, func(a, b region.ListedReplica) int {
+			return compareReplica(a, b.Replica.ID)
+		}))
+	}
+}
+
+// TestNoStageIsChangedWhileTheListFillsUp: the first pages of the list showed 153 of 1,000 replicas, of which 27 were ordered to
+// change their stage before the others came.
+func TestNoStageIsChangedWhileTheListFillsUp(t *testing.T) {
+	keeper := newKeeper(nil, newTestMachine())
+	assert.True(t, keeper.stillArrive(0, "model", 153))
+	assert.True(t, keeper.stillArrive(1300*time.Millisecond, "model", 407))
+	assert.True(t, keeper.stillArrive(3200*time.Millisecond, "model", 407))
+	assert.False(t, keeper.stillArrive(3300*time.Millisecond, "model", 407))
+	keeper.demandFrom[stageGroup{service: "model"}] = 0
+	assert.False(t, keeper.stillArrive(4*time.Second, "model", 1000), "demand does not wait")
+}
+
+// TestOnlyActiveReplicasAreChanged: what stands by is counted, and left as it is.
+func TestOnlyActiveReplicasAreChanged(t *testing.T) {
+	m := newTestMachine()
+	apply(t, m, 1, region.Command{List: listStandby(bigList(1000)...), Activity: &region.ActivityCommand{Activate: []string{"i-00000", "i-00002"}}})
+	state, _ := m.read()
+	services, spares := modelReplicas(state, func(string) string { return "" })
+	assert.Len(t, services["model"], 2)
+	assert.Equal(t, stageplan.Spares{Readers: 399, Generators: 599}, spares[stageGroup{service: "model"}])
+	assert.Equal(t, 998, state.StandbyCount)
+	snapshot, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := newTestMachine()
+	require.NoError(t, restored.Restore(snapshot))
+	got, _ := restored.read()
+	assert.Equal(t, 998, got.StandbyCount)
+}
+
+// TestTheDemandOfAServiceDecidesWhatIsActive has gateways of two coordinators tell of it, and one replica out of reach.
+func TestTheDemandOfAServiceDecidesWhatIsActive(t *testing.T) {
+	state := region.State{}
+	changeList(&state, 0, listStandby(bigList(2000)...))
+	unreachable := state.Replicas[0].Replica.Life().Name()
+	told := map[activeset.Group]region.ServiceDemand{
+		{Service: "model"}: {Reading: 100, Generating: 4, Expected: 5, Unreachable: []string{unreachable, unreachable}},
+	}
+	input := activityInput(state, told, func(string) string { return "" })
+	assert.Equal(t, activeset.Demand{Reading: 100, Generating: 5}, input.Demand[activeset.Group{Service: "model"}])
+	assert.False(t, input.Replicas[0].Sound)
+	change := (&activeset.Planner{Least: activeset.DefaultLeast}).Step(0, input)
+	assert.Len(t, change.Activate, 400+128)
+	assert.NotContains(t, change.Activate, state.Replicas[0].Replica.ID)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/activeset"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -37,11 +38,13 @@
 	freshness freshness
 	clock     func() time.Duration
 	members   memberWatch
+	zones     *memberZones
 	placement *placementService
 	usage     *usageState
 	quotas    *quotaService
 	permits   permits
 	outlooks  fleetOutlooks
+	activity  activityKeeper
 }
 
 // New opens the data folder, and waits for a disk that refuses writes; Run starts the
@@ -63,6 +66,9 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
 	}
+	if settings.ActiveReplicas == 0 {
+		settings.ActiveReplicas = activeset.DefaultLeast
+	}
 	if settings.Now == nil {
 		settings.Now = uptime.Now
 	}
@@ -80,6 +86,7 @@
 		gateways:  newGatewayList(),
 		demand:    newDemandTable(),
 		reported:  newDemandTable(),
+		zones:     newMemberZones(),
 		clock:     clock,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 		permits:   permits{given: poison.NewPermits()},
@@ -129,7 +136,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -51,7 +51,7 @@
 // to the gateways that tell nothing.
 func (c *Coordinator) demandFor(now time.Duration, service string) region.ServiceDemand {
 	sum := c.toldDemand(now, func(told *region.ServiceDemand) bool { return told.Service == service })
-	return withSilent(sum, len(c.gateways.all(now)))
+	return withSilent(sum, len(c.gateways.all(now).addresses))
 }
 
 // demandIn adds up what is told of a service in a region, with that of a number of known gateways
@@ -138,5 +138,6 @@
 	sum.Squares += added.Squares
 	sum.Delayed += added.Delayed
 	sum.Gateways += added.Gateways
+	sum.Running += added.Running
 	sum.Unreachable = append(sum.Unreachable, added.Unreachable...)
 }
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -58,16 +58,19 @@
 	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
 	defer cancel()
 	begun := c.now()
-	_, hash := c.gateways.known()
+	hash := c.gateways.known().hash
+	members := c.zones.of(c.sortedMembers())
 	leader := c.group.LeaderAddress()
 	news, revision := c.usage.news(leader)
 	request := &region.ReadIndexRequest{
-		From:      c.settings.Address,
-		Gateways:  c.gateways.own(begun),
-		PeersHash: hash,
-		Demand:    c.demand.sum(begun),
-		Clocks:    append(c.usage.own.Read(), time.Now().UnixNano()),
-		Usage:     news,
+		From:        c.settings.Address,
+		Zone:        c.settings.Zone,
+		MembersHash: members.hash,
+		Gateways:    c.gateways.own(begun),
+		PeersHash:   hash,
+		Demand:      c.demand.sum(begun),
+		Clocks:      append(c.usage.own.Read(), time.Now().UnixNano()),
+		Usage:       news,
 	}
 	reply, err := c.askReadIndex(ctx, request)
 	if err != nil {
@@ -75,6 +78,7 @@
 		return err
 	}
 	c.usage.told(leader, revision)
+	c.zones.take(reply.Members)
 	if reply.RegionNanos > 0 && !c.group.Leads() {
 		c.usage.clock.Set(time.Now(), time.Unix(0, reply.RegionNanos))
 	}
@@ -129,14 +133,18 @@
 			c.takeUsage(&request.Usage[index])
 		}
 	}
+	c.zones.learn(request.From, request.Zone)
 	peers := c.gateways.all(now)
 	reply := &region.ReadIndexReply{
 		Index:       c.group.Runner.Status().AppliedIndex,
-		PeersHash:   hashOf(peers),
+		PeersHash:   peers.hash,
 		RegionNanos: c.usage.clock.Now().UnixNano(),
 	}
 	if reply.PeersHash != request.PeersHash {
-		reply.Peers = peers
+		reply.Peers = peers.addresses
+	}
+	if members := c.zones.of(c.sortedMembers()); members.hash != request.MembersHash {
+		reply.Members = members.told()
 	}
 	return reply, nil
 }
--- a/internal/coordinator/gatewaylist.go
+++ b/internal/coordinator/gatewaylist.go
@@ -13,30 +13,43 @@
 // this coordinator and, at the leader, those that poll the others.
 type gatewayList struct {
 	mutex sync.Mutex
-	polls map[string]time.Duration
+	polls *seenGateways
 	// reports are the gateways that other coordinators told of.
-	reports map[string]time.Duration
+	reports *seenGateways
+	// joined are both, made anew when one of them has changed.
+	joined     addressList
+	joinedFrom [2]uint64
 	// told is the whole list as the leader told it.
-	told []string
+	told addressList
+}
+
+// addressList is a sorted list of addresses with its hash.
+type addressList struct {
+	addresses []string
+	hash      uint64
+}
+
+func newAddressList(sorted []string) addressList {
+	return addressList{addresses: sorted, hash: hashOf(sorted)}
 }
 
 func newGatewayList() *gatewayList {
-	return &gatewayList{polls: map[string]time.Duration{}, reports: map[string]time.Duration{}}
+	return &gatewayList{polls: newSeenGateways(), reports: newSeenGateways(), joined: newAddressList(nil)}
 }
 
 // polled notes a gateway's poll.
 func (g *gatewayList) polled(now time.Duration, address string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.polls[address] = now
+	g.polls.note(now, address)
 }
 
 // own lists the gateways that poll this coordinator.
 func (g *gatewayList) own(now time.Duration) []string {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	forget(g.polls, now)
-	return keysOf(g.polls)
+	g.polls.forget(now)
+	return g.polls.list().addresses
 }
 
 // learn notes the gateways of another coordinator.
@@ -44,19 +57,21 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, address := range addresses {
-		g.reports[address] = now
+		g.reports.note(now, address)
 	}
 }
 
-// all lists the gateways that the leader knows, sorted.
-func (g *gatewayList) all(now time.Duration) []string {
+// all lists the gateways that the leader knows, sorted, with their hash.
+func (g *gatewayList) all(now time.Duration) addressList {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	forget(g.polls, now)
-	forget(g.reports, now)
-	all := append(keysOf(g.polls), keysOf(g.reports)...)
-	slices.Sort(all)
-	return slices.Compact(all)
+	g.polls.forget(now)
+	g.reports.forget(now)
+	if from := [2]uint64{g.polls.changes, g.reports.changes}; from != g.joinedFrom {
+		g.joinedFrom = from
+		g.joined = newAddressList(union(g.polls.list().addresses, g.reports.list().addresses))
+	}
+	return g.joined
 }
 
 // everyone lists the gateways that are known here in any way: a new leader has been told of
@@ -65,47 +80,85 @@
 	all := g.all(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	everyone := append(all, g.told...)
-	slices.Sort(everyone)
-	return slices.Compact(everyone)
+	return union(all.addresses, g.told.addresses)
 }
 
 // take notes the whole list as the leader told it.
 func (g *gatewayList) take(told []string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.told = told
+	g.told = newAddressList(told)
 }
 
-// known returns the whole list as last told, with its hash. Before the leader has
-// told any, those that poll this coordinator are known.
-func (g *gatewayList) known() ([]string, uint64) {
+// known returns the whole list as last told. Before the leader has told any, those
+// that poll this coordinator are known.
+func (g *gatewayList) known() addressList {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if len(g.told) > 0 {
-		return g.told, hashOf(g.told)
+	if len(g.told.addresses) > 0 {
+		return g.told
 	}
-	polling := keysOf(g.polls)
-	slices.Sort(polling)
-	return polling, hashOf(polling)
+	return g.polls.list()
 }
 
-func hashOf(addresses []string) uint64 {
-	return xxhash.Sum64String(strings.Join(addresses, ","))
+// seenGateways are gateways with when they were last seen. The sorted list of them is made anew only
+// when one comes or goes: it is read with each poll of each gateway.
+type seenGateways struct {
+	at map[string]time.Duration
+	// changes counts those that have come or gone, and listedAt is the count that listed is of.
+	changes, listedAt uint64
+	listed            addressList
+	forgottenAt       time.Duration
 }
 
-func keysOf(seen map[string]time.Duration) []string {
-	keys := make([]string, 0, len(seen))
-	for key := range seen {
-		keys = append(keys, key)
+// forgetInterval is the time between two looks for gateways that have gone.
+const forgetInterval = gatewayMemory / 20
+
+func newSeenGateways() *seenGateways {
+	return &seenGateways{at: map[string]time.Duration{}, listed: newAddressList(nil)}
+}
+
+func (s *seenGateways) note(now time.Duration, address string) {
+	if _, known := s.at[address]; !known {
+		s.changes++
 	}
-	return keys
+	s.at[address] = now
 }
 
-func forget(seen map[string]time.Duration, now time.Duration) {
-	for name, at := range seen {
+// forget drops those that were not seen for a time.
+func (s *seenGateways) forget(now time.Duration) {
+	if now-s.forgottenAt < forgetInterval {
+		return
+	}
+	s.forgottenAt = now
+	for address, at := range s.at {
 		if now-at > gatewayMemory {
-			delete(seen, name)
+			delete(s.at, address)
+			s.changes++
 		}
 	}
 }
+
+func (s *seenGateways) list() addressList {
+	if s.changes != s.listedAt {
+		s.listedAt = s.changes
+		addresses := make([]string, 0, len(s.at))
+		for address := range s.at {
+			addresses = append(addresses, address)
+		}
+		slices.Sort(addresses)
+		s.listed = newAddressList(addresses)
+	}
+	return s.listed
+}
+
+// union merges two lists into a sorted one.
+func union(a, b []string) []string {
+	merged := append(slices.Clone(a), b...)
+	slices.Sort(merged)
+	return slices.Compact(merged)
+}
+
+func hashOf(addresses []string) uint64 {
+	return xxhash.Sum64String(strings.Join(addresses, ","))
+}
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -37,14 +37,25 @@
 	if change == nil {
 		return nil
 	}
+	change.Standby = true
 	c.logChanges(state.Replicas, change)
-	_, err = c.commit(ctx, &region.Command{List: change})
+	// With the change of the list, so that gateways are never told of all replicas, and lose none that
+	// leaves without being told of another.
+	changeList(&state, state.ListRevision, change)
+	_, err = c.commit(ctx, &region.Command{List: change, Activity: c.planActivity(state)})
 	return err
 }
 
+// loggedReplicas bounds the lines of one change of the list; what is beyond is summed up in one.
+const loggedReplicas = 100
+
 // logChanges writes a line for each replica that has come, gone, changed or started again.
 func (c *Coordinator) logChanges(before []region.ListedReplica, change *region.ListCommand) {
-	for _, replica := range change.Changed {
+	for index, replica := range change.Changed {
+		if index == loggedReplicas {
+			c.logger.Info(event.ListChanged, "changed", len(change.Changed), "removed", len(change.Removed), "replicas_before", len(before))
+			return
+		}
 		if known, found := findListed(before, replica.ID); found && known.Born != replica.Born {
 			c.logger.Info(event.ReplicaRestarted, "replica", replica.ID, "born", replica.Born, "born_before", known.Born)
 		}
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -46,6 +46,9 @@
 	if change := command.List; change != nil {
 		m.applyList(index, change)
 	}
+	if change := command.Activity; change != nil {
+		m.applyActivity(index, change)
+	}
 	if change := command.Change; change != nil {
 		m.noteCall(dutyStages)
 		m.beginChange(index, change)
@@ -84,6 +87,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.state = state
+	countStandby(&m.state)
 	if len(data) > 0 {
 		for _, each := range duties {
 			m.noteCall(each)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -72,7 +72,6 @@
 	})
 	registry.GaugeFunc("regions_silent", "Other regions of whose work nothing is known.", func() float64 { return float64(c.silentRegions()) })
 	registry.GaugeFunc("gateways", "Gateways of the region.", func() float64 {
-		gateways, _ := c.gateways.known()
-		return float64(len(gateways))
+		return float64(len(c.gateways.known().addresses))
 	})
 }
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,8 +58,7 @@
 	if c.settings.PlacesAbove < 0 || c.settings.Without[mechanism.Placement] {
 		return false
 	}
-	gateways, _ := c.gateways.known()
-	return len(gateways) > c.settings.PlacesAbove
+	return len(c.gateways.known().addresses) > c.settings.PlacesAbove
 }
 
 const (
@@ -135,7 +133,7 @@
 // keepPlacementPeers has the coordinators tell each other of what they have placed.
 func (c *Coordinator) keepPlacementPeers(ctx context.Context) {
 	for {
-		addresses := slices.Sorted(slices.Values(c.group.MemberAddresses()))
+		addresses := c.sortedMembers()
 		if hash := hashOf(addresses); hash != c.placement.peers.Known() {
 			c.placement.peers.Take(hash, addresses)
 		}
--- a/internal/coordinator/regionload.go
+++ b/internal/coordinator/regionload.go
@@ -16,8 +16,10 @@
 type RegionLoad struct {
 	Region  string `json:"region"`
 	Service string `json:"service"`
-	// Replicas on the list, of which some read prompts, generate answers or change their stage.
+	// Replicas on the list, of which some stand by. Of the others some read prompts, generate answers or
+	// change their stage; Slots are theirs.
 	Replicas   int `json:"replicas"`
+	Standby    int `json:"standby"`
 	Reading    int `json:"reading"`
 	Generating int `json:"generating"`
 	Changing   int `json:"changing"`
@@ -45,6 +47,10 @@
 		replica := listed.Replica
 		load := c.loadOf(loads, &replica)
 		load.Replicas++
+		if listed.Standby {
+			load.Standby++
+			continue
+		}
 		load.Slots += replica.Slots
 		requests := work[replica.Life().Name()]
 		load.Requests += requests.All
--- a/internal/coordinator/replicalist.go
+++ b/internal/coordinator/replicalist.go
@@ -51,36 +51,127 @@
 	return change
 }
 
-// applyList applies a change of the list. The slices of the state are replaced,
-// since readers hold them.
+// applyList applies a change of the list.
 func (m *machine) applyList(index uint64, change *region.ListCommand) {
-	replicas := slices.Clone(m.state.Replicas)
-	for _, replica := range change.Changed {
-		listed := region.ListedReplica{Replica: replica, Revision: index}
-		at, found := slices.BinarySearchFunc(replicas, replica.ID, compareReplica)
-		if found {
-			replicas[at] = listed
-			continue
+	changeList(&m.state, index, change)
+	replicas := m.state.Replicas
+	m.dropChanges(index, func(each region.StageChange) bool { return hasEnded(each, replicas) })
+}
+
+// changeList applies a change of the list to a state, whose slices are replaced since readers hold them.
+func changeList(state *region.State, index uint64, change *region.ListCommand) {
+	changed := slices.Clone(change.Changed)
+	slices.SortStableFunc(changed, func(a, b region.Replica) int { return strings.Compare(a.ID, b.ID) })
+	gone := make(map[string]bool, len(change.Removed))
+	for _, id := range change.Removed {
+		gone[id] = true
+	}
+	list := &changedList{index: index, standby: change.Standby}
+	list.replicas = make([]region.ListedReplica, 0, len(state.Replicas)+len(changed))
+	for _, listed := range state.Replicas {
+		for len(changed) > 0 && changed[0].ID < listed.Replica.ID {
+			list.come(changed[0])
+			changed = changed[1:]
+		}
+		before := listed
+		for len(changed) > 0 && changed[0].ID == listed.Replica.ID {
+			listed.Replica = changed[0]
+			changed = changed[1:]
 		}
-		replicas = slices.Insert(replicas, at, listed)
+		list.stay(before, listed, gone[listed.Replica.ID])
 	}
-	removed := slices.Clone(m.state.Removed)
-	for _, id := range change.Removed {
-		at, found := slices.BinarySearchFunc(replicas, id, compareReplica)
-		if !found {
-			continue
+	for _, replica := range changed {
+		list.come(replica)
+	}
+	state.Replicas = list.replicas
+	countStandby(state)
+	if list.shown {
+		state.ListRevision = index
+	}
+	remove(state, index, list.removed)
+}
+
+// changedList is a list that is made anew by merging changes with it.
+type changedList struct {
+	index uint64
+	// standby says that what comes stands by.
+	standby  bool
+	replicas []region.ListedReplica
+	removed  []string
+	// shown says that something has changed that gateways are told of.
+	shown bool
+}
+
+// come takes a replica in that was not listed.
+func (c *changedList) come(replica region.Replica) {
+	c.replicas = append(c.replicas, region.ListedReplica{Replica: replica, Revision: c.index, Standby: c.standby})
+	c.shown = c.shown || !c.standby
+}
+
+// stay takes a replica over that was listed, unless it has gone.
+func (c *changedList) stay(before, listed region.ListedReplica, gone bool) {
+	if gone {
+		if !listed.Standby {
+			c.removed = append(c.removed, listed.Replica.ID)
+			c.shown = true
 		}
-		replicas = slices.Delete(replicas, at, at+1)
+		return
+	}
+	listed.Standby = listed.Standby && c.standby
+	if listed != before {
+		listed.Revision = c.index
+		c.shown = c.shown || !listed.Standby
+	}
+	c.replicas = append(c.replicas, listed)
+}
+
+// remove notes replicas that gateways are not told of any more.
+func remove(state *region.State, index uint64, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	removed := slices.Clone(state.Removed)
+	for _, id := range ids {
 		removed = append(removed, region.RemovedReplica{ID: id, Revision: index})
 	}
 	if excess := len(removed) - maximumRemoved; excess > 0 {
-		m.state.RemovedSince = removed[excess-1].Revision
+		state.RemovedSince = removed[excess-1].Revision
 		removed = removed[excess:]
 	}
+	state.Removed = removed
+}
+
+// applyActivity has replicas take work, or stand by.
+func (m *machine) applyActivity(index uint64, change *region.ActivityCommand) {
+	replicas := slices.Clone(m.state.Replicas)
+	for _, id := range change.Activate {
+		at, found := slices.BinarySearchFunc(replicas, id, compareReplica)
+		if found && replicas[at].Standby {
+			replicas[at].Standby, replicas[at].Revision = false, index
+			m.state.ListRevision = index
+		}
+	}
+	var resting []string
+	for _, id := range change.Rest {
+		at, found := slices.BinarySearchFunc(replicas, id, compareReplica)
+		if found && !replicas[at].Standby {
+			replicas[at].Standby = true
+			resting = append(resting, id)
+			m.state.ListRevision = index
+		}
+	}
 	m.state.Replicas = replicas
-	m.state.Removed = removed
-	m.state.ListRevision = index
-	m.dropChanges(index, func(each region.StageChange) bool { return hasEnded(each, replicas) })
+	countStandby(&m.state)
+	remove(&m.state, index, resting)
+}
+
+func countStandby(state *region.State) {
+	state.StandbyCount = 0
+	for index := range state.Replicas {
+		if state.Replicas[index].Standby {
+			state.StandbyCount++
+		}
+	}
 }
 
 // dropChanges ends stage changes.
@@ -132,12 +223,9 @@
 func shownSince(state region.State, revision uint64, view *region.View) {
 	view.HasList = true
 	view.WholeList = revision == 0 || revision < state.RemovedSince
-	changing := make(map[string]bool, len(state.Changes))
-	for _, change := range state.Changes {
-		changing[change.Replica] = true
-	}
+	changing := changingReplicas(state)
 	for _, listed := range state.Replicas {
-		if !view.WholeList && listed.Revision <= revision {
+		if listed.Standby || !view.WholeList && listed.Revision <= revision {
 			continue
 		}
 		replica := listed.Replica
@@ -150,7 +238,8 @@
 		return
 	}
 	for _, removed := range state.Removed {
-		_, backAgain := slices.BinarySearchFunc(state.Replicas, removed.ID, compareReplica)
+		at, listed := slices.BinarySearchFunc(state.Replicas, removed.ID, compareReplica)
+		backAgain := listed && !state.Replicas[at].Standby
 		if removed.Revision > revision && !backAgain {
 			view.Removed = append(view.Removed, removed.ID)
 		}
--- a/internal/coordinator/settings.go
+++ b/internal/coordinator/settings.go
@@ -51,6 +51,9 @@
 	// PlacesAbove is the number of gateways above which coordinators choose replicas for
 	// them; below 0 for never.
 	PlacesAbove int
+	// ActiveReplicas is the number of replicas of a service and region that take work whatever the load
+	// is, 0 for the default.
+	ActiveReplicas int
 	// LinkBitsPerSecond is the speed of the machine's network link, 0 if it is not known.
 	LinkBitsPerSecond float64
 	// OtherRegionsRate bounds what is told to the coordinators of other regions of the work at
--- a/internal/coordinator/stageinput.go
+++ b/internal/coordinator/stageinput.go
@@ -40,7 +40,7 @@
 // which region they are in.
 func (k *stageKeeper) knownGateways(now time.Duration, group stageGroup, telling int) int {
 	if !k.settings.Topology.Spans() {
-		return len(k.gateways.all(now))
+		return len(k.gateways.all(now).addresses)
 	}
 	most, found := k.telling[group]
 	if !found {
@@ -52,7 +52,12 @@
 
 // inputFor describes the replicas of a group and the demand for them.
 func (k *stageKeeper) inputFor(now time.Duration, group stageGroup, demand region.ServiceDemand, replicas []region.Replica, changes []region.StageChange) stageplan.Input {
-	input := stageplan.Input{Generating: demand.Generating, Expected: demand.Expected, Reading: demand.Reading}
+	input := stageplan.Input{
+		Generating: demand.Generating,
+		Expected:   demand.Expected,
+		Reading:    demand.Reading,
+		Spares:     k.spares[group],
+	}
 	unreachable := map[string]int{}
 	for _, replica := range demand.Unreachable {
 		unreachable[replica]++
--- a/internal/coordinator/stagepolicy.go
+++ b/internal/coordinator/stagepolicy.go
@@ -39,7 +39,7 @@
 
 // zoneFor describes the replicas of a service as those of a zone.
 func (k *stageKeeper) zoneFor(all []*stageplan.RegionInput) policy.Zone {
-	zone := policy.Zone{Name: k.settings.Zone, Gateways: len(k.gateways.all(k.now()))}
+	zone := policy.Zone{Name: k.settings.Zone, Gateways: len(k.gateways.all(k.now()).addresses)}
 	for _, input := range all {
 		for _, replica := range input.Replicas {
 			zone.AddEngine(string(roleOf(replica.Generates)), replica.Changing)
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -94,6 +94,36 @@
 	// known are those that there were at the last step.
 	moved map[stageGroup]time.Duration
 	known map[stageGroup]string
+	// spares are the replicas that stand by, as of the last step.
+	spares map[stageGroup]stageplan.Spares
+	// arrivals are the numbers of replicas on the list, by service.
+	arrivals map[string]arrival
+}
+
+// arrival is a number of replicas, and since when it has been the same.
+type arrival struct {
+	replicas int
+	since    time.Duration
+}
+
+// arrivalTime is for how long no replica must have come before the first is changed: a list that is still
+// filling up shows too few, and a change that one of those to come would have made needless costs seconds
+// of a replica.
+const arrivalTime = 2 * time.Second
+
+// stillArrive reports whether replicas of a service have come or gone of late, before any demand was told.
+func (k *stageKeeper) stillArrive(now time.Duration, service string, replicas int) bool {
+	for group := range k.demandFrom {
+		if group.service == service {
+			return false
+		}
+	}
+	seen := k.arrivals[service]
+	if seen.replicas != replicas {
+		seen = arrival{replicas: replicas, since: now}
+		k.arrivals[service] = seen
+	}
+	return now-seen.since < arrivalTime
 }
 
 // stageGroup are the replicas of a service in a region. The region is empty where there is one.
@@ -127,6 +157,7 @@
 	k.leadsSince = k.now()
 	k.heard = map[stageGroup]time.Duration{}
 	k.telling = map[stageGroup]*recentMost{}
+	k.arrivals = map[string]arrival{}
 	k.moved = map[stageGroup]time.Duration{}
 	k.known = map[stageGroup]string{}
 }
@@ -143,7 +174,9 @@
 	if !k.mayCall() {
 		return
 	}
-	for service, replicas := range modelReplicas(state) {
+	services, spares := modelReplicas(state, k.settings.Topology.Group)
+	k.spares = spares
+	for service, replicas := range services {
 		k.stepService(ctx, now, service, replicas, state.Changes)
 	}
 }
@@ -151,6 +184,15 @@
 // stepService makes some changes of a service, wherever its replicas are.
 func (k *stageKeeper) stepService(ctx context.Context, now time.Duration, service string, replicas []region.Replica, changes []region.StageChange) {
 	inputs := k.inputsFor(now, service, replicas, changes)
+	listed := len(replicas)
+	for group, spare := range k.spares {
+		if group.service == service {
+			listed += spare.Readers + spare.Generators
+		}
+	}
+	if k.stillArrive(now, service, listed) {
+		return
+	}
 	planned := 0
 	for _, input := range inputs {
 		planned += len(input.Replicas)
@@ -178,17 +220,29 @@
 	return plan
 }
 
-// modelReplicas returns the replicas with a stage that are not leaving, by
-// service.
-func modelReplicas(state region.State) map[string][]region.Replica {
-	services := map[string][]region.Replica{}
+// modelReplicas returns the active replicas with a stage that are not leaving, by service, and counts
+// those that stand by.
+func modelReplicas(state region.State, groupOf func(zone string) string) (services map[string][]region.Replica, spares map[stageGroup]stageplan.Spares) {
+	services = map[string][]region.Replica{}
+	spares = map[stageGroup]stageplan.Spares{}
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
-		if replica.Stage != "" && !replica.Draining {
+		switch {
+		case replica.Stage == "" || replica.Draining:
+		case !listed.Standby:
 			services[replica.Service] = append(services[replica.Service], replica)
+		default:
+			group := stageGroup{service: replica.Service, region: groupOf(replica.Zone)}
+			spare := spares[group]
+			if replica.Stage == region.StagePrefill {
+				spare.Readers++
+			} else {
+				spare.Generators++
+			}
+			spares[group] = spare
 		}
 	}
-	return services
+	return services, spares
 }
 
 // endStuckChanges ends changes that the list has not shown in time.
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -49,16 +49,18 @@
 
 func (c *Coordinator) viewOf(state region.State, request *region.ViewRequest) *region.View {
 	age := c.freshness.age(c.now())
-	peers, hash := c.gateways.known()
+	peers := c.gateways.known()
+	members := c.zones.of(c.sortedMembers())
 	view := &region.View{
 		AgeMillis:    age.Milliseconds(),
 		Zone:         c.settings.Zone,
 		Version:      state.Version,
 		ListRevision: state.ListRevision,
-		Gateways:     c.countedGateways(len(peers)),
+		Standby:      state.StandbyCount,
+		Gateways:     c.countedGateways(len(peers.addresses)),
 		Places:       c.places(),
-		PeersHash:    hash,
-		Coordinators: c.group.MemberAddresses(),
+		PeersHash:    peers.hash,
+		MembersHash:  members.hash,
 		RegionNanos:  c.usage.clock.Now().UnixNano(),
 		NextWindow:   state.NextWindow,
 		Poison:       state.Poison.NewsSince(request.PoisonRevision),
@@ -66,8 +68,11 @@
 	if age < 0 {
 		view.AgeMillis = -1
 	}
-	if hash != request.PeersHash && !view.Places {
-		view.Peers = peers
+	if peers.hash != request.PeersHash && !view.Places {
+		view.Peers = peers.addresses
+	}
+	if members.hash != request.MembersHash {
+		view.Coordinators, view.CoordinatorZones = members.addresses, members.zones
 	}
 	if state.Version > request.Version {
 		view.Document = state.Document
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,6 +78,12 @@
 	ReplicaRestarted Event = "replica started again"
 	// ReplicaGone: a replica has gone.
 	ReplicaGone Event = "replica gone from the list"
+	// ListChanged: so many replicas have come, gone or changed at once that not each has a line.
+	ListChanged Event = "list of replicas changed"
+	// ReplicaActivity: replicas take work from now on, or stand by.
+	ReplicaActivity Event = "replicas activated"
+	// ReplicaActivityLost: such a change was not committed; it is made again if it still is due.
+	ReplicaActivityLost Event = "activation not committed"
 	// ReplicaAvoided: a replica gets no requests for a time.
 	ReplicaAvoided Event = "replica avoided"
 	// ReplicaBack: a replica that had not been reached answers again.
@@ -224,6 +230,9 @@
 		ReplicaListed,
 		ReplicaRestarted,
 		ReplicaGone,
+		ListChanged,
+		ReplicaActivity,
+		ReplicaActivityLost,
 		ReplicaAvoided,
 		ReplicaBack,
 		PrefixesLearned,
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -51,10 +51,12 @@
 	Version uint64 `msg:"version"`
 	// Document is the configuration as the operator sent it.
 	Document []byte `msg:"document,limit=67108864"`
-	// ListRevision is the log position of the last change of Replicas.
+	// ListRevision is the log position of the last change of those Replicas that don't stand by.
 	ListRevision uint64 `msg:"list_revision"`
 	// Replicas are sorted by their ids, of each its newest life.
 	Replicas []ListedReplica `msg:"replicas"`
+	// StandbyCount is the number of Replicas that stand by. Each coordinator counts them itself.
+	StandbyCount int `msg:"-"`
 	// Removed are the replicas that have gone, oldest first, after RemovedSince.
 	Removed      []RemovedReplica `msg:"removed"`
 	RemovedSince uint64           `msg:"removed_since"`
@@ -97,9 +99,11 @@
 type ListedReplica struct {
 	Replica  Replica `msg:"replica"`
 	Revision uint64  `msg:"revision"`
+	// Standby replicas take no work, and gateways are not told of them.
+	Standby bool `msg:"standby,omitempty"`
 }
 
-// RemovedReplica is a replica that has gone, with the log position of its going.
+// RemovedReplica is a replica that has gone or stands by, with the log position from which on it does.
 type RemovedReplica struct {
 	ID       string `msg:"id"`
 	Revision uint64 `msg:"revision"`
@@ -115,7 +119,7 @@
 	Fence uint64 `msg:"fence"`
 }
 
-// Command is a change of State. One of its fields is set.
+// Command is a change of State. One of its fields is set, or List and Activity are.
 type Command struct {
 	Configuration *ConfigurationCommand `msg:"configuration"`
 	List          *ListCommand          `msg:"list"`
@@ -126,6 +130,7 @@
 	UsageEnd      *UsageEndCommand      `msg:"usage_end"`
 	Fleet         *FleetOrder           `msg:"fleet"`
 	Poison        *poison.Command       `msg:"poison"`
+	Activity      *ActivityCommand      `msg:"activity,omitempty"`
 }
 
 // UsageCallCommand precedes each report of a window's usage. Its log position is the fence.
@@ -165,6 +170,15 @@
 	// gone.
 	Changed []Replica `msg:"changed"`
 	Removed []string  `msg:"removed"`
+	// Standby says that replicas which come stand by until they are activated. A leader that says
+	// nothing of it knows of no replicas that stand by: then all are active.
+	Standby bool `msg:"standby,omitempty"`
+}
+
+// ActivityCommand says which replicas take work from now on, and which stand by, by their ids.
+type ActivityCommand struct {
+	Activate []string `msg:"activate"`
+	Rest     []string `msg:"rest"`
 }
 
 // ViewRequest is a gateway's long poll.
@@ -172,8 +186,9 @@
 	Gateway string `msg:"gateway"`
 	// Address is where the gateway takes messages of its peers.
 	Address string `msg:"address"`
-	// PeersHash is that of the peers that the gateway knows.
-	PeersHash uint64 `msg:"peers_hash"`
+	// PeersHash is that of the peers that the gateway knows, and MembersHash that of the coordinators.
+	PeersHash   uint64 `msg:"peers_hash"`
+	MembersHash uint64 `msg:"members_hash,omitempty"`
 	// Version and ListRevision are what the gateway has.
 	Version      uint64 `msg:"version"`
 	ListRevision uint64 `msg:"list_revision"`
@@ -217,6 +232,8 @@
 	WholeList    bool      `msg:"whole_list"`
 	Replicas     []Replica `msg:"replicas"`
 	Removed      []string  `msg:"removed"`
+	// Standby is the number of replicas that the gateway is not told of.
+	Standby int `msg:"standby,omitempty"`
 	// Gateways is the number of gateways of the region, 0 if it is not known yet.
 	Gateways int `msg:"gateways"`
 	// Places says that there are so many gateways that the coordinators choose replicas for
@@ -226,8 +243,12 @@
 	// only if the hash is not the request's.
 	PeersHash uint64   `msg:"peers_hash"`
 	Peers     []string `msg:"peers"`
-	// Coordinators are the internal addresses of the coordinators.
-	Coordinators []string `msg:"coordinators"`
+	// MembersHash is that of the coordinators with their zones. Coordinators are their internal
+	// addresses and CoordinatorZones their zones, empty where one is not known; they are set only if
+	// the hash is not the request's.
+	MembersHash      uint64   `msg:"members_hash,omitempty"`
+	Coordinators     []string `msg:"coordinators"`
+	CoordinatorZones []string `msg:"coordinator_zones,omitempty"`
 	// RegionNanos is the region's time, since 1970.
 	RegionNanos int64 `msg:"region"`
 	// NextWindow is the first window of usage whose counts are not fixed.
@@ -238,8 +259,11 @@
 
 // ReadIndexRequest asks the leader to confirm its leadership.
 type ReadIndexRequest struct {
-	// From is the asking coordinator's address.
+	// From is the asking coordinator's address, and Zone its zone.
 	From string `msg:"from"`
+	Zone string `msg:"zone,omitempty"`
+	// MembersHash is that of the coordinators with their zones as the asker knows them.
+	MembersHash uint64 `msg:"members_hash,omitempty"`
 	// Gateways are the addresses of the gateways that poll the asking
 	// coordinator.
 	Gateways []string `msg:"gateways"`
@@ -282,6 +306,8 @@
 	Unreachable []string `msg:"unreachable"`
 	// Gateways is the number of gateways whose demand is summed up here.
 	Gateways int `msg:"gateways"`
+	// Running is the number of requests at replicas that are not model engines.
+	Running float64 `msg:"running,omitempty"`
 }
 
 // ReadIndexReply tells the log position that the asker has to have applied to
@@ -292,10 +318,19 @@
 	// only if the hash is not the request's.
 	PeersHash uint64   `msg:"peers_hash"`
 	Peers     []string `msg:"peers"`
+	// Members are the coordinators whose zones the leader knows, set only if the asker may not know
+	// them all.
+	Members []CoordinatorZone `msg:"members,omitempty"`
 	// RegionNanos is the region's time, since 1970.
 	RegionNanos int64 `msg:"region"`
 }
 
+// CoordinatorZone is a coordinator, by its internal address, with its zone.
+type CoordinatorZone struct {
+	Address string `msg:"address"`
+	Zone    string `msg:"zone"`
+}
+
 // ReplaceRequest hands an operator's configuration to the leader.
 type ReplaceRequest struct {
 	Version  uint64 `msg:"version"`
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -13,6 +13,118 @@
 	z2c18a699limitMaps   = 65536
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ActivityCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "activate"
+	o = append(o, 0x82, 0xa8, 0x61, 0x63, 0x74, 0x69, 0x76, 0x61, 0x74, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Activate)))
+	for za0001 := range z.Activate {
+		o = msgp.AppendString(o, z.Activate[za0001])
+	}
+	// string "rest"
+	o = append(o, 0xa4, 0x72, 0x65, 0x73, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rest)))
+	for za0002 := range z.Rest {
+		o = msgp.AppendString(o, z.Rest[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ActivityCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "activate":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Activate")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Activate) >= int(zb0002) {
+				z.Activate = (z.Activate)[:zb0002]
+			} else {
+				z.Activate = make([]string, zb0002)
+			}
+			for za0001 := range z.Activate {
+				z.Activate[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Activate", za0001)
+					return
+				}
+			}
+		case "rest":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rest")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rest) >= int(zb0003) {
+				z.Rest = (z.Rest)[:zb0003]
+			} else {
+				z.Rest = make([]string, zb0003)
+			}
+			for za0002 := range z.Rest {
+				z.Rest[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rest", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ActivityCommand) Msgsize() (s int) {
+	s = 1 + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Activate {
+		s += msgp.StringPrefixSize + len(z.Activate[za0001])
+	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Rest {
+		s += msgp.StringPrefixSize + len(z.Rest[za0002])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ChangeCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -146,117 +258,143 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "configuration"
-	o = append(o, 0x89, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	if z.Configuration == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 2
-		// string "version"
-		o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Configuration.Version)
-		// string "document"
-		o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-		o = msgp.AppendBytes(o, z.Configuration.Document)
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Activity == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// string "list"
-	o = append(o, 0xa4, 0x6c, 0x69, 0x73, 0x74)
-	if z.List == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.List.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List")
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "configuration"
+		o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		if z.Configuration == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 2
+			// string "version"
+			o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Configuration.Version)
+			// string "document"
+			o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+			o = msgp.AppendBytes(o, z.Configuration.Document)
 		}
-	}
-	// string "change"
-	o = append(o, 0xa6, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65)
-	if z.Change == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 3
-		// string "replica"
-		o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-		o = msgp.AppendString(o, z.Change.Replica)
-		// string "born"
-		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-		o = msgp.AppendInt64(o, z.Change.Born)
-		// string "stage"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-		o = msgp.AppendString(o, z.Change.Stage)
-	}
-	// string "change_end"
-	o = append(o, 0xaa, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
-	if z.ChangeEnd == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "replica"
-		o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-		o = msgp.AppendString(o, z.ChangeEnd.Replica)
-	}
-	// string "usage"
-	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-	if z.Usage == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 2
-		// string "window"
-		o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-		o = msgp.AppendUint64(o, z.Usage.Window)
-		// string "counts"
-		o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Counts)))
-		for za0001 := range z.Usage.Counts {
-			// array header, size 3
-			o = append(o, 0x93)
-			o = msgp.AppendUint64(o, z.Usage.Counts[za0001].Window)
-			o = msgp.AppendString(o, z.Usage.Counts[za0001].Tenant)
-			o = msgp.AppendUint32(o, z.Usage.Counts[za0001].Count)
+		// string "list"
+		o = append(o, 0xa4, 0x6c, 0x69, 0x73, 0x74)
+		if z.List == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.List.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
 		}
-	}
-	// string "usage_call"
-	o = append(o, 0xaa, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x63, 0x61, 0x6c, 0x6c)
-	if z.UsageCall == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "window"
-		o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-		o = msgp.AppendUint64(o, z.UsageCall.Window)
-	}
-	// string "usage_end"
-	o = append(o, 0xa9, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
-	if z.UsageEnd == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 1
-		// string "window"
-		o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-		o = msgp.AppendUint64(o, z.UsageEnd.Window)
-	}
-	// string "fleet"
-	o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
-	if z.Fleet == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Fleet.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Fleet")
-			return
+		// string "change"
+		o = append(o, 0xa6, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65)
+		if z.Change == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 3
+			// string "replica"
+			o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+			o = msgp.AppendString(o, z.Change.Replica)
+			// string "born"
+			o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
+			o = msgp.AppendInt64(o, z.Change.Born)
+			// string "stage"
+			o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+			o = msgp.AppendString(o, z.Change.Stage)
 		}
-	}
-	// string "poison"
-	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
-	if z.Poison == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Poison.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Poison")
-			return
+		// string "change_end"
+		o = append(o, 0xaa, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
+		if z.ChangeEnd == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "replica"
+			o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+			o = msgp.AppendString(o, z.ChangeEnd.Replica)
+		}
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		if z.Usage == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 2
+			// string "window"
+			o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+			o = msgp.AppendUint64(o, z.Usage.Window)
+			// string "counts"
+			o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Counts)))
+			for za0001 := range z.Usage.Counts {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendUint64(o, z.Usage.Counts[za0001].Window)
+				o = msgp.AppendString(o, z.Usage.Counts[za0001].Tenant)
+				o = msgp.AppendUint32(o, z.Usage.Counts[za0001].Count)
+			}
+		}
+		// string "usage_call"
+		o = append(o, 0xaa, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x63, 0x61, 0x6c, 0x6c)
+		if z.UsageCall == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "window"
+			o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+			o = msgp.AppendUint64(o, z.UsageCall.Window)
+		}
+		// string "usage_end"
+		o = append(o, 0xa9, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
+		if z.UsageEnd == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			// map header, size 1
+			// string "window"
+			o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+			o = msgp.AppendUint64(o, z.UsageEnd.Window)
+		}
+		// string "fleet"
+		o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
+		if z.Fleet == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Fleet.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Fleet")
+				return
+			}
+		}
+		// string "poison"
+		o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+		if z.Poison == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Poison.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Poison")
+				return
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "activity"
+			o = append(o, 0xa8, 0x61, 0x63, 0x74, 0x69, 0x76, 0x69, 0x74, 0x79)
+			if z.Activity == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Activity.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Activity")
+					return
+				}
+			}
 		}
 	}
 	return
@@ -676,6 +814,23 @@
 					return
 				}
 			}
+		case "activity":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Activity = nil
+			} else {
+				if z.Activity == nil {
+					z.Activity = new(ActivityCommand)
+				}
+				bts, err = z.Activity.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Activity")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -747,6 +902,12 @@
 	} else {
 		s += z.Poison.Msgsize()
 	}
+	s += 9
+	if z.Activity == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Activity.Msgsize()
+	}
 	return
 }
 
@@ -831,6 +992,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z CoordinatorZone) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "address"
+	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CoordinatorZone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CoordinatorZone) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *EngineCost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1181,22 +1407,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "changed"
-	o = append(o, 0x82, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
-	for za0001 := range z.Changed {
-		o, err = z.Changed[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Changed", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Standby == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		o = msgp.AppendString(o, z.Removed[za0002])
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "changed"
+		o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
+		for za0001 := range z.Changed {
+			o, err = z.Changed[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Changed", za0001)
+				return
+			}
+		}
+		// string "removed"
+		o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+		for za0002 := range z.Removed {
+			o = msgp.AppendString(o, z.Removed[za0002])
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "standby"
+			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+			o = msgp.AppendBool(o, z.Standby)
+		}
 	}
 	return
 }
@@ -1269,6 +1513,12 @@
 					return
 				}
 			}
+		case "standby":
+			z.Standby, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standby")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1291,23 +1541,42 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
+	s += 8 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ListedReplica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "replica"
-	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o, err = z.Replica.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Replica")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Standby == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "replica"
+		o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o, err = z.Replica.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Replica")
+			return
+		}
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "standby"
+			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+			o = msgp.AppendBool(o, z.Standby)
+		}
 	}
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
 	return
 }
 
@@ -1345,6 +1614,12 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "standby":
+			z.Standby, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standby")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1359,7 +1634,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListedReplica) Msgsize() (s int) {
-	s = 1 + 8 + z.Replica.Msgsize() + 9 + msgp.Uint64Size
+	s = 1 + 8 + z.Replica.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
 	return
 }
 
@@ -1812,22 +2087,49 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "index"
-	o = append(o, 0x84, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
-	o = msgp.AppendUint64(o, z.Index)
-	// string "peers_hash"
-	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-	o = msgp.AppendUint64(o, z.PeersHash)
-	// string "peers"
-	o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0001 := range z.Peers {
-		o = msgp.AppendString(o, z.Peers[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "index"
+		o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+		o = msgp.AppendUint64(o, z.Index)
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		// string "peers"
+		o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+		for za0001 := range z.Peers {
+			o = msgp.AppendString(o, z.Peers[za0001])
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "members"
+			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+			for za0002 := range z.Members {
+				// map header, size 2
+				// string "address"
+				o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+				o = msgp.AppendString(o, z.Members[za0002].Address)
+				// string "zone"
+				o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+				o = msgp.AppendString(o, z.Members[za0002].Zone)
+			}
+		}
+		// string "region"
+		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt64(o, z.RegionNanos)
 	}
-	// string "region"
-	o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt64(o, z.RegionNanos)
 	return
 }
 
@@ -1888,6 +2190,62 @@
 					return
 				}
 			}
+		case "members":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0003) {
+				z.Members = (z.Members)[:zb0003]
+			} else {
+				z.Members = make([]CoordinatorZone, zb0003)
+			}
+			for za0002 := range z.Members {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+				if zb0004 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Members", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "address":
+						z.Members[za0002].Address, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002, "Address")
+							return
+						}
+					case "zone":
+						z.Members[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002, "Zone")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002)
+							return
+						}
+					}
+				}
+			}
 		case "region":
 			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1912,6 +2270,10 @@
 	for za0001 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0001])
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Members[za0002].Address) + 5 + msgp.StringPrefixSize + len(z.Members[za0002].Zone)
+	}
 	s += 7 + msgp.Int64Size
 	return
 }
@@ -1919,43 +2281,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "from"
-	o = append(o, 0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendString(o, z.From)
-	// string "gateways"
-	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
-	for za0001 := range z.Gateways {
-		o = msgp.AppendString(o, z.Gateways[za0001])
-	}
-	// string "peers_hash"
-	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-	o = msgp.AppendUint64(o, z.PeersHash)
-	// string "demand"
-	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-	for za0002 := range z.Demand {
-		o, err = z.Demand[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0002)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// string "clocks"
-	o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x63, 0x6b, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Clocks)))
-	for za0003 := range z.Clocks {
-		o = msgp.AppendInt64(o, z.Clocks[za0003])
+	if z.MembersHash == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "usage"
-	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
-	for za0004 := range z.Usage {
-		o, err = z.Usage[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Usage", za0004)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o = msgp.AppendString(o, z.From)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "zone"
+			o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, z.Zone)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "members_hash"
+			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+			o = msgp.AppendUint64(o, z.MembersHash)
+		}
+		// string "gateways"
+		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
+		for za0001 := range z.Gateways {
+			o = msgp.AppendString(o, z.Gateways[za0001])
+		}
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		// string "demand"
+		o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+		for za0002 := range z.Demand {
+			o, err = z.Demand[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand", za0002)
+				return
+			}
+		}
+		// string "clocks"
+		o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x63, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Clocks)))
+		for za0003 := range z.Clocks {
+			o = msgp.AppendInt64(o, z.Clocks[za0003])
+		}
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
+		for za0004 := range z.Usage {
+			o, err = z.Usage[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage", za0004)
+				return
+			}
 		}
 	}
 	return
@@ -1989,6 +2378,18 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "members_hash":
+			z.MembersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MembersHash")
+				return
+			}
 		case "gateways":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2101,7 +2502,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ReadIndexRequest) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.From) + 9 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.From) + 5 + msgp.StringPrefixSize + len(z.Zone) + 13 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Gateways {
 		s += msgp.StringPrefixSize + len(z.Gateways[za0001])
 	}
@@ -2459,13 +2860,17 @@
 func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Region == "" {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2512,6 +2917,11 @@
 		// string "gateways"
 		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 		o = msgp.AppendInt(o, z.Gateways)
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "running"
+			o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+			o = msgp.AppendFloat64(o, z.Running)
+		}
 	}
 	return
 }
@@ -2627,6 +3037,12 @@
 				err = msgp.WrapError(err, "Gateways")
 				return
 			}
+		case "running":
+			z.Running, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2645,7 +3061,7 @@
 	for za0001 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
 	}
-	s += 9 + msgp.IntSize
+	s += 9 + msgp.IntSize + 8 + msgp.Float64Size
 	return
 }
 
@@ -2749,17 +3165,35 @@
 	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
-		// map header, size 2
-		// string "replica"
-		o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-		o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001, "Replica")
-			return
+		// check for omitted fields
+		zb0002Len := uint32(3)
+		var zb0002Mask uint8 /* 3 bits */
+		_ = zb0002Mask
+		if z.Replicas[za0001].Standby == false {
+			zb0002Len--
+			zb0002Mask |= 0x4
+		}
+		// variable map header, size zb0002Len
+		o = append(o, 0x80|uint8(zb0002Len))
+
+		// skip if no fields are to be emitted
+		if zb0002Len != 0 {
+			// string "replica"
+			o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+			o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+				return
+			}
+			// string "revision"
+			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
+			if (zb0002Mask & 0x4) == 0 { // if not omitted
+				// string "standby"
+				o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+				o = msgp.AppendBool(o, z.Replicas[za0001].Standby)
+			}
 		}
-		// string "revision"
-		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
 	}
 	// string "removed"
 	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
@@ -2931,6 +3365,12 @@
 							err = msgp.WrapError(err, "Replicas", za0001, "Revision")
 							return
 						}
+					case "standby":
+						z.Replicas[za0001].Standby, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Standby")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -3169,7 +3609,7 @@
 func (z *State) Msgsize() (s int) {
 	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
-		s += 1 + 8 + z.Replicas[za0001].Replica.Msgsize() + 9 + msgp.Uint64Size
+		s += 1 + 8 + z.Replicas[za0001].Replica.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
 	}
 	s += 8 + msgp.ArrayHeaderSize
 	for za0002 := range z.Removed {
@@ -3469,80 +3909,119 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 17
-	// string "age"
-	o = append(o, 0xde, 0x0, 0x11, 0xa3, 0x61, 0x67, 0x65)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "list_revision"
-	o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ListRevision)
-	// string "has_list"
-	o = append(o, 0xa8, 0x68, 0x61, 0x73, 0x5f, 0x6c, 0x69, 0x73, 0x74)
-	o = msgp.AppendBool(o, z.HasList)
-	// string "whole_list"
-	o = append(o, 0xaa, 0x77, 0x68, 0x6f, 0x6c, 0x65, 0x5f, 0x6c, 0x69, 0x73, 0x74)
-	o = msgp.AppendBool(o, z.WholeList)
-	// string "replicas"
-	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		o, err = z.Replicas[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
+	_ = zb0001Mask
+	if z.Standby == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		o = msgp.AppendString(o, z.Removed[za0002])
-	}
-	// string "gateways"
-	o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
-	o = msgp.AppendInt(o, z.Gateways)
-	// string "places"
-	o = append(o, 0xa6, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x73)
-	o = msgp.AppendBool(o, z.Places)
-	// string "peers_hash"
-	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-	o = msgp.AppendUint64(o, z.PeersHash)
-	// string "peers"
-	o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0003 := range z.Peers {
-		o = msgp.AppendString(o, z.Peers[za0003])
+	if z.MembersHash == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
 	}
-	// string "coordinators"
-	o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
-	for za0004 := range z.Coordinators {
-		o = msgp.AppendString(o, z.Coordinators[za0004])
+	if z.CoordinatorZones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
 	}
-	// string "region"
-	o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendInt64(o, z.RegionNanos)
-	// string "next_window"
-	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.NextWindow)
-	// string "poison"
-	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
-	if z.Poison == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Poison.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Poison")
-			return
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "age"
+		o = append(o, 0xa3, 0x61, 0x67, 0x65)
+		o = msgp.AppendInt64(o, z.AgeMillis)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.Zone)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "document"
+		o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+		o = msgp.AppendBytes(o, z.Document)
+		// string "list_revision"
+		o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.ListRevision)
+		// string "has_list"
+		o = append(o, 0xa8, 0x68, 0x61, 0x73, 0x5f, 0x6c, 0x69, 0x73, 0x74)
+		o = msgp.AppendBool(o, z.HasList)
+		// string "whole_list"
+		o = append(o, 0xaa, 0x77, 0x68, 0x6f, 0x6c, 0x65, 0x5f, 0x6c, 0x69, 0x73, 0x74)
+		o = msgp.AppendBool(o, z.WholeList)
+		// string "replicas"
+		o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+		for za0001 := range z.Replicas {
+			o, err = z.Replicas[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas", za0001)
+				return
+			}
+		}
+		// string "removed"
+		o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+		for za0002 := range z.Removed {
+			o = msgp.AppendString(o, z.Removed[za0002])
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "standby"
+			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+			o = msgp.AppendInt(o, z.Standby)
+		}
+		// string "gateways"
+		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+		o = msgp.AppendInt(o, z.Gateways)
+		// string "places"
+		o = append(o, 0xa6, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x73)
+		o = msgp.AppendBool(o, z.Places)
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		// string "peers"
+		o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+		for za0003 := range z.Peers {
+			o = msgp.AppendString(o, z.Peers[za0003])
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "members_hash"
+			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+			o = msgp.AppendUint64(o, z.MembersHash)
+		}
+		// string "coordinators"
+		o = append(o, 0xac, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Coordinators)))
+		for za0004 := range z.Coordinators {
+			o = msgp.AppendString(o, z.Coordinators[za0004])
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "coordinator_zones"
+			o = append(o, 0xb1, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.CoordinatorZones)))
+			for za0005 := range z.CoordinatorZones {
+				o = msgp.AppendString(o, z.CoordinatorZones[za0005])
+			}
+		}
+		// string "region"
+		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt64(o, z.RegionNanos)
+		// string "next_window"
+		o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.NextWindow)
+		// string "poison"
+		o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+		if z.Poison == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Poison.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Poison")
+				return
+			}
 		}
 	}
 	return
@@ -3674,6 +4153,12 @@
 					return
 				}
 			}
+		case "standby":
+			z.Standby, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Standby")
+				return
+			}
 		case "gateways":
 			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -3715,6 +4200,12 @@
 					return
 				}
 			}
+		case "members_hash":
+			z.MembersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MembersHash")
+				return
+			}
 		case "coordinators":
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3738,6 +4229,29 @@
 					return
 				}
 			}
+		case "coordinator_zones":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CoordinatorZones")
+				return
+			}
+			if zb0007 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.CoordinatorZones) >= int(zb0007) {
+				z.CoordinatorZones = (z.CoordinatorZones)[:zb0007]
+			} else {
+				z.CoordinatorZones = make([]string, zb0007)
+			}
+			for za0005 := range z.CoordinatorZones {
+				z.CoordinatorZones[za0005], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "CoordinatorZones", za0005)
+					return
+				}
+			}
 		case "region":
 			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -3789,14 +4303,18 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 9 + msgp.IntSize + 7 + msgp.BoolSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	s += 8 + msgp.IntSize + 9 + msgp.IntSize + 7 + msgp.BoolSize + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0003 := range z.Peers {
 		s += msgp.StringPrefixSize + len(z.Peers[za0003])
 	}
-	s += 13 + msgp.ArrayHeaderSize
+	s += 13 + msgp.Uint64Size + 13 + msgp.ArrayHeaderSize
 	for za0004 := range z.Coordinators {
 		s += msgp.StringPrefixSize + len(z.Coordinators[za0004])
 	}
+	s += 18 + msgp.ArrayHeaderSize
+	for za0005 := range z.CoordinatorZones {
+		s += msgp.StringPrefixSize + len(z.CoordinatorZones[za0005])
+	}
 	s += 7 + msgp.Int64Size + 12 + msgp.Uint64Size + 7
 	if z.Poison == nil {
 		s += msgp.NilSize
@@ -3809,52 +4327,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "gateway"
-	o = append(o, 0x8a, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
-	o = msgp.AppendString(o, z.Gateway)
-	// string "address"
-	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "peers_hash"
-	o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-	o = msgp.AppendUint64(o, z.PeersHash)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "list_revision"
-	o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ListRevision)
-	// string "demand"
-	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-	for za0001 := range z.Demand {
-		o, err = z.Demand[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Demand", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.MembersHash == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "wait"
-	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
-	o = msgp.AppendInt(o, z.WaitMillis)
-	// string "wall"
-	o = append(o, 0xa4, 0x77, 0x61, 0x6c, 0x6c)
-	o = msgp.AppendInt64(o, z.WallNanos)
-	// string "usage"
-	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-	if z.Usage == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Usage.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Usage")
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "gateway"
+		o = append(o, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+		o = msgp.AppendString(o, z.Gateway)
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "members_hash"
+			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+			o = msgp.AppendUint64(o, z.MembersHash)
+		}
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "list_revision"
+		o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.ListRevision)
+		// string "demand"
+		o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+		for za0001 := range z.Demand {
+			o, err = z.Demand[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand", za0001)
+				return
+			}
 		}
+		// string "wait"
+		o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
+		o = msgp.AppendInt(o, z.WaitMillis)
+		// string "wall"
+		o = append(o, 0xa4, 0x77, 0x61, 0x6c, 0x6c)
+		o = msgp.AppendInt64(o, z.WallNanos)
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		if z.Usage == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Usage.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage")
+				return
+			}
+		}
+		// string "poison_revision"
+		o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.PoisonRevision)
 	}
-	// string "poison_revision"
-	o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.PoisonRevision)
 	return
 }
 
@@ -3898,6 +4434,12 @@
 				err = msgp.WrapError(err, "PeersHash")
 				return
 			}
+		case "members_hash":
+			z.MembersHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MembersHash")
+				return
+			}
 		case "version":
 			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -3982,7 +4524,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ViewRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 13 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -50,6 +51,8 @@
 	listRevision uint64
 	// list is the list of replicas at listRevision, by id.
 	list map[string]region.Replica
+	// partial says that there are replicas of which this gateway is not told.
+	partial bool
 	// freshAt is the time up to which the view is known to be complete; it is
 	// meaningful once confirmed is set.
 	freshAt   time.Duration
@@ -61,9 +64,10 @@
 	// members are the coordinators as they name themselves; zones are the zones of those that
 	// have answered. leftAt is when one last failed to answer, or was not fresh; its next fresh
 	// answer deletes it.
-	members []string
-	zones   map[string]string
-	leftAt  map[string]time.Duration
+	members     []string
+	membersHash uint64
+	zones       map[string]string
+	leftAt      map[string]time.Duration
 }
 
 func newViewKeeper(settings Settings, client *rpc.Client, directory *relay.Directory, budgets *relay.Budgets, deciders *deciders, usage *countedUsage) *viewKeeper {
@@ -159,8 +163,8 @@
 	for ctx.Err() == nil {
 		if coordinator == "" {
 			coordinator = k.nextCoordinator("")
-		} else if nearer := k.nearer(coordinator); nearer != "" {
-			coordinator = nearer
+		} else {
+			coordinator = k.preferred(coordinator)
 		}
 		err := k.poll(ctx, coordinator)
 		age, known := k.age()
@@ -195,21 +199,35 @@
 	delete(k.leftAt, coordinator)
 }
 
-// nearer returns the nearest coordinator that answers and is nearer than another, empty if there
-// is none.
-func (k *viewKeeper) nearer(coordinator string) string {
+// preferred returns the coordinator to poll rather than another that answers: the nearest one, and of
+// several the one on which rendezvous hashing puts this gateway. All gateways begin with the same
+// seeds, of which each would otherwise keep a whole zone's.
+func (k *viewKeeper) preferred(polled string) string {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	nearest := ""
-	far := k.distance(coordinator)
-	for _, candidate := range k.candidates() {
+	best := polled
+	for _, candidate := range k.members {
 		_, located := k.zones[candidate]
 		_, left := k.leftAt[candidate]
-		if distance := k.distance(candidate); located && !left && distance < far {
-			nearest, far = candidate, distance
+		if located && !left && k.before(candidate, best) {
+			best = candidate
 		}
 	}
-	return nearest
+	return best
+}
+
+// before reports whether a coordinator is to be polled rather than another. It is called with the mutex
+// held.
+func (k *viewKeeper) before(candidate, other string) bool {
+	if here, there := k.distance(candidate), k.distance(other); here != there {
+		return here < there
+	}
+	return k.weight(candidate) > k.weight(other)
+}
+
+// weight is that of a coordinator for this gateway.
+func (k *viewKeeper) weight(coordinator string) uint64 {
+	return xxhash.Sum64String(k.settings.PeerListen + "/" + coordinator)
 }
 
 // nextCoordinator returns the one to ask after another has been left: those of the gateway's own
@@ -289,16 +307,21 @@
 	}
 }
 
-// unsure are the coordinators whose zone is not known, and those that have been left and are
-// nearer than the one that is polled.
+// locatedAtOnce bounds the coordinators that are asked for their zones at the same time: one of the
+// gateway's own zone is found among a few, and each of many gateways would otherwise connect to all.
+const locatedAtOnce = 3
+
+// unsure are some of the coordinators whose zone is not known, and of those that have been left and would
+// be polled rather than the one that is.
 func (k *viewKeeper) unsure(polled string) []string {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return slices.DeleteFunc(k.candidates(), func(coordinator string) bool {
+	unsure := slices.DeleteFunc(k.candidates(), func(coordinator string) bool {
 		_, located := k.zones[coordinator]
 		_, left := k.leftAt[coordinator]
-		return coordinator == polled || located && !(left && k.distance(coordinator) < k.distance(polled))
+		return coordinator == polled || located && !(left && k.before(coordinator, polled))
 	})
+	return unsure[:min(len(unsure), locatedAtOnce)]
 }
 
 // askZone learns the zone of a coordinator, and whether it may be polled. Its view is not taken
@@ -349,7 +372,7 @@
 		request.Version = table.Configuration.Version
 	}
 	k.mutex.Lock()
-	request.ListRevision = k.listRevision
+	request.ListRevision, request.MembersHash = k.listRevision, k.membersHash
 	k.mutex.Unlock()
 	var view region.View
 	if err := k.client.Call(ctx, coordinator, region.PathView, request, &view); err != nil {
@@ -378,9 +401,8 @@
 		k.takeList(view)
 	}
 	k.zones[coordinator] = view.Zone
-	if len(view.Coordinators) > 0 {
-		k.members = view.Coordinators
-	}
+	k.takeMembers(view)
+	k.partial = view.Standby > 0
 	k.deciders.take(k.now(), coordinator, view)
 	if view.AgeMillis < 0 {
 		return nil
@@ -397,6 +419,19 @@
 	return nil
 }
 
+// takeMembers takes over which coordinators there are, and their zones. It is called with the mutex held.
+func (k *viewKeeper) takeMembers(view *region.View) {
+	if len(view.Coordinators) == 0 {
+		return
+	}
+	k.members, k.membersHash = view.Coordinators, view.MembersHash
+	for index, zone := range view.CoordinatorZones {
+		if zone != "" && index < len(view.Coordinators) {
+			k.zones[view.Coordinators[index]] = zone
+		}
+	}
+}
+
 // takeList takes the changes of the list over. It is called with the mutex held.
 func (k *viewKeeper) takeList(view *region.View) {
 	if view.WholeList || k.list == nil {
@@ -447,7 +482,7 @@
 func (k *viewKeeper) watchList(ctx context.Context) {
 	for lifecycle.Sleep(ctx, listPause/2+rand.N(listPause)) {
 		age, known := k.age()
-		if known && age < blindAge {
+		if known && age < blindAge || k.isPartial() {
 			continue
 		}
 		if err := k.pollList(ctx); err != nil {
@@ -456,6 +491,14 @@
 	}
 }
 
+// isPartial reports whether this gateway knows a part of the replicas only. It does not read the list then:
+// it is long, and read by all gateways at once would be given to none.
+func (k *viewKeeper) isPartial() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.partial
+}
+
 func (k *viewKeeper) pollList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -32,6 +32,7 @@
 			}
 		}
 		if !staged {
+			demand = append(demand, running(service, replicas, places)...)
 			continue
 		}
 		own.Generating = generating[own.Region]
@@ -47,6 +48,21 @@
 	return demand
 }
 
+// running tells of the requests at replicas that are not model engines, by region.
+func running(service string, replicas []*Replica, places topology.Map) []region.ServiceDemand {
+	requests := map[string]int{}
+	for _, replica := range replicas {
+		if replica.inFlight > 0 {
+			requests[places.Group(replica.Zone)] += replica.inFlight
+		}
+	}
+	var demand []region.ServiceDemand
+	for where, count := range requests {
+		demand = append(demand, region.ServiceDemand{Service: service, Region: where, Running: float64(count)})
+	}
+	return demand
+}
+
 // readTimes are those of a prompt that a replica is to read, or would have to.
 type readTimes struct {
 	// busy is for how long it is read, whole for how long if the replica kept nothing of it;
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -44,9 +44,17 @@
 	Restless bool
 	// Elsewhere are the service's replicas in other regions.
 	Elsewhere Elsewhere
-	Rules     Rules
+	// Spares are replicas that stand by.
+	Spares Spares
+	Rules  Rules
 }
 
+// Spares counts replicas that stand by, by their stage. What one of them could do no other has to change
+// its stage for.
+type Spares struct{ Readers, Generators int }
+
+func (s Spares) any() bool { return s.Readers+s.Generators > 0 }
+
 // Elsewhere counts the replicas of a service that other plans hold. The bounds on changes at the
 // same time hold over all.
 type Elsewhere struct {
@@ -142,9 +150,9 @@
 	}
 	wanted := p.wanted(input, generating)
 	switch {
-	case wanted > generating:
+	case wanted > generating && input.Spares.Generators == 0:
 		return p.change(now, input, true, "generating replicas are short")
-	case wanted < generating:
+	case wanted < generating && input.Spares.Readers == 0:
 		return p.change(now, input, false, "more replicas can read prompts")
 	}
 	return nil
@@ -185,6 +193,9 @@
 	slots := float64(slotsOf(input.Replicas))
 	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), least), most)
 	if !input.Known {
+		if input.Spares.any() {
+			return max(generating, needed)
+		}
 		initial := int(math.Ceil(initialGeneratingShare * float64(total)))
 		return min(max(initial, needed), most)
 	}
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -278,3 +278,21 @@
 	settle(t, &stageplan.Planner{}, 0, input)
 	assert.LessOrEqual(t, count(input.Replicas), 33, "67 readers are busy for 0.3 of the time")
 }
+
+// TestWhatStandsByIsActivatedAndNotChanged: a third of all replicas was ordered to generate before any demand was known, and
+// each order costs seconds of a replica: 75 orders at 300 replicas and 251 at 1,000, for a load that a few bear.
+func TestWhatStandsByIsActivatedAndNotChanged(t *testing.T) {
+	for _, size := range []int{300, 1_000, 3_000} {
+		spares := stageplan.Spares{Readers: size / 3, Generators: size / 3}
+		input := stageplan.Input{Replicas: fleet(128, 128), Spares: spares}
+		changes, now := settle(t, &stageplan.Planner{}, 0, input)
+		assert.Zero(t, changes, "before demand is known, %d replicas", size)
+
+		busy := stageplan.Input{Replicas: fleet(128, 128), Spares: spares, Known: true, Reading: 120, Generating: 10}
+		changes, _ = settle(t, &stageplan.Planner{}, now, busy)
+		assert.Zero(t, changes, "readers stand by")
+		busy.Spares.Readers = 0
+		changes, _ = settle(t, &stageplan.Planner{}, now, busy)
+		assert.Positive(t, changes, "no reader stands by any more")
+	}
+}
