Do not believe a list from which most replicas are missing

Cause: a list that the platform cut short by mistake had the group forget the replicas, and gateways without any. Change: the going of more than half is held back until the next list says the same, of all as long as the list is empty.

--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -13,11 +13,12 @@
 // and replicates each change of it.
 func (c *Coordinator) keepList(ctx context.Context) {
 	reachable := true
+	doubt := &listDoubt{}
 	for lifecycle.Sleep(ctx, c.settings.ListInterval) {
 		if !c.group.Leads() {
 			continue
 		}
-		err := c.pollList(ctx)
+		err := c.pollList(ctx, doubt)
 		if reached := err == nil; reached != reachable {
 			reachable = reached
 			c.logger.Info(event.ListReachable, "reachable", reached, "error", failure.Text(err))
@@ -25,7 +26,7 @@
 	}
 }
 
-func (c *Coordinator) pollList(ctx context.Context) error {
+func (c *Coordinator) pollList(ctx context.Context, doubt *listDoubt) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	listed, err := c.settings.Lister.List(bounded)
@@ -34,6 +35,13 @@
 	}
 	state, _ := c.machine.read()
 	change := listChange(state.Replicas, listed)
+	if doubt.holdsBack(len(state.Replicas), change) {
+		c.logger.Info(event.ListDoubted, "replicas_before", len(state.Replicas), "listed", len(listed), "kept", len(change.Removed))
+		change.Removed = nil
+		if len(change.Changed) == 0 {
+			return nil
+		}
+	}
 	if change == nil {
 		return nil
 	}
@@ -66,3 +74,33 @@
 		c.logger.Info(event.ReplicaGone, "replica", id)
 	}
 }
+
+// listDoubt holds back the going of many replicas at once, which may be the platform's mistake: callers
+// are served well by those that were known as long as these answer.
+type listDoubt struct {
+	// heldBack says that the list before was held back.
+	heldBack bool
+}
+
+const (
+	// doubtedShare of the replicas may go with one list without a doubt, and fewer than doubtedReplicas
+	// are never doubted.
+	doubtedShare    = 0.5
+	doubtedReplicas = 8
+)
+
+// holdsBack reports whether the going of replicas is not to be believed: all at once never, more than half of
+// them only if the next list says so, too.
+func (d *listDoubt) holdsBack(before int, change *region.ListCommand) bool {
+	gone := 0
+	if change != nil {
+		gone = len(change.Removed)
+	}
+	if gone < doubtedReplicas || float64(gone) <= doubtedShare*float64(before) {
+		d.heldBack = false
+		return false
+	}
+	wasHeldBack := d.heldBack
+	d.heldBack = true
+	return !wasHeldBack || gone == before && len(change.Changed) == 0
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -80,6 +80,8 @@
 	ReplicaGone Event = "replica gone from the list"
 	// ListChanged: so many replicas have come, gone or changed at once that not each has a line.
 	ListChanged Event = "list of replicas changed"
+	// ListDoubted: most replicas are missing from the list at once; they are kept for now.
+	ListDoubted Event = "list of replicas doubted"
 	// ReplicaActivity: replicas take work from now on, or stand by.
 	ReplicaActivity Event = "replicas activated"
 	// ReplicaActivityLost: such a change was not committed; it is made again if it still is due.
@@ -231,6 +233,7 @@
 		ReplicaRestarted,
 		ReplicaGone,
 		ListChanged,
+		ListDoubted,
 		ReplicaActivity,
 		ReplicaActivityLost,
 		ReplicaAvoided,
