--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -100,6 +100,8 @@
 	gateways     = 2
 	replicas     = 3
 	engines      = 6
+	// fewActive is fewer than there are of each service.
+	fewActive = 2
 
 	internalPort = 17400
 	operatorPort = 17401
@@ -133,10 +135,13 @@
 	subnet int
 	// placesAbove is the setting of the coordinators: those of even seeds choose the replicas
 	// for the gateways, those of odd ones leave it to them.
-	placesAbove  int
-	coordinators []*process
-	gateways     []*process
-	servers      []*httptest.Server
+	placesAbove int
+	// activeReplicas is the setting of the coordinators: with every other pair of seeds some replicas
+	// stand by.
+	activeReplicas int
+	coordinators   []*process
+	gateways       []*process
+	servers        []*httptest.Server
 	// proxy stands before the coordinators' internal addresses, the replicas and
 	// the platform's list.
 	proxy   *faultproxy.Proxy
@@ -167,9 +172,11 @@
 		folder:      options.Folder,
 		subnet:      int(options.Seed % subnets),
 		placesAbove: int(options.Seed%2) * gateways,
-		keepsIDs:    options.Seed/2%2 == 0,
-		plants:      options.Plants,
-		duties:      platformtest.NewDuties(options.Seed, leaseMillis*time.Millisecond),
+		// 0 is the default, with which all are active.
+		activeReplicas: int(options.Seed/2%2) * fewActive,
+		keepsIDs:       options.Seed/2%2 == 0,
+		plants:         options.Plants,
+		duties:         platformtest.NewDuties(options.Seed, leaseMillis*time.Millisecond),
 
 		engineTargets: map[string]string{},
 	}
@@ -391,8 +398,8 @@
 			return err
 		}
 		common += "internal_listen: " + hidden + "\n"
-		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\nplaces_above: %d\nduties: [usage_report]\nusage_late_seconds: %d\n",
-			laid.address, laid.folder, leaseMillis, f.placesAbove, usageLateSeconds)
+		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\nplaces_above: %d\nactive_replicas: %d\nduties: [usage_report]\nusage_late_seconds: %d\n",
+			laid.address, laid.folder, leaseMillis, f.placesAbove, f.activeReplicas, usageLateSeconds)
 		f.coordinators = append(f.coordinators, laid)
 	} else {
 		laid.role = "relay"
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -31,6 +31,10 @@
 		state, _ := c.machine.read()
 		return float64(len(state.Replicas))
 	})
+	registry.GaugeFunc("replicas_standby", "Replicas on the list that stand by.", func() float64 {
+		state, _ := c.machine.read()
+		return float64(state.StandbyCount)
+	})
 	registry.GaugeFunc("stage_changes", "Stage changes under way.", func() float64 {
 		state, _ := c.machine.read()
 		return float64(len(state.Changes))
