--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -481,8 +481,7 @@
 // that leaving replicas get no new work. Gateways do so rarely and not together.
 func (k *viewKeeper) watchList(ctx context.Context) {
 	for lifecycle.Sleep(ctx, listPause/2+rand.N(listPause)) {
-		age, known := k.age()
-		if known && age < blindAge || k.isPartial() {
+		if !k.isBlind() {
 			continue
 		}
 		if err := k.pollList(ctx); err != nil {
@@ -491,12 +490,17 @@
 	}
 }
 
-// isPartial reports whether this gateway knows a part of the replicas only. It does not read the list then:
-// it is long, and read by all gateways at once would be given to none.
-func (k *viewKeeper) isPartial() bool {
+// isBlind reports whether this gateway has to read the platform's list itself. One that knows a part of the
+// replicas only does not: the list is long, and read by all gateways at once would be given to none. Nor
+// does one without a configuration, which can serve nothing, whatever the list says.
+func (k *viewKeeper) isBlind() bool {
+	age, known := k.age()
+	if known && age < blindAge || k.Table() == nil {
+		return false
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.partial
+	return !k.partial
 }
 
 func (k *viewKeeper) pollList(ctx context.Context) error {
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -64,3 +64,22 @@
 	age, _ = keeper.age()
 	assert.GreaterOrEqual(t, age, 5*time.Second)
 }
+
+// Symptom: 985 gateways asked for 50 pages of 10,000 replicas each, of a list that is given 360 times a second. Sequence: the
+// coordinators are cut off, or all processes start, and no view is fresh. Cause: each gateway read the whole list itself, as
+// is right where it is short and the gateway can serve.
+func TestAGatewayReadsTheListItselfOnlyWhereItIsShortAndOfUse(t *testing.T) {
+	var now time.Duration
+	keeper := newTestKeeper()
+	keeper.clock = func() time.Duration { return now }
+	now = time.Hour
+	assert.False(t, keeper.isBlind(), "there is no configuration")
+	assert.NoError(t, keeper.takeConfiguration(&region.View{Document: region.Deflate([]byte("{}"))}))
+	assert.True(t, keeper.isBlind(), "there never was a view")
+	keeper.confirmed, keeper.freshAt = true, now
+	assert.False(t, keeper.isBlind())
+	now += blindAge
+	assert.True(t, keeper.isBlind())
+	keeper.partial = true
+	assert.False(t, keeper.isBlind(), "it knows a part of the replicas")
+}
