Have one coordinator ask a replica what it keeps, and tell the others

Cause: after a start each coordinator asked each active replica, which does no other work meanwhile: 25 x 256 = 6,400 calls and connections on the fleet. Ways weighed: each coordinator its own zone's only (prefixes of other zones unknown for ten seconds); one owner for each replica by rendezvous hashing, whom the others ask (kept): W calls to replicas and C - 1 among coordinators each.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -39,6 +39,7 @@
 	clock     func() time.Duration
 	members   memberWatch
 	zones     *memberZones
+	kept      keptOwners
 	placement *placementService
 	usage     *usageState
 	quotas    *quotaService
@@ -209,6 +210,7 @@
 	rpc.Handle(engine, region.PathRelease, c.handleRelease)
 	rpc.Handle(engine, region.PathQuotas, c.handleQuotas)
 	rpc.Handle(engine, region.PathPermit, c.handlePermit)
+	rpc.Handle(engine, region.PathKept, c.handleKept)
 	return engine
 }
 
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -76,10 +76,11 @@
 		}
 	}
 	c.logger.Info(event.PlacementBegun, "above", c.settings.PlacesAbove)
+	c.placement.warmup.Owns = c.asksKept
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		c.keepDirectory, c.keepPlacementPeers,
-		c.placement.server.Sweep, c.placement.peers.Tell, c.placement.warmup.Run, c.logRegionWords,
+		c.placement.server.Sweep, c.placement.peers.Tell, c.placement.warmup.Run, c.learnKept, c.logRegionWords,
 	} {
 		loops.Go(func() { loop(ctx) })
 	}
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -21,9 +21,9 @@
 const (
 	// warmupPoll is the pause between two looks for replicas to ask.
 	warmupPoll = 50 * time.Millisecond
-	// warmupTime is how long after the start replicas are asked: what comes later
+	// WarmupTime is how long after the start replicas are asked: what comes later
 	// keeps nothing that this process does not hear of.
-	warmupTime        = 3 * time.Second
+	WarmupTime        = 3 * time.Second
 	warmupCallTimeout = 400 * time.Millisecond
 	warmupCalls       = 4
 )
@@ -32,7 +32,10 @@
 // and would have prefixes read again.
 type Warmup struct {
 	// Source is asked; nil for none.
-	Source    PrefixSource
+	Source PrefixSource
+	// Owns says which replicas this process asks; nil for all. What they say holds up their work, so that
+	// of many coordinators one asks and tells the others.
+	Owns      func(replica region.Replica) bool
 	Directory *relay.Directory
 	Logger    logr.Logger
 }
@@ -46,9 +49,9 @@
 	asked := map[region.Life]bool{}
 	slots := make(chan struct{}, warmupCalls)
 	var calls sync.WaitGroup
-	for time.Since(begun) < warmupTime && lifecycle.Sleep(ctx, warmupPoll) {
+	for time.Since(begun) < WarmupTime && lifecycle.Sleep(ctx, warmupPoll) {
 		for _, replica := range w.Directory.ModelReplicas() {
-			if asked[replica.Life()] {
+			if asked[replica.Life()] || w.Owns != nil && !w.Owns(replica) {
 				continue
 			}
 			asked[replica.Life()] = true
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -16,6 +16,7 @@
 	PathRelease   = "/internal/v1/region/release"
 	PathQuotas    = "/internal/v1/region/quotas"
 	PathPermit    = "/internal/v1/region/permit"
+	PathKept      = "/internal/v1/region/kept"
 )
 
 // Stages of a model replica.
@@ -377,6 +378,26 @@
 	WallNanos int64  `msg:"wall"`
 }
 
+// KeptRequest asks a coordinator what those replicas keep that it asks for all.
+type KeptRequest struct {
+	// From is the asking coordinator's address.
+	From string `msg:"from"`
+}
+
+// KeptReply answers it.
+type KeptReply struct {
+	Kept []KeptParts `msg:"kept"`
+	// Whole says that the coordinator knows of all its replicas what they keep.
+	Whole bool `msg:"whole"`
+}
+
+// KeptParts are the parts of prompts that a replica keeps, the one longest unused first.
+type KeptParts struct {
+	// Replica is a Life.Name.
+	Replica string       `msg:"replica"`
+	Parts   []PlacedPart `msg:"parts"`
+}
+
 // EngineCost is what a gateway has learned of a service's engines from a number of
 // prompts: the weights of costmodel.Weights, in seconds.
 type EngineCost struct {
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -1404,6 +1404,337 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *KeptParts) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "replica"
+	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	// string "parts"
+	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Parts[za0001].ID)
+		o = msgp.AppendInt(o, z.Parts[za0001].Tokens)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptParts) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "parts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]PlacedPart, zb0002)
+			}
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Parts[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001, "ID")
+					return
+				}
+				z.Parts[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeptParts) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].ID) + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeptReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "kept"
+	o = append(o, 0x82, 0xa4, 0x6b, 0x65, 0x70, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0001 := range z.Kept {
+		// map header, size 2
+		// string "replica"
+		o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.Kept[za0001].Replica)
+		// string "parts"
+		o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Kept[za0001].Parts)))
+		for za0002 := range z.Kept[za0001].Parts {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Kept[za0001].Parts[za0002].ID)
+			o = msgp.AppendInt(o, z.Kept[za0001].Parts[za0002].Tokens)
+		}
+	}
+	// string "whole"
+	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "kept":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Kept) >= int(zb0002) {
+				z.Kept = (z.Kept)[:zb0002]
+			} else {
+				z.Kept = make([]KeptParts, zb0002)
+			}
+			for za0001 := range z.Kept {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Kept", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.Kept[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Replica")
+							return
+						}
+					case "parts":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Parts")
+							return
+						}
+						if zb0004 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Kept[za0001].Parts) >= int(zb0004) {
+							z.Kept[za0001].Parts = (z.Kept[za0001].Parts)[:zb0004]
+						} else {
+							z.Kept[za0001].Parts = make([]PlacedPart, zb0004)
+						}
+						for za0002 := range z.Kept[za0001].Parts {
+							var zb0005 uint32
+							zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Kept", za0001, "Parts", za0002)
+								return
+							}
+							if zb0005 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+								return
+							}
+							z.Kept[za0001].Parts[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Kept", za0001, "Parts", za0002, "ID")
+								return
+							}
+							z.Kept[za0001].Parts[za0002].Tokens, bts, err = msgp.ReadIntBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Kept", za0001, "Parts", za0002, "Tokens")
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "whole":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeptReply) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Kept {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Kept[za0001].Replica) + 6 + msgp.ArrayHeaderSize
+		for za0002 := range z.Kept[za0001].Parts {
+			s += 1 + msgp.StringPrefixSize + len(z.Kept[za0001].Parts[za0002].ID) + msgp.IntSize
+		}
+	}
+	s += 6 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z KeptRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "from"
+	o = append(o, 0x81, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendString(o, z.From)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "from":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeptRequest) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.From)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -183,3 +183,23 @@
 	d.Ended(nameAt("a", 5))
 	assert.Equal(t, 8000, d.Missing("a", prompt(shared)))
 }
+
+// TestWhatOneProcessKnowsOfReplicasIsTakenOverByAnother has the order in which parts would give way kept, and lives that are not
+// listed passed over.
+func TestWhatOneProcessKnowsOfReplicasIsTakenOverByAnother(t *testing.T) {
+	asked, other := newDirectory(replica("a", region.StageDecode)), newDirectory(replica("a", region.StageDecode))
+	kept, whole := asked.Kept(func(region.Replica) bool { return true })
+	assert.Empty(t, kept)
+	assert.False(t, whole, "it has not told yet")
+	life := replica("a", region.StageDecode)
+	asked.LearnKept(life.Life(), []relay.PromptPart{{ID: "old", Tokens: 10}, {ID: "new", Tokens: 20}})
+	kept, whole = asked.Kept(func(region.Replica) bool { return true })
+	assert.True(t, whole)
+	assert.Equal(t, []region.KeptParts{{Replica: life.Life().Name(), Parts: []region.PlacedPart{{ID: "old", Tokens: 10}, {ID: "new", Tokens: 20}}}}, kept)
+	other.TakeKept(append(kept, region.KeptParts{Replica: "gone", Parts: []region.PlacedPart{{ID: "x", Tokens: 1}}}))
+	taken, whole := other.Kept(func(region.Replica) bool { return true })
+	assert.True(t, whole)
+	assert.Equal(t, kept, taken)
+	_, whole = other.Kept(func(region.Replica) bool { return false })
+	assert.True(t, whole, "it has none to ask")
+}
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -231,6 +231,43 @@
 	}
 }
 
+// Kept tells what some replicas keep, as far as it is known, and whether it is known of all of them.
+func (d *Directory) Kept(wanted func(replica region.Replica) bool) (kept []region.KeptParts, whole bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	whole = len(d.replicas) > 0
+	for name, replica := range d.replicas {
+		if replica.Stage == "" || !wanted(replica.Replica) {
+			continue
+		}
+		if !d.knowsKept(replica) {
+			whole = false
+			continue
+		}
+		kept = append(kept, region.KeptParts{Replica: name, Parts: replica.prefixes.list()})
+	}
+	return kept, whole
+}
+
+// TakeKept notes what another process knows that replicas keep.
+func (d *Directory) TakeKept(kept []region.KeptParts) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	for _, each := range kept {
+		replica, known := d.replicas[each.Replica]
+		if !known {
+			continue
+		}
+		parts := make([]PromptPart, len(each.Parts))
+		for index, part := range each.Parts {
+			parts[index] = PromptPart{ID: part.ID, Tokens: part.Tokens}
+		}
+		replica.prefixes.learn(parts, d.engines[replica.Service].CacheTokens, now)
+		replica.keptKnown = true
+	}
+}
+
 // ModelReplicas lists the replicas that have a stage.
 func (d *Directory) ModelReplicas() []region.Replica {
 	d.mutex.Lock()
--- a/internal/relay/prefix.go
+++ b/internal/relay/prefix.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"math"
 	"time"
+
+	"github.com/pierhaven/pierhaven/internal/region"
 )
 
 // prefixMemory remembers the parts of prompts that a replica keeps: those read
@@ -28,6 +30,16 @@
 	readyAt time.Duration
 }
 
+// list returns the parts, the one longest unused first.
+func (m *prefixMemory) list() []region.PlacedPart {
+	parts := make([]region.PlacedPart, 0, m.order.Len())
+	for each := m.order.Back(); each != nil; each = each.Prev() {
+		part := each.Value.(*keptPart)
+		parts = append(parts, region.PlacedPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	return parts
+}
+
 // learn notes that a prompt is read by a replica that can keep a number of
 // tokens, and from when on others can fetch it there.
 func (m *prefixMemory) learn(parts []PromptPart, capacity int, readyAt time.Duration) {
