--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -111,6 +111,17 @@
 // of a replica.
 const arrivalTime = 2 * time.Second
 
+// sparesOf counts the replicas of a service that stand by.
+func (k *stageKeeper) sparesOf(service string) int {
+	sum := 0
+	for group, spare := range k.spares {
+		if group.service == service {
+			sum += spare.Readers + spare.Generators
+		}
+	}
+	return sum
+}
+
 // stillArrive reports whether replicas of a service have come or gone of late, before any demand was told.
 func (k *stageKeeper) stillArrive(now time.Duration, service string, replicas int) bool {
 	for group := range k.demandFrom {
@@ -184,13 +195,7 @@
 // stepService makes some changes of a service, wherever its replicas are.
 func (k *stageKeeper) stepService(ctx context.Context, now time.Duration, service string, replicas []region.Replica, changes []region.StageChange) {
 	inputs := k.inputsFor(now, service, replicas, changes)
-	listed := len(replicas)
-	for group, spare := range k.spares {
-		if group.service == service {
-			listed += spare.Readers + spare.Generators
-		}
-	}
-	if k.stillArrive(now, service, listed) {
+	if k.stillArrive(now, service, len(replicas)+k.sparesOf(service)) {
 		return
 	}
 	planned := 0
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -53,7 +53,8 @@
 // its stage for.
 type Spares struct{ Readers, Generators int }
 
-func (s Spares) any() bool { return s.Readers+s.Generators > 0 }
+// exist reports whether there are any.
+func (s Spares) exist() bool { return s.Readers+s.Generators > 0 }
 
 // Elsewhere counts the replicas of a service that other plans hold. The bounds on changes at the
 // same time hold over all.
@@ -193,7 +194,7 @@
 	slots := float64(slotsOf(input.Replicas))
 	needed := min(max(int(math.Ceil(p.peak/(slots*fullOccupancy))), least), most)
 	if !input.Known {
-		if input.Spares.any() {
+		if input.Spares.exist() {
 			return max(generating, needed)
 		}
 		initial := int(math.Ceil(initialGeneratingShare * float64(total)))
