Do not expect an answer from a process that ends meanwhile

The test wanted the answer within those 50 ms of wall clock. What it is for, the exit status and the half-done change of an order that was taken, is asserted as before: the restarted process shows the order as half done only if it had been accepted.

--- a/bench/engine/kill_test.go
+++ b/bench/engine/kill_test.go
@@ -61,13 +61,18 @@
 
 func (p *engineProcess) order(t *testing.T, index uint64) engineapi.OrderReply {
 	t.Helper()
+	reply, err := p.tryOrder(index)
+	require.NoError(t, err)
+	return reply
+}
+
+func (p *engineProcess) tryOrder(index uint64) (reply engineapi.OrderReply, err error) {
 	order := engineapi.Order{
 		EngineID: "e1", Fence: engineapi.Fence{Generation: 3, Index: index},
 		Target: engineapi.Configuration{Role: engineapi.RolePrefill, Model: "reader", Version: "2"},
 	}
-	var reply engineapi.OrderReply
-	require.NoError(t, p.client.Post(context.Background(), p.address, engineapi.PathOrder, order, &reply))
-	return reply
+	err = p.client.Post(context.Background(), p.address, engineapi.PathOrder, order, &reply)
+	return reply, err
 }
 
 func (p *engineProcess) kill(t *testing.T) {
@@ -110,7 +115,11 @@
 	first := startProcess(t, folder)
 	path := PathFaultCrashDuringChange + "?after_ms=50"
 	require.NoError(t, first.client.Post(context.Background(), first.address, path, nil, nil))
-	require.Equal(t, engineapi.OrderAccepted, first.order(t, 1).Status)
+	// The process may end before its answer is written. That it had taken the order is shown below by the
+	// half-done change that it left.
+	if reply, err := first.tryOrder(1); err == nil {
+		require.Equal(t, engineapi.OrderAccepted, reply.Status)
+	}
 	require.Error(t, first.command.Wait())
 	require.Equal(t, crashStatus, first.command.ProcessState.ExitCode())
 	require.Equal(t, engineapi.PhaseHalfDone, startProcess(t, folder).order(t, 1).State.Phase)
