Read the list twice a second again where replicas may be taken away at short notice

Change: half a second while the list has preemptible replicas, and never more than a third of the time for reading. Test: TestTheListIsReadOftenWhereReplicasMayBeTakenAway.

--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -14,11 +16,15 @@
 func (c *Coordinator) keepList(ctx context.Context) {
 	reachable := true
 	doubt := &listDoubt{}
-	for lifecycle.Sleep(ctx, c.settings.ListInterval) {
+	pause := c.settings.ListInterval
+	for lifecycle.Sleep(ctx, pause) {
 		if !c.group.Leads() {
 			continue
 		}
+		begun := c.now()
 		err := c.pollList(ctx, doubt)
+		state, _ := c.machine.read()
+		pause = listPause(c.settings.ListInterval, state.Replicas, c.now()-begun)
 		if reached := err == nil; reached != reachable {
 			reachable = reached
 			c.logger.Info(event.ListReachable, "reachable", reached, "error", failure.Text(err))
@@ -26,6 +32,20 @@
 	}
 }
 
+// readingShare of the time is spent with reading the list at most, however long it is: the leader has other
+// work.
+const readingShare = 1.0 / 3
+
+// listPause is the time until the list is read again after a reading that took some time. Replicas that the
+// platform may take away leave with a shorter notice than the others: read once a second, and not twice,
+// it cost a tenth of the answers in time in the seconds in which 38 of 96 were taken away.
+func listPause(interval time.Duration, replicas []region.ListedReplica, took time.Duration) time.Duration {
+	if slices.ContainsFunc(replicas, func(each region.ListedReplica) bool { return each.Replica.Preemptible }) {
+		interval = min(interval, defaultListInterval)
+	}
+	return max(interval, time.Duration(float64(took)*(1/readingShare-1)))
+}
+
 func (c *Coordinator) pollList(ctx context.Context, doubt *listDoubt) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/coordinator/list_test.go
+++ b/internal/coordinator/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -35,3 +36,13 @@
 	assert.True(t, doubt.holdsBack(100, replaced))
 	assert.False(t, doubt.holdsBack(100, replaced), "all have been replaced")
 }
+
+// Symptom: a tenth fewer answers in time for four seconds. Sequence: the platform takes 38 of 96 replicas away with two seconds'
+// notice while callers come in a burst. Cause: the list was read by the time that replicas which drain have, twice as long.
+func TestTheListIsReadOftenWhereReplicasMayBeTakenAway(t *testing.T) {
+	list := []region.ListedReplica{{Replica: region.Replica{ID: "a"}}, {Replica: region.Replica{ID: "b"}}}
+	assert.Equal(t, 1250*time.Millisecond, listPause(1250*time.Millisecond, list, 20*time.Millisecond))
+	list[1].Replica.Preemptible = true
+	assert.Equal(t, defaultListInterval, listPause(1250*time.Millisecond, list, 20*time.Millisecond))
+	assert.Equal(t, 2*time.Second, listPause(1250*time.Millisecond, list, time.Second), "a list that takes a second to read")
+}
