--- a/internal/coordinator/activity_test.go
+++ b/internal/coordinator/activity_test.go
@@ -166,6 +166,10 @@
 	assert.True(t, keeper.stillArrive(1300*time.Millisecond, "model", 407))
 	assert.True(t, keeper.stillArrive(3200*time.Millisecond, "model", 407))
 	assert.False(t, keeper.stillArrive(3300*time.Millisecond, "model", 407))
+	for second := range 10 {
+		now := time.Duration(second) * time.Second
+		assert.Equal(t, second < 6, keeper.stillArrive(now, "ordered", second), "replicas that are ordered come all the time")
+	}
 	keeper.demandFrom[stageGroup{service: "model"}] = 0
 	assert.False(t, keeper.stillArrive(4*time.Second, "model", 1000), "demand does not wait")
 }
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -100,10 +100,10 @@
 	arrivals map[string]arrival
 }
 
-// arrival is a number of replicas, and since when it has been the same.
+// arrival is a number of replicas, since when it has been the same, and when there were any first.
 type arrival struct {
-	replicas int
-	since    time.Duration
+	replicas     int
+	since, first time.Duration
 }
 
 // arrivalTime is for how long no replica must have come before the first is changed: a list that is still
@@ -111,6 +111,10 @@
 // of a replica.
 const arrivalTime = 2 * time.Second
 
+// arrivalLimit bounds the wait where replicas are ordered and taken away all the time: callers may come any
+// moment.
+const arrivalLimit = 3 * arrivalTime
+
 // sparesOf counts the replicas of a service that stand by.
 func (k *stageKeeper) sparesOf(service string) int {
 	sum := 0
@@ -129,12 +133,15 @@
 			return false
 		}
 	}
-	seen := k.arrivals[service]
-	if seen.replicas != replicas {
-		seen = arrival{replicas: replicas, since: now}
+	seen, found := k.arrivals[service]
+	if !found {
+		seen.first = now
+	}
+	if !found || seen.replicas != replicas {
+		seen.replicas, seen.since = replicas, now
 		k.arrivals[service] = seen
 	}
-	return now-seen.since < arrivalTime
+	return now-seen.since < arrivalTime && now-seen.first < arrivalLimit
 }
 
 // stageGroup are the replicas of a service in a region. The region is empty where there is one.
