Name the owner of a connection whose port a closed one had before

Change: lines without an owner are passed over. Test: TestAClosedConnectionDoesNotHideTheOneThatUsesItsPort.

--- a/bench/faultproxy/owner.go
+++ b/bench/faultproxy/owner.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -50,19 +51,28 @@
 			wanted[kernelAddress(local)] = address.String()
 		}
 	}
-	inodes := make(map[string]string, len(addresses))
 	table, err := os.Open(socketTable)
 	if err != nil {
-		return inodes
+		return nil
 	}
 	defer table.Close()
+	return readInodes(table, wanted)
+}
+
+// noInode is the inode of connections that have been closed and wait for late segments.
+const noInode = "0"
+
+// readInodes reads the inodes of the sockets at wanted addresses from the kernel's table. The port of a
+// connection that has been closed may be used again by one to another address.
+func readInodes(table io.Reader, wanted map[string]string) map[string]string {
+	inodes := make(map[string]string, len(wanted))
 	lines := bufio.NewScanner(table)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
 		if len(fields) < socketFields {
 			continue
 		}
-		if address, found := wanted[fields[localField]]; found {
+		if address, found := wanted[fields[localField]]; found && fields[inodeField] != noInode {
 			inodes[address] = fields[inodeField]
 		}
 	}
--- a/bench/faultproxy/proxy_test.go
+++ b/bench/faultproxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -215,6 +216,20 @@
 	assert.Equal(t, []string{"", "test"}, owners.Sources([]net.Addr{unknown, connection.LocalAddr()}))
 }
 
+// Symptom: the process of an open connection was not named, once in a run of all tests. Sequence: many connections are made and
+// closed; the port of one that waits for late segments is used again, to another address, and its line comes last. Cause: the
+// last line of an address counted, also one without an owner.
+func TestAClosedConnectionDoesNotHideTheOneThatUsesItsPort(t *testing.T) {
+	line := func(remote, inode string) string {
+		return " 1: 0100007F:9C40 " + remote + " 01 00000000:00000000 00:00000000 00000000 0 0 " + inode + " 1\n"
+	}
+	wanted := map[string]string{"0100007F:9C40": "127.0.0.1:40000"}
+	open, closed := line("0100007F:0050", "77"), line("0200007F:0050", "0")
+	for _, table := range []string{open + closed, closed + open} {
+		assert.Equal(t, map[string]string{"127.0.0.1:40000": "77"}, readInodes(strings.NewReader(table), wanted))
+	}
+}
+
 // gatedSource counts its calls and answers none before the gate opens.
 type gatedSource struct {
 	gate  chan struct{}
