Derive what was kept twice, and count gateways' reports in one place

A reading of the whole change. A coordinator that does not answer is deaf by its misses, not by a map beside them; a planner's first step has no peaks to fade, so that it needs no flag; a pool is handed on, not looked up again; hashes are compared by the library; what gateways report as out of reach is counted by one function for stages and for active replicas; the owner of a replica needs no sorted members.

--- a/internal/activeset/planner.go
+++ b/internal/activeset/planner.go
@@ -56,8 +56,7 @@
 type Planner struct {
 	Least int
 
-	at    time.Duration
-	begun bool
+	at time.Duration
 	// peaks are the demand of late, which fades; knownFrom is when it was first told.
 	peaks     map[Group]Demand
 	knownFrom map[Group]time.Duration
@@ -70,7 +69,7 @@
 	groups, pools := divide(input.Replicas)
 	var change Change
 	for _, at := range slices.SortedFunc(maps.Keys(pools), comparePools) {
-		p.stepPool(now, at, groups[at.group], pools, &change)
+		p.stepPool(now, at, groups[at.group], pools[at], &change)
 	}
 	return change
 }
@@ -100,8 +99,7 @@
 }
 
 // stepPool changes one pool.
-func (p *Planner) stepPool(now time.Duration, at pool, total int, pools map[pool]*members, change *Change) {
-	found := pools[at]
+func (p *Planner) stepPool(now time.Duration, at pool, total int, found *members, change *Change) {
 	wanted := p.wanted(at, total, found)
 	if found.active < wanted {
 		found.sort()
@@ -146,11 +144,8 @@
 		p.peaks = map[Group]Demand{}
 		p.knownFrom = map[Group]time.Duration{}
 	}
-	fade := 1.0
-	if p.begun {
-		fade = math.Exp(-(now - p.at).Seconds() / demandMemory.Seconds())
-	}
-	p.at, p.begun = now, true
+	fade := math.Exp(-(now - p.at).Seconds() / demandMemory.Seconds())
+	p.at = now
 	for group, peak := range p.peaks {
 		p.peaks[group] = Demand{Reading: peak.Reading * fade, Generating: peak.Generating * fade, Running: peak.Running * fade}
 	}
--- a/internal/activeset/pool.go
+++ b/internal/activeset/pool.go
@@ -1,6 +1,7 @@
 package activeset
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,14 +85,7 @@
 		}
 		return -1
 	}
-	x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	}
-	return 0
+	return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
 }
 
 // take activates the next replica: of the zone with the fewest working ones that has a spare one, so that a
--- a/internal/coordinator/activity.go
+++ b/internal/coordinator/activity.go
@@ -87,23 +87,22 @@
 		Replicas: make([]activeset.Replica, 0, len(state.Replicas)),
 		Demand:   make(map[activeset.Group]activeset.Demand, len(told)),
 	}
-	unreachable := map[string]int{}
+	var reports []string
 	for group, demand := range told {
 		input.Demand[group] = activeset.Demand{
 			Reading:    demand.Reading,
 			Generating: max(demand.Generating, demand.Expected),
 			Running:    demand.Running,
 		}
-		for _, name := range demand.Unreachable {
-			unreachable[name]++
-		}
+		reports = append(reports, demand.Unreachable...)
 	}
+	unreachable := reportedUnreachable(reports)
 	changing := changingReplicas(state)
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
 		sound := !replica.Draining && !changing[replica.ID]
 		if sound && len(unreachable) > 0 {
-			sound = unreachable[replica.Life().Name()] < unreachableReports
+			sound = !unreachable[replica.Life().Name()]
 		}
 		input.Replicas = append(input.Replicas, activeset.Replica{
 			ID:          replica.ID,
--- a/internal/coordinator/kept.go
+++ b/internal/coordinator/kept.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -18,9 +19,7 @@
 // concurrently.
 type keptOwners struct {
 	mutex sync.Mutex
-	// deaf are their addresses: their replicas are asked by each of the others.
-	deaf map[string]bool
-	// misses counts the calls in a row that each has not answered.
+	// misses counts the calls that each has not answered, by its address.
 	misses map[string]int
 }
 
@@ -29,28 +28,21 @@
 	// answer within some tens of milliseconds.
 	keptInterval = 200 * time.Millisecond
 	keptTimeout  = 400 * time.Millisecond
-	// keptMisses is the number of calls in a row after which a coordinator counts as deaf; half of the
-	// time in which replicas are asked is left then.
+	// keptMisses is the number of unanswered calls after which a coordinator counts as deaf, and each of
+	// the others asks its replicas; half of the time in which replicas are asked is left then.
 	keptMisses = 3
 )
 
 // ownerOf is the coordinator that asks a replica what it keeps, by rendezvous hashing.
 func ownerOf(members []string, replica string) string {
 	return slices.MaxFunc(members, func(a, b string) int {
-		x, y := xxhash.Sum64String(a+"/"+replica), xxhash.Sum64String(b+"/"+replica)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(xxhash.Sum64String(a+"/"+replica), xxhash.Sum64String(b+"/"+replica))
 	})
 }
 
 // asksKept reports whether this coordinator asks a replica what it keeps.
 func (c *Coordinator) asksKept(replica region.Replica) bool {
-	members := c.sortedMembers()
+	members := c.group.MemberAddresses()
 	if len(members) == 0 {
 		return true
 	}
@@ -61,7 +53,7 @@
 func (k *keptOwners) isDeaf(address string) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.deaf[address]
+	return k.misses[address] >= keptMisses
 }
 
 // missed notes that a coordinator has not answered.
@@ -69,17 +61,14 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.misses == nil {
-		k.misses, k.deaf = map[string]int{}, map[string]bool{}
+		k.misses = map[string]int{}
 	}
 	k.misses[address]++
-	if k.misses[address] >= keptMisses {
-		k.deaf[address] = true
-	}
 }
 
 // handleKept tells another coordinator what those replicas keep that this one owns.
 func (c *Coordinator) handleKept(_ context.Context, _ *region.KeptRequest) (*region.KeptReply, error) {
-	members := c.sortedMembers()
+	members := c.group.MemberAddresses()
 	reply := &region.KeptReply{}
 	reply.Kept, reply.Whole = c.placement.directory.Kept(func(replica region.Replica) bool {
 		return len(members) > 0 && ownerOf(members, replica.ID) == c.settings.Address
--- a/internal/coordinator/stageinput.go
+++ b/internal/coordinator/stageinput.go
@@ -50,6 +50,21 @@
 	return most.note(now, telling)
 }
 
+// reportedUnreachable are the replicas that enough gateways have reported, of one entry for each report.
+func reportedUnreachable(reports []string) map[string]bool {
+	counts := map[string]int{}
+	for _, replica := range reports {
+		counts[replica]++
+	}
+	reported := map[string]bool{}
+	for replica, count := range counts {
+		if count >= unreachableReports {
+			reported[replica] = true
+		}
+	}
+	return reported
+}
+
 // inputFor describes the replicas of a group and the demand for them.
 func (k *stageKeeper) inputFor(now time.Duration, group stageGroup, demand region.ServiceDemand, replicas []region.Replica, changes []region.StageChange) stageplan.Input {
 	input := stageplan.Input{
@@ -58,10 +73,7 @@
 		Reading:    demand.Reading,
 		Spares:     k.spares[group],
 	}
-	unreachable := map[string]int{}
-	for _, replica := range demand.Unreachable {
-		unreachable[replica]++
-	}
+	unreachable := reportedUnreachable(demand.Unreachable)
 	if demand.Gateways > 0 {
 		k.heard[group] = now
 	}
@@ -82,7 +94,7 @@
 			continue
 		}
 		planned := stageplan.Replica{ID: name, Slots: replica.Slots, Generates: replica.Stage == region.StageDecode}
-		planned.Unsettled = unreachable[name] >= unreachableReports
+		planned.Unsettled = unreachable[name]
 		input.Restless = input.Restless || planned.Unsettled
 		for _, change := range changes {
 			if change.Life() == life {
