Show what replicas name as their limits, and which sends go to them

Logs could not tell whether a gateway knew of a replica's limit when it sent there. No choice and no send depends on it yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -90,6 +90,8 @@
 	ReplicaAvoided Event = "replica avoided"
 	// ReplicaBack: a replica that had not been reached answers again.
 	ReplicaBack Event = "replica back"
+	// LimitNamed: a replica names another limit of requests than before, or none any more.
+	LimitNamed Event = "replica's limit"
 	// PrefixesLearned: a replica told what it keeps.
 	PrefixesLearned Event = "kept prefixes learned"
 	// PrefixesUnknown: a replica did not tell what it keeps.
@@ -238,6 +240,7 @@
 		ReplicaActivityLost,
 		ReplicaAvoided,
 		ReplicaBack,
+		LimitNamed,
 		PrefixesLearned,
 		PrefixesUnknown,
 		PeersUnreachable,
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -114,6 +114,7 @@
 		return float64(d.front.inFlight.Load())
 	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
+	registry.GaugeFunc("replicas_limited", "Replicas that name a limit of requests.", func() float64 { return float64(d.directory.LimitedCount()) })
 	registry.GaugeFunc("placements_asked", "Questions to coordinators for a replica since the start.", func() float64 {
 		return float64(d.placement.Counts().Asked)
 	})
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -104,6 +104,8 @@
 	Sealed bool
 	// Load is nil if the replica does not tell it.
 	Load *Load
+	// Limit is what it says of the requests that it takes.
+	Limit RateLimit
 }
 
 // Load is a replica's own account of its work.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,6 +51,8 @@
 	onDropped func(address, life string)
 	// connected reports whether this process has a connection to a life; nil if it is not known.
 	connected func(address, life string) bool
+	// limited counts the replicas that name a limit, so that calls pay nothing while none does.
+	limited atomic.Int64
 	// off are the mechanisms that are switched off.
 	off mechanism.Set
 	// draw returns a number from 0 up to 1. It decides between replicas that are rated alike.
@@ -118,6 +121,9 @@
 	for name, before := range d.replicas {
 		if replicas[name] != before {
 			before.gone = true
+			if before.limit.named {
+				d.countLimited(false)
+			}
 			d.onDropped(before.Address, name)
 		}
 	}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -103,7 +103,7 @@
 		"distance", r.directory.distanceTo(lease.Replica).String(), "tokens", r.call.Prompt.Tokens, "missing", placed.missing, "prefix", r.call.Prompt.sharedPart(),
 		"fetch", lease.FetchFrom(), "late", placed.urgency == Late, "wait_ms", placed.wait.Milliseconds(),
 		"busy_ms", placed.busy.Milliseconds(), "took_ms", time.Since(begun).Milliseconds(),
-		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "error", failure.Text(err))
+		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "limit", lease.Limit(), "error", failure.Text(err))
 	if err == nil {
 		r.metrics.promptRead(readDone, time.Since(begun))
 		return handle, nil
@@ -162,6 +162,7 @@
 		return nil, err
 	}
 	defer answer.Close()
+	noteLimit(lease, answer.Status, r.dialect.ReadMarks(answer.Header))
 	body, err := answer.ReadAll()
 	if err != nil {
 		lease.Unreachable(true)
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -39,6 +39,7 @@
 	// unconnected says that the last failure was that of making a connection.
 	unconnected bool
 	fullUntil   time.Duration
+	limit       namedLimit
 	latency     float64
 	errorRate   float64
 	gone        bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -97,7 +97,7 @@
 		"address", lease.Replica.Address, "distance", far.String(), "source", send.Source, "fetch", send.Fetch, "send", r.sends,
 		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
 		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds(),
-		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.placedBy())
+		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.placedBy(), "limit", lease.Limit())
 	if send.LastEvent != "" {
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
@@ -115,6 +115,7 @@
 	defer answer.Close()
 	r.arrivals++
 	marks := r.dialect.ReadMarks(answer.Header)
+	noteLimit(lease, answer.Status, marks)
 	if marks.NotRun || answer.Status == http.StatusMisdirectedRequest {
 		r.noteRefusal(lease, answer, marks)
 		return verdictNotRun, failure.New(failure.BackEndRefused, http.StatusText(answer.Status))
@@ -154,6 +155,14 @@
 	return verdictUnknown, err
 }
 
+// noteLimit notes what an answer says of its replica's limit. One of another incarnation says
+// nothing of this one.
+func noteLimit(lease *Lease, status int, marks Marks) {
+	if status != http.StatusMisdirectedRequest {
+		lease.NoteLimit(marks.Limit, !marks.NotRun && status < http.StatusInternalServerError)
+	}
+}
+
 func (r *run) noteRefusal(lease *Lease, answer *upstream.Exchange, marks Marks) {
 	_, _ = answer.ReadAll()
 	if answer.Status == http.StatusMisdirectedRequest {
