Bring sends beyond a replica's limit about in a test, which fails

Three gateways before five replicas, one of which names 2 requests a second: it gets 63 in 4 s, 17 allowed.

--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -56,7 +57,11 @@
 	return fields
 }
 func (testDialect) ReadMarks(header http.Header) relay.Marks {
-	return relay.Marks{Sealed: header.Get("Sealed") != ""}
+	marks := relay.Marks{Sealed: header.Get("Sealed") != ""}
+	if rate, err := strconv.ParseFloat(header.Get("Limit"), 64); err == nil {
+		marks.Limit = relay.RateLimit{Named: true, Rate: rate}
+	}
+	return marks
 }
 
 type jsonCodec struct{}
--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -52,6 +52,9 @@
 	arrivals []time.Time
 	ends     []time.Time
 	closed   bool
+	// limits are those that replicas name, by their ids, and taken the arrivals of all requests.
+	limits map[string]float64
+	taken  map[string][]time.Time
 }
 
 // mortalReplica is one incarnation of a replica.
@@ -63,7 +66,7 @@
 
 func newReplicaSet(t *testing.T, count int) *replicaSet {
 	t.Helper()
-	set := &replicaSet{t: t, running: map[string]*mortalReplica{}}
+	set := &replicaSet{t: t, running: map[string]*mortalReplica{}, limits: map[string]float64{}, taken: map[string][]time.Time{}}
 	for range count {
 		set.start(testnet.Address(t))
 	}
@@ -109,6 +112,7 @@
 		s.arrivals = append(s.arrivals, time.Now())
 		s.mutex.Unlock()
 	}
+	s.takes(replica, writer)
 	writer.Header().Set("Sealed", "yes")
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for number := range 4 {
