--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,6 +43,7 @@
 	placement *placementService
 	usage     *usageState
 	quotas    *quotaService
+	limits    *limitService
 	permits   permits
 	outlooks  fleetOutlooks
 	activity  activityKeeper
@@ -112,6 +113,7 @@
 	}
 	c.placement = newPlacementService(settings, c.now)
 	c.quotas = newQuotaService(c, c.placement.socket)
+	c.limits = newLimitService(c, c.placement.socket)
 	c.registerMetrics(settings.Metrics)
 	if reason := c.group.Runner.Status().Quarantined; reason != nil {
 		c.logger.Info(event.DataUnusable, "folder", settings.DataFolder, "reason", reason.Error())
@@ -137,7 +139,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run, c.limits.Run} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
@@ -208,7 +210,8 @@
 	rpc.Handle(engine, region.PathJoin, c.handleJoin)
 	rpc.Handle(engine, region.PathPoison, c.handlePoison)
 	rpc.Handle(engine, region.PathRelease, c.handleRelease)
-	rpc.Handle(engine, region.PathQuotas, c.handleQuotas)
+	rpc.Handle(engine, region.PathQuotas, c.quotas.handleStatus)
+	rpc.Handle(engine, region.PathReplicaLimits, c.limits.handleStatus)
 	rpc.Handle(engine, region.PathPermit, c.handlePermit)
 	rpc.Handle(engine, region.PathKept, c.handleKept)
 	return engine
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -9,7 +9,8 @@
 	if registry == nil {
 		return
 	}
-	c.quotas.registerMetrics(registry)
+	c.quotas.registerMetrics(registry, "quota", "a tenant")
+	c.limits.registerMetrics(registry, "limit", "a replica")
 	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.Leads)
 	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
 	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
--- a/internal/coordinator/operatorroutes.go
+++ b/internal/coordinator/operatorroutes.go
@@ -17,6 +17,8 @@
 	PathHeldRequests = "/operator/v1/held-requests"
 	// PathQuotas tells what the tenants with limits use.
 	PathQuotas = "/operator/v1/quotas"
+	// PathReplicaLimits tells which replicas name limits, and what they get.
+	PathReplicaLimits = "/operator/v1/replica-limits"
 	// PathRegions shows the replicas and the work of each region.
 	PathRegions = "/operator/v1/regions"
 	// PathFleet tells why there are as many replicas as there are.
@@ -34,6 +36,9 @@
 	router.GET(PathQuotas, func(ctx context.Context, call *app.RequestContext) {
 		answerOperator(call, c.Quotas(ctx), nil)
 	})
+	router.GET(PathReplicaLimits, func(ctx context.Context, call *app.RequestContext) {
+		answerOperator(call, c.ReplicaLimits(ctx), nil)
+	})
 	router.GET(PathRegions, func(_ context.Context, call *app.RequestContext) {
 		answerOperator(call, c.RegionLoads(), nil)
 	})
--- a/internal/coordinator/regionload_test.go
+++ b/internal/coordinator/regionload_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
 )
 
 func TestLoadsAreShownByRegionWithTheAgeOfWord(t *testing.T) {
@@ -22,7 +23,7 @@
 	apply(t, c.machine, 1, listed(near, reader, far))
 	apply(t, c.machine, 2, region.Command{Change: &region.ChangeCommand{Replica: "reader", Stage: region.StageDecode}})
 	c.placement.directory.Replace([]region.Replica{near, reader, far})
-	c.placement.directory.PickGenerator("s", nil, "north-b")
+	c.placement.directory.PickGenerator("s", relay.Wanted{}, "north-b")
 	assert.Equal(t, 1, c.silentRegions())
 	c.placement.directory.TakeSums("south", "other", []region.OutstandingWork{{Replica: "far", Requests: 3}}, true, 400*time.Millisecond)
 	assert.Zero(t, c.silentRegions())
--- /dev/null
+++ b/internal/coordinator/replicalimits.go
@@ -0,0 +1,256 @@
+package coordinator
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/datagram"
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/quota"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+const (
+	// limitShowPause is the least time between two times that gateways are shown which replicas name
+	// limits before their poll would end.
+	limitShowPause = 250 * time.Millisecond
+	// limitCompareInterval is the time between two comparisons of what coordinators know: a word that
+	// was lost is made up for by the next one.
+	limitCompareInterval = time.Second
+)
+
+// limitService keeps what replicas name as their limits, and counts what they get, together with the
+// other coordinators.
+type limitService struct {
+	*poolService
+	// The mutex of poolService guards what follows.
+	table *ratelimit.Table
+	// listed are the replicas that gateways know, by Life.Name, as of listRevision.
+	listed       map[string]bool
+	listRevision uint64
+	// shown is closed when gateways should be shown which replicas name limits, and shownNames what
+	// they were shown last.
+	shown      chan struct{}
+	shownNames uint64
+	// toldAll is when each coordinator was last told all.
+	toldAll map[netip.AddrPort]time.Duration
+}
+
+func newLimitService(c *Coordinator, socket *datagram.Socket) *limitService {
+	kinds := poolKinds{ask: datagram.KindLimit, reply: datagram.KindLimitReply, peer: datagram.KindLimitPeer}
+	created := &limitService{
+		poolService: newPoolService(c, socket, "replicas", kinds, ratelimit.Terms()),
+		table:       ratelimit.NewTable(),
+		shown:       make(chan struct{}),
+		toldAll:     map[netip.AddrPort]time.Duration{},
+	}
+	created.refresh = created.takeList
+	created.decided = created.noteDecision
+	socket.Handle(datagram.KindLimitWord, created.receiveWords)
+	return created
+}
+
+// takeList forgets the limits of replicas that have gone or take no work.
+func (l *limitService) takeList() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refreshList()
+}
+
+// refreshList is called with the mutex held.
+func (l *limitService) refreshList() {
+	state, _ := l.machine.read()
+	if l.listed != nil && state.ListRevision == l.listRevision {
+		return
+	}
+	l.listRevision = state.ListRevision
+	l.listed = make(map[string]bool, len(state.Replicas))
+	for index := range state.Replicas {
+		if each := &state.Replicas[index]; !each.Standby {
+			l.listed[each.Replica.Life().Name()] = true
+		}
+	}
+	l.table.Keep(func(replica string) bool { return l.listed[replica] })
+	l.apply()
+}
+
+// apply has the pool count under the limits that are known. It is called with the mutex held.
+func (l *limitService) apply() {
+	now := l.now()
+	l.pool.SetLimits(now, ratelimit.PoolLimits(l.table, l.settings.Contact))
+	l.placement.directory.TakeLimits(l.table.Words(now))
+}
+
+// noteDecision has this coordinator choose a replica without room for nobody meanwhile. It is called
+// with the mutex held.
+func (l *limitService) noteDecision(decided quota.Decision) {
+	if !decided.Answer.Admitted && !decided.Again {
+		l.placement.directory.Denied(decided.Question.Account, decided.Question.Rank, time.Duration(decided.Answer.WaitMicros)*time.Microsecond)
+	}
+}
+
+// receiveWords takes the words of a gateway or of another coordinator.
+func (l *limitService) receiveWords(from netip.AddrPort, payload []byte) {
+	var message ratelimit.Message
+	if _, err := message.UnmarshalMsg(payload); err != nil {
+		l.logger.Info(event.LimitWordUnreadable, "from", from.String(), "error", err.Error())
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refreshList()
+	now := l.now()
+	var news []ratelimit.Word
+	for _, word := range message.Words {
+		if l.listed[word.Replica] && l.table.Take(now, word) {
+			news = append(news, word)
+		}
+	}
+	if len(news) > 0 {
+		l.apply()
+		l.wake()
+	}
+	fromCoordinator := message.Hash != 0 || len(message.Words) == 0
+	if !fromCoordinator {
+		l.tellCoordinators(news)
+		return
+	}
+	if message.Hash != l.table.Hash() && now >= l.toldAll[from]+limitCompareInterval {
+		l.toldAll[from] = now
+		l.tell(from, l.table.Words(now))
+	}
+}
+
+// tellCoordinators tells the others what a gateway has told. It is called with the mutex held.
+func (l *limitService) tellCoordinators(words []ratelimit.Word) {
+	if len(words) == 0 {
+		return
+	}
+	for _, address := range l.group.MemberAddresses() {
+		if to, err := netip.ParseAddrPort(address); err == nil && address != l.settings.Address {
+			l.tell(to, words)
+		}
+	}
+}
+
+// tell is called with the mutex held.
+func (l *limitService) tell(to netip.AddrPort, words []ratelimit.Word) {
+	for _, batch := range ratelimit.Batches(words) {
+		l.socket.Send(datagram.KindLimitWord, &ratelimit.Message{From: l.settings.Address, Hash: l.table.Hash(), Words: batch}, to)
+	}
+}
+
+// Run does what is due until the context ends.
+func (l *limitService) Run(ctx context.Context) {
+	go l.show(ctx)
+	l.poolService.Run(ctx)
+}
+
+// show has gateways shown which replicas name limits soon after that has changed, and compares what
+// coordinators know, until the context ends.
+func (l *limitService) show(ctx context.Context) {
+	var compareAt time.Duration
+	for lifecycle.Sleep(ctx, limitShowPause) {
+		l.mutex.Lock()
+		if names := l.table.Names(); names != l.shownNames {
+			l.shownNames = names
+			close(l.shown)
+			l.shown = make(chan struct{})
+		}
+		if now := l.now(); now >= compareAt {
+			compareAt = now + limitCompareInterval
+			l.compare()
+		}
+		l.mutex.Unlock()
+	}
+}
+
+// compare tells the others what identifies the limits that are known here, if there are any. It is
+// called with the mutex held.
+func (l *limitService) compare() {
+	if l.table.Hash() == 0 {
+		return
+	}
+	message := &ratelimit.Message{From: l.settings.Address, Hash: l.table.Hash()}
+	for _, address := range l.group.MemberAddresses() {
+		if to, err := netip.ParseAddrPort(address); err == nil && address != l.settings.Address {
+			l.socket.Send(datagram.KindLimitWord, message, to)
+		}
+	}
+}
+
+// view is what a gateway is shown that knows some names: what identifies the names that are known
+// here and, if it has others, the limits.
+func (l *limitService) view(known uint64) (names uint64, words []ratelimit.Word) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	names = l.table.Names()
+	if names != known {
+		words = l.table.Words(l.now())
+	}
+	return names, words
+}
+
+// changed is closed when gateways should be shown which replicas name limits.
+func (l *limitService) changed() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.shown
+}
+
+// ReplicaLimits are the limits that replicas name, with what is counted against them.
+type ReplicaLimits struct {
+	// Address is the coordinator whose pool counts, and Mode how it does.
+	Address  string              `json:"address"`
+	Mode     quota.Mode          `json:"mode"`
+	Replicas []ReplicaLimitState `json:"replicas"`
+}
+
+// ReplicaLimitState is the limit that a replica names.
+type ReplicaLimitState struct {
+	// Replica is a region.Life.Name.
+	Replica string `json:"replica"`
+	// Rate is the requests a second that it takes, and NamedForS for how long it has named a limit.
+	Rate      float64 `json:"rate"`
+	NamedForS float64 `json:"named_for_s"`
+	// Sent and Refused are the requests that were allowed and not in the last WindowS seconds, and Room
+	// those that would be allowed at once; negative in debt.
+	Sent    float64 `json:"sent"`
+	Refused float64 `json:"refused"`
+	Room    float64 `json:"room"`
+	WindowS float64 `json:"window_s"`
+}
+
+// ReplicaLimits tells which replicas name limits, as this coordinator knows it, and what is counted
+// against them, as the leader counts it; while it can't be reached, as this coordinator does.
+func (c *Coordinator) ReplicaLimits(ctx context.Context) ReplicaLimits {
+	status := c.limits.statusAtLeader(ctx, region.PathReplicaLimits)
+	counted := make(map[string]quota.TenantStatus, len(status.Tenants))
+	for _, each := range status.Tenants {
+		counted[each.Tenant] = each
+	}
+	shown := ReplicaLimits{Address: status.Address, Mode: status.Mode, Replicas: []ReplicaLimitState{}}
+	for _, each := range c.limits.named() {
+		use := counted[each.Replica]
+		shown.Replicas = append(shown.Replicas, ReplicaLimitState{
+			Replica:   each.Replica,
+			Rate:      each.Rate,
+			NamedForS: (c.now() - each.Since).Seconds(),
+			Sent:      use.Admitted,
+			Refused:   use.Refused,
+			Room:      use.Level,
+			WindowS:   use.WindowS,
+		})
+	}
+	return shown
+}
+
+// named lists the limits that are known here.
+func (l *limitService) named() []ratelimit.Limit {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.table.Limits()
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -20,6 +20,7 @@
 	wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maximumViewWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	limits := c.limits.changed()
 	for {
 		state, changed := c.machine.read()
 		if state.Version > request.Version || state.ListRevision > request.ListRevision || state.Poison.Revision > request.PoisonRevision {
@@ -27,6 +28,8 @@
 		}
 		select {
 		case <-changed:
+		case <-limits:
+			return c.viewOf(state, request), nil
 		case <-timer.C:
 			return c.viewOf(state, request), nil
 		case <-ctx.Done():
@@ -65,6 +68,7 @@
 		NextWindow:   state.NextWindow,
 		Poison:       state.Poison.NewsSince(request.PoisonRevision),
 	}
+	view.LimitNames, view.Limits = c.limits.view(request.LimitNames)
 	if age < 0 {
 		view.AgeMillis = -1
 	}
--- a/internal/datagram/socket.go
+++ b/internal/datagram/socket.go
@@ -28,6 +28,12 @@
 	KindQuota
 	KindQuotaReply
 	KindQuotaPeer
+	// KindLimit, KindLimitReply and KindLimitPeer carry the same for the limits that replicas name, and
+	// KindLimitWord a ratelimit.Message.
+	KindLimit
+	KindLimitReply
+	KindLimitPeer
+	KindLimitWord
 	kindEnd
 )
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,12 @@
 	ReplicaBack Event = "replica back"
 	// LimitNamed: a replica names another limit of requests than before, or none any more.
 	LimitNamed Event = "replica's limit"
+	// LimitUnreadable: a replica names a limit that can't be read; what was known of it stays.
+	LimitUnreadable Event = "replica's limit unreadable"
+	// LimitDenied: a replica's limit leaves no room for a request, which goes to another one or is refused.
+	LimitDenied Event = "no room under a replica's limit"
+	// LimitWordUnreadable: a message on the limits of replicas can't be read.
+	LimitWordUnreadable Event = "message on limits unreadable"
 	// PrefixesLearned: a replica told what it keeps.
 	PrefixesLearned Event = "kept prefixes learned"
 	// PrefixesUnknown: a replica did not tell what it keeps.
@@ -241,6 +247,9 @@
 		ReplicaAvoided,
 		ReplicaBack,
 		LimitNamed,
+		LimitUnreadable,
+		LimitDenied,
+		LimitWordUnreadable,
 		PrefixesLearned,
 		PrefixesUnknown,
 		PeersUnreachable,
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -47,6 +47,8 @@
 	StreamMoves Mechanism = "stream_moves"
 	// Quotas holds tenants to their limits over all gateways.
 	Quotas Mechanism = "quotas"
+	// ReplicaLimits has all gateways together send a replica no more than it says it takes.
+	ReplicaLimits Mechanism = "replica_limits"
 )
 
 // The mechanisms of coordinators.
@@ -79,6 +81,7 @@
 		RequestHolds,
 		StreamMoves,
 		Quotas,
+		ReplicaLimits,
 		StageChanges,
 		Forecast,
 		EvenShortage,
--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -102,7 +102,7 @@
 	north.await(t, "north-b")
 	for range 200 {
 		now = now.Add(tellPoll)
-		lease := north.directory.PickAny("s", nil)
+		lease := north.directory.PickAny("s", relay.Wanted{})
 		north.told.step(now)
 		lease.Release()
 		now = now.Add(tellPoll)
@@ -151,7 +151,7 @@
 	one := topology.Map{Regions: map[string]string{"north-a": "one", "south-a": "one"}}
 	a, b := newProcess(t, "north-a", one), newProcess(t, "south-a", one)
 	know(a, b)
-	lease := a.directory.PickAny("s", nil)
+	lease := a.directory.PickAny("s", relay.Wanted{})
 	defer lease.Release()
 	a.told.step(time.Now())
 	word := b.await(t, "north-a")
--- a/internal/quota/benchmark_test.go
+++ b/internal/quota/benchmark_test.go
@@ -75,7 +75,7 @@
 }
 
 func targetQuestion(number int) quota.Question {
-	return quota.Question{ID: uint64(number + 1), Tenant: fmt.Sprint("tenant-", number%targetTenants), Units: 200, Rank: number % 3}
+	return quota.Question{ID: uint64(number + 1), Account: fmt.Sprint("tenant-", number%targetTenants), Units: 200, Rank: number % 3}
 }
 
 // carry brings a message over the wire, and returns its size.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -49,6 +49,8 @@
 	mostDebt float64
 	// window bounds what callers are told to wait.
 	window time.Duration
+	// strict is Terms.Strict.
+	strict bool
 }
 
 // rate and cap are what the first bucket refills a second, and the most that it holds.
@@ -109,10 +111,10 @@
 
 // fits reports whether a request may pass now.
 func (b *bucket) fits(q Question, s share) bool {
-	if b.level+s.owed-q.Units >= -q.mayOwe(s.debt) {
+	if b.level+s.owed-q.Units >= -q.mayOwe(s, s.debt) {
 		return true
 	}
-	if s.evenParts > 0 && b.even-q.Units >= -q.mayOwe(s.evenDebt()) {
+	if s.evenParts > 0 && b.even-q.Units >= -q.mayOwe(s, s.evenDebt()) {
 		return true
 	}
 	// A request that is larger than the bucket waits until the bucket is full, and may use all of
@@ -121,9 +123,10 @@
 }
 
 // mayOwe is the part of a debt that a request may use, by its rank. A small request may use all of
-// it: to refuse it would leave no room to speak of for others.
-func (q *Question) mayOwe(debt float64) float64 {
-	if q.Units <= smallShare*debt {
+// it: to refuse it would leave no room to speak of for others. Under strict limits all requests are
+// of one size, and only ranks tell them apart.
+func (q *Question) mayOwe(s share, debt float64) float64 {
+	if !s.strict && q.Units <= smallShare*debt {
 		return debt
 	}
 	return debt * float64(rankSteps-min(max(q.Rank, 0), rankSteps)) / rankSteps
@@ -136,10 +139,13 @@
 	if rate <= 0 || q.Units > b.cap(s)+s.debt {
 		return s.window
 	}
-	needed := min(q.Units-q.mayOwe(s.debt), b.cap(s)) - b.level
+	needed := min(q.Units-q.mayOwe(s, s.debt), b.cap(s)) - b.level
 	until := seconds(needed / rate)
-	if evenRate > 0 && q.Units <= q.mayOwe(s.evenDebt()) {
-		until = min(until, seconds((q.Units-q.mayOwe(s.evenDebt())-b.even)/evenRate))
+	if s.strict {
+		return min(until, s.window)
+	}
+	if evenRate > 0 && q.Units <= q.mayOwe(s, s.evenDebt()) {
+		until = min(until, seconds((q.Units-q.mayOwe(s, s.evenDebt())-b.even)/evenRate))
 	}
 	behind := b.returnAt + seconds(q.Units/max(rate, evenRate))
 	b.returnAt = min(max(now+until, behind), now+s.window)
--- a/internal/quota/group_test.go
+++ b/internal/quota/group_test.go
@@ -215,7 +215,7 @@
 func (g *group) request(gateway int, units float64, rank int) {
 	first := g.names[gateway%len(g.names)]
 	second := g.names[(gateway+1+g.random.IntN(len(g.names)-1))%len(g.names)]
-	q := quota.Question{Tenant: tenant, Units: units, Rank: rank}
+	q := quota.Question{Account: tenant, Units: units, Rank: rank}
 	g.ask(gateway, first, q, func() {
 		g.ask(gateway, second, q, func() {
 			g.note(units, g.local[gateway].Ask(g.now, g.limit, g.gateways, q))
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -16,6 +16,9 @@
 	Window time.Duration
 	// Over is a share of what the limit allows within the window, and Slack are units above that.
 	Over, Slack float64
+	// Strict limits are not exceeded over any longer time either: a full burst may be used once, not
+	// in each window. Each refused request is told when the bucket will have room for it.
+	Strict bool
 }
 
 // defaultWindow is long enough for the largest requests of a tenant to be a part of its use.
--- a/internal/quota/local.go
+++ b/internal/quota/local.go
@@ -17,10 +17,10 @@
 	// What a bucket holds and what it refills within a window are half of the part each.
 	part := l.terms.tolerance(limit) * gatewayShare / float64(max(gateways, 1)) / 2
 	own := Limit{Rate: part / l.terms.window().Seconds(), Burst: part}
-	counted, known := l.buckets[q.Tenant]
+	counted, known := l.buckets[q.Account]
 	if !known {
 		counted = &bucket{level: part, at: now}
-		l.buckets[q.Tenant] = counted
+		l.buckets[q.Account] = counted
 	}
 	counted.limit = own
 	answer := counted.decide(now, q, share{parts: 1, window: l.terms.window()})
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -17,11 +17,13 @@
 	ModeHolding Mode = "holding"
 )
 
-// Question asks whether a request of a tenant may run.
+// Question asks whether a request may run.
 type Question struct {
 	// ID is the asker's name for the question.
-	ID     uint64 `msg:"id"`
-	Tenant string `msg:"tenant"`
+	ID uint64 `msg:"id"`
+	// Account is whose limit the request counts against: a tenant's name, or that of a replica's
+	// life.
+	Account string `msg:"account"`
 	// Units is what the request counts.
 	Units float64 `msg:"units"`
 	// Rank is the request's urgency among those of its tenant, 0 is the highest.
@@ -45,10 +47,10 @@
 	Never bool `msg:"never"`
 }
 
-// Amount are units of a tenant that come back, or that are charged if they are negative.
+// Amount are units of an account that come back, or that are charged if they are negative.
 type Amount struct {
-	Tenant string  `msg:"tenant"`
-	Units  float64 `msg:"units"`
+	Account string  `msg:"account"`
+	Units   float64 `msg:"units"`
 }
 
 // GatewayMessage is what a gateway asks and tells a coordinator.
--- a/internal/quota/messages_gen.go
+++ b/internal/quota/messages_gen.go
@@ -17,7 +17,7 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Tenant)
+	o = msgp.AppendString(o, z.Account)
 	o = msgp.AppendFloat64(o, z.Units)
 	return
 }
@@ -34,9 +34,9 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+	z.Account, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
+		err = msgp.WrapError(err, "Account")
 		return
 	}
 	z.Units, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -50,7 +50,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Amount) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Tenant) + msgp.Float64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Account) + msgp.Float64Size
 	return
 }
 
@@ -208,7 +208,7 @@
 	for za0002 := range z.Amounts {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Amounts[za0002].Tenant)
+		o = msgp.AppendString(o, z.Amounts[za0002].Account)
 		o = msgp.AppendFloat64(o, z.Amounts[za0002].Units)
 	}
 	return
@@ -274,9 +274,9 @@
 			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 			return
 		}
-		z.Amounts[za0002].Tenant, bts, err = msgp.ReadStringBytes(bts)
+		z.Amounts[za0002].Account, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Amounts", za0002, "Tenant")
+			err = msgp.WrapError(err, "Amounts", za0002, "Account")
 			return
 		}
 		z.Amounts[za0002].Units, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -297,7 +297,7 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Amounts {
-		s += 1 + msgp.StringPrefixSize + len(z.Amounts[za0002].Tenant) + msgp.Float64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Amounts[za0002].Account) + msgp.Float64Size
 	}
 	return
 }
@@ -419,7 +419,7 @@
 	for za0001 := range z.Amounts {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Amounts[za0001].Tenant)
+		o = msgp.AppendString(o, z.Amounts[za0001].Account)
 		o = msgp.AppendFloat64(o, z.Amounts[za0001].Units)
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Questions)))
@@ -509,9 +509,9 @@
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
 		}
-		z.Amounts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+		z.Amounts[za0001].Account, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Amounts", za0001, "Tenant")
+			err = msgp.WrapError(err, "Amounts", za0001, "Account")
 			return
 		}
 		z.Amounts[za0001].Units, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -572,7 +572,7 @@
 func (z *PeerMessage) Msgsize() (s int) {
 	s = 1 + msgp.StringPrefixSize + len(z.From) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Amounts {
-		s += 1 + msgp.StringPrefixSize + len(z.Amounts[za0001].Tenant) + msgp.Float64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Amounts[za0001].Account) + msgp.Float64Size
 	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Questions {
@@ -591,7 +591,7 @@
 	// array header, size 4
 	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendString(o, z.Tenant)
+	o = msgp.AppendString(o, z.Account)
 	o = msgp.AppendFloat64(o, z.Units)
 	o = msgp.AppendInt(o, z.Rank)
 	return
@@ -614,9 +614,9 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+	z.Account, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
+		err = msgp.WrapError(err, "Account")
 		return
 	}
 	z.Units, bts, err = msgp.ReadFloat64Bytes(bts)
@@ -635,7 +635,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Question) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Tenant) + msgp.Float64Size + msgp.IntSize
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Account) + msgp.Float64Size + msgp.IntSize
 	return
 }
 
--- a/internal/quota/parts.go
+++ b/internal/quota/parts.go
@@ -99,13 +99,18 @@
 func (p *Pool) share(tenant string) share {
 	members := float64(max(len(p.members), 1))
 	most := p.options.Terms.tolerance(p.limits[tenant]) * debtShare
-	return share{
+	held := share{
 		parts:     float64(p.parts.all) / members,
 		evenParts: float64(p.parts.even) / members,
 		debt:      most * p.parts.aged / members,
 		mostDebt:  most,
 		window:    p.options.Terms.window(),
+		strict:    p.options.Terms.Strict,
+	}
+	if held.strict {
+		held.evenParts = 0
 	}
+	return held
 }
 
 // silentShareOf is what of a tenant's limit may be used while the holder does not answer.
@@ -115,5 +120,6 @@
 
 		debt:   p.options.Terms.tolerance(p.limits[tenant]) * silentShare / float64(max(len(p.members), 1)),
 		window: p.options.Terms.window(),
+		strict: p.options.Terms.Strict,
 	}
 }
--- a/internal/quota/peer.go
+++ b/internal/quota/peer.go
@@ -55,7 +55,7 @@
 		return *answer
 	}
 	answer := Answer{ID: q.ID, Admitted: true}
-	if limited := p.buckets[q.Tenant]; limited != nil {
+	if limited := p.buckets[q.Account]; limited != nil {
 		answer = p.decideHere(now, limited, q)
 	}
 	p.answered.end(asker{from, q.ID}, answer)
@@ -152,7 +152,7 @@
 // acknowledge notes that the holder counts the debts of a message.
 func (p *Pool) acknowledge(sentAt int64) {
 	for _, each := range p.handed[sentAt] {
-		if counted := p.buckets[each.Tenant]; counted != nil {
+		if counted := p.buckets[each.Account]; counted != nil {
 			counted.handed = min(counted.handed-each.Units, 0)
 		}
 	}
@@ -169,7 +169,7 @@
 			continue
 		}
 		for _, each := range amounts {
-			if counted := p.buckets[each.Tenant]; counted != nil {
+			if counted := p.buckets[each.Account]; counted != nil {
 				counted.level += each.Units
 				counted.handed = min(counted.handed-each.Units, 0)
 			}
@@ -201,7 +201,7 @@
 		delete(p.waiting, id)
 		p.asking = slices.DeleteFunc(p.asking, func(q Question) bool { return q.ID == id })
 		p.late[id] = lateQuestion{
-			amount: Amount{Tenant: asked.question.Tenant, Units: asked.question.Units},
+			amount: Amount{Account: asked.question.Account, Units: asked.question.Units},
 			until:  now + p.options.Lease,
 		}
 		p.answerForHolder(now, asked)
@@ -228,7 +228,7 @@
 // noteHanded keeps the debts of the last message until they are acknowledged.
 func (p *Pool) noteHanded(amounts []Amount) {
 	for _, each := range amounts {
-		if counted := p.buckets[each.Tenant]; counted != nil && each.Units < 0 {
+		if counted := p.buckets[each.Account]; counted != nil && each.Units < 0 {
 			counted.handed += each.Units
 			p.handed[p.sentAt] = append(p.handed[p.sentAt], each)
 		}
@@ -250,7 +250,7 @@
 	var amounts []Amount
 	for tenant, each := range p.buckets {
 		if each.level != 0 {
-			amounts = append(amounts, Amount{Tenant: tenant, Units: each.level})
+			amounts = append(amounts, Amount{Account: tenant, Units: each.level})
 			each.level, each.even = 0, 0
 		}
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -196,7 +196,7 @@
 		}
 		return
 	}
-	limited := p.buckets[q.Tenant]
+	limited := p.buckets[q.Account]
 	switch {
 	case limited == nil:
 		p.answer(now, from, q, Answer{ID: q.ID, Admitted: true})
@@ -210,7 +210,7 @@
 // answerForHolder decides a question that the holder was to decide.
 func (p *Pool) answerForHolder(now time.Duration, asked waitingQuestion) {
 	answer := Answer{Admitted: true}
-	if limited := p.buckets[asked.question.Tenant]; limited != nil {
+	if limited := p.buckets[asked.question.Account]; limited != nil {
 		answer = p.decideHere(now, limited, asked.question)
 		answer.Unsure = !answer.Admitted
 	}
@@ -223,11 +223,11 @@
 	if p.parts.all == 0 {
 		// A debt counts here until it is known to count at the holder: else each message that is
 		// lost would let the pool use up its part of the tolerance again.
-		silent := p.silentShareOf(q.Tenant)
+		silent := p.silentShareOf(q.Account)
 		silent.owed = limited.handed
 		return limited.decide(now, q, silent)
 	}
-	return limited.decide(now, q, p.share(q.Tenant))
+	return limited.decide(now, q, p.share(q.Account))
 }
 
 func (p *Pool) answer(now time.Duration, from string, q Question, answer Answer) {
@@ -260,11 +260,11 @@
 // Give takes units back that were charged, or charges some that were not if they are negative.
 func (p *Pool) Give(now time.Duration, amount Amount) {
 	p.refresh(now)
-	limited := p.buckets[amount.Tenant]
+	limited := p.buckets[amount.Account]
 	if limited == nil {
 		return
 	}
-	held := p.share(amount.Tenant)
+	held := p.share(amount.Account)
 	limited.refill(now, held)
 	limited.level += amount.Units
 	limited.even += amount.Units
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -1,6 +1,9 @@
 package region
 
-import "github.com/pierhaven/pierhaven/internal/poison"
+import (
+	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
+)
 
 //go:generate go tool msgp -file messages.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
@@ -8,15 +11,16 @@
 
 // Paths of the calls between coordinators and of gateways to them.
 const (
-	PathView      = "/internal/v1/region/view"
-	PathReadIndex = "/internal/v1/region/read-index"
-	PathReplace   = "/internal/v1/region/replace"
-	PathJoin      = "/internal/v1/region/join"
-	PathPoison    = "/internal/v1/region/poison"
-	PathRelease   = "/internal/v1/region/release"
-	PathQuotas    = "/internal/v1/region/quotas"
-	PathPermit    = "/internal/v1/region/permit"
-	PathKept      = "/internal/v1/region/kept"
+	PathView          = "/internal/v1/region/view"
+	PathReadIndex     = "/internal/v1/region/read-index"
+	PathReplace       = "/internal/v1/region/replace"
+	PathJoin          = "/internal/v1/region/join"
+	PathPoison        = "/internal/v1/region/poison"
+	PathRelease       = "/internal/v1/region/release"
+	PathQuotas        = "/internal/v1/region/quotas"
+	PathReplicaLimits = "/internal/v1/region/replica-limits"
+	PathPermit        = "/internal/v1/region/permit"
+	PathKept          = "/internal/v1/region/kept"
 )
 
 // Stages of a model replica.
@@ -203,6 +207,8 @@
 	Usage *GatewayUsage `msg:"usage"`
 	// PoisonRevision is what the gateway knows of requests that end replicas.
 	PoisonRevision uint64 `msg:"poison_revision"`
+	// LimitNames is ratelimit.Table.Names of the gateway.
+	LimitNames uint64 `msg:"limit_names,omitempty"`
 }
 
 // GatewayUsage is what a gateway has counted in one life.
@@ -256,6 +262,10 @@
 	NextWindow uint64 `msg:"next_window"`
 	// Poison is what is new on requests that end replicas, nil if nothing is.
 	Poison *poison.News `msg:"poison"`
+	// LimitNames is ratelimit.Table.Names of the coordinator, and Limits what it knows of the limits
+	// that replicas name, set only if the names are not the request's.
+	LimitNames uint64           `msg:"limit_names,omitempty"`
+	Limits     []ratelimit.Word `msg:"limits,omitempty"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/pierhaven/pierhaven/internal/poison"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -4241,8 +4242,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(20)
-	var zb0001Mask uint32 /* 20 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.Standby == 0 {
 		zb0001Len--
@@ -4256,6 +4257,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
+	if z.LimitNames == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -4354,6 +4363,23 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "limit_names"
+			o = append(o, 0xab, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65, 0x73)
+			o = msgp.AppendUint64(o, z.LimitNames)
+		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// string "limits"
+			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+			for za0006 := range z.Limits {
+				o, err = z.Limits[za0006].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0006)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -4612,6 +4638,35 @@
 					return
 				}
 			}
+		case "limit_names":
+			z.LimitNames, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitNames")
+				return
+			}
+		case "limits":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0008 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0008) {
+				z.Limits = (z.Limits)[:zb0008]
+			} else {
+				z.Limits = make([]ratelimit.Word, zb0008)
+			}
+			for za0006 := range z.Limits {
+				bts, err = z.Limits[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4652,6 +4707,10 @@
 	} else {
 		s += z.Poison.Msgsize()
 	}
+	s += 12 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0006 := range z.Limits {
+		s += z.Limits[za0006].Msgsize()
+	}
 	return
 }
 
@@ -4659,13 +4718,17 @@
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.MembersHash == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.LimitNames == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -4721,6 +4784,11 @@
 		// string "poison_revision"
 		o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendUint64(o, z.PoisonRevision)
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "limit_names"
+			o = append(o, 0xab, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65, 0x73)
+			o = msgp.AppendUint64(o, z.LimitNames)
+		}
 	}
 	return
 }
@@ -4841,6 +4909,12 @@
 				err = msgp.WrapError(err, "PoisonRevision")
 				return
 			}
+		case "limit_names":
+			z.LimitNames, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LimitNames")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4865,6 +4939,6 @@
 	} else {
 		s += z.Usage.Msgsize()
 	}
-	s += 16 + msgp.Uint64Size
+	s += 16 + msgp.Uint64Size + 12 + msgp.Uint64Size
 	return
 }
--- a/internal/relay/border.go
+++ b/internal/relay/border.go
@@ -33,8 +33,8 @@
 // with the mutex held.
 func (d *Directory) stages(service string, request ReadRequest, now time.Duration) side {
 	return side{
-		readers:    d.soundCandidates(service, request.Excluded, ofStage(region.StagePrefill), now),
-		generators: d.soundCandidates(service, request.Excluded, ofStage(region.StageDecode), now),
+		readers:    d.soundCandidates(service, request.wanted(), ofStage(region.StagePrefill), now),
+		generators: d.soundCandidates(service, request.wanted(), ofStage(region.StageDecode), now),
 	}
 }
 
--- a/internal/relay/border_test.go
+++ b/internal/relay/border_test.go
@@ -182,7 +182,7 @@
 			replicaIn("north-a", "reader-0", region.StagePrefill), replicaIn("south-a", "generator", region.StageDecode),
 		})
 		d.readFor("north-a")
-		lease := d.PickGenerator("s", nil, "north-a")
+		lease := d.PickGenerator("s", relay.Wanted{}, "north-a")
 		require.NotNil(t, lease)
 		assert.Equal(t, "south", regionOf(lease))
 	})
@@ -193,13 +193,13 @@
 	d := newRegional(t, map[string]int{"north-a": 1})
 	var leases []*relay.Lease
 	for range 128 {
-		lease := d.PickGenerator("s", nil, "north-a")
+		lease := d.PickGenerator("s", relay.Wanted{}, "north-a")
 		assert.Equal(t, "north", regionOf(lease))
 		leases = append(leases, lease)
 	}
-	assert.NotEqual(t, "north", regionOf(d.PickGenerator("s", nil, "north-a")), "all slots are taken")
+	assert.NotEqual(t, "north", regionOf(d.PickGenerator("s", relay.Wanted{}, "north-a")), "all slots are taken")
 	leases[0].Release()
-	assert.Equal(t, "north", regionOf(d.PickGenerator("s", nil, "north-a")))
+	assert.Equal(t, "north", regionOf(d.PickGenerator("s", relay.Wanted{}, "north-a")))
 }
 
 // Symptom: more than half of a calm day's fetches came from other regions. Cause: a prefix has one
@@ -250,10 +250,10 @@
 	d.Replace(replicas)
 	var inside []*relay.Lease
 	for range 8 {
-		inside = append(inside, d.PickAny("s", nil))
+		inside = append(inside, d.PickAny("s", relay.Wanted{}))
 		assert.NotEqual(t, "x", inside[len(inside)-1].Replica.Zone)
 	}
-	assert.Equal(t, "x", d.PickAny("s", nil).Replica.Zone)
+	assert.Equal(t, "x", d.PickAny("s", relay.Wanted{}).Replica.Zone)
 	end(inside)
-	assert.NotEqual(t, "x", d.PickAny("s", nil).Replica.Zone)
+	assert.NotEqual(t, "x", d.PickAny("s", relay.Wanted{}).Replica.Zone)
 }
--- a/internal/relay/connected_test.go
+++ b/internal/relay/connected_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
 )
 
 // Symptom: 35,000 connections for 30,000 requests. Sequence: each of 985 gateways sends a request now and then to one of 256
@@ -22,14 +23,14 @@
 		connections := map[string]bool{}
 		d.KnowConnections(func(_, life string) bool { return connections[life] })
 		for range 40 {
-			lease := d.PickAny("s", nil)
+			lease := d.PickAny("s", relay.Wanted{})
 			connections[lease.Replica.Life().Name()] = true
 			lease.Release()
 		}
 		assert.Len(t, connections, 1, size)
 
-		first := d.PickAny("s", nil)
-		second := d.PickAny("s", nil)
+		first := d.PickAny("s", relay.Wanted{})
+		second := d.PickAny("s", relay.Wanted{})
 		assert.NotEqual(t, first.Replica.ID, second.Replica.ID, "load goes before a connection")
 	}
 }
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -41,6 +41,7 @@
 	client    *rpc.Client
 	ready     atomic.Bool
 	evidence  *evidence
+	limits    *limitClient
 }
 
 // New returns a gateway that has not begun to listen.
@@ -85,12 +86,15 @@
 	keeper.evidence, evidence.keeper = evidence, keeper
 	quotas := newQuotaClient(settings, socket, keeper)
 	keeper.onConfigured = quotas.keep
+	limits := newLimitClient(settings, socket, keeper, directory)
+	keeper.limits = limits
 	runner := relay.NewRunner(directory, replicas, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.AskPlacements(asker.Remote())
 	runner.CountBegun(counted.begun)
 	runner.GuardWith(evidence.Guard)
 	runner.AskPermits(evidence.permit)
 	runner.CountSuspensions(suspended)
+	runner.KeepLimits(limits.keeping())
 	created := &Daemon{
 		settings:  settings,
 		keeper:    keeper,
@@ -102,6 +106,7 @@
 		client:    client,
 		front:     &front{settings: settings, keeper: keeper, runner: runner, quotas: quotas},
 		evidence:  evidence,
+		limits:    limits,
 	}
 	created.registerGauges(settings.Metrics)
 	return created, nil
@@ -124,6 +129,15 @@
 	registry.GaugeFunc("placements_suspended", "Choices that were made here since the coordinator had not answered, since the start.", func() float64 {
 		return float64(d.placement.Counts().Suspended)
 	})
+	registry.GaugeFunc("limit_asked", "Requests for replicas that name limits since the start.", func() float64 {
+		return float64(d.limits.read().Asked)
+	})
+	registry.GaugeFunc("limit_refused", "Requests that a replica's limit left no room for since the start; most went to another replica.", func() float64 {
+		return float64(d.limits.read().Refused)
+	})
+	registry.GaugeFunc("limit_local", "Requests for replicas that name limits that were decided here, since no coordinator answered, since the start.", func() float64 {
+		return float64(d.limits.read().Local)
+	})
 	registry.GaugeFunc("quota_asked", "Requests of tenants with limits since the start.", func() float64 {
 		return float64(d.front.quotas.read().Asked)
 	})
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -32,6 +32,7 @@
 	deciders  *deciders
 	usage     *countedUsage
 	evidence  *evidence
+	limits    *limitClient
 	clock     func() time.Duration
 	// asked is the coordinator that is polled.
 	asked atomic.Pointer[string]
@@ -181,6 +182,7 @@
 		request.WallNanos = time.Now().UnixNano()
 	}
 	k.asked.Store(&coordinator)
+	request.LimitNames = k.directory.LimitNames()
 	if k.evidence != nil {
 		request.PoisonRevision = k.evidence.Guard.Revision()
 	}
@@ -197,7 +199,12 @@
 		return err
 	}
 	k.usage.told(coordinator, request.Usage, &view, time.Now())
-	return k.take(coordinator, &view)
+	if err := k.take(coordinator, &view); err != nil {
+		return err
+	}
+	// After the list: limits of replicas that are not listed are passed over.
+	k.limits.take(&view)
+	return nil
 }
 
 // take takes a view over.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -10,6 +10,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/topology"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -53,6 +54,10 @@
 	connected func(address, life string) bool
 	// limited counts the replicas that name a limit, so that calls pay nothing while none does.
 	limited atomic.Int64
+	limits  *ratelimit.Table
+	onLimit func(word ratelimit.Word)
+	// returnAt is by service when the caller that was refused last for limits should come back.
+	returnAt map[string]time.Duration
 	// off are the mechanisms that are switched off.
 	off mechanism.Set
 	// draw returns a number from 0 up to 1. It decides between replicas that are rated alike.
@@ -88,6 +93,8 @@
 		ranked:    map[string]*rankedMeter{},
 		streams:   map[string]streamMeters{},
 		ways:      wayTimes{},
+		limits:    ratelimit.NewTable(),
+		returnAt:  map[string]time.Duration{},
 		onDropped: onDropped,
 		draw:      rand.Float64,
 		logger:    logger,
@@ -124,6 +131,7 @@
 			if before.limit.named {
 				d.countLimited(false)
 			}
+			d.limits.Forget(name)
 			d.onDropped(before.Address, name)
 		}
 	}
@@ -170,6 +178,8 @@
 	if replica, known := d.replicas[life]; known {
 		replica.prefixes = newPrefixMemory()
 		replica.load, replica.loadAt = Load{}, 0
+		// What the process named has ended with it.
+		d.takeLimit(ratelimit.Word{Replica: life}, d.clock())
 	}
 }
 
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -72,9 +72,9 @@
 	draining := replica("a", "")
 	draining.Draining = true
 	d.Replace([]region.Replica{draining})
-	assert.Nil(t, d.PickAny("s", nil))
+	assert.Nil(t, d.PickAny("s", relay.Wanted{}))
 	d.Replace([]region.Replica{replica("a", "")})
-	assert.Nil(t, d.PickAny("s", nil))
+	assert.Nil(t, d.PickAny("s", relay.Wanted{}))
 }
 
 func TestAReplicaThatIsGoneIsDroppedAndItsAddressMayComeAgain(t *testing.T) {
@@ -83,7 +83,7 @@
 	reused.Address = "a:1"
 	d.Replace([]region.Replica{reused})
 	assert.Equal(t, []string{"a"}, d.dropped)
-	assert.Equal(t, "b", d.PickAny("s", nil).Replica.ID)
+	assert.Equal(t, "b", d.PickAny("s", relay.Wanted{}).Replica.ID)
 }
 
 func TestPeersWorkDecidesAmongEqualReplicas(t *testing.T) {
@@ -108,11 +108,11 @@
 	d := newDirectory(replica("a", ""), replica("b", ""), replica("c", ""))
 	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "a", Requests: 5}, {Replica: "b", Requests: 5}}, true)
 	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "b"}, {Replica: "c", Requests: 5}}, false)
-	lease := d.PickAny("s", nil)
+	lease := d.PickAny("s", relay.Wanted{})
 	assert.Equal(t, "b", lease.Replica.ID, "its work has ended, that at a still counts")
 	lease.Release()
 	d.TakeOutstanding("peer", []region.OutstandingWork{{Replica: "b", Requests: 5}, {Replica: "c", Requests: 5}}, true)
-	assert.Equal(t, "a", d.PickAny("s", nil).Replica.ID, "a whole message forgets what it does not name")
+	assert.Equal(t, "a", d.PickAny("s", relay.Wanted{}).Replica.ID, "a whole message forgets what it does not name")
 }
 
 func TestAChoiceTellsWhatItWasMadeOn(t *testing.T) {
@@ -121,14 +121,14 @@
 		{Replica: "a", Requests: 2}, {Replica: "b", Requests: 9}, {Replica: "c", Requests: 9},
 	}, true)
 	d.now += 300 * time.Millisecond
-	first := d.PickAny("s", nil)
+	first := d.PickAny("s", relay.Wanted{})
 	require.Equal(t, "a", first.Replica.ID)
 	assert.Equal(t, relay.Choice{
 		Candidates: 3, InFlight: 2, PeersAge: 300 * time.Millisecond, Occupancy: 0.5, LoadAge: -time.Millisecond,
 	}, first.Choice)
 	first.Answered(false, &relay.Load{Running: 3, Slots: 4})
 	d.now += 100 * time.Millisecond
-	again := d.PickAny("s", []*relay.Replica{d.PickAny("s", []*relay.Replica{first.Replica}).Replica})
+	again := d.PickAny("s", relay.Wanted{Excluded: []*relay.Replica{d.PickAny("s", relay.Wanted{Excluded: []*relay.Replica{first.Replica}}).Replica}})
 	require.Equal(t, "a", again.Replica.ID)
 	assert.Equal(t, 2, again.Choice.Candidates)
 	assert.Equal(t, 100*time.Millisecond, again.Choice.LoadAge)
@@ -216,18 +216,18 @@
 	d := newDirectory(replica("a", ""), replica("b", ""))
 	d.TakeUnreachable([]string{"a", "unknown"})
 	for range 20 {
-		lease := d.PickAny("s", nil)
+		lease := d.PickAny("s", relay.Wanted{})
 		assert.Equal(t, "b", lease.Replica.ID)
 		lease.Release()
 	}
 	only := newDirectory(replica("a", ""))
 	only.TakeUnreachable([]string{"a"})
-	assert.NotNil(t, only.PickAny("s", nil), "it is still better than none")
+	assert.NotNil(t, only.PickAny("s", relay.Wanted{}), "it is still better than none")
 }
 
 func TestDemandCountsStreamsThatHaveBegunAndPromptsToBeRead(t *testing.T) {
 	d := newDirectory(replica("g", region.StageDecode), replica("r", region.StagePrefill), replica("g", region.StageDecode), replica("x", ""))
-	lease := d.PickGenerator("s", nil, "z")
+	lease := d.PickGenerator("s", relay.Wanted{}, "z")
 	demand := d.Demand(topology.Map{})
 	require.Len(t, demand, 1)
 	assert.Zero(t, demand[0].Generating)
@@ -246,7 +246,7 @@
 	places := topology.Map{Regions: map[string]string{"z": "own", "far-zone": "other"}}
 	d := newDirectory(replica("g", region.StageDecode), far, replica("r", region.StagePrefill))
 	for range 6 {
-		d.PickGenerator("s", nil, "z").StreamBegun("route", false)
+		d.PickGenerator("s", relay.Wanted{}, "z").StreamBegun("route", false)
 	}
 	d.read(prompt(relay.PromptPart{ID: "p", Tokens: 60_000}))
 	told := d.Demand(places)
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -31,6 +31,10 @@
 	// grant is the coordinator's lease that this one stands for, nil if the gateway has
 	// chosen the replica itself.
 	grant *grant
+	// permit is what a replica with a limit has been allowed the request by, nil if it names none or
+	// the request was sent; permitEnds is until when it may be kept back.
+	permit     *Permit
+	permitEnds time.Time
 }
 
 // lease is called with the mutex held.
@@ -107,6 +111,7 @@
 
 // Release gives the place back. It may be called more than once.
 func (l *Lease) Release() {
+	l.returnPermit()
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	if l.released {
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -31,11 +31,11 @@
 	for name, know := range map[string]func(*directory){
 		"kept prefixes":    func(d *directory) { d.LearnKept(region.Life{ID: "a", Born: 5}, []relay.PromptPart{shared}) },
 		"placed by peers":  func(d *directory) { d.TakePlaced(placedAt(nameAt("a", 5), shared)) },
-		"failures":         func(d *directory) { d.PickAny("s", nil).Unreachable(false) },
-		"refusals":         func(d *directory) { d.PickAny("s", nil).Full() },
-		"reported load":    func(d *directory) { d.PickAny("s", nil).Answered(true, &relay.Load{Running: 4, Slots: 4}) },
-		"requests there":   func(d *directory) { d.PickAny("s", nil) },
-		"misdirections":    func(d *directory) { d.PickAny("s", nil).Misdirected() },
+		"failures":         func(d *directory) { d.PickAny("s", relay.Wanted{}).Unreachable(false) },
+		"refusals":         func(d *directory) { d.PickAny("s", relay.Wanted{}).Full() },
+		"reported load":    func(d *directory) { d.PickAny("s", relay.Wanted{}).Answered(true, &relay.Load{Running: 4, Slots: 4}) },
+		"requests there":   func(d *directory) { d.PickAny("s", relay.Wanted{}) },
+		"misdirections":    func(d *directory) { d.PickAny("s", relay.Wanted{}).Misdirected() },
 		"peers' work":      func(d *directory) { d.TakeOutstanding("peer", workAt(nameAt("a", 5)), true) },
 		"peers' avoidance": func(d *directory) { d.TakeUnreachable([]string{nameAt("a", 5)}) },
 		"draining": func(d *directory) {
@@ -44,7 +44,7 @@
 			d.Replace([]region.Replica{draining, replica("busy", "")})
 		},
 		"a seen end":        func(d *directory) { d.Ended(nameAt("a", 5)) },
-		"streams and moves": func(d *directory) { d.PickAny("s", nil).StreamBegun("route", false) },
+		"streams and moves": func(d *directory) { d.PickAny("s", relay.Wanted{}).StreamBegun("route", false) },
 	} {
 		for _, born := range []int64{9, 4} {
 			t.Run(name, func(t *testing.T) {
@@ -53,7 +53,7 @@
 				d.Replace([]region.Replica{bornAt(born, replica("a", "")), replica("busy", "")})
 				assert.Contains(t, d.dropped, nameAt("a", 5))
 				fresh := newDirectoryWithBusy(bornAt(born, replica("a", "")))
-				lease, expected := d.PickAny("s", nil), fresh.PickAny("s", nil)
+				lease, expected := d.PickAny("s", relay.Wanted{}), fresh.PickAny("s", relay.Wanted{})
 				assert.Equal(t, "a", lease.Replica.ID)
 				assert.Equal(t, expected.Choice, lease.Choice)
 				assert.Equal(t, fresh.Outstanding(), d.Outstanding())
@@ -90,7 +90,7 @@
 	d.LearnKept(region.Life{ID: "a", Born: 5}, []relay.PromptPart{shared})
 	d.Ended(before)
 	fresh := newDirectory(bornAt(9, replica("a", "")))
-	assert.Equal(t, fresh.PickAny("s", nil).Choice, d.PickAny("s", nil).Choice)
+	assert.Equal(t, fresh.PickAny("s", relay.Wanted{}).Choice, d.PickAny("s", relay.Wanted{}).Choice)
 	assert.Equal(t, fresh.Missing("a", prompt(shared)), d.Missing("a", prompt(shared)))
 	assert.Empty(t, d.Find([]string{before}))
 }
@@ -99,9 +99,9 @@
 // list shows the new one.
 func TestALeaseOfAFormerLifeEndsWithoutTheNextOnesCount(t *testing.T) {
 	d := newDirectory(bornAt(5, replica("a", "")))
-	before := d.PickAny("s", nil)
+	before := d.PickAny("s", relay.Wanted{})
 	d.Replace([]region.Replica{bornAt(9, replica("a", ""))})
-	after := d.PickAny("s", nil)
+	after := d.PickAny("s", relay.Wanted{})
 	before.Unreachable(true)
 	before.Release()
 	assert.Equal(t, []region.OutstandingWork{{Replica: nameAt("a", 9), Requests: 1}}, d.Outstanding())
@@ -112,7 +112,7 @@
 
 func TestAListWithoutStartsChangesNoLife(t *testing.T) {
 	d := newDirectory(bornAt(5, replica("a", "")))
-	lease := d.PickAny("s", nil)
+	lease := d.PickAny("s", relay.Wanted{})
 	d.Replace([]region.Replica{replica("a", "")})
 	assert.Empty(t, d.dropped)
 	assert.Len(t, d.Outstanding(), 1)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -103,6 +103,10 @@
 	if target == nil {
 		return false
 	}
+	if !r.takes(ctx, target) {
+		target.Release()
+		return false
+	}
 	if !r.budgets.Withdraw(r.call.Service.Name) {
 		target.Release()
 		return false
@@ -133,6 +137,7 @@
 func (r *run) callMove(ctx context.Context, from, to *Replica, last bool) (*promptHandle, int) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	r.countUnasked(from)
 	method, path, body := r.dialect.Move(r.call.ID, to.Address, last)
 	answer, err := r.client.Do(ctx, &upstream.Request{
 		Address:  from.Address,
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -12,13 +12,31 @@
 	"github.com/pierhaven/pierhaven/internal/topology"
 )
 
-// pick returns a lease on the best replica of a service that passes a filter, or
-// nil. Replicas in excluded get nothing; avoided ones only if there is no other.
-func (d *Directory) pick(service string, excluded []*Replica, passes func(*Replica) bool, rating loadScore) *Lease {
+// Wanted says which replicas may get a request.
+type Wanted struct {
+	// Rank is that of the request's route.
+	Rank int
+	// Excluded are replicas that must not be chosen.
+	Excluded []*Replica
+	// Unlimited excludes all replicas that name a limit.
+	Unlimited bool
+}
+
+// excludes reports whether a replica may not get the request now.
+func (w *Wanted) excludes(replica *Replica, now time.Duration) bool {
+	if limit := &replica.limit; limit.named && (w.Unlimited || limit.denied(w.Rank, now)) {
+		return true
+	}
+	return slices.Contains(w.Excluded, replica)
+}
+
+// pick returns a lease on the best replica of a service that is wanted and passes a filter, or
+// nil. Avoided ones get something only if there is no other.
+func (d *Directory) pick(service string, wanted Wanted, passes func(*Replica) bool, rating loadScore) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	candidates := d.soundCandidates(service, excluded, passes, now)
+	candidates := d.soundCandidates(service, wanted, passes, now)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -70,8 +88,8 @@
 
 // soundCandidates are the candidates that are not avoided, or all if there are none such.
 // It is called with the mutex held.
-func (d *Directory) soundCandidates(service string, excluded []*Replica, passes func(*Replica) bool, now time.Duration) []*Replica {
-	candidates := d.candidates(service, excluded, passes)
+func (d *Directory) soundCandidates(service string, wanted Wanted, passes func(*Replica) bool, now time.Duration) []*Replica {
+	candidates := d.candidates(service, wanted, passes, now)
 	sound := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
 	if len(sound) > 0 && !d.off[mechanism.Ejection] {
 		return sound
@@ -81,10 +99,10 @@
 
 // candidates are the replicas of a service that may get a request. It is called
 // with the mutex held.
-func (d *Directory) candidates(service string, excluded []*Replica, passes func(*Replica) bool) []*Replica {
+func (d *Directory) candidates(service string, wanted Wanted, passes func(*Replica) bool, now time.Duration) []*Replica {
 	var candidates []*Replica
 	for _, replica := range d.services[service] {
-		if !replica.Draining && !replica.gone && passes(replica) && !slices.Contains(excluded, replica) {
+		if !replica.Draining && !replica.gone && passes(replica) && !wanted.excludes(replica, now) {
 			candidates = append(candidates, replica)
 		}
 	}
@@ -154,6 +172,9 @@
 	// takes at a small replica, so that load goes before it. Without it each of many gateways hardly
 	// meets a replica twice, and each request waits for a connection to be made.
 	connectedBonus = 0.1
+	// roomBonus is what room under a limit is worth, in shares of the slots in use: more than a
+	// connection, so that a replica that gets little is not left out for getting little.
+	roomBonus = 0.15
 )
 
 func (s loadScore) score(replica *Replica, now time.Duration) float64 {
@@ -164,6 +185,10 @@
 	if s.connected != nil && s.connected(replica.Address, replica.name) {
 		score -= connectedBonus
 	}
+	if replica.limit.named {
+		// Its few answers say little of how fast it is.
+		return score - roomBonus
+	}
 	if s.typicalLatency > 0 && replica.latency > s.typicalLatency {
 		score += slownessWeight * (replica.latency/s.typicalLatency - 1)
 	}
@@ -249,24 +274,24 @@
 }
 
 // PickAny leases a replica for a request that is not for model engines.
-func (d *Directory) PickAny(service string, excluded []*Replica) *Lease {
+func (d *Directory) PickAny(service string, wanted Wanted) *Lease {
 	rating := loadScore{zone: d.zone, distance: 0.2, typicalLatency: d.typicalLatency(service), draw: d.draw, connected: d.connected}
-	return d.pick(service, excluded, anyReplica, rating)
+	return d.pick(service, wanted, anyReplica, rating)
 }
 
 // PickGenerator leases a replica that generates, near a zone, for a prompt that has
 // been read.
-func (d *Directory) PickGenerator(service string, excluded []*Replica, zone string) *Lease {
-	return d.pick(service, excluded, ofStage(region.StageDecode), loadScore{zone: zone, distance: 0.05, draw: d.draw})
+func (d *Directory) PickGenerator(service string, wanted Wanted, zone string) *Lease {
+	return d.pick(service, wanted, ofStage(region.StageDecode), loadScore{zone: zone, distance: 0.05, draw: d.draw})
 }
 
 // PickRoom leases a replica that has room for a stream that an excluded one in a zone has to
 // give up, nil if there is none.
-func (d *Directory) PickRoom(service string, excluded []*Replica, zone string) *Lease {
+func (d *Directory) PickRoom(service string, wanted Wanted, zone string) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	candidates := slices.DeleteFunc(d.candidates(service, excluded, ofStage(region.StageDecode)), func(r *Replica) bool {
+	candidates := slices.DeleteFunc(d.candidates(service, wanted, ofStage(region.StageDecode), now), func(r *Replica) bool {
 		return r.avoided(now) || r.occupancy(now) > moveLimit
 	})
 	if len(candidates) == 0 {
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -189,7 +189,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
-	generators := d.soundCandidates(service, request.Excluded, ofStage(region.StageDecode), now)
+	generators := d.soundCandidates(service, request.wanted(), ofStage(region.StageDecode), now)
 	if len(generators) == 0 {
 		return nil
 	}
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -55,7 +55,7 @@
 	if lease, _ := p.ask(ctx, region.PlaceGenerate, service, request, zone, region.StageDecode); lease != nil {
 		return lease
 	}
-	return p.Directory.PickGenerator(service, request.Excluded, zone)
+	return p.Directory.PickGenerator(service, request.wanted(), zone)
 }
 
 // Room leases a replica that has room for a stream that another has to give up, nil if
@@ -67,13 +67,14 @@
 	if lease != nil || err != nil {
 		return lease
 	}
-	return p.Directory.PickRoom(service, request.Excluded, zone)
+	return p.Directory.PickRoom(service, request.wanted(), zone)
 }
 
 // ask asks a coordinator. Without a lease and an error the gateway has to choose by itself;
 // the error says that there is no place.
 func (p *Placer) ask(ctx context.Context, kind region.PlacementKind, service string, request ReadRequest, near string, stages ...string) (*Lease, error) {
-	if p.Remote == nil {
+	if p.Remote == nil || request.Unlimited {
+		// A coordinator is not told which replicas these are.
 		return nil, nil
 	}
 	question := p.question(kind, service, request, near)
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,26 +31,40 @@
 func (r *run) placeModelCall(ctx context.Context) (*Lease, *promptHandle, error) {
 	service := r.call.Service.Name
 	if r.reads > 0 || r.stream != nil {
-		return r.placer.Direct(ctx, service, r.readRequest()), nil, nil
+		lease, err := r.permittedDirect(ctx)
+		return lease, nil, err
 	}
-	lease, err := r.placer.Reading(ctx, service, r.readRequest())
+	lease, err := r.permitted(ctx, func() (*Lease, error) { return r.placer.Reading(ctx, service, r.readRequest()) })
 	if err != nil {
 		return nil, nil, err
 	}
 	if lease.Replica.Stage != region.StagePrefill {
 		return lease, nil, nil
 	}
-	handle, err := r.readPrompt(ctx, lease)
+	return r.placeReadApart(ctx, lease)
+}
+
+// placeReadApart has a replica read the prompt, and leases the one that generates.
+func (r *run) placeReadApart(ctx context.Context, reader *Lease) (*Lease, *promptHandle, error) {
+	reserved, err := r.reserveGenerator(ctx, reader)
+	if err != nil {
+		reader.Release()
+		return nil, nil, err
+	}
+	handle, err := r.readPrompt(ctx, reader)
+	if handle != nil {
+		lease, err := r.useReserved(ctx, reserved, handle.replica.Zone)
+		return lease, handle, err
+	}
+	reserved.releaseIfAny()
 	if errors.Is(err, errNotConnected) {
-		return r.placeAgain(ctx, lease)
+		return r.placeAgain(ctx, reader)
 	}
 	if err != nil {
 		return nil, nil, err
 	}
-	if handle == nil {
-		return r.placer.Direct(ctx, service, r.readRequest()), nil, nil
-	}
-	return r.placer.Generator(ctx, service, r.readRequest(), handle.replica.Zone), handle, nil
+	lease, err := r.permittedDirect(ctx)
+	return lease, nil, err
 }
 
 // placeAgain places the call anew after a reader has taken no connection.
@@ -74,10 +89,23 @@
 		Rank:      rankOf(r.call.Route.Priority),
 		Tenant:    tenantOf(r.call.Tenant),
 		Zone:      r.directory.zone,
-		Excluded:  r.tried,
+		Excluded:  r.excluded(),
+		Unlimited: r.onlyUnlimited(),
+	}
+}
+
+// excluded are the replicas that the request has been sent to, and those that had no room for it.
+func (r *run) excluded() []*Replica {
+	if len(r.denied) == 0 {
+		return r.tried
 	}
+	return slices.Concat(r.tried, r.denied)
 }
 
+// onlyUnlimited reports whether so many replicas had no room that no other one with a limit is looked
+// at.
+func (r *run) onlyUnlimited() bool { return len(r.denied) >= maximumDenials }
+
 // readPrompt has the prompt read, and returns nil if it could not be, or errNotConnected. A reader that
 // took the request and did not read it makes the next send a repeated one, which
 // the retry budget has to allow: a reader that is slow is given up only then.
@@ -152,6 +180,9 @@
 	r.metrics.hasMoved(movedRead, r.directory.distanceTo(lease.Replica))
 	r.noteFetch(lease)
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, Send{ReadOnly: true, Fetch: fetch, Ranked: true, Rank: lease.Rank(r.call.Route)}))
+	if err == nil || upstream.HandedOver(err) {
+		lease.permitUsed()
+	}
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == errSlowReading {
 			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
@@ -205,6 +236,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	method, path := r.dialect.FreeHandle(handle.id)
+	r.countUnasked(handle.replica)
 	answer, err := r.client.Do(ctx, &upstream.Request{
 		Address:  handle.replica.Address,
 		Instance: handle.replica.name,
--- a/internal/relay/question.go
+++ b/internal/relay/question.go
@@ -18,9 +18,9 @@
 	case region.PlaceDirect:
 		lease = d.PlaceDirect(question.Service, request)
 	case region.PlaceGenerate:
-		lease = d.PickGenerator(question.Service, request.Excluded, question.Near)
+		lease = d.PickGenerator(question.Service, request.wanted(), question.Near)
 	case region.PlaceRoom:
-		lease = d.PickRoom(question.Service, request.Excluded, question.Near)
+		lease = d.PickRoom(question.Service, request.wanted(), question.Near)
 	}
 	answer := &region.PlacementAnswer{Outcome: region.PlacementNoReplica}
 	if lease != nil {
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -23,8 +23,14 @@
 	Tenant uint64
 	// Zone is that of the gateway which has the request.
 	Zone string
-	// Excluded are replicas that must not be chosen.
-	Excluded []*Replica
+	// Excluded are replicas that must not be chosen; Unlimited excludes all that name a limit.
+	Excluded  []*Replica
+	Unlimited bool
+}
+
+// wanted says which replicas may get the request.
+func (r *ReadRequest) wanted() Wanted {
+	return Wanted{Rank: r.Rank, Excluded: r.Excluded, Unlimited: r.Unlimited}
 }
 
 // Urgency is the class in which a prompt is read. Replicas read the prompts of an
--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -118,7 +118,7 @@
 
 	assert.Equal(t, "r", read(d, 2000, 150*time.Millisecond), "it is too long")
 
-	stream := d.PickGenerator("s", nil, "z")
+	stream := d.PickGenerator("s", relay.Wanted{}, "z")
 	stream.StreamBegun("route", false)
 	d.now += 140 * time.Millisecond
 	stream.StreamWentOn()
@@ -181,7 +181,7 @@
 	d := newDirectory(replica("a", region.StageDecode), replica("b", region.StageDecode), replica("c", region.StageDecode))
 	counts := map[string]int{}
 	for taken := 1; taken <= 6; taken++ {
-		counts[d.PickGenerator("s", nil, "z").Replica.ID]++
+		counts[d.PickGenerator("s", relay.Wanted{}, "z").Replica.ID]++
 		if taken%3 == 0 {
 			assert.Equal(t, map[string]int{"a": taken / 3, "b": taken / 3, "c": taken / 3}, counts)
 		}
@@ -195,7 +195,7 @@
 	// Ten streams a second, each for two seconds.
 	for step := range 100 {
 		d.now = time.Duration(step) * 100 * time.Millisecond
-		lease := d.PickGenerator("s", nil, "z")
+		lease := d.PickGenerator("s", relay.Wanted{}, "z")
 		lease.StreamBegun("long", false)
 		running = append(running, lease)
 		if len(running) > 20 {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -31,6 +31,8 @@
 	suspended func() time.Duration
 	// guard knows the requests that must be sent to no replica.
 	guard *poison.Guard
+	// limits keeps the limits that replicas name; nil keeps none.
+	limits *ReplicaLimits
 	// permit asks whether a request on probation may be sent now; nil asks nobody.
 	permit func(ctx context.Context, digest poison.Digest) (wait time.Duration)
 }
@@ -116,6 +118,8 @@
 	// arrivals are the sends that may have reached a replica.
 	arrivals int
 	tried    []*Replica
+	// denied are the replicas that name a limit and had no room for the request.
+	denied []*Replica
 	// reads are the calls that read the prompt apart.
 	reads int
 	// unknown says that an attempt may have run.
@@ -218,12 +222,14 @@
 			return err
 		}
 		lease, handle, err := r.place(ctx)
+		if lease == nil {
+			handle.freeUnlessTaken(r.Runner)
+		}
 		if err != nil {
-			return err
+			return r.limitedOrNone(err)
 		}
 		if lease == nil {
-			handle.freeUnlessTaken(r.Runner)
-			return errNoReplica
+			return r.noReplica()
 		}
 		r.tried = append(r.tried, lease.Replica)
 		outcome, cause := r.attempt(ctx, lease, handle)
@@ -289,7 +295,11 @@
 		return moved.lease, moved.handle, nil
 	}
 	if !r.isModelCall() {
-		return r.directory.PickAny(r.call.Service.Name, r.tried), nil, nil
+		lease, err := r.permitted(ctx, func() (*Lease, error) {
+			wanted := Wanted{Rank: rankOf(r.call.Route.Priority), Excluded: r.excluded(), Unlimited: r.onlyUnlimited()}
+			return r.directory.PickAny(r.call.Service.Name, wanted), nil
+		})
+		return lease, nil, err
 	}
 	return r.placeModelCall(ctx)
 }
@@ -334,6 +344,10 @@
 	if errors.As(err, &full) {
 		return full.until
 	}
+	var limited *limitedError
+	if errors.As(err, &limited) {
+		return limited.wait
+	}
 	var tried *probationError
 	if errors.As(err, &tried) {
 		return tried.wait
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -516,12 +516,12 @@
 	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logger)
 	directory.Replace([]region.Replica{{ID: "a", Service: "s", Address: "a:1", Zone: "z", Slots: 1}})
 	for range 2 {
-		lease := directory.PickAny("s", nil)
+		lease := directory.PickAny("s", relay.Wanted{})
 		lease.Unreachable(false)
 		lease.Release()
 	}
 	for range 2 {
-		lease := directory.PickAny("s", nil)
+		lease := directory.PickAny("s", relay.Wanted{})
 		lease.Answered(false, nil)
 		lease.Release()
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -105,6 +105,9 @@
 	r.eventsBefore = r.eventCount()
 	sentAt := time.Now()
 	answer, err := r.client.Do(ctx, r.request(lease.Replica, send))
+	if err == nil || upstream.HandedOver(err) {
+		lease.permitUsed()
+	}
 	if err != nil {
 		if upstream.HandedOver(err) && !r.isModelCall() {
 			// It may have run, and most such requests have.
