--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -73,15 +73,26 @@
 			l.listed[each.Replica.Life().Name()] = true
 		}
 	}
+	for _, each := range l.table.Limits() {
+		if !l.listed[each.Replica] {
+			l.pool.RemoveLimit(each.Replica)
+		}
+	}
 	l.table.Keep(func(replica string) bool { return l.listed[replica] })
-	l.apply()
+	// A replica that has come may have been told of before.
+	l.placement.directory.TakeLimits(l.table.Words(l.now()))
 }
 
-// apply has the pool count under the limits that are known. It is called with the mutex held.
-func (l *limitService) apply() {
-	now := l.now()
-	l.pool.SetLimits(now, ratelimit.PoolLimits(l.table, l.settings.Contact))
-	l.placement.directory.TakeLimits(l.table.Words(now))
+// apply has the pool count under what words have said. It is called with the mutex held.
+func (l *limitService) apply(now time.Duration, words []ratelimit.Word) {
+	for _, word := range words {
+		if word.Named {
+			l.pool.SetLimit(now, word.Replica, ratelimit.PoolLimit(word.Rate, l.settings.Contact))
+		} else {
+			l.pool.RemoveLimit(word.Replica)
+		}
+	}
+	l.placement.directory.TakeLimits(words)
 }
 
 // noteDecision has this coordinator choose a replica without room for nobody meanwhile. It is called
@@ -110,7 +121,7 @@
 		}
 	}
 	if len(news) > 0 {
-		l.apply()
+		l.apply(now, news)
 		l.wake()
 	}
 	fromCoordinator := message.Hash != 0 || len(message.Words) == 0
--- a/internal/quota/group_test.go
+++ b/internal/quota/group_test.go
@@ -44,8 +44,14 @@
 	// gateways is the number of gateways that ask; local are their own counts.
 	gateways int
 	local    []*quota.Local
-	charges  []charged
-	refused  float64
+	// alone is how a gateway decides that reaches no coordinator, and heardBack is told when one has
+	// answered it.
+	alone     func(gateway int, q quota.Question) quota.Answer
+	heardBack func(gateway int)
+	// told is given each answer, with the gateway that had asked. It may be nil.
+	told    func(gateway int, answer quota.Answer)
+	charges []charged
+	refused float64
 }
 
 // node is a coordinator.
@@ -71,6 +77,10 @@
 }
 
 func newGroup(t *testing.T, seed uint64, coordinators, gateways int, limit quota.Limit) *group {
+	return newGroupUnder(t, seed, coordinators, gateways, limit, terms)
+}
+
+func newGroupUnder(t *testing.T, seed uint64, coordinators, gateways int, limit quota.Limit, terms quota.Terms) *group {
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), limit: limit, terms: terms, gateways: gateways,
 		nodes: map[string]*node{}, cut: func(string, string) bool { return false },
@@ -83,6 +93,9 @@
 	for range gateways {
 		g.local = append(g.local, quota.NewLocal(g.terms))
 	}
+	g.alone = func(gateway int, q quota.Question) quota.Answer {
+		return g.local[gateway].Ask(g.now, g.limit, g.gateways, q)
+	}
 	for _, name := range g.names {
 		g.start(name)
 	}
@@ -218,7 +231,11 @@
 	q := quota.Question{Account: tenant, Units: units, Rank: rank}
 	g.ask(gateway, first, q, func() {
 		g.ask(gateway, second, q, func() {
-			g.note(units, g.local[gateway].Ask(g.now, g.limit, g.gateways, q))
+			answer := g.alone(gateway, q)
+			g.note(units, answer)
+			if g.told != nil {
+				g.told(gateway, answer)
+			}
 		})
 	})
 }
@@ -234,6 +251,12 @@
 			return
 		}
 		g.note(q.Units, answer)
+		if g.told != nil {
+			g.told(gateway, answer)
+		}
+		if g.heardBack != nil {
+			g.heardBack(gateway)
+		}
 	}}
 	questions[id] = question
 	send := func() {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// SetLimit sets the limit of one account, and RemoveLimit ends it. A pool is used with these or with
+// SetLimits.
+func (p *Pool) SetLimit(now time.Duration, account string, limit Limit) {
+	p.refresh(now)
+	known := p.buckets[account]
+	if known == nil {
+		known = &bucket{at: now}
+		p.buckets[account] = known
+	}
+	known.refill(now, p.share(account))
+	p.limits[account] = limit
+	known.limit = limit
+	known.cut(p.share(account))
+}
+
+// RemoveLimit ends the limit of an account: it is not counted any more.
+func (p *Pool) RemoveLimit(account string) {
+	delete(p.limits, account)
+	delete(p.buckets, account)
+}
+
 // SetGroup says who leads the group of coordinators, empty if nobody is known to, and who its
 // members are.
 func (p *Pool) SetGroup(now time.Duration, leader string, members []string) {
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -39,12 +39,3 @@
 		Burst: min(1+burstPerRate*rate, burst),
 	}
 }
-
-// PoolLimits are those of a table, by replica.
-func PoolLimits(table *Table, contact time.Duration) map[string]quota.Limit {
-	limits := map[string]quota.Limit{}
-	for _, each := range table.Limits() {
-		limits[each.Replica] = PoolLimit(each.Rate, contact)
-	}
-	return limits
-}
--- /dev/null
+++ b/internal/ratelimit/limit_test.go
@@ -0,0 +1,126 @@
+package ratelimit_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
+)
+
+// contact is the time within which processes that reach each other know what one knows.
+const contact = 3 * time.Second
+
+// Whatever a replica names, all that the pools and the gateways without one may send in a window lies
+// within half as much again as the limit allows and 5 requests, though each was allowed up to the
+// permits' time before.
+func TestAllPartsOfALimitFitIntoTheWindow(t *testing.T) {
+	terms := ratelimit.Terms()
+	for _, rate := range []float64{0, 1e-9, 0.1, 1.0 / 3, 0.5, 1, 2, 5.9, 20, 400, 1e9} {
+		limit := ratelimit.PoolLimit(rate, contact)
+		tolerated := (limit.Rate*terms.Window.Seconds()+limit.Burst)*terms.Over + terms.Slack
+		pools := limit.Rate*(terms.Window+ratelimit.PermitTime).Seconds() + limit.Burst + tolerated
+		alone := rate / 8 * terms.Window.Seconds()
+		assert.LessOrEqual(t, pools+alone, 1.5*rate*terms.Window.Seconds()+5, "rate %g", rate)
+		assert.GreaterOrEqual(t, limit.Burst, 1.0, "one request passes")
+	}
+}
+
+// Gateways that reach no pool send an eighth of the limit together, however many they are, and don't
+// begin together.
+func TestGatewaysWithoutAPoolSendASmallPart(t *testing.T) {
+	for _, gateways := range []int{1, 9, 65, 985} {
+		const rate, seconds = 40.0, 200
+		sent := 0
+		inSecond := make([]int, seconds)
+		for gateway := range gateways {
+			random := rand.New(rand.NewPCG(uint64(gateway), 1))
+			lone := ratelimit.NewLone(random.Float64)
+			for at := time.Duration(0); at < seconds*time.Second; at += 20 * time.Millisecond {
+				if granted, wait := lone.Ask(at, "r", rate, gateways); granted {
+					sent++
+					inSecond[at/time.Second]++
+				} else if wait <= 0 {
+					t.Fatal("no time to wait")
+				}
+			}
+		}
+		assert.InDelta(t, rate*seconds/8, sent, 0.15*rate*seconds/8+1, "%d gateways", gateways)
+		assert.LessOrEqual(t, slices.Max(inSecond), 15, "%d gateways", gateways)
+	}
+}
+
+func TestALimitOfZeroIsProbed(t *testing.T) {
+	assert.InDelta(t, 1/contact.Seconds(), ratelimit.PoolLimit(0, contact).Rate, 1e-9)
+	granted, _ := ratelimit.NewLone(func() float64 { return 0.999 }).Ask(time.Hour, "r", 0, 1)
+	assert.False(t, granted)
+}
+
+// Of a replica the newest answer counts, in whatever order words arrive.
+func TestTheNewestAnswerCounts(t *testing.T) {
+	words := []ratelimit.Word{
+		{Replica: "a", Named: true, Rate: 5, AgeMicros: 3e6},
+		{Replica: "a", Named: true, Rate: 2, AgeMicros: 2e6},
+		{Replica: "a", AgeMicros: 1e6},
+		{Replica: "b", Named: true, Rate: 7, AgeMicros: 5e5},
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 50 {
+		table := ratelimit.NewTable()
+		now := time.Minute
+		for _, index := range random.Perm(len(words)) {
+			told := words[index]
+			late := time.Duration(random.IntN(1000)) * time.Millisecond
+			told.AgeMicros += late.Microseconds()
+			table.Take(now+late, told)
+		}
+		limits := table.Limits()
+		if len(limits) == 2 {
+			// The end came first, and said nothing of a replica that was not known.
+			require.Equal(t, 2.0, limits[0].Rate)
+			continue
+		}
+		require.Len(t, limits, 1)
+		assert.Equal(t, "b", limits[0].Replica)
+		assert.Equal(t, now-500*time.Millisecond, limits[0].Since)
+	}
+}
+
+func TestTablesThatKnowTheSameAreTheSame(t *testing.T) {
+	first, second := ratelimit.NewTable(), ratelimit.NewTable()
+	assert.Zero(t, first.Hash())
+	first.Take(0, ratelimit.Word{Replica: "a", Named: true, Rate: 1})
+	first.Take(0, ratelimit.Word{Replica: "b", Named: true, Rate: 2})
+	second.Take(0, ratelimit.Word{Replica: "b", Named: true, Rate: 3})
+	second.Take(0, ratelimit.Word{Replica: "a", Named: true, Rate: 1})
+	assert.NotEqual(t, first.Hash(), second.Hash())
+	assert.Equal(t, first.Names(), second.Names(), "the same replicas")
+	for _, word := range first.Words(time.Second) {
+		second.Take(time.Second, word)
+	}
+	second.Take(2*time.Second, ratelimit.Word{Replica: "b", Named: true, Rate: 2})
+	assert.Equal(t, first.Hash(), second.Hash())
+	first.Keep(func(replica string) bool { return replica == "a" })
+	first.Take(3*time.Second, ratelimit.Word{Replica: "a"})
+	assert.Zero(t, first.Hash())
+	assert.Zero(t, first.Names())
+}
+
+// A thousand replicas whose limits change with each answer take no more room than as many that don't.
+func TestATableIsBounded(t *testing.T) {
+	table := ratelimit.NewTable()
+	for number := range 40_000 {
+		table.Take(time.Duration(number), ratelimit.Word{Replica: string(rune('a'+number%1000)) + "x", Named: true, Rate: float64(number)})
+	}
+	assert.Len(t, table.Words(time.Second), 1000)
+	assert.Zero(t, table.Dropped)
+	for _, rate := range []float64{math.MaxFloat64, math.SmallestNonzeroFloat64} {
+		limit := ratelimit.PoolLimit(rate, contact)
+		assert.False(t, math.IsNaN(limit.Rate) || math.IsInf(limit.Burst, 0))
+	}
+}
--- a/internal/ratelimit/lone.go
+++ b/internal/ratelimit/lone.go
@@ -41,7 +41,7 @@
 	if granted || refill <= 0 {
 		return granted, window
 	}
-	return false, time.Duration(min((1-part.requests)/refill, window.Seconds()) * float64(time.Second))
+	return false, max(time.Duration(min((1-part.requests)/refill, window.Seconds())*float64(time.Second)), time.Nanosecond)
 }
 
 // Forget begins anew: pools are reached again.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -54,47 +54,46 @@
 		taken.since = observedAt
 	}
 	t.entries[word.Replica] = taken
-	if changed {
-		t.rehash()
-	}
+	t.rehash(word.Replica, known, taken)
 	return changed
 }
 
 // Keep forgets the replicas that are not listed any more.
 func (t *Table) Keep(listed func(replica string) bool) {
-	before := len(t.entries)
-	maps.DeleteFunc(t.entries, func(replica string, _ entry) bool { return !listed(replica) })
-	if len(t.entries) != before {
-		t.rehash()
+	for replica := range t.entries {
+		if !listed(replica) {
+			t.Forget(replica)
+		}
 	}
 }
 
 // Forget forgets what a replica names.
 func (t *Table) Forget(replica string) {
-	if _, known := t.entries[replica]; known {
-		delete(t.entries, replica)
-		t.rehash()
-	}
+	t.rehash(replica, t.entries[replica], entry{})
+	delete(t.entries, replica)
 }
 
-// rehash works both hashes out anew.
-func (t *Table) rehash() {
-	names, limits := xxhash.New(), xxhash.New()
-	anyNamed := false
-	for _, replica := range slices.Sorted(maps.Keys(t.entries)) {
-		each := t.entries[replica]
-		if !each.named {
-			continue
-		}
-		anyNamed = true
-		_, _ = names.WriteString(replica + "\n")
-		_, _ = limits.WriteString(replica + "\n")
-		_, _ = limits.Write(binary.LittleEndian.AppendUint64(nil, math.Float64bits(each.rate)))
+// rehash has an entry count in the hashes in place of what was known of its replica. Hashes of entries
+// are combined in any order, so that a change costs the same however many there are.
+func (t *Table) rehash(replica string, before, after entry) {
+	t.names ^= before.nameHash(replica) ^ after.nameHash(replica)
+	t.hash ^= before.limitHash(replica) ^ after.limitHash(replica)
+}
+
+// nameHash is the replica's part of Table.Names, 0 if it names no limit.
+func (e entry) nameHash(replica string) uint64 {
+	if !e.named {
+		return 0
 	}
-	t.names, t.hash = names.Sum64(), limits.Sum64()
-	if !anyNamed {
-		t.names, t.hash = 0, 0
+	return xxhash.Sum64String(replica)
+}
+
+// limitHash is the replica's part of Table.Hash, 0 if it names no limit.
+func (e entry) limitHash(replica string) uint64 {
+	if !e.named {
+		return 0
 	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(replica), math.Float64bits(e.rate)))
 }
 
 // Hash identifies the limits, and Names the replicas that name one; 0 if there are none.
