--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -46,11 +46,16 @@
 }
 
 func (testDialect) ReadMarks(header http.Header) relay.Marks {
-	return relay.Marks{
+	marks := relay.Marks{
 		RequestID: header.Get("Request"),
 		NotRun:    header.Get("Not-Run") != "",
 		Sealed:    header.Get("Sealed") != "",
 	}
+	if limit := header.Get("Limit"); limit != "" {
+		rate, err := strconv.ParseFloat(limit, 64)
+		marks.Limit = relay.RateLimit{Named: err == nil, Unreadable: err != nil, Rate: rate}
+	}
+	return marks
 }
 
 func (testDialect) ReadHandle(body []byte) (string, error) { return string(body), nil }
