Ask about a replica's limit again as soon as somebody counts it

While a pool counts no part (it has begun, or its holder is silent), it told those who asked to come back after the whole window.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -51,6 +51,8 @@
 	window time.Duration
 	// strict is Terms.Strict.
 	strict bool
+	// turn is by when a pool that counts nothing now counts a part, or has one that does.
+	turn time.Duration
 }
 
 // rate and cap are what the first bucket refills a second, and the most that it holds.
@@ -136,6 +138,9 @@
 // first: callers that are told the same time would return together, and be refused together.
 func (b *bucket) wait(now time.Duration, q Question, s share) time.Duration {
 	rate, evenRate := b.rate(s), b.evenRate(s)
+	if s.strict && rate <= 0 {
+		return s.turn
+	}
 	if rate <= 0 || q.Units > b.cap(s)+s.debt {
 		return s.window
 	}
--- a/internal/quota/parts.go
+++ b/internal/quota/parts.go
@@ -106,6 +106,7 @@
 		mostDebt:  most,
 		window:    p.options.Terms.window(),
 		strict:    p.options.Terms.Strict,
+		turn:      p.options.Lease,
 	}
 	if held.strict {
 		held.evenParts = 0
@@ -121,5 +122,6 @@
 		debt:   p.options.Terms.tolerance(p.limits[tenant]) * silentShare / float64(max(len(p.members), 1)),
 		window: p.options.Terms.window(),
 		strict: p.options.Terms.Strict,
+		turn:   p.options.Lease,
 	}
 }
--- /dev/null
+++ b/internal/relay/limited_load_test.go
@@ -0,0 +1,161 @@
+package relay_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/quota"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
+)
+
+// limitedReplay is a replay in which readers name limits, kept by one pool.
+type limitedReplay struct {
+	*replay
+	pool  *quota.Pool
+	rates map[string]float64
+	asked uint64
+	sent  map[string][]time.Duration
+}
+
+func newLimitedReplay(readers int) *limitedReplay {
+	r := &limitedReplay{replay: newReplay(readers), rates: map[string]float64{}, sent: map[string][]time.Duration{}}
+	r.pool = quota.NewPool(0, quota.Options{Address: "a", Life: 1, Lease: time.Second, Terms: ratelimit.Terms()})
+	r.pool.SetGroup(0, "a", []string{"a"})
+	r.place = r.placeWithinLimits
+	// The pool counts a part that another one may have counted before.
+	r.now += 2 * time.Second
+	return r
+}
+
+// limit has a reader name a limit.
+func (r *limitedReplay) limit(id string, rate float64) {
+	r.rates[id] = rate
+	r.TakeLimits([]ratelimit.Word{{Replica: id, Named: true, Rate: rate}})
+	r.pool.SetLimit(r.now, id, ratelimit.PoolLimit(rate, 3*time.Second))
+}
+
+// placeWithinLimits leases a reader that has room under its limit.
+func (r *limitedReplay) placeWithinLimits(request relay.ReadRequest) (*relay.Lease, error) {
+	for {
+		lease, err := r.PlaceReading("s", request)
+		if err != nil {
+			return nil, err
+		}
+		id := lease.Replica.ID
+		if lease.Replica.Stage == region.StageDecode {
+			// The generator stands for those that could read the prompt only between others' tokens.
+			lease.Release()
+			return nil, errNoReader
+		}
+		if r.rates[id] == 0 {
+			return lease, nil
+		}
+		r.asked++
+		r.pool.Ask(r.now, "gateway", quota.Question{ID: r.asked, Account: id, Units: 1, Rank: request.Rank})
+		answer := r.pool.Ready().Decisions[0].Answer
+		if answer.Admitted {
+			r.sent[id] = append(r.sent[id], r.now)
+			return lease, nil
+		}
+		r.Denied(id, request.Rank, time.Duration(answer.WaitMicros)*time.Microsecond)
+		lease.Release()
+		request.Excluded = append(request.Excluded, lease.Replica)
+	}
+}
+
+var errNoReader = errors.New("no reader has room")
+
+// requireLimits holds every four seconds against what the readers name.
+func (r *limitedReplay) requireLimits(t *testing.T) {
+	t.Helper()
+	for id, times := range r.sent {
+		first := 0
+		for last := range times {
+			for times[last]-times[first] > 4*time.Second {
+				first++
+			}
+			if last-first+1 > int(6*r.rates[id])+5 {
+				t.Fatalf("%s names %g a second, and got %d in 4 s", id, r.rates[id], last-first+1)
+			}
+		}
+	}
+}
+
+// used is the least share of a reader's limit that was used.
+func (r *limitedReplay) used(length time.Duration) float64 {
+	var shares []float64
+	for id, rate := range r.rates {
+		if rate >= 0.1 {
+			shares = append(shares, float64(len(r.sent[id]))/rate/length.Seconds())
+		}
+	}
+	return slices.Min(shares)
+}
+
+// Some readers name limits, far below what they could read. What the others can read is read in time,
+// and beyond that the limits are used up.
+func TestReadersWithLimitsLeaveTheirWorkToOthers(t *testing.T) {
+	const (
+		readers = 12
+		limit   = 2.0
+		length  = 12 * time.Second
+	)
+	for _, limited := range []int{0, 2, 6} {
+		// Limits count requests, and light ones are the most urgent.
+		left := float64(readers-limited)/readers + float64(limited)*limit*float64(lightWork.tokens)/pace/readers
+		for _, load := range []float64{0.4, 0.9, 1.5} {
+			r := newLimitedReplay(readers)
+			for number := range limited {
+				r.limit(fmt.Sprint("r", number), limit)
+			}
+			goodput := r.play(readers, load, mixedWork, length)
+			r.requireLimits(t)
+			used := 1.0
+			if limited > 0 {
+				used = r.used(length)
+			}
+			light := float64(r.inTime["light"]) / float64(r.replay.asked["light"])
+			t.Logf("%d of %d readers with limits, load %.1f of all, %.2f left: goodput %.3f, light %.3f, limits used %.2f at least, %.1f questions a second",
+				limited, readers, load, left, goodput, light, used, float64(r.asked)/length.Seconds())
+			assert.Greater(t, goodput, 0.88*min(load, left))
+			if load > left {
+				assert.Greater(t, used, 0.9)
+			}
+		}
+	}
+}
+
+// All readers name limits whose sum is below the load. What is served stays level however much is asked
+// for, urgent work goes first, and the largest prompts are not put behind others for their size.
+func TestGoodputIsLevelAtTheSumOfAllLimits(t *testing.T) {
+	const (
+		readers = 12
+		limit   = 2.0
+		length  = 12 * time.Second
+	)
+	served := 0
+	for _, load := range []float64{0.6, 1, 2, 3} {
+		r := newLimitedReplay(readers)
+		for number := range readers {
+			r.limit(fmt.Sprint("r", number), limit)
+		}
+		r.play(readers, load, mixedWork, length)
+		r.requireLimits(t)
+		share := func(name string) float64 { return float64(r.inTime[name]) / float64(r.replay.asked[name]) }
+		all := r.inTime["light"] + r.inTime["middle"] + r.inTime["heavy"]
+		t.Logf("load %.1f: %d in time, %.2f of the limits; light %.3f, middle %.3f, heavy %.3f, late %d, used %.2f at least",
+			load, all, float64(all)/readers/limit/length.Seconds(), share("light"), share("middle"), share("heavy"), r.late, r.used(length))
+		served = max(served, all)
+		assert.Greater(t, all, served*9/10, "it falls at %.1f of what the readers could read", load)
+		assert.Greater(t, share("light"), share("middle"))
+		assert.Greater(t, share("middle"), share("heavy"))
+		assert.Greater(t, r.used(length), 0.9)
+	}
+}
--- a/internal/relay/overload_test.go
+++ b/internal/relay/overload_test.go
@@ -59,6 +59,8 @@
 	tokens   int
 	late     int
 	left     int
+	// place leases a reader for a request.
+	place func(request relay.ReadRequest) (*relay.Lease, error)
 }
 
 const replayStep = time.Millisecond
@@ -96,7 +98,7 @@
 func (r *replay) arrive(request *replayed) {
 	request.tries++
 	passed := r.now - request.first
-	lease, err := r.PlaceReading("s", relay.ReadRequest{
+	lease, err := r.place(relay.ReadRequest{
 		Prompt:    prompt(relay.PromptPart{ID: fmt.Sprint("replayed-", request.id), Tokens: request.tokens}),
 		Objective: request.objective, AimLeft: request.objective - passed, Left: request.deadline - passed, Rank: request.rank, Tenant: request.tenant,
 	})
@@ -160,11 +162,13 @@
 			ID: fmt.Sprint("r", number), Service: "s", Address: fmt.Sprint("r:", number), Zone: "z", Slots: 64, Stage: region.StagePrefill,
 		})
 	}
-	return &replay{
+	r := &replay{
 		directory: newTaught(list...),
 		waiting:   map[string][]*replayed{}, reading: map[string]*replayed{}, busyTill: map[string]time.Duration{},
 		returns: map[time.Duration][]*replayed{}, asked: map[string]int{}, inTime: map[string]int{}, served: map[string]int{},
 	}
+	r.place = func(request relay.ReadRequest) (*relay.Lease, error) { return r.PlaceReading("s", request) }
+	return r
 }
 
 // Beyond capacity the readers were given late prompts for as long as these would be read before
