--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -69,6 +69,7 @@
 // another request has ended the replica already.
 func (s *soak) endReplica(replica int, content string) {
 	ended := s.fleet.endReplica(replica)
+	s.truth.lifeEnded(replicaName(replica))
 	s.truth.endingArrived(content, time.Now(), ended)
 	if !ended {
 		return
--- /dev/null
+++ b/bench/soak/limits.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"context"
+	"strconv"
+	"time"
+)
+
+const (
+	// limitEvery is the mean time between two replicas that begin to name a limit, and limitFor the
+	// mean time for which one does: some windows long beyond the contact time.
+	limitEvery = 1500 * time.Millisecond
+	limitFor   = 11 * time.Second
+	// limitWindow is the time over which a replica's limit is judged. In it all gateways together may
+	// send half as much again as the limit allows, and limitSlack requests.
+	limitWindow = 4 * time.Second
+	limitShare  = 1.5
+	limitSlack  = 5
+	// changingLimit of the replicas name another limit in each answer, above the one that is kept.
+	changingLimit = 0.1
+)
+
+// limitRates are the limits that replicas name, in requests a second.
+var limitRates = []float64{0, 0.5, 1, 2, 5}
+
+// limitedLife is a life of a replica while it names a limit.
+type limitedLife struct {
+	rate     float64
+	changing bool
+	from     time.Time
+	until    time.Time
+	// arrivals are the requests that came since from.
+	arrivals []time.Time
+}
+
+// nameLimits has replicas name limits for some time until the context ends.
+func (s *soak) nameLimits(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration((0.5+s.draw())*float64(limitEvery)))
+		name := engineName(int(s.draw() * engines))
+		if s.draw() < 0.4 {
+			name = replicaName(int(s.draw() * replicas))
+		}
+		length := time.Duration((0.5 + s.draw()) * float64(limitFor))
+		s.truth.namesLimit(name, limitRates[int(s.draw()*float64(len(limitRates)))], s.draw() < changingLimit, length)
+	}
+}
+
+// namesLimit notes that a replica names a limit for a time, unless it names one already.
+func (t *truth) namesLimit(replica string, rate float64, changing bool, length time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	if t.limitOf(replica, now) == nil {
+		t.namedLimits[replica] = append(t.namedLimits[replica], &limitedLife{rate: rate, changing: changing, from: now, until: now.Add(length)})
+	}
+}
+
+// limitOf is what a replica names at a time, nil if it names nothing. It is called with the mutex held.
+func (t *truth) limitOf(replica string, now time.Time) *limitedLife {
+	lives := t.namedLimits[replica]
+	if len(lives) == 0 || !now.Before(lives[len(lives)-1].until) {
+		return nil
+	}
+	return lives[len(lives)-1]
+}
+
+// arrived notes a request that comes to a replica, and returns the limit that its answer names.
+func (t *truth) arrived(replica string) (limit string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	life := t.limitOf(replica, now)
+	if life == nil {
+		return ""
+	}
+	life.arrivals = append(life.arrivals, now)
+	rate := life.rate
+	if life.changing {
+		rate += float64(len(life.arrivals)%7) / 100
+	}
+	return strconv.FormatFloat(rate, 'f', -1, 64)
+}
+
+// lifeEnded notes that a replica's process has ended, and its limit with it.
+func (t *truth) lifeEnded(replica string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	if life := t.limitOf(replica, now); life != nil {
+		life.until = now
+	}
+}
+
+// namesNow reports whether a replica names a limit.
+func (t *truth) namesNow(replica string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.limitOf(replica, time.Now()) != nil
+}
+
+// replicaLimits checks that from the contact time after a replica has first named a limit it gets no
+// more in any window than all gateways together may send. It counts the windows that were looked at.
+func (t *truth) replicaLimits() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for replica, lives := range t.namedLimits {
+		for _, life := range lives {
+			t.checkLimit(replica, life)
+		}
+	}
+}
+
+// checkLimit is called with the mutex held.
+func (t *truth) checkLimit(replica string, life *limitedLife) {
+	allowed := int(limitShare*life.rate*limitWindow.Seconds()) + limitSlack
+	if life.changing {
+		allowed++
+	}
+	counted := life.arrivals
+	for len(counted) > 0 && counted[0].Before(life.from.Add(contactTime)) {
+		counted = counted[1:]
+	}
+	if life.until.Sub(life.from) > contactTime+limitWindow {
+		t.limitWindows++
+	}
+	first := 0
+	for last := range counted {
+		for counted[last].Sub(counted[first]) > limitWindow {
+			first++
+		}
+		if count := last - first + 1; count > allowed {
+			t.violate("%s names %g requests a second, and got %d within %s, %s after it began to; %d are allowed",
+				replica, life.rate, count, limitWindow, counted[last].Sub(life.from).Round(time.Millisecond), allowed)
+			return
+		}
+	}
+}
--- a/bench/soak/lives.go
+++ b/bench/soak/lives.go
@@ -22,6 +22,10 @@
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration((0.5+s.draw())*float64(restartEvery)))
 		number := int(s.draw() * engines)
+		if s.truth.namesNow(engineName(number)) {
+			// Its limit has to be judged for longer than lives last here.
+			continue
+		}
 		if err := s.fleet.restartEngine(number); err != nil {
 			s.truth.mutex.Lock()
 			s.truth.violate("%s does not start again: %v", engineName(number), err)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -6,6 +6,7 @@
 //   - every answer is the whole answer to its request
 //   - a request runs for the tenant of its key alone, and no replica gets the key
 //   - a tenant with a limit gets no more than is tolerated over all gateways
+//   - a replica that names a limit gets no more than that allows from all gateways together
 //   - no window of usage is told with two counts, and holders of a duty don't take turns
 //   - no replica is worked with by what was known of its former life, and nothing is sent to an
 //     entry of the platform's list that names no usable one
@@ -71,6 +72,8 @@
 	Held int
 	// Limited are the requests that were refused for their tenant's limit.
 	Limited int
+	// Named are the limits of replicas that were judged.
+	Named int
 }
 
 const (
@@ -123,6 +126,7 @@
 	running.Go(func() { s.readBack(work) })
 	running.Go(func() { s.sendEnding(work) })
 	running.Go(func() { s.restartEngines(work) })
+	running.Go(func() { s.nameLimits(work) })
 	for number := range callers {
 		running.Go(func() { s.call(work, number) })
 	}
@@ -136,6 +140,7 @@
 	running.Wait()
 	s.truth.endings()
 	s.truth.limits()
+	s.truth.replicaLimits()
 	s.truth.strays(s.fleet.strays.Load())
 	s.truth.duties(s.fleet.duties.Broken(), len(s.fleet.duties.Windows()))
 	return s.truth.result(options.Seed, s.faults), nil
@@ -151,6 +156,13 @@
 // runAtReplica is what the replicas do: mostly run and answer, sometimes refuse,
 // lose the answer, or drop the connection before they run.
 func (s *soak) runAtReplica(replica int, request platformtest.Request) platformtest.Reply {
+	limit := s.truth.arrived(replicaName(replica))
+	reply := s.replyOf(replica, request)
+	reply.Limit = limit
+	return reply
+}
+
+func (s *soak) replyOf(replica int, request platformtest.Request) platformtest.Reply {
 	switch {
 	case s.roll(0.03):
 		return platformtest.Reply{Status: http.StatusServiceUnavailable, NotRun: true}
@@ -185,6 +197,7 @@
 			time.Sleep(5 * time.Millisecond)
 			return platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Pace: eventPace, Drop: s.roll(0.02)}
 		},
+		Arrived:    s.truth.arrived,
 		Crossed:    s.truth.crossed,
 		Moved:      s.truth.moved,
 		Ordered:    s.truth.ordered,
@@ -360,9 +373,9 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d violations\n",
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d violations\n",
 			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
-			result.Ends, result.Held, result.Limited, len(result.Violations))
+			result.Ends, result.Held, result.Limited, result.Named, len(result.Violations))
 		for _, violation := range result.Violations {
 			_, _ = fmt.Fprintln(out, "  "+violation)
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -62,3 +62,12 @@
 	require.Zero(t, result.Limited)
 	require.Contains(t, strings.Join(result.Violations, "\n"), "of kiosk were sent and run within 4s")
 }
+
+func TestASoakNoticesGatewaysThatPassOverLimitsOfReplicas(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Seed: 17, Duration: 14 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Without: []string{string(mechanism.ReplicaLimits)},
+	})
+	require.NoError(t, err)
+	require.Contains(t, strings.Join(result.Violations, "\n"), "requests a second, and got")
+}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -33,7 +33,11 @@
 	limitedSent    map[string]time.Time
 	limited        []limitedRun
 	refusedLimited int
-	violations     []string
+	// namedLimits are the lives of replicas that name limits, and limitWindows how many did so for
+	// long enough to be judged.
+	namedLimits  map[string][]*limitedLife
+	limitWindows int
+	violations   []string
 }
 
 func newTruth() *truth {
@@ -47,6 +51,7 @@
 		ending:   map[string]*ending{},
 
 		limitedSent: map[string]time.Time{},
+		namedLimits: map[string][]*limitedLife{},
 	}
 }
 
@@ -231,5 +236,6 @@
 		Ends:       t.ends,
 		Held:       t.held,
 		Limited:    t.refusedLimited,
+		Named:      t.limitWindows,
 	}
 }
--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -94,6 +94,22 @@
 		"a held request that is to come back": {func(t *truth) {
 			t.endingAnswered("a", platformtest.Answer{Status: 502, Body: `{"type":"request_held","ran":"no","retry_after_ms":100}`})
 		}, "told to come back"},
+		"a replica within its limit": {func(t *truth) {
+			t.namedLimits["e"] = []*limitedLife{limitedBy(1, 3, 11)}
+			t.replicaLimits()
+		}, ""},
+		"a replica beyond its limit": {func(t *truth) {
+			t.namedLimits["e"] = []*limitedLife{limitedBy(1, 3, 12)}
+			t.replicaLimits()
+		}, "names 1 requests a second, and got 12"},
+		"a replica whose limit is just named": {func(t *truth) {
+			t.namedLimits["e"] = []*limitedLife{limitedBy(1, 0, 50)}
+			t.replicaLimits()
+		}, ""},
+		"a replica that takes nothing": {func(t *truth) {
+			t.namedLimits["e"] = []*limitedLife{limitedBy(0, 4, 6)}
+			t.replicaLimits()
+		}, "names 0 requests a second, and got 6"},
 		"other content": {func(t *truth) {
 			t.sends(3, []byte(`{"Version":3,"Routes":null}`))
 			t.readBack("c", 3, []byte(`{"Version":3}`))
@@ -113,3 +129,13 @@
 		})
 	}
 }
+
+// limitedBy is a life that names a limit, and gets a number of requests within a second, so many seconds after it
+// began to.
+func limitedBy(rate float64, after, arrivals int) *limitedLife {
+	life := &limitedLife{rate: rate, from: time.Unix(0, 0), until: time.Unix(100, 0)}
+	for number := range arrivals {
+		life.arrivals = append(life.arrivals, time.Unix(int64(after), int64(number)*int64(time.Second)/int64(arrivals)))
+	}
+	return life
+}
