Count limits of replicas that the coordinators do not know yet

The coordinators passed over what they were told of a life that was not on their list, and the pool let through what it knew no limit for. Ruled out: words that were lost (the gateway told again each second), a holder that begins anew (its bucket begins empty), and the gateway's own check.

Words count whatever the list says, and are forgotten four contact times after the last one if the replica is not listed; a strict pool lets nothing through for an account that it has not heard of, and says to ask again after a lease; a limit that has ended stays as none for that time.

--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -20,6 +20,9 @@
 	// limitCompareInterval is the time between two comparisons of what coordinators know: a word that
 	// was lost is made up for by the next one.
 	limitCompareInterval = time.Second
+	// unlistedShares of the contact time is for how long words count of a replica that is not listed:
+	// gateways may know a newer list, and a limit is to be kept for longer than lists differ.
+	unlistedShares = 4
 )
 
 // limitService keeps what replicas name as their limits, and counts what they get, together with the
@@ -31,6 +34,8 @@
 	// listed are the replicas that gateways know, by Life.Name, as of listRevision.
 	listed       map[string]bool
 	listRevision uint64
+	// forgetAt is when replicas that are not listed are next forgotten.
+	forgetAt time.Duration
 	// shown is closed when gateways should be shown which replicas name limits, and shownNames what
 	// they were shown last.
 	shown      chan struct{}
@@ -57,30 +62,27 @@
 func (l *limitService) takeList() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.refreshList()
-}
-
-// refreshList is called with the mutex held.
-func (l *limitService) refreshList() {
+	now := l.now()
 	state, _ := l.machine.read()
-	if l.listed != nil && state.ListRevision == l.listRevision {
-		return
-	}
-	l.listRevision = state.ListRevision
-	l.listed = make(map[string]bool, len(state.Replicas))
-	for index := range state.Replicas {
-		if each := &state.Replicas[index]; !each.Standby {
-			l.listed[each.Replica.Life().Name()] = true
+	if l.listed == nil || state.ListRevision != l.listRevision {
+		l.listRevision = state.ListRevision
+		l.listed = make(map[string]bool, len(state.Replicas))
+		for index := range state.Replicas {
+			if each := &state.Replicas[index]; !each.Standby {
+				l.listed[each.Replica.Life().Name()] = true
+			}
 		}
+		// A replica that has come may have been told of before.
+		l.placement.directory.TakeLimits(l.table.Words(now))
 	}
-	for _, each := range l.table.Limits() {
-		if !l.listed[each.Replica] {
-			l.pool.RemoveLimit(each.Replica)
-		}
+	if now < l.forgetAt {
+		return
+	}
+	l.forgetAt = now + l.settings.Contact
+	isListed := func(replica string) bool { return l.listed[replica] }
+	for _, replica := range l.table.Keep(isListed, now-unlistedShares*l.settings.Contact) {
+		l.pool.RemoveLimit(replica)
 	}
-	l.table.Keep(func(replica string) bool { return l.listed[replica] })
-	// A replica that has come may have been told of before.
-	l.placement.directory.TakeLimits(l.table.Words(l.now()))
 }
 
 // apply has the pool count under what words have said. It is called with the mutex held.
@@ -89,7 +91,7 @@
 		if word.Named {
 			l.pool.SetLimit(now, word.Replica, ratelimit.PoolLimit(word.Rate, l.settings.Contact))
 		} else {
-			l.pool.RemoveLimit(word.Replica)
+			l.pool.SetLimit(now, word.Replica, ratelimit.Unlimited())
 		}
 	}
 	l.placement.directory.TakeLimits(words)
@@ -112,11 +114,10 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.refreshList()
 	now := l.now()
 	var news []ratelimit.Word
 	for _, word := range message.Words {
-		if l.listed[word.Replica] && l.table.Take(now, word) {
+		if l.table.Take(now, word) {
 			news = append(news, word)
 		}
 	}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -17,7 +17,8 @@
 	// Over is a share of what the limit allows within the window, and Slack are units above that.
 	Over, Slack float64
 	// Strict limits are not exceeded over any longer time either: a full burst may be used once, not
-	// in each window. Each refused request is told when the bucket will have room for it.
+	// in each window. Each refused request is told when the bucket will have room for it, and nothing
+	// passes for an account whose limit is not known.
 	Strict bool
 }
 
--- a/internal/quota/peer.go
+++ b/internal/quota/peer.go
@@ -54,7 +54,7 @@
 	if answer, known := p.answered.begin(now, asker{from, q.ID}); known && answer != nil {
 		return *answer
 	}
-	answer := Answer{ID: q.ID, Admitted: true}
+	answer := p.answerUnknown(q)
 	if limited := p.buckets[q.Account]; limited != nil {
 		answer = p.decideHere(now, limited, q)
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -220,7 +220,7 @@
 	limited := p.buckets[q.Account]
 	switch {
 	case limited == nil:
-		p.answer(now, from, q, Answer{ID: q.ID, Admitted: true})
+		p.answer(now, from, q, p.answerUnknown(q))
 	case p.Mode(now) == ModeAttached && len(p.waiting) < maximumWaiting:
 		p.passOn(now, from, q)
 	default:
@@ -230,7 +230,7 @@
 
 // answerForHolder decides a question that the holder was to decide.
 func (p *Pool) answerForHolder(now time.Duration, asked waitingQuestion) {
-	answer := Answer{Admitted: true}
+	answer := p.answerUnknown(asked.question)
 	if limited := p.buckets[asked.question.Account]; limited != nil {
 		answer = p.decideHere(now, limited, asked.question)
 		answer.Unsure = !answer.Admitted
@@ -239,6 +239,16 @@
 	p.output.Decisions[len(p.output.Decisions)-1].Silent = true
 }
 
+// answerUnknown is the answer on an account without a limit. Where limits are strict who asks knows of
+// one that has not been heard of here yet: to let it through would let through all that are asked about
+// until then.
+func (p *Pool) answerUnknown(q Question) Answer {
+	if p.options.Terms.Strict {
+		return Answer{ID: q.ID, WaitMicros: p.options.Lease.Microseconds()}
+	}
+	return Answer{ID: q.ID, Admitted: true}
+}
+
 // decideHere decides with what this pool has.
 func (p *Pool) decideHere(now time.Duration, limited *bucket, q Question) Answer {
 	if p.parts.all == 0 {
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -39,3 +39,10 @@
 		Burst: min(1+burstPerRate*rate, burst),
 	}
 }
+
+// Unlimited is what a pool counts against once a replica names no limit any more: gateways that have not
+// heard so yet still ask.
+func Unlimited() quota.Limit { return quota.Limit{Rate: unlimited, Burst: unlimited} }
+
+// unlimited is above what any replica takes, in requests.
+const unlimited = 1e9
--- a/internal/ratelimit/limit_test.go
+++ b/internal/ratelimit/limit_test.go
@@ -105,7 +105,9 @@
 	}
 	second.Take(2*time.Second, ratelimit.Word{Replica: "b", Named: true, Rate: 2})
 	assert.Equal(t, first.Hash(), second.Hash())
-	first.Keep(func(replica string) bool { return replica == "a" })
+	listed := func(replica string) bool { return replica == "a" }
+	assert.Empty(t, first.Keep(listed, 0), "it was heard of")
+	assert.Equal(t, []string{"b"}, first.Keep(listed, time.Second))
 	first.Take(3*time.Second, ratelimit.Word{Replica: "a"})
 	assert.Zero(t, first.Hash())
 	assert.Zero(t, first.Names())
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -58,13 +58,16 @@
 	return changed
 }
 
-// Keep forgets the replicas that are not listed any more.
-func (t *Table) Keep(listed func(replica string) bool) {
-	for replica := range t.entries {
-		if !listed(replica) {
+// Keep forgets the replicas of which nothing has been heard since a time, if they are not listed (who tells
+// of one may have a newer list) or name no limit any more. It returns those that it forgets.
+func (t *Table) Keep(listed func(replica string) bool, heardSince time.Duration) (forgotten []string) {
+	for replica, each := range t.entries {
+		if (!listed(replica) || !each.named) && each.observedAt < heardSince {
 			t.Forget(replica)
+			forgotten = append(forgotten, replica)
 		}
 	}
+	return forgotten
 }
 
 // Forget forgets what a replica names.
