Judge limits in the soak by the gateways that had been told, and name the requests in what it finds

The check now begins with the first arrival of a life, counts a gateway from half a second after it has handed on such an answer, and leaves out one that was harmed, or whose links were, within the contact time.

--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -56,8 +56,12 @@
 	{"cut the platform's list off", func(s *soak, ctx context.Context) {
 		s.disturb(ctx, cutOff, faultproxy.Match{Destination: listName})
 	}},
-	{"reset all connections", func(s *soak, _ context.Context) { s.fleet.proxy.Reset(faultproxy.Match{}) }},
+	{"reset all connections", func(s *soak, _ context.Context) {
+		defer s.truth.disturbs("", "")()
+		s.fleet.proxy.Reset(faultproxy.Match{})
+	}},
 	{"end all connections to replicas in the middle", func(s *soak, _ context.Context) {
+		defer s.truth.disturbs("", "")()
 		s.fleet.proxy.Truncate(faultproxy.Match{Destination: "i-*"})
 	}},
 }
@@ -69,7 +73,7 @@
 func (s *soak) disturb(ctx context.Context, faults faultproxy.Faults, links ...faultproxy.Match) {
 	var ends []func()
 	for _, link := range links {
-		ends = append(ends, s.fleet.proxy.Apply(link, faults))
+		ends = append(ends, s.fleet.proxy.Apply(link, faults), s.truth.disturbs(link.Source, link.Destination))
 	}
 	pause(ctx, time.Duration(300+s.random.IntN(3500))*time.Millisecond)
 	for _, end := range ends {
@@ -92,6 +96,7 @@
 func (s *soak) anyOf(processes []*process) *process { return processes[s.random.IntN(len(processes))] }
 
 func (s *soak) restart(ctx context.Context, harmed *process, signal syscall.Signal) {
+	defer s.truth.disturbs(harmed.name, "")()
 	harmed.end(signal)
 	pause(ctx, time.Duration(s.random.IntN(800))*time.Millisecond)
 	s.startAgain(harmed)
@@ -106,6 +111,7 @@
 }
 
 func (s *soak) freeze(ctx context.Context, harmed *process) {
+	defer s.truth.disturbs(harmed.name, "")()
 	harmed.signal(syscall.SIGSTOP)
 	pause(ctx, time.Duration(200+s.random.IntN(2500))*time.Millisecond)
 	harmed.signal(syscall.SIGCONT)
--- a/bench/soak/quota.go
+++ b/bench/soak/quota.go
@@ -45,7 +45,7 @@
 		id := fmt.Sprintf("%s%d-%d", quotaPrefix, caller, number)
 		s.truth.begin(id, false, bodyFor(id), limitedTenant.Name)
 		s.truth.sendsLimited(id)
-		gateway := s.fleet.gateways[(caller+number)%gateways].address
+		gateway := s.gatewayFor(id, caller+number)
 		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
 		answer, err := platformtest.CallAs(bounded, s.client, gateway, host, repeatRoute+"x", id, callWait, nil, limitedTenant.APIKeys[0])
 		cancel()
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -37,6 +37,10 @@
 	// long enough to be judged.
 	namedLimits  map[string][]*limitedLife
 	limitWindows int
+	// sentTo is the gateway that each request was sent to, and answeredAt when its answer came.
+	sentTo       map[string]string
+	answeredAt   map[string]time.Time
+	disturbances []disturbance
 	violations   []string
 }
 
@@ -52,6 +56,8 @@
 
 		limitedSent: map[string]time.Time{},
 		namedLimits: map[string][]*limitedLife{},
+		sentTo:      map[string]string{},
+		answeredAt:  map[string]time.Time{},
 	}
 }
 
@@ -150,6 +156,7 @@
 func (t *truth) answered(id string, answer platformtest.Answer) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.answeredAt[id] = time.Now()
 	if answer.Status < 300 {
 		t.served++
 		if t.wanted[id] != bodyFor(id) {
