Tell coordinators from gateways by the group, and stop the showing of limits with the others

A coordinator that knew no limit any more was taken for a gateway by its hash of 0, and what it told was told on. The loop that shows limits was not waited for when a coordinator stops.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -139,7 +139,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run, c.limits.Run} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run, c.limits.Run, c.limits.show} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/datagram"
@@ -125,8 +126,7 @@
 		l.apply(now, news)
 		l.wake()
 	}
-	fromCoordinator := message.Hash != 0 || len(message.Words) == 0
-	if !fromCoordinator {
+	if !slices.Contains(l.group.MemberAddresses(), message.From) {
 		l.tellCoordinators(news)
 		return
 	}
@@ -141,11 +141,20 @@
 	if len(words) == 0 {
 		return
 	}
+	for _, to := range l.otherCoordinators() {
+		l.tell(to, words)
+	}
+}
+
+// otherCoordinators are the addresses of the other members of the group.
+func (l *limitService) otherCoordinators() []netip.AddrPort {
+	var others []netip.AddrPort
 	for _, address := range l.group.MemberAddresses() {
-		if to, err := netip.ParseAddrPort(address); err == nil && address != l.settings.Address {
-			l.tell(to, words)
+		if other, err := netip.ParseAddrPort(address); err == nil && address != l.settings.Address {
+			others = append(others, other)
 		}
 	}
+	return others
 }
 
 // tell is called with the mutex held.
@@ -155,12 +164,6 @@
 	}
 }
 
-// Run does what is due until the context ends.
-func (l *limitService) Run(ctx context.Context) {
-	go l.show(ctx)
-	l.poolService.Run(ctx)
-}
-
 // show has gateways shown which replicas name limits soon after that has changed, and compares what
 // coordinators know, until the context ends.
 func (l *limitService) show(ctx context.Context) {
@@ -187,11 +190,7 @@
 		return
 	}
 	message := &ratelimit.Message{From: l.settings.Address, Hash: l.table.Hash()}
-	for _, address := range l.group.MemberAddresses() {
-		if to, err := netip.ParseAddrPort(address); err == nil && address != l.settings.Address {
-			l.socket.Send(datagram.KindLimitWord, message, to)
-		}
-	}
+	l.socket.Send(datagram.KindLimitWord, message, l.otherCoordinators()...)
 }
 
 // view is what a gateway is shown that knows some names: what identifies the names that are known
