--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -15,90 +14,10 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/pierhaven/pierhaven/bench/faultproxy"
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
 
-// process is one real process of the fleet.
-type process struct {
-	name     string
-	role     string
-	settings string
-	// address takes callers at gateways and operators at coordinators.
-	address string
-	folder  string
-	// binary is the program that it runs, and endOlder ends the time in which it is a gateway of an
-	// earlier build, nil for any other.
-	binary   string
-	endOlder func()
-
-	mutex   sync.Mutex
-	command *exec.Cmd
-	done    chan struct{}
-	log     *os.File
-}
-
-// start starts the process.
-func (p *process) start() error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	command := exec.Command(p.binary, p.role, "--settings", p.settings)
-	command.Stdout = p.log
-	command.Stderr = p.log
-	if err := command.Start(); err != nil {
-		return err
-	}
-	done := make(chan struct{})
-	p.command, p.done = command, done
-	go func() {
-		_ = command.Wait()
-		close(done)
-	}()
-	return nil
-}
-
-// signal sends a signal to the process that this soak has started.
-func (p *process) signal(signal syscall.Signal) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.command != nil {
-		_ = p.command.Process.Signal(signal)
-	}
-}
-
-// end sends a signal and waits for the process's end.
-func (p *process) end(signal syscall.Signal) {
-	p.signal(signal)
-	p.mutex.Lock()
-	done := p.done
-	p.mutex.Unlock()
-	if done != nil {
-		<-done
-	}
-}
-
-// limitFiles bounds the size in bytes to which the process's files may grow.
-func (p *process) limitFiles(bytes uint64) error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
-	return unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
-}
-
-// hasEnded reports whether the process has ended.
-func (p *process) hasEnded() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 const (
 	coordinators = 3
 	gateways     = 2
@@ -302,68 +221,6 @@
 	return list
 }
 
-// replicaProcess is a replica that requests may end. Each start is another incarnation at the same
-// address.
-type replicaProcess struct {
-	// name is that of the proxy's destination.
-	name, address, target string
-	starts                int
-	runs                  bool
-	// keepsID says that each incarnation has the same id.
-	keepsID bool
-	// born and bornBefore are the moments of the last two starts.
-	born, bornBefore time.Time
-}
-
-// formerListed is how long a life that has ended is still listed beside the next one.
-const formerListed = time.Second
-
-func replicaName(number int) string { return fmt.Sprintf("i-%d", number) }
-
-func engineName(number int) string { return fmt.Sprintf("e-%d", number) }
-
-func (r *replicaProcess) instance() string {
-	if r.keepsID {
-		return r.name
-	}
-	return fmt.Sprintf("%s.%d", r.name, r.starts)
-}
-
-func (f *fleet) instanceOf(replica *replicaProcess) string {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return replica.instance()
-}
-
-// startReplica starts the next incarnation of a replica.
-func (f *fleet) startReplica(number int) error {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	replica := f.replicas[number]
-	address, err := f.proxy.ListenTCP(replica.name, replica.address, replica.target)
-	if err != nil {
-		return err
-	}
-	replica.address = address
-	replica.starts++
-	replica.bornBefore, replica.born = replica.born, time.Now()
-	replica.runs = true
-	return nil
-}
-
-// endReplica ends a replica as a crash does, and reports whether it ran.
-func (f *fleet) endReplica(number int) bool {
-	f.mutex.Lock()
-	replica := f.replicas[number]
-	ran := replica.runs
-	replica.runs = false
-	f.mutex.Unlock()
-	if ran {
-		f.proxy.End(replica.name)
-	}
-	return ran
-}
-
 func (f *fleet) ip(number int) string { return fmt.Sprintf("127.77.%d.%d", f.subnet, number+1) }
 
 // hiddenIP is where a coordinator listens behind the proxy.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -48,7 +48,7 @@
 	Plants  Plants
 	// Recovery is how long service may take to come back, recoverTimeout if it is 0.
 	Recovery time.Duration
-	Log     io.Writer
+	Log      io.Writer
 }
 
 // Plants are faults of the platform's list, to see that the checker notices.
