--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -41,6 +41,8 @@
 	Binary string
 	// Production is an earlier build of it, with which all processes begin; empty for none.
 	Production string
+	// Calm leaves out all faults: processes are replaced by those of another build, and nothing else.
+	Calm bool
 	// Folder takes settings, data and logs.
 	Folder string
 	// Without are mechanisms of the gateways that are switched off, to see that the checker notices.
@@ -82,6 +84,9 @@
 	Named int
 	// Replaced are the processes that were replaced by one of another build.
 	Replaced int
+	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
+	// first process was replaced, and from then on.
+	ServedBefore, ServedDuring float64
 }
 
 const (
@@ -144,7 +149,11 @@
 		running.Go(func() { s.sendLimited(work, number) })
 	}
 	s.awaitService(ctx, "at the start")
-	s.harm(ctx)
+	if options.Calm {
+		s.replaceAll(ctx)
+	} else {
+		s.harm(ctx)
+	}
 	s.awaitService(ctx, "after the last fault")
 	cancel()
 	running.Wait()
@@ -155,6 +164,7 @@
 	s.truth.duties(s.fleet.duties.Broken(), len(s.fleet.duties.Windows()))
 	result := s.truth.result(options.Seed, s.faults)
 	result.Replaced = s.upgrade.replaced
+	result.ServedBefore, result.ServedDuring = s.upgrade.before.share(), s.upgrade.during.share()
 	return result, nil
 }
 
@@ -310,6 +320,9 @@
 		if err == nil {
 			s.truth.answered(id, answer)
 		}
+		if owner != "" && ctx.Err() == nil {
+			s.upgrade.note(err == nil && answer.Status < http.StatusMultipleChoices)
+		}
 		pause(ctx, 10*time.Millisecond)
 	}
 }
@@ -361,25 +374,28 @@
 	var runs int
 	var duration time.Duration
 	var production string
+	var calm bool
 	command := &cobra.Command{
 		Use:   "soak",
 		Short: "Run a region's real processes under random faults and check the promises",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runAll(command.Context(), command.OutOrStdout(), production, seed, runs, duration)
+			return runAll(command.Context(), command.OutOrStdout(), Options{Seed: seed, Duration: duration, Production: production, Calm: calm}, runs)
 		},
 	}
 	command.Flags().Uint64Var(&seed, "seed", 0, "first seed; 0 draws one")
 	command.Flags().StringVar(&production, "production", "", "a commit, or a program built before, with which all processes begin; they are replaced one after the other, there and back")
+	command.Flags().BoolVar(&calm, "calm", false, "no faults: replace all processes once, and tell what was served before and meanwhile")
 	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
 	command.Flags().DurationVar(&duration, "duration", 30*time.Second, "time of faults in each")
 	return command
 }
 
-func runAll(ctx context.Context, out io.Writer, production string, seed uint64, runs int, duration time.Duration) error {
-	if seed == 0 {
-		seed = rand.Uint64N(1 << 32)
+func runAll(ctx context.Context, out io.Writer, options Options, runs int) error {
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64N(1 << 32)
 	}
+	options.Log = out
 	folder, err := os.MkdirTemp("", "pierhaven-soak")
 	if err != nil {
 		return err
@@ -388,24 +404,30 @@
 	if output, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/pierhaven").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w: %s", err, output)
 	}
-	if production != "" {
-		if production, err = buildCommit(ctx, production, folder); err != nil {
+	options.Binary = binary
+	if options.Production != "" {
+		if options.Production, err = buildCommit(ctx, options.Production, folder); err != nil {
 			return err
 		}
 	}
 	broken := 0
-	for run := range runs {
-		own := filepath.Join(folder, fmt.Sprint(seed+uint64(run)))
+	for range runs {
+		own := filepath.Join(folder, fmt.Sprint(options.Seed))
 		if err := os.Mkdir(own, 0o700); err != nil {
 			return err
 		}
-		result, err := Run(ctx, Options{Seed: seed + uint64(run), Duration: duration, Binary: binary, Production: production, Folder: own, Log: out})
+		options.Folder = own
+		result, err := Run(ctx, options)
 		if err != nil {
 			return err
 		}
+		options.Seed++
 		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d violations\n",
 			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
 			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, len(result.Violations))
+		if options.Calm {
+			_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", result.ServedBefore, result.ServedDuring)
+		}
 		for _, violation := range result.Violations {
 			_, _ = fmt.Fprintln(out, "  "+violation)
 		}
--- a/bench/soak/upgrade.go
+++ b/bench/soak/upgrade.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 )
 
@@ -17,6 +18,43 @@
 	next     int
 	back     bool
 	replaced int
+
+	mutex sync.Mutex
+	// before and during count callers' requests before the first process is replaced, and from then on.
+	before, during answeredCount
+	begun          bool
+}
+
+// answeredCount counts requests.
+type answeredCount struct{ asked, answered int }
+
+// share is the part that was answered, 1 of none.
+func (c answeredCount) share() float64 {
+	if c.asked == 0 {
+		return 1
+	}
+	return float64(c.answered) / float64(c.asked)
+}
+
+// note counts a request that has ended.
+func (u *upgrade) note(answered bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	count := &u.before
+	if u.begun {
+		count = &u.during
+	}
+	count.asked++
+	if answered {
+		count.answered++
+	}
+}
+
+// begin has requests counted as those during the replacements.
+func (u *upgrade) begin() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.begun = true
 }
 
 // firstBinary is the program with which all processes begin.
@@ -54,6 +92,17 @@
 	s.noteBuild(replaced)
 }
 
+// replaceAll replaces each process once, after the duration of the soak has passed, with a pause between two in
+// which a coordinator comes back and gateways are found to be ready.
+func (s *soak) replaceAll(ctx context.Context) {
+	pause(ctx, s.options.Duration)
+	s.upgrade.begin()
+	for range s.fleet.all() {
+		s.replaceNext(ctx)
+		pause(ctx, settleTime)
+	}
+}
+
 // noteBuild notes whether a process is a gateway of an earlier build, which need not keep the limits that
 // replicas name.
 func (s *soak) noteBuild(noted *process) {
