Have replicas that stand by take over for those that name limits

In a large fleet a replica that names a limit counted as a whole one, so that what it did not take any more went to the others that were active, though hundreds stood by.

--- a/internal/activeset/pool.go
+++ b/internal/activeset/pool.go
@@ -32,7 +32,8 @@
 	Preemptible bool
 	// Active replicas take work.
 	Active bool
-	// Sound is false for replicas that leave, change their stage or don't answer.
+	// Sound is false for replicas that leave, change their stage, don't answer or take only a limited
+	// number of requests.
 	Sound bool
 }
 
--- a/internal/coordinator/activity.go
+++ b/internal/coordinator/activity.go
@@ -61,7 +61,7 @@
 	}
 	now := c.now()
 	told := c.toldByGroup(now)
-	change := c.activity.planner.Step(now, activityInput(state, told, c.settings.Topology.Group))
+	change := c.activity.planner.Step(now, activityInput(state, told, c.limits.lives(), c.settings.Topology.Group))
 	if change.Empty() {
 		return nil
 	}
@@ -81,8 +81,10 @@
 	return told
 }
 
-// activityInput describes the replicas and the demand to the planner. groupOf names the region of a zone.
-func activityInput(state region.State, told map[activeset.Group]region.ServiceDemand, groupOf func(zone string) string) activeset.Input {
+// activityInput describes the replicas and the demand to the planner. limited are the lives that name limits of
+// requests: they go on with what they take, and others that stand by take over the rest at once. groupOf names the
+// region of a zone.
+func activityInput(state region.State, told map[activeset.Group]region.ServiceDemand, limited map[string]bool, groupOf func(zone string) string) activeset.Input {
 	input := activeset.Input{
 		Replicas: make([]activeset.Replica, 0, len(state.Replicas)),
 		Demand:   make(map[activeset.Group]activeset.Demand, len(told)),
@@ -101,8 +103,9 @@
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
 		sound := !replica.Draining && !changing[replica.ID]
-		if sound && len(unreachable) > 0 {
-			sound = !unreachable[replica.Life().Name()]
+		if sound && len(unreachable)+len(limited) > 0 {
+			life := replica.Life().Name()
+			sound = !unreachable[life] && !limited[life]
 		}
 		input.Replicas = append(input.Replicas, activeset.Replica{
 			ID:          replica.ID,
--- a/internal/coordinator/activity_test.go
+++ b/internal/coordinator/activity_test.go
@@ -127,7 +127,7 @@
 		state, _ := m.read()
 		changeList(&state, 0, listStandby(bigList(size)...))
 		planner := &activeset.Planner{Least: activeset.DefaultLeast}
-		change := planner.Step(0, activityInput(state, nil, func(string) string { return "" }))
+		change := planner.Step(0, activityInput(state, nil, nil, func(string) string { return "" }))
 		apply(t, m, 1, region.Command{
 			List:     listStandby(bigList(size)...),
 			Activity: &region.ActivityCommand{Activate: change.Activate},
@@ -199,10 +199,33 @@
 	told := map[activeset.Group]region.ServiceDemand{
 		{Service: "model"}: {Reading: 100, Generating: 4, Expected: 5, Unreachable: []string{unreachable, unreachable}},
 	}
-	input := activityInput(state, told, func(string) string { return "" })
+	input := activityInput(state, told, nil, func(string) string { return "" })
 	assert.Equal(t, activeset.Demand{Reading: 100, Generating: 5}, input.Demand[activeset.Group{Service: "model"}])
 	assert.False(t, input.Replicas[0].Sound)
 	change := (&activeset.Planner{Least: activeset.DefaultLeast}).Step(0, input)
 	assert.Len(t, change.Activate, 400+128)
 	assert.NotContains(t, change.Activate, state.Replicas[0].Replica.ID)
 }
+
+// TestReplicasThatNameLimitsAreRelieved: what a replica in need does not take any more is taken over by one that stood by, as
+// long as it names a limit.
+func TestReplicasThatNameLimitsAreRelieved(t *testing.T) {
+	m := newTestMachine()
+	apply(t, m, 1, region.Command{List: listStandby(bigList(1000)...)})
+	planner := &activeset.Planner{Least: activeset.DefaultLeast}
+	index := uint64(1)
+	step := func(limited map[string]bool) activeset.Change {
+		state, _ := m.read()
+		change := planner.Step(time.Duration(index)*time.Second, activityInput(state, nil, limited, func(string) string { return "" }))
+		index++
+		apply(t, m, index, region.Command{Activity: &region.ActivityCommand{Activate: change.Activate, Rest: change.Rest}})
+		return change
+	}
+	first := step(nil)
+	limited := map[string]bool{first.Activate[0]: true, first.Activate[1]: true, first.Activate[2]: true}
+	relieved := step(limited)
+	assert.Len(t, relieved.Activate, 3)
+	assert.Empty(t, relieved.Rest, "they go on with what they take")
+	over := step(nil)
+	assert.True(t, over.Empty(), "a few more than are wanted are no reason to change")
+}
--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -265,3 +265,16 @@
 	defer l.mutex.Unlock()
 	return l.table.Limits()
 }
+
+// lives are the replicas that name limits, nil if there are none.
+func (l *limitService) lives() map[string]bool {
+	limits := l.named()
+	if len(limits) == 0 {
+		return nil
+	}
+	lives := make(map[string]bool, len(limits))
+	for _, each := range limits {
+		lives[each.Replica] = true
+	}
+	return lives
+}
