--- a/internal/relay/daemon/replicalimits.go
+++ b/internal/relay/daemon/replicalimits.go
@@ -28,7 +28,8 @@
 	*poolClient
 	directory *relay.Directory
 
-	tellMutex sync.Mutex
+	// ownMutex guards what follows.
+	ownMutex sync.Mutex
 	// told are the last words on replicas.
 	told map[string]toldLimit
 	// allToldAt is when all words were last told.
@@ -62,14 +63,14 @@
 // tell tells a coordinator what an answer has said.
 func (l *limitClient) tell(word ratelimit.Word) {
 	now := l.clock()
-	l.tellMutex.Lock()
+	l.ownMutex.Lock()
 	before, known := l.told[word.Replica]
 	pause := limitTellAgain
 	if before.named != word.Named || before.rate != word.Rate {
 		pause = limitTellPause
 	}
 	if known && now < before.at+pause {
-		l.tellMutex.Unlock()
+		l.ownMutex.Unlock()
 		return
 	}
 	if !known && len(l.told) > l.directory.Count() {
@@ -77,7 +78,7 @@
 		clear(l.told)
 	}
 	l.told[word.Replica] = toldLimit{named: word.Named, rate: word.Rate, at: now}
-	l.tellMutex.Unlock()
+	l.ownMutex.Unlock()
 	l.send([]ratelimit.Word{word})
 }
 
@@ -100,12 +101,12 @@
 		return
 	}
 	now := l.clock()
-	l.tellMutex.Lock()
+	l.ownMutex.Lock()
 	due := l.allToldAt == 0 || now >= l.allToldAt+limitTellAgain
 	if due {
 		l.allToldAt = now
 	}
-	l.tellMutex.Unlock()
+	l.ownMutex.Unlock()
 	if due {
 		l.send(l.directory.LimitWords())
 	}
@@ -121,9 +122,9 @@
 	if !decided {
 		return l.decideAlone(asked)
 	}
-	l.tellMutex.Lock()
+	l.ownMutex.Lock()
 	l.lone.Forget()
-	l.tellMutex.Unlock()
+	l.ownMutex.Unlock()
 	return relay.Permit{
 		Granted:  verdict.Admitted,
 		Wait:     time.Duration(verdict.WaitMicros) * time.Microsecond,
@@ -134,9 +135,9 @@
 
 // decideAlone decides while no coordinator answers.
 func (l *limitClient) decideAlone(asked relay.LimitQuestion) relay.Permit {
-	l.tellMutex.Lock()
+	l.ownMutex.Lock()
 	granted, wait := l.lone.Ask(l.clock(), asked.Life, asked.Rate, l.keeper.gatewayCount())
-	l.tellMutex.Unlock()
+	l.ownMutex.Unlock()
 	l.count(granted, true)
 	return relay.Permit{Granted: granted, Wait: wait, By: "self", GiveBack: func() {}}
 }
