Look again at replicas that had no room for a request's first try

A request that was failed by one replica was handed its failure though another one, whose limit had left no room 30 ms before, had some by then: what a call had been denied stayed out of it for good. It is forgotten with each placement; the time until there should be room still holds at the gateway. The test is answered 500 before and 200 after.

--- a/internal/relay/limited_test.go
+++ b/internal/relay/limited_test.go
@@ -299,3 +299,21 @@
 	w.runner.Run(ctx, callOf(traffic.KindOnce, 1), &recorder{})
 	assert.Equal(t, 1, asked)
 }
+
+// A replica that had no room for a request's first try may have room for its second one.
+func TestASecondTryMayGoWhereTheFirstHadNoRoom(t *testing.T) {
+	w := newWorld(t)
+	c := w.counted(map[string]int{})
+	c.wait = time.Millisecond
+	w.add("limited", "", sealed(http.StatusOK, "ok"))
+	w.add("failing", "", func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		c.mutex.Lock()
+		c.room["limited"] = 1
+		c.mutex.Unlock()
+		sealed(http.StatusInternalServerError, "failed")(writer, request)
+	})
+	w.limit(5, "limited")
+	answer := w.run(callOf(traffic.KindRepeatable, 2))
+	assert.Equal(t, http.StatusOK, answer.status)
+}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -294,6 +294,8 @@
 		r.moved = nil
 		return moved.lease, moved.handle, nil
 	}
+	// Replicas that had no room for an earlier try may have some by now.
+	r.denied = nil
 	if !r.isModelCall() {
 		lease, err := r.permitted(ctx, func() (*Lease, error) {
 			wanted := Wanted{Rank: rankOf(r.call.Route.Priority), Excluded: r.excluded(), Unlimited: r.onlyUnlimited()}
