Have a seed of the soak draw the faults that it drew before

The order of replacements was drawn from the seed's faults also where nothing is replaced, so that the seed played other ones. Replicas name no limits in that test, as before: where one of three does, few of the requests that end replicas reach them. The check is as it was.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -59,6 +59,9 @@
 	UntoldStarts bool
 	// UsableEntry has the list name a replica at the address of the entries that name none.
 	UsableEntry bool
+	// NoLimits has no replica name a limit: where one of three does, few of the requests that end
+	// replicas reach them, and their check has little to go by.
+	NoLimits bool
 }
 
 // Result is what a soak has found.
@@ -141,7 +144,9 @@
 	running.Go(func() { s.readBack(work) })
 	running.Go(func() { s.sendEnding(work) })
 	running.Go(func() { s.restartEngines(work) })
-	running.Go(func() { s.nameLimits(work) })
+	if !options.Plants.NoLimits {
+		running.Go(func() { s.nameLimits(work) })
+	}
 	for number := range callers {
 		running.Go(func() { s.call(work, number) })
 	}
--- a/bench/soak/upgrade.go
+++ b/bench/soak/upgrade.go
@@ -67,6 +67,10 @@
 
 // beginUpgrade draws the order in which processes are replaced.
 func (s *soak) beginUpgrade() {
+	if s.options.Production == "" {
+		// What a seed draws stays what it was.
+		return
+	}
 	s.upgrade.order = s.random.Perm(len(s.fleet.all()))
 	for _, each := range s.fleet.all() {
 		s.noteBuild(each)
