--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -98,8 +98,8 @@
 	l.placement.directory.TakeLimits(words)
 }
 
-// noteDecision has this coordinator choose a replica without room for nobody meanwhile. It is called
-// with the mutex held.
+// noteDecision has this coordinator place no request at a replica that has no room, until it should have
+// some again. It is called with the mutex held.
 func (l *limitService) noteDecision(decided quota.Decision) {
 	if !decided.Answer.Admitted && !decided.Again {
 		l.placement.directory.Denied(decided.Question.Account, decided.Question.Rank, time.Duration(decided.Answer.WaitMicros)*time.Microsecond)
