--- a/internal/testnet/testnet_test.go
+++ b/internal/testnet/testnet_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/internal/testnet"
@@ -28,3 +29,29 @@
 		require.NoError(t, listener.Close())
 	}
 }
+
+// Two of the three coordinators of a group got the same address, since a port that was given back
+// may be given again, and with it the same data folder:
+//
+//	storage: lock /data: memoryfs: folder is locked
+func TestAnAddressIsGivenToOneProcessOnly(t *testing.T) {
+	given := map[string]bool{}
+	for range 2000 {
+		address := testnet.Address(t)
+		assert.False(t, given[address], address)
+		given[address] = true
+	}
+}
+
+// Nor is it taken by what listens for itself.
+func TestAListenerTakesNoAddressThatWasGiven(t *testing.T) {
+	given := map[string]bool{}
+	for range 2000 {
+		given[testnet.Address(t)] = true
+	}
+	for range 200 {
+		listener := testnet.Listen(t)
+		defer func() { _ = listener.Close() }()
+		assert.False(t, given[listener.Addr().String()], listener.Addr())
+	}
+}
