Give each address of a test to one process only

Cause: testnet.Address lets the system choose a port and gives it back at once, and the system may choose it again for the next address. Two coordinators of a group then have one folder. Ruled out: a lock that outlives a crash of the disk (the group was new, and so were its disks); a folder on the real disk (it is in memory).

The listed TestAConfigurationSurvivesTheRestartOfAllAndWithoutAMajorityNothingIsRead failed at the same place, coordinator.New of a new group, with its output cut. New fails only where its folder can't be locked, read or written; that it was this cause is inferred, not shown.

Why it holds: ports go in turn, below those that the system gives out by itself. A first try remembered what was given and drew again; with some 4,000 addresses given it went on for minutes, and was dropped.

--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -6,20 +6,39 @@
 package testnet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
+// Ports that are given lie below those that Linux gives to connections and to listeners that name none.
+const (
+	firstPort = 10000
+	ports     = 32768 - firstPort
+)
+
+// given counts the ports that this test process has handed out. They go in turn: one that the system
+// chooses may be given again before the process that it is meant for listens at it.
+var given atomic.Uint32
+
 // Listen listens at a free port of this test process's own loopback address.
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", host()+":0")
-	require.NoError(t, err)
-	return listener
+	for {
+		port := firstPort + given.Add(1)%ports
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host(), port))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		require.NoError(t, err)
+		return listener
+	}
 }
 
 // Address is one that a process of the test may listen at, again and again.
