Tell choices all limits when they have taken a list

What callers saw: nothing (found by reading). A coordinator that was told of a limit before the list named its replica could choose that replica as if it named none, until its limit changed; the gateway's question then found no room, and the request was placed again.

Cause: the count of limits told the choice of replicas what it knew when it saw a new list, and that of replicas took the list by itself, perhaps later. Ruled out: gateways, which compare names with each poll and are told all where they differ.

Why it holds: who takes the list asks for the limits afterwards, so that the order is that of the code.

--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -105,6 +105,7 @@
 			shown := &region.View{}
 			shownSince(state, 0, shown)
 			c.placement.directory.Replace(shown.Replicas)
+			c.limits.tellChoices()
 		}
 		if state.Version > version {
 			version = state.Version
--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -73,8 +73,6 @@
 				l.listed[each.Replica.Life().Name()] = true
 			}
 		}
-		// A replica that has come may have been told of before.
-		l.placement.directory.TakeLimits(l.table.Words(now))
 	}
 	if now < l.forgetAt {
 		return
@@ -86,6 +84,14 @@
 	}
 }
 
+// tellChoices has the choice of replicas know all limits. It is called when that has taken a list: of a
+// replica that has come with it, limits may have been told before.
+func (l *limitService) tellChoices() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.placement.directory.TakeLimits(l.table.Words(l.now()))
+}
+
 // apply has the pool count under what words have said. It is called with the mutex held.
 func (l *limitService) apply(now time.Duration, words []ratelimit.Word) {
 	for _, word := range words {
