Show limits that were given up for lack of room, and judge their window in one place

Beyond 16,384 replicas that name a limit the others' are not kept; that was counted and shown nowhere. The wait that a refused caller is told at most is the window of internal/ratelimit, not a second constant of the same length.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -11,6 +11,9 @@
 	}
 	c.quotas.registerMetrics(registry, "quota", "a tenant")
 	c.limits.registerMetrics(registry, "limit", "a replica")
+	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
+		return float64(c.limits.dropped())
+	})
 	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.Leads)
 	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
 	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -272,6 +272,13 @@
 	return l.table.Limits()
 }
 
+// dropped counts the words for which there was no room.
+func (l *limitService) dropped() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.table.Dropped
+}
+
 // lives are the replicas that name limits, nil if there are none.
 func (l *limitService) lives() map[string]bool {
 	limits := l.named()
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// window is the time over which a replica's limit is judged.
-	window = 4 * time.Second
+	// Window is the time over which a replica's limit is judged.
+	Window = 4 * time.Second
 	// burst in requests is what a replica may get at once after a quiet time: as many as keep it busy
 	// while gateways with little to send find out that it has room again.
 	burst = 3
@@ -27,7 +27,7 @@
 
 // Terms are those of the pools that count what replicas get.
 func Terms() quota.Terms {
-	return quota.Terms{Window: window, Over: tolerated, Slack: toleratedSlack, Strict: true}
+	return quota.Terms{Window: Window, Over: tolerated, Slack: toleratedSlack, Strict: true}
 }
 
 // PoolLimit is what a pool counts against for a replica that names a rate. A replica that names
--- a/internal/ratelimit/lone.go
+++ b/internal/ratelimit/lone.go
@@ -39,9 +39,9 @@
 	}
 	l.parts[replica] = part
 	if granted || refill <= 0 {
-		return granted, window
+		return granted, Window
 	}
-	return false, max(time.Duration(min((1-part.requests)/refill, window.Seconds())*float64(time.Second)), time.Nanosecond)
+	return false, max(time.Duration(min((1-part.requests)/refill, Window.Seconds())*float64(time.Second)), time.Nanosecond)
 }
 
 // Forget begins anew: pools are reached again.
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -120,6 +120,9 @@
 	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
 	registry.GaugeFunc("replicas_limited", "Replicas that name a limit of requests.", func() float64 { return float64(d.directory.LimitedCount()) })
+	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
+		return float64(d.directory.LimitsDropped())
+	})
 	registry.GaugeFunc("placements_asked", "Questions to coordinators for a replica since the start.", func() float64 {
 		return float64(d.placement.Counts().Asked)
 	})
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -175,6 +175,13 @@
 	return d.limits.Names()
 }
 
+// LimitsDropped counts what answers have said of limits for which there was no room.
+func (d *Directory) LimitsDropped() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.limits.Dropped
+}
+
 // LimitWords tells what this process knows of limits.
 func (d *Directory) LimitWords() []ratelimit.Word {
 	d.mutex.Lock()
@@ -267,7 +274,7 @@
 }
 
 // longestReturn bounds the time that a refused caller is told to wait for a replica's limit.
-const longestReturn = 4 * time.Second
+const longestReturn = ratelimit.Window
 
 // room is in how long requests of a rank have room.
 func (l *namedLimit) room(rank int, now time.Duration) time.Duration {
