--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -140,11 +140,12 @@
 
 // gateway is a daemon that runs in this process.
 type gateway struct {
-	t     *testing.T
-	front string
-	ready string
-	stop  context.CancelFunc
-	done  chan error
+	t       *testing.T
+	front   string
+	ready   string
+	metrics *telemetry.Metrics
+	stop    context.CancelFunc
+	done    chan error
 }
 
 func startGateway(t *testing.T, coordinators ...*fakeCoordinator) *gateway {
@@ -153,13 +154,13 @@
 	for _, each := range coordinators {
 		seeds = append(seeds, each.address)
 	}
-	g := &gateway{t: t, front: testnet.Address(t), ready: testnet.Address(t), done: make(chan error, 1)}
+	g := &gateway{t: t, front: testnet.Address(t), ready: testnet.Address(t), metrics: telemetry.NewMetrics("test"), done: make(chan error, 1)}
 	created, err := daemon.New(daemon.Settings{
 		Name: "gateway", Zone: "zone", Listen: g.front, ReadyListen: g.ready, ReadyPath: "/ready",
 		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTime: 10 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
-		Metrics: telemetry.NewMetrics("test"), Logger: logr.Discard(),
+		Metrics: g.metrics, Logger: logr.Discard(),
 	})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
