Give up callers that take nothing of their answers

What callers saw: nothing; those who don't read cost all others. A stream to a caller that had stopped reading stayed in flight for as long as its connection was open, with its goroutine, its buffers and a place among the 3,000 connections; whole answers were kept the same way. It was logged as answered when the connection broke at last.

Cause: nothing bounded writes to callers. The request's deadline ends the exchange with the replica and not the write that waits. Ruled out: the replica, which was free at the deadline; hertz's idle and read timeouts, which don't cover writes.

Why it holds: the listener sets a deadline for each 16 KB that it writes, so that a slow reader gets its answer, also a late one, and one that has stopped is given up. Two ways were weighed: hertz's write timeout (a deadline for the whole write: a reader of 1 KB/s would lose a large answer that it was reading), and this one.

--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -16,7 +16,10 @@
 // at once, which costs the process nothing.
 type Listener struct {
 	net.Listener
-	maximum int
+	// StallTime bounds the time in which a connection's other side takes none of what is written to
+	// it; 0 sets no bound. It is set before the first Accept.
+	StallTime time.Duration
+	maximum   int
 	// onRefusal is told of each refusal that was made before any handler.
 	onRefusal func(failure.Kind)
 
@@ -100,7 +103,7 @@
 func (c *connection) Write(answer []byte) (int, error) {
 	kind, isRefusal := refusalKind(answer)
 	if !isRefusal {
-		return c.Conn.Write(answer)
+		return c.writeSteadily(answer)
 	}
 	c.refused.Store(true)
 	c.listener.onRefusal(kind)
@@ -110,6 +113,28 @@
 	return len(answer), nil
 }
 
+// stallBytes are to be taken within the stall time: a slow reader gets its answer, one that has stopped
+// reading does not hold it in memory for ever.
+const stallBytes = 16 << 10
+
+// writeSteadily writes as long as the other side reads.
+func (c *connection) writeSteadily(answer []byte) (written int, err error) {
+	if c.listener.StallTime <= 0 {
+		return c.Conn.Write(answer)
+	}
+	for written < len(answer) {
+		if err := c.SetWriteDeadline(time.Now().Add(c.listener.StallTime)); err != nil {
+			return written, err
+		}
+		count, err := c.Conn.Write(answer[written:min(written+stallBytes, len(answer))])
+		written += count
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	if !c.closing.CompareAndSwap(false, true) {
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -183,6 +183,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
+	callers.StallTime = d.settings.callerStall()
 	readiness, err := net.Listen("tcp", d.settings.ReadyListen)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -159,7 +159,7 @@
 		Name: "gateway", Zone: "zone", Listen: g.front, ReadyListen: g.ready, ReadyPath: "/ready",
 		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
-		StopTime: 10 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
+		StopTime: 10 * time.Second, CallerStall: time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
 		Metrics: g.metrics, Logger: logr.Discard(),
 	})
 	require.NoError(t, err)
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -53,6 +53,8 @@
 	UsageWindow time.Duration
 	// StopTime bounds a planned stop.
 	StopTime time.Duration
+	// CallerStall is for how long a caller may take nothing of its answer; 0 for the default.
+	CallerStall time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
 	Lister coordinator.Lister
 	// Prefixes tells what replicas keep; nil leaves that to be found out.
@@ -73,6 +75,17 @@
 	RetryAfter(after time.Duration) (name, value string)
 }
 
+// defaultCallerStall is longer than networks lose packets or callers wait for anything that runs.
+const defaultCallerStall = 10 * time.Second
+
+// callerStall is for how long a caller may take nothing of its answer.
+func (s Settings) callerStall() time.Duration {
+	if s.CallerStall > 0 {
+		return s.CallerStall
+	}
+	return defaultCallerStall
+}
+
 const (
 	// initialGateways is assumed until a coordinator says how many gateways
 	// there are.
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -137,6 +137,8 @@
 	// has run it to its end.
 	lost    bool
 	ranWell bool
+	// callerLost says that the answer could not be written to the caller.
+	callerLost bool
 }
 
 type wholeAnswer struct {
@@ -163,7 +165,7 @@
 	err := state.serve(bounded)
 	call.Runs = state.attempts
 	state.tellIfWell()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || state.callerLost {
 		r.logger.Info(event.CallerGone, "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
 			"sends", state.sends)
 		r.metrics.request(call, outcomeGone)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -66,6 +66,7 @@
 				lease.StreamWentOn()
 			}
 			if err := r.forward(answer, whole, events.last); err != nil {
+				r.callerLost = true
 				return verdictAnswered, nil
 			}
 		}
