Wait in a planned stop for callers that still read their answers

What callers saw: a planned stop of a gateway cut a large answer off: 22.8 of 25.2 MB came within 4.6 s, then the connection closed.

Cause: a request counted as in flight until its answer was made. hertz writes it after the handler has returned, and the stop gave that 20 ms: enough for a fast reader, too little for 80 ms of a 100 KB answer on a link of 10 Mbit/s. Ruled out: the stop's own time, of which nearly half was left; streams, which are written within their handlers.

Why it holds: the listener knows what is being written, and the stop ends when two looks 20 ms apart find neither that nor a request; the time for the stop bounds it as before.

--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -22,6 +22,7 @@
 	maximum   int
 	// onRefusal is told of each refusal that was made before any handler.
 	onRefusal func(failure.Kind)
+	writing   atomic.Int64
 
 	mutex  sync.Mutex
 	open   map[*connection]struct{}
@@ -70,6 +71,9 @@
 	return len(l.open)
 }
 
+// Writing is the number of connections to which something is being written.
+func (l *Listener) Writing() int { return int(l.writing.Load()) }
+
 // TurnedAway counts the connections closed because there were too many.
 func (l *Listener) TurnedAway() uint64 {
 	l.mutex.Lock()
@@ -119,6 +123,8 @@
 
 // writeSteadily writes as long as the other side reads.
 func (c *connection) writeSteadily(answer []byte) (written int, err error) {
+	c.listener.writing.Add(1)
+	defer c.listener.writing.Add(-1)
 	if c.listener.StallTime <= 0 {
 		return c.Conn.Write(answer)
 	}
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -238,6 +238,9 @@
 	// may not be finished in the time that is left, and is refused.
 	lingerTime = 2800 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
+	// stopPolls in a row have to find no request in flight and no answer being written: between the two
+	// lies a moment, since answers are written after their handlers have returned.
+	stopPolls = 2
 )
 
 // stop takes what still comes for a while, and waits for the requests in flight.
@@ -246,14 +249,12 @@
 	d.front.leave(begun.Add(min(lingerTime, d.settings.StopTime/2)))
 	d.settings.Logger.Info(event.NotReady, "reason", "leaving", "in_flight", d.front.inFlight.Load())
 	end := begun.Add(d.settings.StopTime)
-	for time.Now().Before(end) {
-		if d.front.inFlight.Load() == 0 && d.front.closed() {
-			break
+	for idle := 0; idle < stopPolls && time.Now().Before(end); time.Sleep(stopPoll) {
+		idle++
+		if d.front.inFlight.Load() > 0 || callers.Writing() > 0 || !d.front.closed() {
+			idle = 0
 		}
-		time.Sleep(stopPoll)
 	}
-	// Answers are flushed after their handlers have returned.
-	time.Sleep(stopPoll)
 	d.settings.Logger.Info(event.Stopped, "in_flight", d.front.inFlight.Load(), "connections", callers.Open(),
 		"after_ms", time.Since(begun).Milliseconds())
 	callers.CloseConnections()
