Bound what a gateway keeps for callers that read slowly

A caller that takes nothing of its answer was given up after ten seconds; until then any number of them held whole answers, up to the end of the process. What waits over all connections is now bounded by a quarter of the memory: beyond it connections that have stalled for longest make room, and a metric shows the sum.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -172,14 +172,15 @@
 		Contact: settings.Contact(),
 		Hold:    settings.Hold(),
 
-		StopTime: settings.StopTime() - stopReserve,
-		Without:  settings.SwitchedOff(),
-		Lister:   newLister(process),
-		Prefixes: platform.NewEngines(),
-		Codec:    platform.Codec{},
-		Dialect:  platform.Dialect{},
-		Metrics:  process.metrics,
-		Logger:   process.logger,
+		MemoryBytes: int64(settings.MemoryMegabytes) << 20,
+		StopTime:    settings.StopTime() - stopReserve,
+		Without:     settings.SwitchedOff(),
+		Lister:      newLister(process),
+		Prefixes:    platform.NewEngines(),
+		Codec:       platform.Codec{},
+		Dialect:     platform.Dialect{},
+		Metrics:     process.metrics,
+		Logger:      process.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -19,10 +19,17 @@
 	// StallTime bounds the time in which a connection's other side takes none of what is written to
 	// it; 0 sets no bound. It is set before the first Accept.
 	StallTime time.Duration
-	maximum   int
+	// MaximumUnread bounds the bytes of answers that nobody has read yet, over all connections: beyond it
+	// those that have stalled for longest are closed. 0 sets no bound; it is set before the first Accept.
+	MaximumUnread int64
+	maximum       int
 	// onRefusal is told of each refusal that was made before any handler.
 	onRefusal func(failure.Kind)
-	writing   atomic.Int64
+	// writing counts the connections to which something is being written, and unread the bytes of it
+	// that were not taken yet.
+	writing, unread atomic.Int64
+	// roomMutex has answers that begin together make room one after the other.
+	roomMutex sync.Mutex
 
 	mutex  sync.Mutex
 	open   map[*connection]struct{}
@@ -71,9 +78,6 @@
 	return len(l.open)
 }
 
-// Writing is the number of connections to which something is being written.
-func (l *Listener) Writing() int { return int(l.writing.Load()) }
-
 // TurnedAway counts the connections closed because there were too many.
 func (l *Listener) TurnedAway() uint64 {
 	l.mutex.Lock()
@@ -101,6 +105,11 @@
 	listener *Listener
 	refused  atomic.Bool
 	closing  atomic.Bool
+	// stalledFrom is since when nothing of what is written was taken, in nanoseconds since 1970; 0 while
+	// nothing is written.
+	stalledFrom atomic.Int64
+	// unread are the bytes of what is written that were not taken yet.
+	unread atomic.Int64
 }
 
 // Write implements net.Conn.
@@ -117,30 +126,6 @@
 	return len(answer), nil
 }
 
-// stallBytes are to be taken within the stall time: a slow reader gets its answer, one that has stopped
-// reading does not hold it in memory for ever.
-const stallBytes = 16 << 10
-
-// writeSteadily writes as long as the other side reads.
-func (c *connection) writeSteadily(answer []byte) (written int, err error) {
-	c.listener.writing.Add(1)
-	defer c.listener.writing.Add(-1)
-	if c.listener.StallTime <= 0 {
-		return c.Conn.Write(answer)
-	}
-	for written < len(answer) {
-		if err := c.SetWriteDeadline(time.Now().Add(c.listener.StallTime)); err != nil {
-			return written, err
-		}
-		count, err := c.Conn.Write(answer[written:min(written+stallBytes, len(answer))])
-		written += count
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
-
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	if !c.closing.CompareAndSwap(false, true) {
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -42,6 +42,8 @@
 	ready     atomic.Bool
 	evidence  *evidence
 	limits    *limitClient
+	// callers are the connections of callers, nil before the gateway listens.
+	callers atomic.Pointer[listener.Listener]
 }
 
 // New returns a gateway that has not begun to listen.
@@ -118,6 +120,12 @@
 	registry.GaugeFunc("requests_in_flight", "Requests that are being served.", func() float64 {
 		return float64(d.front.inFlight.Load())
 	})
+	registry.GaugeFunc("unread_answer_bytes", "Bytes of answers that callers have not taken yet.", func() float64 {
+		if callers := d.callers.Load(); callers != nil {
+			return float64(callers.Unread())
+		}
+		return 0
+	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
 	registry.GaugeFunc("replicas_limited", "Replicas that name a limit of requests.", func() float64 { return float64(d.directory.LimitedCount()) })
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
@@ -184,6 +192,8 @@
 		return failure.Wrap(err, failure.Internal)
 	}
 	callers.StallTime = d.settings.callerStall()
+	callers.MaximumUnread = int64(unreadShare * float64(d.settings.MemoryBytes))
+	d.callers.Store(callers)
 	readiness, err := net.Listen("tcp", d.settings.ReadyListen)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// gatewayMemory is what a gateway may use, as it is told.
+const gatewayMemory = 64 << 20
+
 // gateway is a daemon that runs in this process.
 type gateway struct {
 	t       *testing.T
@@ -159,7 +162,7 @@
 		Name: "gateway", Zone: "zone", Listen: g.front, ReadyListen: g.ready, ReadyPath: "/ready",
 		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 10},
-		StopTime: 10 * time.Second, CallerStall: time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
+		StopTime: 10 * time.Second, CallerStall: time.Second, MemoryBytes: gatewayMemory, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
 		Metrics: g.metrics, Logger: logr.Discard(),
 	})
 	require.NoError(t, err)
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -53,6 +53,8 @@
 	UsageWindow time.Duration
 	// StopTime bounds a planned stop.
 	StopTime time.Duration
+	// MemoryBytes is what the process may use, 0 for no bound.
+	MemoryBytes int64
 	// CallerStall is for how long a caller may take nothing of its answer; 0 for the default.
 	CallerStall time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
@@ -78,6 +80,10 @@
 // defaultCallerStall is longer than networks lose packets or callers wait for anything that runs.
 const defaultCallerStall = 10 * time.Second
 
+// unreadShare of the memory may be taken by answers that callers read slowly; beyond it those who have
+// stopped for longest are given up.
+const unreadShare = 0.25
+
 // callerStall is for how long a caller may take nothing of its answer.
 func (s Settings) callerStall() time.Duration {
 	if s.CallerStall > 0 {
--- a/internal/relay/daemon/slowcaller_test.go
+++ b/internal/relay/daemon/slowcaller_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,10 +23,17 @@
 // longAnswer is more than the buffers of two connections hold.
 const longAnswer = 64 << 20
 
+// smallBuffer has the kernel keep little of what a caller does not read.
+func smallBuffer(_, _ string, connection syscall.RawConn) error {
+	return connection.Control(func(descriptor uintptr) {
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+}
+
 // call sends a request on a connection of its own, which the test reads or not.
 func (g *gateway) call(path string) net.Conn {
 	g.t.Helper()
-	connection, err := net.Dial("tcp", g.front)
+	connection, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", g.front)
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { _ = connection.Close() })
 	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest: r-slow\r\nContent-Length: 4\r\n\r\nbody", path)
@@ -35,15 +43,20 @@
 
 // inFlight is the number of requests that the gateway serves.
 func (g *gateway) inFlight() float64 {
+	g.t.Helper()
+	return g.metric("requests_in_flight")
+}
+
+func (g *gateway) metric(name string) float64 {
 	g.t.Helper()
 	families, err := g.metrics.Gatherer().Gather()
 	require.NoError(g.t, err)
 	for _, family := range families {
-		if strings.HasSuffix(family.GetName(), "requests_in_flight") {
+		if strings.HasSuffix(family.GetName(), name) {
 			return family.GetMetric()[0].GetGauge().GetValue()
 		}
 	}
-	require.Fail(g.t, "no such metric")
+	require.Fail(g.t, "no such metric", name)
 	return 0
 }
 
@@ -119,3 +132,36 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Equal(t, size, read)
 }
+
+// However many callers read nothing, what is kept for them is bounded, and a caller that reads is served.
+func TestWhatSlowCallersHoldIsBounded(t *testing.T) {
+	const size, readers = 1 << 20, 4
+	replica := startReplica(t, whole(size))
+	for _, slow := range []int{10, 100, 1000} {
+		g := startGateway(t, startCoordinator(t, shortRoute(t, traffic.KindRepeatable, replica)))
+		g.awaitReadiness(http.StatusOK)
+		most, served := 0.0, 0
+		for number := range slow {
+			g.call("/v3/x")
+			most = max(most, g.metric("unread_answer_bytes"))
+			if number%(slow/readers) == 1 && served < readers && g.servedWhole(size) {
+				served++
+			}
+		}
+		require.Eventually(t, func() bool { return g.metric("unread_answer_bytes") == 0 }, time.Minute, 10*time.Millisecond)
+		t.Logf("%d slow callers: at most %.1f MB kept, %d of %d others served", slow, most/1e6, served, readers)
+		assert.LessOrEqual(t, most, 0.5*gatewayMemory+2*size)
+		assert.Equal(t, readers, served)
+	}
+}
+
+// servedWhole reports whether a caller that reads at once gets an answer of a size.
+func (g *gateway) servedWhole(size int) bool {
+	answer, err := g.get("/v3/x")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return err == nil && len(body) == size
+}
