Count and tell of all messages that can't be read, a line a second for each kind

The socket does both now, for every kind: handlers return why they could not read, a counter shows how many, and one line a second for each kind says from whom. Three events become one.

--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -14,6 +14,9 @@
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
 		return float64(c.limits.dropped())
 	})
+	registry.GaugeFunc("messages_unreadable", "Messages of other processes that could not be read, since the start.", func() float64 {
+		return float64(c.placement.socket.Unreadable())
+	})
 	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.Leads)
 	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
 	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -27,7 +27,7 @@
 
 func newPlacementService(settings Settings, clock func() time.Duration) *placementService {
 	life := time.Now().UnixNano()
-	socket := &datagram.Socket{}
+	socket := &datagram.Socket{Logger: settings.Logger}
 	directory := relay.NewDirectory(clock, settings.Zone, func(string, string) {}, settings.Logger)
 	directory.SwitchOff(settings.Without)
 	directory.KnowPlaces(settings.Topology)
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -97,11 +97,10 @@
 }
 
 // receiveGateway takes a gateway's questions.
-func (p *poolService) receiveGateway(from netip.AddrPort, payload []byte) {
+func (p *poolService) receiveGateway(from netip.AddrPort, payload []byte) error {
 	var message quota.GatewayMessage
 	if _, err := message.UnmarshalMsg(payload); err != nil {
-		p.logger.Info(event.QuotaUnreadable, "from", from.String(), "error", err.Error())
-		return
+		return err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -114,20 +113,21 @@
 	}
 	p.send()
 	p.wake()
+	return nil
 }
 
 // receivePeer takes a message of another coordinator.
-func (p *poolService) receivePeer(from netip.AddrPort, payload []byte) {
+func (p *poolService) receivePeer(_ netip.AddrPort, payload []byte) error {
 	var message quota.PeerMessage
 	if _, err := message.UnmarshalMsg(payload); err != nil {
-		p.logger.Info(event.QuotaUnreadable, "from", from.String(), "error", err.Error())
-		return
+		return err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.pool.Receive(p.now(), &message)
 	p.send()
 	p.wake()
+	return nil
 }
 
 // wake has the loop look anew at what is due.
--- a/internal/coordinator/replicalimits.go
+++ b/internal/coordinator/replicalimits.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/datagram"
-	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/quota"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
@@ -113,11 +112,10 @@
 }
 
 // receiveWords takes the words of a gateway or of another coordinator.
-func (l *limitService) receiveWords(from netip.AddrPort, payload []byte) {
+func (l *limitService) receiveWords(from netip.AddrPort, payload []byte) error {
 	var message ratelimit.Message
 	if _, err := message.UnmarshalMsg(payload); err != nil {
-		l.logger.Info(event.LimitWordUnreadable, "from", from.String(), "error", err.Error())
-		return
+		return err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -134,12 +132,13 @@
 	}
 	if !slices.Contains(l.group.MemberAddresses(), message.From) {
 		l.tellCoordinators(news)
-		return
+		return nil
 	}
 	if message.Hash != l.table.Hash() && now >= l.toldAll[from]+limitCompareInterval {
 		l.toldAll[from] = now
 		l.tell(from, l.table.Words(now))
 	}
+	return nil
 }
 
 // tellCoordinators tells the others what a gateway has told. It is called with the mutex held.
--- a/internal/coordinator/replicalimits_test.go
+++ b/internal/coordinator/replicalimits_test.go
@@ -27,13 +27,14 @@
 func newAsker(t *testing.T) *asker {
 	t.Helper()
 	a := &asker{t: t, socket: &datagram.Socket{}, address: testnet.Address(t), answers: make(chan quota.Answer, 64)}
-	a.socket.Handle(datagram.KindLimitReply, func(_ netip.AddrPort, payload []byte) {
+	a.socket.Handle(datagram.KindLimitReply, func(_ netip.AddrPort, payload []byte) error {
 		var reply quota.GatewayReply
 		if _, err := reply.UnmarshalMsg(payload); err == nil {
 			for _, each := range reply.Answers {
 				a.answers <- each
 			}
 		}
+		return nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/datagram/socket.go
+++ b/internal/datagram/socket.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -47,13 +49,17 @@
 	receiveBuffer = 256 << 10
 )
 
-// Handler takes a message. The payload must not be kept.
-type Handler func(from netip.AddrPort, payload []byte)
+// Handler takes a message. The payload must not be kept. An error says that the message can't be read: its
+// sender may be of another version.
+type Handler func(from netip.AddrPort, payload []byte) error
 
 // Socket sends and receives messages. It may be used concurrently.
 type Socket struct {
+	// Logger is told of messages that can't be read. It is set before Run.
+	Logger     logr.Logger
 	connection atomic.Pointer[net.UDPConn]
 	handlers   [kindEnd]Handler
+	unreadable unreadable
 }
 
 // Handle has messages of a kind taken by a handler. It is called before Run.
@@ -90,12 +96,27 @@
 			// The port of a process that has ended may answer so; what was sent there is lost.
 			continue
 		}
-		if kind := Kind(buffer[0]); kind < kindEnd && s.handlers[kind] != nil {
-			s.handlers[kind](netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[1:count])
+		kind, sender := Kind(buffer[0]), netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if err := s.handle(kind, sender, buffer[1:count]); err != nil {
+			s.unreadable.note(s.Logger, time.Now(), kind, sender, err)
 		}
 	}
 }
 
+// errUnknownKind says that no handler takes messages of a kind.
+var errUnknownKind = errors.New("messages of this kind are not known")
+
+// handle has a message taken by the handler of its kind.
+func (s *Socket) handle(kind Kind, from netip.AddrPort, payload []byte) error {
+	if kind >= kindEnd || s.handlers[kind] == nil {
+		return errUnknownKind
+	}
+	return s.handlers[kind](from, payload)
+}
+
+// Unreadable is the number of messages that could not be read.
+func (s *Socket) Unreadable() uint64 { return s.unreadable.total.Load() }
+
 // Send sends a message to each target, and returns the bytes that this takes on the
 // network; 0 if it can't be sent: it can't be encoded, is too large, or the socket does not
 // listen. A failure at a target is a loss like any other.
--- a/internal/datagram/socket_test.go
+++ b/internal/datagram/socket_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -36,11 +38,12 @@
 func TestMessagesGoToTheHandlerOfTheirKind(t *testing.T) {
 	received := make(chan string, 16)
 	to, from := &datagram.Socket{}, &datagram.Socket{}
-	to.Handle(datagram.KindOutstanding, func(_ netip.AddrPort, payload []byte) {
+	to.Handle(datagram.KindOutstanding, func(_ netip.AddrPort, payload []byte) error {
 		var message region.Outstanding
 		_, err := message.UnmarshalMsg(payload)
 		assert.NoError(t, err)
 		received <- message.Gateway
+		return nil
 	})
 	address := run(t, to)
 	assert.Zero(t, from.Send(datagram.KindOutstanding, &region.Outstanding{Gateway: "early"}, address), "it does not listen yet")
@@ -62,7 +65,10 @@
 func TestBytesThatAreNoMessageAreBorne(t *testing.T) {
 	received := make(chan struct{}, 1)
 	socket := &datagram.Socket{}
-	socket.Handle(datagram.KindPlacementReply, func(netip.AddrPort, []byte) { received <- struct{}{} })
+	socket.Handle(datagram.KindPlacementReply, func(netip.AddrPort, []byte) error {
+		received <- struct{}{}
+		return nil
+	})
 	address := run(t, socket)
 	stranger, err := net.Dial("udp4", address.String())
 	require.NoError(t, err)
@@ -79,3 +85,31 @@
 		}
 	}, patience, time.Millisecond)
 }
+
+// Whoever sends what can't be read, and how often, costs a line a second at most for each kind.
+func TestMessagesThatCannotBeReadAreCountedAndToldOfRarely(t *testing.T) {
+	var lines atomic.Int64
+	socket := &datagram.Socket{Logger: funcr.New(func(_, line string) {
+		assert.Contains(t, line, "message unreadable")
+		lines.Add(1)
+	}, funcr.Options{})}
+	socket.Handle(datagram.KindOutstanding, func(_ netip.AddrPort, payload []byte) error {
+		var message region.Outstanding
+		_, err := message.UnmarshalMsg(payload)
+		return err
+	})
+	address := run(t, socket)
+	stranger, err := net.Dial("udp4", address.String())
+	require.NoError(t, err)
+	defer func() { _ = stranger.Close() }()
+	begun := time.Now()
+	require.Eventually(t, func() bool {
+		for range 100 {
+			_, _ = stranger.Write([]byte{byte(datagram.KindOutstanding), 0x91})
+			_, _ = stranger.Write([]byte{200, 1, 2})
+		}
+		return socket.Unreadable() > 1000
+	}, patience, time.Millisecond)
+	assert.GreaterOrEqual(t, lines.Load(), int64(2))
+	assert.LessOrEqual(t, lines.Load(), 2*(1+int64(time.Since(begun)/time.Second)))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,10 +94,10 @@
 	LimitNamed Event = "replica's limit"
 	// LimitUnreadable: a replica names a limit that can't be read; what was known of it stays.
 	LimitUnreadable Event = "replica's limit unreadable"
+	// MessageUnreadable: a message of another process can't be read.
+	MessageUnreadable Event = "message unreadable"
 	// LimitDenied: a replica's limit leaves no room for a request, which goes to another one or is refused.
 	LimitDenied Event = "no room under a replica's limit"
-	// LimitWordUnreadable: a message on the limits of replicas can't be read.
-	LimitWordUnreadable Event = "message on limits unreadable"
 	// PrefixesLearned: a replica told what it keeps.
 	PrefixesLearned Event = "kept prefixes learned"
 	// PrefixesUnknown: a replica did not tell what it keeps.
@@ -110,8 +110,6 @@
 	PlacementSilent Event = "coordinator silent on a placement"
 	// PlacementForgotten: the coordinator has restarted, and is told what is open.
 	PlacementForgotten Event = "coordinator has forgotten its leases"
-	// PlacementUnreadable: a message on placements can't be read.
-	PlacementUnreadable Event = "placement message unreadable"
 	// PlacementRefused: a coordinator does not take a gateway's question.
 	PlacementRefused Event = "placement refused"
 	// RegionLeft: a request was given to a replica of another region.
@@ -185,8 +183,6 @@
 	QuotaLimits Event = "quota limits applied"
 	// QuotaMode: a coordinator counts more or fewer parts of the tenants' limits than before.
 	QuotaMode Event = "quota parts changed"
-	// QuotaUnreadable: a message on limits can't be read.
-	QuotaUnreadable Event = "quota message unreadable"
 	// QuotaSilent: a coordinator has not answered whether a tenant's request may run.
 	QuotaSilent Event = "quota not answered"
 	// QuotaLocal: a gateway that reaches no coordinator decides by its own part of the tolerance.
@@ -249,14 +245,13 @@
 		LimitNamed,
 		LimitUnreadable,
 		LimitDenied,
-		LimitWordUnreadable,
+		MessageUnreadable,
 		PrefixesLearned,
 		PrefixesUnknown,
 		PeersUnreachable,
 		PlacementBy,
 		PlacementSilent,
 		PlacementForgotten,
-		PlacementUnreadable,
 		PlacementRefused,
 		RegionLeft,
 		RegionWord,
@@ -287,7 +282,6 @@
 		RequestHeldHere,
 		QuotaLimits,
 		QuotaMode,
-		QuotaUnreadable,
 		QuotaSilent,
 		QuotaLocal,
 		QuotaStatusHere,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -188,24 +188,24 @@
 func (p *Peers) Forget() { p.Take(0, nil) }
 
 // receive takes a peer's message in.
-func (p *Peers) receive(from netip.AddrPort, payload []byte) {
+func (p *Peers) receive(from netip.AddrPort, payload []byte) error {
 	var message region.Outstanding
 	if _, err := message.UnmarshalMsg(payload); err != nil {
-		// A process of another version; there is nothing that it could tell.
-		return
+		return err
 	}
 	age, newer := p.note(from, &message, time.Now())
 	if !newer {
-		return
+		return nil
 	}
 	p.directory.TakePlaced(p.newPrompts(&message))
 	p.directory.TakeCosts(message.Costs)
 	if p.spans && p.topology.Between(p.zone, message.Zone) == topology.OtherRegion {
 		p.directory.TakeSums(p.topology.RegionOf(message.Zone), message.Gateway, message.Replicas, message.Whole, age)
-		return
+		return nil
 	}
 	p.directory.TakeOutstanding(message.Gateway, message.Replicas, message.Whole)
 	p.directory.TakeUnreachable(message.Unreachable)
+	return nil
 }
 
 // note reports whether a message is not overtaken by another of its sender, and how old it is.
--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -47,12 +47,12 @@
 		Name: zone, Address: p.address.String(), Life: started.UnixNano(), Zone: zone, Topology: regions,
 		Directory: p.directory, Socket: p.socket,
 	})
-	p.socket.Handle(datagram.KindOutstanding, func(from netip.AddrPort, payload []byte) {
+	p.socket.Handle(datagram.KindOutstanding, func(from netip.AddrPort, payload []byte) error {
 		var word region.Outstanding
 		if _, err := word.UnmarshalMsg(payload); err == nil {
 			p.words <- word
 		}
-		p.receive(from, payload)
+		return p.receive(from, payload)
 	})
 	p.told = teller{peers: p.Peers, last: started}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -317,11 +317,10 @@
 }
 
 // receive takes a reply.
-func (c *Client) receive(from netip.AddrPort, payload []byte) {
+func (c *Client) receive(from netip.AddrPort, payload []byte) error {
 	var reply region.PlacementReply
 	if _, err := reply.UnmarshalMsg(payload); err != nil {
-		c.logger.Info(event.PlacementUnreadable, "from", from.String(), "error", err.Error())
-		return
+		return err
 	}
 	if c.take(from, &reply) {
 		c.directory.ForgetGrants()
@@ -330,6 +329,7 @@
 	if len(reply.Costs) > 0 {
 		c.directory.TakeCosts(reply.Costs)
 	}
+	return nil
 }
 
 // take takes a reply over, and reports whether the coordinator has forgotten what it had
--- a/internal/placement/client_test.go
+++ b/internal/placement/client_test.go
@@ -199,16 +199,17 @@
 	a := startClient(t, "gateway")
 	answering := func(life int64, address string) *listening {
 		return listen(t, address, func(opened *datagram.Socket) {
-			opened.Handle(datagram.KindPlacement, func(from netip.AddrPort, payload []byte) {
+			opened.Handle(datagram.KindPlacement, func(from netip.AddrPort, payload []byte) error {
 				var message region.PlacementMessage
 				_, err := message.UnmarshalMsg(payload)
 				if err != nil || message.Question == nil {
-					return
+					return err
 				}
 				answer := &region.PlacementAnswer{Lease: message.Question.Lease, Outcome: region.PlacementGranted, Replica: "b"}
 				for _, told := range []int64{life, life - 1} {
 					opened.Send(datagram.KindPlacementReply, &region.PlacementReply{Life: told, Answer: answer}, from)
 				}
+				return nil
 			})
 		})
 	}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -78,15 +78,15 @@
 
 // Serve answers the messages that come to a socket.
 func (s *Server) Serve(socket *datagram.Socket) {
-	socket.Handle(datagram.KindPlacement, func(from netip.AddrPort, payload []byte) {
+	socket.Handle(datagram.KindPlacement, func(from netip.AddrPort, payload []byte) error {
 		var message region.PlacementMessage
 		if _, err := message.UnmarshalMsg(payload); err != nil {
-			s.logger.Info(event.PlacementUnreadable, "from", from.String(), "error", err.Error())
-			return
+			return err
 		}
 		if reply := s.Take(&message); reply != nil {
 			socket.Send(datagram.KindPlacementReply, reply, from)
 		}
+		return nil
 	})
 }
 
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -68,7 +68,7 @@
 	directory.KnowPlaces(settings.Topology)
 	directory.KnowConnections(replicas.Connected)
 	budgets := relay.NewBudgets(clock, settings.Budget, initialGateways)
-	socket := &datagram.Socket{}
+	socket := &datagram.Socket{Logger: settings.Logger}
 	life := started.UnixNano()
 	peers := peers.New(peers.Options{
 		Name:              settings.Name,
@@ -126,6 +126,9 @@
 		}
 		return 0
 	})
+	registry.GaugeFunc("messages_unreadable", "Messages of other processes that could not be read, since the start.", func() float64 {
+		return float64(d.socket.Unreadable())
+	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
 	registry.GaugeFunc("replicas_limited", "Replicas that name a limit of requests.", func() float64 { return float64(d.directory.LimitedCount()) })
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
--- a/internal/relay/daemon/poolclient.go
+++ b/internal/relay/daemon/poolclient.go
@@ -228,11 +228,10 @@
 }
 
 // receive takes a coordinator's answers.
-func (p *poolClient) receive(from netip.AddrPort, payload []byte) {
+func (p *poolClient) receive(from netip.AddrPort, payload []byte) error {
 	var reply quota.GatewayReply
 	if _, err := reply.UnmarshalMsg(payload); err != nil {
-		p.logger.Info(event.QuotaUnreadable, "from", from.String(), "error", err.Error())
-		return
+		return err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -248,6 +247,7 @@
 			p.give(given.amount, from)
 		}
 	}
+	return nil
 }
 
 // read returns what was decided since the start.
