--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -43,6 +44,9 @@
 	Production string
 	// Calm leaves out all faults: processes are replaced by those of another build, and nothing else.
 	Calm bool
+	// Halt stops the replacing of processes half-way: the two builds go on side by side. LateThaw has
+	// the process that is replaced last stand still until all others are new; it needs Calm.
+	Halt, LateThaw bool
 	// Folder takes settings, data and logs.
 	Folder string
 	// Without are mechanisms of the gateways that are switched off, to see that the checker notices.
@@ -373,26 +377,30 @@
 	}
 }
 
+var errThawNeedsCalm = errors.New("--late-thaw needs --calm: a process that stands still can't be harmed otherwise")
+
 // Command returns the command that runs soaks.
 func Command() *cobra.Command {
-	var seed uint64
+	var options Options
 	var runs int
-	var duration time.Duration
-	var production string
-	var calm bool
 	command := &cobra.Command{
 		Use:   "soak",
 		Short: "Run a region's real processes under random faults and check the promises",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runAll(command.Context(), command.OutOrStdout(), Options{Seed: seed, Duration: duration, Production: production, Calm: calm}, runs)
+			if options.LateThaw && !options.Calm {
+				return errThawNeedsCalm
+			}
+			return runAll(command.Context(), command.OutOrStdout(), options, runs)
 		},
 	}
-	command.Flags().Uint64Var(&seed, "seed", 0, "first seed; 0 draws one")
-	command.Flags().StringVar(&production, "production", "", "a commit, or a program built before, with which all processes begin; they are replaced one after the other, there and back")
-	command.Flags().BoolVar(&calm, "calm", false, "no faults: replace all processes once, and tell what was served before and meanwhile")
+	command.Flags().Uint64Var(&options.Seed, "seed", 0, "first seed; 0 draws one")
+	command.Flags().StringVar(&options.Production, "production", "", "a commit, or a program built before, with which all processes begin; they are replaced one after the other, there and back")
+	command.Flags().BoolVar(&options.Calm, "calm", false, "no faults: replace all processes once, and tell what was served before and meanwhile")
+	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
+	command.Flags().BoolVar(&options.LateThaw, "late-thaw", false, "with --calm: the process that is replaced last stands still until all others are new")
 	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
-	command.Flags().DurationVar(&duration, "duration", 30*time.Second, "time of faults in each")
+	command.Flags().DurationVar(&options.Duration, "duration", 30*time.Second, "time of faults in each")
 	return command
 }
 
--- a/bench/soak/upgrade.go
+++ b/bench/soak/upgrade.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // upgrade replaces the processes of a fleet by those of another build, one after the other.
@@ -80,6 +81,9 @@
 // replaceNext replaces the next process by one of the other build. Once all have been replaced, the
 // earlier build comes back in an order of its own.
 func (s *soak) replaceNext(ctx context.Context) {
+	if s.options.Halt && s.upgrade.next == len(s.upgrade.order)/2 {
+		return
+	}
 	if s.upgrade.next == len(s.upgrade.order) {
 		s.upgrade.next, s.upgrade.back = 0, !s.upgrade.back
 		s.upgrade.order = s.random.Perm(len(s.upgrade.order))
@@ -101,12 +105,35 @@
 func (s *soak) replaceAll(ctx context.Context) {
 	pause(ctx, s.options.Duration)
 	s.upgrade.begin()
-	for range s.fleet.all() {
+	thaw := func() {}
+	if s.options.LateThaw {
+		thaw = s.standStill(s.fleet.all()[s.upgrade.order[len(s.upgrade.order)-1]])
+	}
+	for number := range s.upgrade.order {
+		if number == len(s.upgrade.order)-1 {
+			thaw()
+			// What it believes is as old as the upgrade: it acts on that, among processes that know better.
+			pause(ctx, thawedTime)
+		}
 		s.replaceNext(ctx)
 		pause(ctx, settleTime)
 	}
 }
 
+// thawedTime is for how long a process of the earlier build runs among newer ones after it stood still.
+const thawedTime = 4 * time.Second
+
+// standStill stops a process, and returns what has it go on.
+func (s *soak) standStill(harmed *process) (thaw func()) {
+	_, _ = fmt.Fprintf(s.options.Log, "seed %d: %s stands still until all others are new\n", s.options.Seed, harmed.name)
+	ends := s.truth.disturbs(harmed.name, "")
+	harmed.signal(syscall.SIGSTOP)
+	return func() {
+		harmed.signal(syscall.SIGCONT)
+		ends()
+	}
+}
+
 // noteBuild notes whether a process is a gateway of an earlier build, which need not keep the limits that
 // replicas name.
 func (s *soak) noteBuild(noted *process) {
--- a/bench/soak/upgrade_test.go
+++ b/bench/soak/upgrade_test.go
@@ -29,6 +29,21 @@
 	require.Greater(t, result.Replaced, 2)
 }
 
+// A process of the earlier build goes on after all others are new, and the two builds stay side by side.
+func TestAProcessThatStoodStillDuringAnUpgradeBreaksNothing(t *testing.T) {
+	if exec.Command("git", "cat-file", "-e", earlierBuild).Run() != nil {
+		t.Skip("the repository's history is not here")
+	}
+	production, err := buildCommit(t.Context(), earlierBuild, t.TempDir())
+	require.NoError(t, err)
+	options := Options{Seed: 23, Duration: 2 * time.Second, Binary: buildProgram(t, t.TempDir()), Production: production, Folder: t.TempDir(), Log: t.Output()}
+	options.Calm, options.LateThaw = true, true
+	result, err := Run(t.Context(), options)
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+	require.Greater(t, result.Replaced, 4)
+}
+
 // buildPlanted builds this program with a text in one of its files replaced, below the folder of the
 // repository.
 func buildPlanted(t *testing.T, file, text, planted string) string {
