Have one request at a time find out whether silent coordinators answer again

What callers saw: at a gateway that was cut off from all coordinators each request of a tenant with a limit, and each one for a replica that names one, waited a fifth of a second longer (a twentieth of the contact time), of objectives from a quarter of a second on, and was then decided by the gateway's own part as it would have been without.

Cause: a coordinator that was silent is asked last, but asked, and where all are silent the first two are waited for by each request. Ruled out: what is decided (the same either way), and the view (a gateway knows after 0.9 s that it is old, which says nothing of whether coordinators answer questions).

Why it holds: coordinators that were silent twice in a row are waited for by one request in the time that two of them have to answer; any answer, also a late one, ends that.

--- a/internal/relay/daemon/poolclient.go
+++ b/internal/relay/daemon/poolclient.go
@@ -22,6 +22,8 @@
 	// poolSilenceShare of the contact time is for how long a coordinator that has not answered is
 	// asked last: by then another one leads, or the gateway polls another one.
 	poolSilenceShare = 0.25
+	// poolSilences in a row have a coordinator not waited for: the datagrams of one question may be lost.
+	poolSilences = 2
 	// poolAsked is the number of coordinators that are asked about a request: the one that is
 	// polled, and another one if that has just gone.
 	poolAsked = 2
@@ -49,9 +51,18 @@
 	// given back if an answer comes after all.
 	waiting map[uint64]chan quota.GatewayReply
 	lost    map[uint64]lostQuestion
-	// silentUntil are the coordinators that have not answered of late.
-	silentUntil map[string]time.Duration
-	counts      poolCounts
+	// silent are the coordinators that have not answered of late.
+	silent map[string]silence
+	// probeAt is when coordinators are next asked while all that would be are silent.
+	probeAt time.Duration
+	counts  poolCounts
+}
+
+// silence is until when a coordinator counts as silent, and how many questions in a row it has not
+// answered.
+type silence struct {
+	until     time.Duration
+	questions int
 }
 
 // lostQuestion is a question that was given up.
@@ -78,14 +89,14 @@
 		settings: settings,
 		logger:   settings.Logger,
 		// Names of an earlier process's questions are never used again.
-		lastID:      uint64(time.Now().UnixNano()),
-		socket:      socket,
-		asks:        asks,
-		clock:       keeper.now,
-		keeper:      keeper,
-		waiting:     map[uint64]chan quota.GatewayReply{},
-		lost:        map[uint64]lostQuestion{},
-		silentUntil: map[string]time.Duration{},
+		lastID:  uint64(time.Now().UnixNano()),
+		socket:  socket,
+		asks:    asks,
+		clock:   keeper.now,
+		keeper:  keeper,
+		waiting: map[uint64]chan quota.GatewayReply{},
+		lost:    map[uint64]lostQuestion{},
+		silent:  map[string]silence{},
 	}
 	socket.Handle(replies, created.receive)
 	return created
@@ -116,7 +127,11 @@
 // decide has coordinators decide on a question about a request. It reports false if none has, and
 // fails if the request's caller has gone.
 func (p *poolClient) decide(ctx context.Context, request string, asked quota.Question) (poolVerdict, bool, error) {
-	for _, coordinator := range p.candidates() {
+	candidates := p.candidates()
+	if !p.mayAsk(candidates) {
+		return poolVerdict{}, false, nil
+	}
+	for _, coordinator := range candidates {
 		reply, answered := p.ask(ctx, coordinator, asked)
 		if ctx.Err() != nil {
 			if answered && reply.Answers[0].Admitted {
@@ -158,7 +173,7 @@
 	now := p.clock()
 	p.mutex.Lock()
 	silent := func(address string) int {
-		if now < p.silentUntil[address] {
+		if now < p.silent[address].until {
 			return 1
 		}
 		return 0
@@ -174,6 +189,25 @@
 	return parsed
 }
 
+// mayAsk reports whether a request is to wait for the answers of coordinators. While all of them are silent
+// one request at a time finds out whether they still are: the others would wait in vain, and then be
+// decided here all the same.
+func (p *poolClient) mayAsk(candidates []netip.AddrPort) bool {
+	now := p.clock()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, each := range candidates {
+		if known := p.silent[each.String()]; now >= known.until || known.questions < poolSilences {
+			return true
+		}
+	}
+	if now < p.probeAt {
+		return false
+	}
+	p.probeAt = now + poolAsked*p.share(poolWaitShare)
+	return true
+}
+
 // ask asks a coordinator once.
 func (p *poolClient) ask(ctx context.Context, coordinator netip.AddrPort, asked quota.Question) (quota.GatewayReply, bool) {
 	answers := make(chan quota.GatewayReply, 1)
@@ -217,7 +251,10 @@
 	}
 	p.lost[asked.ID] = lostQuestion{amount: quota.Amount{Account: asked.Account, Units: asked.Units}, until: now + poolLateTime}
 	if ctx.Err() == nil {
-		p.silentUntil[coordinator.String()] = now + p.share(poolSilenceShare)
+		p.silent[coordinator.String()] = silence{
+			until:     now + p.share(poolSilenceShare),
+			questions: p.silent[coordinator.String()].questions + 1,
+		}
 	}
 	return quota.GatewayReply{}, false
 }
@@ -235,7 +272,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	delete(p.silentUntil, from.String())
+	delete(p.silent, from.String())
 	for _, each := range reply.Answers {
 		if answers, found := p.waiting[each.ID]; found {
 			delete(p.waiting, each.ID)
