--- a/internal/gateway/listener/slow_test.go
+++ b/internal/gateway/listener/slow_test.go
@@ -85,3 +85,27 @@
 	}
 	assert.Equal(t, answerBytes, read)
 }
+
+// A refusal on a connection that had been quiet for longer than the stall time was not written: the
+// deadline of the answer before it still held for its connection.
+func TestARefusalAfterAQuietTimeIsWritten(t *testing.T) {
+	const stall = 50 * time.Millisecond
+	l, err := listener.Listen("127.0.0.1:0", 10, func(failure.Kind) {})
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	l.StallTime = stall
+	connection := dial(t, l)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	_, err = accepted.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	time.Sleep(2 * stall)
+	_, err = accepted.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\nError when parsing request"))
+	require.NoError(t, err)
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+	read := make([]byte, 1<<10)
+	count, err := io.ReadAtLeast(connection, read, 80)
+	require.NoError(t, err)
+	assert.Contains(t, string(read[:count]), "HTTP/1.1 400")
+}
