Write refusals within a deadline of their own

On a connection whose last answer was longer ago than the stall time, a refusal of the library (a malformed request, a body too large) was not written: the deadline of that answer had passed.

Cause: write deadlines hold for a connection, not for a write, and refusals were written without one of their own. Ruled out: answers, which set theirs. Why it holds: there is one way to write to a caller. Before: i/o timeout, always; after: written.

--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -120,7 +120,7 @@
 	}
 	c.refused.Store(true)
 	c.listener.onRefusal(kind)
-	if _, err := c.Conn.Write(renderRefusal(kind)); err != nil {
+	if _, err := c.writeSteadily(renderRefusal(kind)); err != nil {
 		return 0, err
 	}
 	return len(answer), nil
