Find the busiest window of events in one place

Four tests and the soak's check each counted the most within a window. Each bound is what it was; the soak names the busiest window of a replica instead of the first one beyond its bound.

--- a/bench/soak/limits.go
+++ b/bench/soak/limits.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pierhaven/pierhaven/internal/window"
 )
 
 const (
@@ -144,16 +146,12 @@
 	if life.until.Sub(named) > contactTime+limitWindow {
 		t.limitWindows++
 	}
-	first := 0
-	for last := range counted {
-		for counted[last].at.Sub(counted[first].at) > limitWindow {
-			first++
-		}
-		if count := last - first + 1; count > allowed {
-			t.violate("%s names %g requests a second, and got %d within %s, %s after it began to; %d are allowed: %s",
-				replica, life.rate, count, limitWindow, counted[last].at.Sub(named).Round(time.Millisecond), allowed, listed(counted[first:last+1]))
-			return
-		}
+	first, last := window.Busiest(len(counted), limitWindow, func(first, last int) time.Duration {
+		return counted[last].at.Sub(counted[first].at)
+	})
+	if count := last - first + 1; count > allowed {
+		t.violate("%s names %g requests a second, and got %d within %s, %s after it began to; %d are allowed: %s",
+			replica, life.rate, count, limitWindow, counted[last].at.Sub(named).Round(time.Millisecond), allowed, listed(counted[first:last+1]))
 	}
 }
 
--- a/internal/quota/strict_test.go
+++ b/internal/quota/strict_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/quota"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
+	"github.com/pierhaven/pierhaven/internal/window"
 )
 
 // contact is the time within which processes that reach each other know what one knows.
@@ -235,12 +236,7 @@
 // most is the most that was sent within four seconds.
 func (s *shares) most() int {
 	slices.Sort(s.sent)
-	most, first := 0, 0
-	for last := range s.sent {
-		for s.sent[last]-s.sent[first] > 4 {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
+	return window.Most(len(s.sent), 4*time.Second, func(first, last int) time.Duration {
+		return time.Duration((s.sent[last] - s.sent[first]) * float64(time.Second))
+	})
 }
--- a/internal/relay/daemon/replicalimits_test.go
+++ b/internal/relay/daemon/replicalimits_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/window"
 )
 
 const (
@@ -72,16 +74,9 @@
 	return times
 }
 
-// mostWithin is the greatest number of times that lie within a window.
-func mostWithin(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for last := range times {
-		for times[last].Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
+// mostAtOnce is the greatest number of times that lie within the window of limits.
+func mostAtOnce(times []time.Time) int {
+	return window.Most(len(times), limitWindow, func(first, last int) time.Duration { return times[last].Sub(times[first]) })
 }
 
 // allowed is how many requests a replica with a limit may get within the window.
@@ -122,7 +117,7 @@
 	defer cancel()
 	sent, served := r.load(ctx, 12, 100*time.Millisecond)
 	taken := r.replicas.takenSince("i-1", named.Add(contactTime))
-	assert.LessOrEqual(t, mostWithin(taken, limitWindow), allowed(limit))
+	assert.LessOrEqual(t, mostAtOnce(taken), allowed(limit))
 	assert.GreaterOrEqual(t, len(taken), int(limit*limitWindow.Seconds()), "the replica is used")
 	assert.Equal(t, sent, served, "other replicas have room")
 }
@@ -174,7 +169,7 @@
 		status, answer := r.ask(1+number%2, fmt.Sprint("known-", number), "body")
 		require.Equal(t, http.StatusOK, status, answer)
 	}
-	assert.LessOrEqual(t, mostWithin(r.replicas.takenSince("i-1", from), limitWindow), allowed(limit))
+	assert.LessOrEqual(t, mostAtOnce(r.replicas.takenSince("i-1", from)), allowed(limit))
 }
 
 // A limit ends with the first answer that names none, and with the replica.
--- a/internal/relay/limited_load_test.go
+++ b/internal/relay/limited_load_test.go
@@ -13,6 +13,7 @@
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/window"
 )
 
 // limitedReplay is a replay in which readers name limits, kept by one pool.
@@ -76,14 +77,9 @@
 func (r *limitedReplay) requireLimits(t *testing.T) {
 	t.Helper()
 	for id, times := range r.sent {
-		first := 0
-		for last := range times {
-			for times[last]-times[first] > 4*time.Second {
-				first++
-			}
-			if last-first+1 > int(6*r.rates[id])+5 {
-				t.Fatalf("%s names %g a second, and got %d in 4 s", id, r.rates[id], last-first+1)
-			}
+		most := window.Most(len(times), 4*time.Second, func(first, last int) time.Duration { return times[last] - times[first] })
+		if most > int(6*r.rates[id])+5 {
+			t.Fatalf("%s names %g a second, and got %d in 4 s", id, r.rates[id], most)
 		}
 	}
 }
