Leave the room of readers with limits to the prompts that take longest to read

Cause: a limit counts requests, and readers that name one are idle most of the time, so that they looked best to every prompt: light ones used the room up.

Without limits no choice changes.

--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -11,6 +11,8 @@
 type rankedMeter struct {
 	// busy is the work that was placed here of late, in seconds, and prompts its number.
 	busy, prompts [LastRank]float64
+	// squares is the sum of the squares of the prompts' work, in seconds.
+	squares float64
 	// taken is the share of the readers that have prompts in time to read, of late.
 	taken float64
 	// readers is their number, and late that of those which have late prompts, now.
@@ -29,6 +31,7 @@
 		m.busy[rank] *= left
 		m.prompts[rank] *= left
 	}
+	m.squares *= left
 	return left
 }
 
@@ -56,6 +59,7 @@
 func (m *rankedMeter) place(rank int, busy time.Duration) {
 	m.busy[rank] += busy.Seconds()
 	m.prompts[rank]++
+	m.squares += busy.Seconds() * busy.Seconds()
 }
 
 // ahead is the share of the work in time that is of a rank or an earlier one; all of it as
@@ -101,6 +105,19 @@
 	return time.Duration(busy / prompts * float64(time.Second))
 }
 
+// typical is how long a prompt in time takes to be read, the mean over the work: half of the work takes
+// about as long or longer. It is 0 as long as nothing is known.
+func (m *rankedMeter) typical() time.Duration {
+	var all float64
+	for _, busy := range m.busy {
+		all += busy
+	}
+	if all <= 0 {
+		return 0
+	}
+	return time.Duration(m.squares / all * float64(time.Second))
+}
+
 // rankedOf is called with the mutex held.
 func (d *Directory) rankedOf(service string) *rankedMeter {
 	meter, found := d.ranked[service]
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -236,16 +236,41 @@
 // mutex held.
 func (d *Directory) bestReader(candidates []*Replica, request ReadRequest, urgency Urgency, sources []keeper, now time.Duration) readEstimate {
 	homes := d.homesOf(candidates[0].Service, region.StagePrefill, request.Prompt, now)
-	var best readEstimate
-	var bestScore time.Duration
-	for index, replica := range candidates {
+	var best, unlimited ratedEstimate
+	for _, replica := range candidates {
 		estimated := d.estimate(replica, request, urgency, sources, now)
-		score := d.readScore(&estimated, request, slices.Contains(homes, replica))
-		if index == 0 || score < bestScore {
-			best, bestScore = estimated, score
+		rated := ratedEstimate{estimated, d.readScore(&estimated, request, slices.Contains(homes, replica))}
+		best = best.better(rated)
+		if !replica.limit.named {
+			unlimited = unlimited.better(rated)
 		}
 	}
-	return best
+	if best.replica.limit.named && unlimited.replica != nil && d.leavesRoom(request, &best.readEstimate, &unlimited.readEstimate) {
+		return unlimited.readEstimate
+	}
+	return best.readEstimate
+}
+
+// ratedEstimate is an estimate with its score; none if it has no replica.
+type ratedEstimate struct {
+	readEstimate
+	score time.Duration
+}
+
+// better is the one of two with the lower score.
+func (r ratedEstimate) better(other ratedEstimate) ratedEstimate {
+	if r.replica == nil || other.score < r.score {
+		return other
+	}
+	return r
+}
+
+// leavesRoom reports whether a prompt leaves the room of a replica that names a limit to others: limits
+// count requests, so that the room is worth most to what takes longest to read. It is called with the
+// mutex held.
+func (d *Directory) leavesRoom(request ReadRequest, limited, unlimited *readEstimate) bool {
+	service := unlimited.replica.Service
+	return limited.busy < d.rankedOf(service).typical() && d.inTime(service, request, unlimited)
 }
 
 // readScore rates an estimate; the lowest is the best. It is called with the mutex held.
