Show what replicas ask of each process: rests with their ends, and that they leave

Each client of replicas now hears Retry-After of answers that turn a call away, and the mark of replicas that leave (both spellings, as for limits). One bounded line says so, request sent and prompt read apart carry rest_ms and leaving, two gauges count them. Nothing is decided by them yet.

--- /dev/null
+++ b/internal/backpressure/gate.go
@@ -0,0 +1,180 @@
+package backpressure
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pierhaven/pierhaven/internal/event"
+)
+
+// Peer is one process that is called: an address, and the incarnation that is expected behind it.
+type Peer struct{ Address, Instance string }
+
+// Options are what a Gate is made from.
+type Options struct {
+	// Clock tells the time, that in which the machine was suspended too.
+	Clock func() time.Duration
+	// Leaving reports whether an answer says that its sender leaves; nil if none can say so.
+	Leaving func(header http.Header) bool
+	Logger  logr.Logger
+}
+
+// Gate keeps what peers ask of this process. It may be used concurrently.
+type Gate struct {
+	options Options
+	// asked is the number of standings, so that calls pay nothing while there are none.
+	asked atomic.Int64
+	// told is the function of OnAsked.
+	told func(peer Peer, standing *Standing)
+
+	mutex     sync.Mutex
+	standings map[Peer]*Standing
+	// sweepAt is the number of standings at which those are looked for that may be forgotten.
+	sweepAt int
+}
+
+// logPause is the least time between two lines on one peer, which may ask for more in each answer.
+const logPause = time.Second
+
+// NewGate returns a gate that knows of no wishes.
+func NewGate(options Options) *Gate {
+	if options.Leaving == nil {
+		options.Leaving = func(http.Header) bool { return false }
+	}
+	return &Gate{options: options, told: func(Peer, *Standing) {}, standings: map[Peer]*Standing{}, sweepAt: leastSwept}
+}
+
+// OnAsked has a function told of each peer that asks for something for the first time. It is called
+// before any use.
+func (g *Gate) OnAsked(told func(peer Peer, standing *Standing)) { g.told = told }
+
+// Now is the time by which standings are kept.
+func (g *Gate) Now() time.Duration { return g.options.Clock() }
+
+// Quiet reports whether no peer has asked for anything, as far as is known.
+func (g *Gate) Quiet() bool { return g.asked.Load() == 0 }
+
+// Hear takes the head of an answer of a peer. One of another incarnation says nothing of this one.
+func (g *Gate) Hear(peer Peer, status int, header http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	rest, unreadable := readRest(status, header)
+	leaving := g.options.Leaving(header)
+	if rest <= 0 && !unreadable && !leaving {
+		return
+	}
+	standing, first := g.standing(peer)
+	now := g.Now()
+	longer := standing.askRest(now, rest)
+	leaves := leaving && standing.sayLeaving(now)
+	if first {
+		g.told(peer, standing)
+	}
+	switch {
+	case leaves:
+		g.options.Logger.Info(event.LeavingSaid, "life", peer.Instance, "address", peer.Address)
+	case longer:
+		g.logRest(peer, standing, event.RestAsked, rest)
+	case unreadable:
+		g.logRest(peer, standing, event.RestUnreadable, 0)
+	}
+}
+
+// standing returns that of a peer, and whether it is new.
+func (g *Gate) standing(peer Peer) (standing *Standing, first bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known, found := g.standings[peer]; found {
+		return known, false
+	}
+	g.sweep()
+	g.asked.Add(1)
+	created := &Standing{}
+	g.standings[peer] = created
+	return created, true
+}
+
+// logRest writes a line on what a peer asks for, at most one in logPause.
+func (g *Gate) logRest(peer Peer, standing *Standing, what event.Event, rest time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.Now()
+	if now < standing.logAt {
+		standing.omitted++
+		return
+	}
+	g.options.Logger.Info(what, "life", peer.Instance, "address", peer.Address, "rest_ms", rest.Milliseconds(),
+		"left_ms", standing.RestLeft(now).Milliseconds(), "omitted", standing.omitted)
+	standing.logAt, standing.omitted = now+logPause, 0
+}
+
+// Counts are the peers that are to be left alone now, and those that have said that they leave.
+func (g *Gate) Counts() (resting, leaving int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.Now()
+	for _, each := range g.standings {
+		if each.RestLeft(now) > 0 {
+			resting++
+		}
+		if each.Leaving() {
+			leaving++
+		}
+	}
+	return resting, leaving
+}
+
+// Know returns the standing of a peer that has become known, nil if it has asked for nothing.
+func (g *Gate) Know(peer Peer) *Standing {
+	if g.Quiet() {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known, found := g.standings[peer]
+	if found {
+		known.forgetAt = 0
+	}
+	return known
+}
+
+// droppedMemory is for how long the standing of a peer is kept that is not known any more: lists that are
+// older, or doubted, may show it again.
+const droppedMemory = time.Minute
+
+// Drop notes that a peer is not known any more.
+func (g *Gate) Drop(peer Peer) {
+	if g.Quiet() {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if dropped, found := g.standings[peer]; found {
+		now := g.Now()
+		dropped.forgetAt = now + max(droppedMemory, dropped.RestLeft(now))
+	}
+}
+
+// leastSwept is the number of standings below which none is looked for that may be forgotten.
+const leastSwept = 64
+
+// sweep forgets peers that have not been known for long, each time that there are twice as many standings as
+// after the last time. It is called with the mutex held.
+func (g *Gate) sweep() {
+	if len(g.standings) < g.sweepAt {
+		return
+	}
+	now := g.Now()
+	for peer, each := range g.standings {
+		if each.forgetAt > 0 && now >= each.forgetAt {
+			delete(g.standings, peer)
+			g.asked.Add(-1)
+		}
+	}
+	g.sweepAt = max(2*len(g.standings), leastSwept)
+}
--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -145,6 +145,7 @@
 
 func runRelay(process regionalProcess) error {
 	settings := process.settings
+	gate := platform.NewGate(process.logger)
 	created, err := daemon.New(daemon.Settings{
 		Name: settings.Name,
 		Zone: settings.Zone,
@@ -176,7 +177,8 @@
 		StopTime:    settings.StopTime() - stopReserve,
 		Without:     settings.SwitchedOff(),
 		Lister:      newLister(process),
-		Prefixes:    platform.NewEngines(),
+		Gate:        gate,
+		Prefixes:    platform.NewEngines(gate),
 		Codec:       platform.Codec{},
 		Dialect:     platform.Dialect{},
 		Metrics:     process.metrics,
@@ -215,6 +217,7 @@
 	if duties.Usage {
 		terms = coordinator.UsageTerms{Window: settings.UsageWindow(), Late: settings.UsageLate()}
 	}
+	engines := platform.NewEngines(platform.NewGate(process.logger))
 	created, err := coordinator.New(coordinator.Settings{
 		Name:       settings.Name,
 		Zone:       settings.Zone,
@@ -226,8 +229,8 @@
 		DataFolder: settings.DataFolder,
 		FileSystem: fileSystem,
 		Lister:     newLister(process),
-		Engines:    platform.NewEngines(),
-		Prefixes:   platform.NewEngines(),
+		Engines:    engines,
+		Prefixes:   engines,
 		Platform:   platform.NewCaller(settings.ReplicaList),
 		Usage:      terms,
 		OrderFleet: duties.Fleet,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,12 @@
 	ReplicaBack Event = "replica back"
 	// LimitNamed: a replica names another limit of requests than before, or none any more.
 	LimitNamed Event = "replica's limit"
+	// RestAsked: a replica has turned a request away, and asks this process to be left alone for a time.
+	RestAsked Event = "replica asks for rest"
+	// RestUnreadable: a replica has turned a request away and names a time that can't be read.
+	RestUnreadable Event = "replica's rest unreadable"
+	// LeavingSaid: a replica says in an answer that it leaves.
+	LeavingSaid Event = "replica says that it leaves"
 	// LimitUnreadable: a replica names a limit that can't be read; what was known of it stays.
 	LimitUnreadable Event = "replica's limit unreadable"
 	// MessageUnreadable: a message of another process can't be read.
--- /dev/null
+++ b/internal/relay/backpressure.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/backpressure"
+)
+
+// Heed has the directory know what replicas ask of this process, as a gate hears it. It is called before
+// any use.
+func (d *Directory) Heed(gate *backpressure.Gate) {
+	d.gate = gate
+	gate.OnAsked(d.noteAsking)
+}
+
+// noteAsking takes the standing of a replica that has asked for something for the first time.
+func (d *Directory) noteAsking(peer backpressure.Peer, standing *backpressure.Standing) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if replica, listed := d.replicas[peer.Instance]; listed && replica.Address == peer.Address {
+		replica.asks = standing
+	}
+}
+
+// asksOf is the standing of a replica that has come onto the list, nil if it has asked for nothing.
+func (d *Directory) asksOf(peer backpressure.Peer) *backpressure.Standing {
+	if d.gate == nil {
+		return nil
+	}
+	return d.gate.Know(peer)
+}
+
+// RestLeft is for how much longer the lease's replica wants to be left alone.
+func (l *Lease) RestLeft() time.Duration {
+	asks := l.asks()
+	if asks == nil {
+		return 0
+	}
+	return asks.RestLeft(l.directory.gate.Now())
+}
+
+// saysLeaving reports whether the lease's replica has said that it leaves.
+func (l *Lease) saysLeaving() bool {
+	asks := l.asks()
+	return asks != nil && asks.Leaving()
+}
+
+// asks is what the lease's replica asks of this process, nil if that is nothing.
+func (l *Lease) asks() *backpressure.Standing {
+	if l.directory.gate == nil || l.directory.gate.Quiet() {
+		return nil
+	}
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	return l.Replica.asks
+}
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/datagram"
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -62,8 +63,17 @@
 	started := time.Now()
 	// Estimates of load go by the steady clock, which costs no system call.
 	clock := func() time.Duration { return time.Since(started) }
-	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes})
-	directory := relay.NewDirectory(clock, settings.Zone, replicas.Forget, settings.Logger)
+	if settings.Gate == nil {
+		settings.Gate = backpressure.NewGate(backpressure.Options{
+			Clock: uptime.Since(settings.Now), Leaving: settings.Dialect.Leaving, Logger: settings.Logger,
+		})
+	}
+	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Gate: settings.Gate})
+	directory := relay.NewDirectory(clock, settings.Zone, func(address, life string) {
+		replicas.Forget(address, life)
+		settings.Gate.Drop(backpressure.Peer{Address: address, Instance: life})
+	}, settings.Logger)
+	directory.Heed(settings.Gate)
 	directory.SwitchOff(settings.Without)
 	directory.KnowPlaces(settings.Topology)
 	directory.KnowConnections(replicas.Connected)
@@ -131,6 +141,14 @@
 	})
 	registry.GaugeFunc("replicas", "Replicas on the list.", func() float64 { return float64(d.directory.Count()) })
 	registry.GaugeFunc("replicas_limited", "Replicas that name a limit of requests.", func() float64 { return float64(d.directory.LimitedCount()) })
+	registry.GaugeFunc("replicas_resting", "Replicas that have asked this process to be left alone, for now.", func() float64 {
+		resting, _ := d.settings.Gate.Counts()
+		return float64(resting)
+	})
+	registry.GaugeFunc("replicas_leaving", "Replicas that have said to this process that they leave.", func() float64 {
+		_, leaving := d.settings.Gate.Counts()
+		return float64(leaving)
+	})
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
 		return float64(d.directory.LimitsDropped())
 	})
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -42,6 +42,7 @@
 }
 func (testDialect) Sets(name string) bool                              { return name == "Instance" || name == "Tenant" }
 func (testDialect) IsKey(name string) bool                             { return name == "Authorization" }
+func (testDialect) Leaving(header http.Header) bool                    { return header.Get("Leaving") != "" }
 func (testDialect) ReadHandle([]byte) (string, error)                  { return "", nil }
 func (testDialect) Move(string, string, bool) (string, string, []byte) { return "", "", nil }
 func (testDialect) MoveFields(string) []upstream.Field                 { return nil }
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/coordinator"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/placement"
@@ -59,6 +60,8 @@
 	CallerStall time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
 	Lister coordinator.Lister
+	// Gate keeps what replicas ask of this process; nil for one of its own. Whatever else sends to them uses it.
+	Gate *backpressure.Gate
 	// Prefixes tells what replicas keep; nil leaves that to be found out.
 	Prefixes placement.PrefixSource
 	Codec    traffic.Codec
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -20,6 +20,8 @@
 	Fields(send Send) []upstream.Field
 	// ReadMarks reads what a replica says about its answer.
 	ReadMarks(header http.Header) Marks
+	// Leaving reports whether a replica says with an answer that it takes nothing new, until its life ends.
+	Leaving(header http.Header) bool
 	// ReadHandle reads the answer to a prompt that was read for another replica.
 	ReadHandle(body []byte) (id string, err error)
 	// Move returns the call by which the replica that runs a request copies its memory to
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
@@ -56,6 +57,8 @@
 	limited atomic.Int64
 	limits  *ratelimit.Table
 	onLimit func(word ratelimit.Word)
+	// gate keeps what replicas ask of this process; nil if they can ask for nothing.
+	gate *backpressure.Gate
 	// returnAt is by service when the caller that was refused last for limits should come back.
 	returnAt map[string]time.Duration
 	// off are the mechanisms that are switched off.
@@ -115,6 +118,7 @@
 		if !found || known.Address != listed.Address {
 			// One that comes later has just begun, and keeps nothing.
 			known = &Replica{name: name, prefixes: newPrefixMemory(), keptKnown: len(d.replicas) > 0}
+			known.asks = d.asksOf(backpressure.Peer{Address: listed.Address, Instance: name})
 		}
 		draining := known.Draining || listed.Draining
 		known.Replica = listed
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -115,6 +115,7 @@
 	defer lease.Release()
 	begun := time.Now()
 	placed := *lease.reading
+	restBefore, leavingBefore := lease.RestLeft(), lease.saysLeaving()
 	bounded, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	var paid atomic.Bool
@@ -131,7 +132,8 @@
 		"distance", r.directory.distanceTo(lease.Replica).String(), "tokens", r.call.Prompt.Tokens, "missing", placed.missing, "prefix", r.call.Prompt.sharedPart(),
 		"fetch", lease.FetchFrom(), "late", placed.urgency == Late, "wait_ms", placed.wait.Milliseconds(),
 		"busy_ms", placed.busy.Milliseconds(), "took_ms", time.Since(begun).Milliseconds(),
-		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "limit", lease.Limit(), "error", failure.Text(err))
+		"pace", int(r.directory.pace(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "limit", lease.Limit(),
+		"rest_ms", restBefore.Milliseconds(), "leaving", leavingBefore, "error", failure.Text(err))
 	if err == nil {
 		r.metrics.promptRead(readDone, time.Since(begun))
 		return handle, nil
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -40,9 +41,11 @@
 	unconnected bool
 	fullUntil   time.Duration
 	limit       namedLimit
-	latency     float64
-	errorRate   float64
-	gone        bool
+	// asks is what the replica asks of this process, nil if that is nothing.
+	asks      *backpressure.Standing
+	latency   float64
+	errorRate float64
+	gone      bool
 	// streams are those of this gateway that run there.
 	streams  map[*Lease]struct{}
 	prefixes *prefixMemory
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -58,6 +59,8 @@
 	return marks
 }
 
+func (testDialect) Leaving(header http.Header) bool { return header.Get("Leaving") != "" }
+
 func (testDialect) ReadHandle(body []byte) (string, error) { return string(body), nil }
 func (testDialect) Move(id, address string, last bool) (string, string, []byte) {
 	return http.MethodPost, fmt.Sprintf("/move/%s?last=%t", id, last), []byte(address)
@@ -124,8 +127,10 @@
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
-	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20})
+	gate := backpressure.NewGate(backpressure.Options{Clock: clock, Leaving: testDialect{}.Leaving, Logger: logger})
+	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20, Gate: gate})
 	directory := relay.NewDirectory(clock, "zone", client.Forget, logger)
+	directory.Heed(gate)
 	budgets := relay.NewBudgets(clock, terms, 1)
 	return &world{
 		t:         t,
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -97,7 +97,8 @@
 		"address", lease.Replica.Address, "distance", far.String(), "source", send.Source, "fetch", send.Fetch, "send", r.sends,
 		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
 		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds(),
-		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.placedBy(), "limit", lease.Limit())
+		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.placedBy(), "limit", lease.Limit(),
+		"rest_ms", lease.RestLeft().Milliseconds(), "leaving", lease.saysLeaving())
 	if send.LastEvent != "" {
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 )
 
 // Options bound the exchanges of a Client.
@@ -20,6 +22,8 @@
 	// ResetAbandoned resets the connection of an exchange whose context ends, so that what is
 	// under way is dropped: a call that a cut link holds up would else arrive after newer ones.
 	ResetAbandoned bool
+	// Gate hears what answers ask of this process; nil if nobody cares.
+	Gate *backpressure.Gate
 }
 
 // Client makes exchanges. It may be used concurrently.
@@ -56,6 +60,11 @@
 	Belongs func(http.Header) bool
 }
 
+// peer is whom the request is for.
+func (r *Request) peer() backpressure.Peer {
+	return backpressure.Peer{Address: r.Address, Instance: r.Instance}
+}
+
 func (r *Request) key() string { return r.Address + "/" + r.Instance }
 
 // Forget closes the idle connections to an incarnation.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -66,6 +66,9 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
+			if gate := e.client.options.Gate; gate != nil {
+				gate.Hear(e.request.peer(), response.StatusCode, response.Header)
+			}
 			return response, nil
 		}
 	}
