--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -106,6 +106,8 @@
 	replicas  []region.Replica
 	mutex     sync.Mutex
 	seen      map[string]int
+	// skipped is how far the clock is ahead of the steady one, in nanoseconds.
+	skipped atomic.Int64
 }
 
 func newWorld(t *testing.T) *world {
@@ -126,21 +128,20 @@
 func makeWorld(t testing.TB, terms relay.BudgetTerms, logger logr.Logger) *world {
 	t.Helper()
 	began := time.Now()
-	clock := func() time.Duration { return time.Since(began) }
+	w := &world{t: t, seen: map[string]int{}}
+	clock := func() time.Duration { return time.Since(began) + time.Duration(w.skipped.Load()) }
 	gate := backpressure.NewGate(backpressure.Options{Clock: clock, Leaving: testDialect{}.Leaving, Logger: logger})
 	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20, Gate: gate})
-	directory := relay.NewDirectory(clock, "zone", client.Forget, logger)
-	directory.Heed(gate)
+	w.directory = relay.NewDirectory(clock, "zone", client.Forget, logger)
+	w.directory.Heed(gate)
 	budgets := relay.NewBudgets(clock, terms, 1)
-	return &world{
-		t:         t,
-		directory: directory,
-		runner: relay.NewRunner(directory, client, testDialect{}, budgets,
-			relay.NewMetrics(telemetry.NewMetrics("test")), logger),
-		seen: map[string]int{},
-	}
+	w.runner = relay.NewRunner(w.directory, client, testDialect{}, budgets, relay.NewMetrics(telemetry.NewMetrics("test")), logger)
+	return w
 }
 
+// skip puts the clock forward.
+func (w *world) skip(ahead time.Duration) { w.skipped.Add(int64(ahead)) }
+
 func (w *world) add(id, stage string, handler http.HandlerFunc) {
 	w.t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
