--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -35,8 +35,8 @@
 		call  func(number int) *relay.Call
 	}{
 		{"plain", "", func(int) *relay.Call { return callOf(traffic.KindOnce, 1) }},
-		{"reader", region.StagePrefill, func(number int) *relay.Call { return modelCall(20_000, fmt.Sprint("own-", number)) }},
-		{"generator", region.StageDecode, func(number int) *relay.Call { return modelCall(20_000, fmt.Sprint("own-", number)) }},
+		{"reader", region.StagePrefill, modelCallOf},
+		{"generator", region.StageDecode, modelCallOf},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			w := newWorld(t)
@@ -79,3 +79,46 @@
 	assert.LessOrEqual(t, w.visits("a"), 1)
 	assert.LessOrEqual(t, w.visits("b"), 1)
 }
+
+// leavingAnswer has a replica say with each answer that it leaves.
+func leavingAnswer(inner http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Leaving", "1")
+		inner(writer, request)
+	}
+}
+
+// What a replica says of its leaving was read by nobody: until the list showed it, new requests came.
+func TestNothingNewReachesAReplicaThatSaysItLeaves(t *testing.T) {
+	for _, test := range []struct {
+		name, stage string
+		answer      http.HandlerFunc
+		call        func(number int) *relay.Call
+	}{
+		{"plain", "", sealed(http.StatusOK, "ok"), func(int) *relay.Call { return callOf(traffic.KindOnce, 1) }},
+		{"reader", region.StagePrefill, sealed(http.StatusOK, "handle"), modelCallOf},
+		{"generator", region.StageDecode, events(1, 3, false), modelCallOf},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.add("leaving", test.stage, leavingAnswer(test.answer))
+			w.add("reader", region.StagePrefill, sealed(http.StatusOK, "handle"))
+			w.add("generator", region.StageDecode, events(1, 3, false))
+			if test.stage == "" {
+				w.add("free", "", sealed(http.StatusOK, "ok"))
+			}
+			for number := 0; w.visits("leaving") == 0; number++ {
+				require.True(t, w.run(test.call(number)).ended)
+			}
+			for number := range 100 {
+				require.True(t, w.run(test.call(1000+number)).ended)
+				w.skip(100 * time.Millisecond)
+				// The platform's list goes on showing it as ready.
+				w.directory.Replace(w.replicas)
+			}
+			assert.Equal(t, 1, w.visits("leaving"))
+		})
+	}
+}
+
+func modelCallOf(number int) *relay.Call { return modelCall(20_000, fmt.Sprint("own-", number)) }
