--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -48,11 +48,13 @@
 		Directory: p.directory, Socket: p.socket,
 	})
 	p.socket.Handle(datagram.KindOutstanding, func(from netip.AddrPort, payload []byte) error {
+		// Who awaits a word goes on once it has been taken in.
+		err := p.receive(from, payload)
 		var word region.Outstanding
-		if _, err := word.UnmarshalMsg(payload); err == nil {
+		if _, unreadable := word.UnmarshalMsg(payload); unreadable == nil {
 			p.words <- word
 		}
-		return p.receive(from, payload)
+		return err
 	})
 	p.told = teller{peers: p.Peers, last: started}
 	ctx, cancel := context.WithCancel(context.Background())
