Avoid replicas longer that turn requests away again and again, and tell others of them

Callers saw: a replica that turns everything away is empty and looks idle, so that after each 60 ms every gateway tried it again, whatever it asked for; each try takes a place of the retry budget, and where that was used up callers were refused beside replicas with room.

A replica that refuses while it is not full, as far as is known, is avoided for its rest or for 60 ms, twice as long each time in a row (4 s at most, unless it asks for more), then tried with one request at a time more. Peers are told of such avoidances at once (a message of its own: earlier builds read no further field in an Outstanding, as TestMessagesOfAnEarlierBuildAreRead showed), and a coordinator with the lease's event. A hint is a preference: where nobody else is left, the replica is tried.

--- a/internal/datagram/socket.go
+++ b/internal/datagram/socket.go
@@ -36,6 +36,8 @@
 	KindLimitReply
 	KindLimitPeer
 	KindLimitWord
+	// KindResting carries a region.Resting.
+	KindResting
 	kindEnd
 )
 
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -49,6 +49,10 @@
 	Quotas Mechanism = "quotas"
 	// ReplicaLimits has all gateways together send a replica no more than it says it takes.
 	ReplicaLimits Mechanism = "replica_limits"
+	// RefusalBackoff avoids replicas longer that refuse again and again though they are not full.
+	RefusalBackoff Mechanism = "refusal_backoff"
+	// RestHints avoids replicas that have asked other gateways for rest.
+	RestHints Mechanism = "rest_hints"
 )
 
 // The mechanisms of coordinators.
@@ -82,6 +86,8 @@
 		StreamMoves,
 		Quotas,
 		ReplicaLimits,
+		RefusalBackoff,
+		RestHints,
 		StageChanges,
 		Forecast,
 		EvenShortage,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -123,6 +123,7 @@
 		created.otherRegionsRate = DefaultOtherRegionsRate
 	}
 	options.Socket.Handle(datagram.KindOutstanding, created.receive)
+	options.Socket.Handle(datagram.KindResting, created.receiveResting)
 	return created
 }
 
@@ -270,6 +271,7 @@
 type teller struct {
 	peers     *Peers
 	sums      sumTeller
+	rests     restTeller
 	sequence  uint64
 	last      time.Time
 	toldAt    time.Time
@@ -295,6 +297,7 @@
 	if t.allowance <= 0 || len(near) == 0 {
 		return
 	}
+	t.rests.step(t, now, near)
 	work := t.peers.directory.Outstanding()
 	unreachable := t.peers.directory.Unreachable()
 	if slices.Equal(unreachable, t.unreachable) && !t.worthTelling(now, work) {
--- a/internal/peers/regions_test.go
+++ b/internal/peers/regions_test.go
@@ -192,3 +192,29 @@
 	assert.Equal(t, [][]region.PlacedPart{{{ID: "shared", Tokens: 1000}}}, prefixes)
 	assert.Equal(t, 4*200, unshared, "what fills a replica's memory is told as a sum")
 }
+
+// A replica that turns one process away is about to turn others away, too.
+func TestWhoTurnsOneProcessAwayIsAvoidedByItsPeers(t *testing.T) {
+	first, second := newProcess(t, "north-a", topology.Map{}), newProcess(t, "north-a", topology.Map{})
+	know(first, second)
+	list := []region.Replica{{ID: "away", Service: "s", Zone: "north-a", Slots: 64}, {ID: "free", Service: "s", Zone: "north-a", Slots: 64}}
+	first.directory.Replace(list)
+	second.directory.Replace(list)
+	lease := first.directory.PickAny("s", relay.Wanted{})
+	other := "free"
+	if lease.Replica.ID == other {
+		other = "away"
+	}
+	lease.Refused(time.Minute)
+	first.told.step(time.Now())
+	assert.Eventually(t, func() bool {
+		for range 20 {
+			chosen := second.directory.PickAny("s", relay.Wanted{})
+			chosen.Release()
+			if chosen.Replica.ID != other {
+				return false
+			}
+		}
+		return true
+	}, patience, time.Millisecond)
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -281,7 +281,7 @@
 	case region.LeaseAnswered:
 		lease.Answered(told.Failed, loadOf(told))
 	case region.LeaseFull:
-		lease.Full()
+		lease.Refused(time.Duration(max(told.Micros, 0)) * time.Microsecond)
 	case region.LeaseUnreachable:
 		lease.Unreachable(told.HandedOver)
 	case region.LeaseMisdirected:
--- a/internal/placement/server_test.go
+++ b/internal/placement/server_test.go
@@ -205,6 +205,23 @@
 	}
 }
 
+// A replica that asks one gateway for rest is about to ask others.
+func TestAReplicaThatAsksAGatewayForRestIsAvoidedForAll(t *testing.T) {
+	s := newServed(fleet()...)
+	first := s.ask(t, "gateway-1", readQuestion(1, "x"))
+	s.tell("gateway-1", region.PlacementMessage{Events: []region.LeaseEvent{
+		{Lease: 1, Kind: region.LeaseFull, Micros: 3e6}, {Lease: 1, Kind: region.LeaseReleased},
+	}})
+	for lease := range uint64(3) {
+		s.now += 500 * time.Millisecond
+		assert.NotEqual(t, first.Replica, s.ask(t, "gateway-2", readQuestion(lease+1, "y")).Replica)
+	}
+	resting := s.directory.Resting()
+	require.Len(t, resting, 1)
+	assert.Equal(t, first.Replica, resting[0].Replica)
+	assert.InDelta(t, 1500, resting[0].LeftMillis, 1)
+}
+
 func TestTheIdleTimeOfALeasesReplicaIsTold(t *testing.T) {
 	s := newServed(fleet()...)
 	s.ask(t, "gateway", readQuestion(1, "x"))
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -469,6 +469,21 @@
 	Tokens int    `msg:"tokens"`
 }
 
+// Resting tells of the replicas that turn a process's requests away: others avoid them, if they can. It is
+// a message of its own, since earlier builds read no field more in an Outstanding.
+type Resting struct {
+	Gateway  string           `msg:"gateway"`
+	Replicas []RestingReplica `msg:"replicas"`
+}
+
+// RestingReplica is a replica that turns a process's requests away.
+type RestingReplica struct {
+	// Replica is a Life.Name.
+	Replica string `msg:"replica"`
+	// LeftMillis is for how much longer the process leaves it alone, in milliseconds.
+	LeftMillis int `msg:"left_ms"`
+}
+
 // OutstandingWork is a gateway's work at one replica.
 type OutstandingWork struct {
 	// Replica is a Life.Name.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -3641,6 +3641,198 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Resting) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "gateway"
+	o = append(o, 0x82, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = msgp.AppendString(o, z.Gateway)
+	// string "replicas"
+	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0001 := range z.Replicas {
+		// map header, size 2
+		// string "replica"
+		o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+		o = msgp.AppendString(o, z.Replicas[za0001].Replica)
+		// string "left_ms"
+		o = append(o, 0xa7, 0x6c, 0x65, 0x66, 0x74, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.Replicas[za0001].LeftMillis)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Resting) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "gateway":
+			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateway")
+				return
+			}
+		case "replicas":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Replicas) >= int(zb0002) {
+				z.Replicas = (z.Replicas)[:zb0002]
+			} else {
+				z.Replicas = make([]RestingReplica, zb0002)
+			}
+			for za0001 := range z.Replicas {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001)
+					return
+				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replicas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "replica":
+						z.Replicas[za0001].Replica, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+							return
+						}
+					case "left_ms":
+						z.Replicas[za0001].LeftMillis, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "LeftMillis")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Resting) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Replicas[za0001].Replica) + 8 + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RestingReplica) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "replica"
+	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendString(o, z.Replica)
+	// string "left_ms"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x66, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.LeftMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RestingReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replica":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replica")
+				return
+			}
+		case "left_ms":
+			z.LeftMillis, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RestingReplica) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 8 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/region/placement.go
+++ b/internal/region/placement.go
@@ -87,7 +87,8 @@
 	// LeaseAnswered: the replica has answered, with a failure of its own if Failed is set;
 	// Load is its account of its work.
 	LeaseAnswered
-	// LeaseFull: the replica refused the request because it was full.
+	// LeaseFull: the replica refused the request. Micros is for how long it wants to be left alone by the
+	// gateway, 0 if it asks for nothing.
 	LeaseFull
 	// LeaseUnreachable: the replica did not answer. HandedOver says that it had taken the
 	// request.
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
@@ -44,6 +47,35 @@
 	return asking > 0 && r.asks != nil && r.asks.RestLeft(asking) > 0
 }
 
+// mostExcluded bounds the resting replicas that a question to a coordinator excludes: a message has room for
+// some, and a coordinator's choice that rests all the same is made again here.
+const mostExcluded = 24
+
+// restingHere lists replicas, by their lives' names, that want to be left alone by this process, beginning
+// with the longest rest.
+func (d *Directory) restingHere() []string {
+	asking := d.askingNow()
+	if asking == 0 {
+		return nil
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var resting []*Replica
+	for _, replica := range d.replicas {
+		if replica.rests(asking) {
+			resting = append(resting, replica)
+		}
+	}
+	slices.SortFunc(resting, func(a, b *Replica) int {
+		return cmp.Or(cmp.Compare(b.asks.RestLeft(asking), a.asks.RestLeft(asking)), strings.Compare(a.name, b.name))
+	})
+	names := make([]string, min(len(resting), mostExcluded))
+	for index := range names {
+		names[index] = resting[index].name
+	}
+	return names
+}
+
 // RestLeft is for how much longer the lease's replica wants to be left alone.
 func (l *Lease) RestLeft() time.Duration {
 	asks := l.asks()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -59,6 +59,8 @@
 	onLimit func(word ratelimit.Word)
 	// gate keeps what replicas ask of this process; nil if they can ask for nothing.
 	gate *backpressure.Gate
+	// restRevision grows with each rest that is asked of this process, or of one that it places for.
+	restRevision uint64
 	// returnAt is by service when the caller that was refused last, for limits or rests, should come back.
 	returnAt map[string]time.Duration
 	// choosers is the number of processes that choose replicas, this one among them.
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -1,5 +1,7 @@
 package relay
 
+import "time"
+
 // Missing returns the tokens of a prompt that the replica of an id is expected to read.
 func (d *Directory) Missing(id string, prompt *Prompt) int {
 	d.mutex.Lock()
@@ -11,3 +13,8 @@
 	}
 	return prompt.Tokens
 }
+
+// RestsReturn is in how long a caller is called back that finds all replicas of a service resting.
+func (d *Directory) RestsReturn(service string) time.Duration {
+	return d.restsReturn(service)
+}
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -289,12 +289,13 @@
 		"failures", l.Replica.failures, "connected", handedOver)
 }
 
-// Full notes that the replica refused the request because it was full.
-func (l *Lease) Full() {
+// Refused notes that the replica refused the request, and wants to be left alone for a time by whom it has
+// refused; 0 if it asks for nothing.
+func (l *Lease) Refused(rest time.Duration) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.Replica.fullUntil = l.directory.clock() + fullAvoidance
-	l.tell(region.LeaseEvent{Kind: region.LeaseFull})
+	l.directory.noteRefusal(l.Replica, rest)
+	l.tell(region.LeaseEvent{Kind: region.LeaseFull, Micros: rest.Microseconds()})
 }
 
 // Misdirected notes that another incarnation answers at the replica's address.
@@ -314,6 +315,9 @@
 		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
 	}
 	l.Replica.answered(now, now-l.begun, failed)
+	if !failed {
+		l.Replica.tookWell(l.begun)
+	}
 	l.tell(answeredEvent(failed, load))
 	if load != nil && !l.directory.off[mechanism.ReportedLoad] {
 		l.Replica.load = *load
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -32,7 +32,7 @@
 		"kept prefixes":    func(d *directory) { d.LearnKept(region.Life{ID: "a", Born: 5}, []relay.PromptPart{shared}) },
 		"placed by peers":  func(d *directory) { d.TakePlaced(placedAt(nameAt("a", 5), shared)) },
 		"failures":         func(d *directory) { d.PickAny("s", relay.Wanted{}).Unreachable(false) },
-		"refusals":         func(d *directory) { d.PickAny("s", relay.Wanted{}).Full() },
+		"refusals":         func(d *directory) { d.PickAny("s", relay.Wanted{}).Refused(0) },
 		"reported load":    func(d *directory) { d.PickAny("s", relay.Wanted{}).Answered(true, &relay.Load{Running: 4, Slots: 4}) },
 		"requests there":   func(d *directory) { d.PickAny("s", relay.Wanted{}) },
 		"misdirections":    func(d *directory) { d.PickAny("s", relay.Wanted{}).Misdirected() },
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -99,8 +99,8 @@
 	return min(time.Duration(askShare*float64(request.Objective)), longestAsk)
 }
 
-// question describes a request to a coordinator. Replicas that this gateway can't reach are
-// excluded like those that were tried.
+// question describes a request to a coordinator. Replicas that this gateway can't reach, and those that
+// want to be left alone by it, are excluded like those that were tried.
 func (p *Placer) question(kind region.PlacementKind, service string, request ReadRequest, near string) *region.PlacementQuestion {
 	asked := &region.PlacementQuestion{
 		Kind:            kind,
@@ -114,7 +114,7 @@
 		GapMicros:       request.TargetGap.Microseconds(),
 		AimLeftMicros:   request.AimLeft.Microseconds(),
 		LeftMicros:      request.Left.Microseconds(),
-		Excluded:        p.Directory.Unreachable(),
+		Excluded:        append(p.Directory.Unreachable(), p.Directory.restingHere()...),
 	}
 	for _, replica := range request.Excluded {
 		asked.Excluded = append(asked.Excluded, replica.name)
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -222,7 +222,7 @@
 	case answer.Status == http.StatusMisdirectedRequest && lease.Replica.Stage == region.StagePrefill:
 		lease.Misdirected()
 	default:
-		lease.Full()
+		lease.Refused(lease.RestLeft())
 	}
 }
 
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -39,7 +39,7 @@
 	avoidUntil time.Duration
 	// unconnected says that the last failure was that of making a connection.
 	unconnected bool
-	fullUntil   time.Duration
+	refusals    refusals
 	limit       namedLimit
 	// asks is what the replica asks of this process, nil if that is nothing.
 	asks      *backpressure.Standing
@@ -121,9 +121,6 @@
 	// shows that it can't be reached; it doubles with each further one.
 	firstAvoidance   = 500 * time.Millisecond
 	maximumAvoidance = 4 * time.Second
-	// fullAvoidance is how long a replica is avoided that has refused a request
-	// because it was full.
-	fullAvoidance = 60 * time.Millisecond
 	// loadMemory is how long a replica's own account of its load counts.
 	loadMemory = time.Second
 	// smoothing is the weight of the newest observation in averages.
@@ -132,7 +129,7 @@
 
 // avoided reports whether a replica should get no request now if another can.
 func (r *Replica) avoided(now time.Duration) bool {
-	return now < r.avoidUntil || now < r.fullUntil
+	return now < r.avoidUntil || now < r.refusals.avoidUntil || !r.refusals.ramp.takes(r.inFlight)
 }
 
 // unreachable notes a failure of the connection or a silence.
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -1,8 +1,10 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -122,3 +124,38 @@
 }
 
 func modelCallOf(number int) *relay.Call { return modelCall(20_000, fmt.Sprint("own-", number)) }
+
+// A coordinator chooses by what others met: it is told who rests here, and its choice is made again here if
+// it falls on one of them.
+func TestACoordinatorsChoiceThatRestsIsMadeAgain(t *testing.T) {
+	w := newWorld(t)
+	w.add("resting", region.StagePrefill, turningAway(rest))
+	w.add("reader", region.StagePrefill, sealed(http.StatusOK, "handle"))
+	w.add("generator", region.StageDecode, events(1, 3, false))
+	asked, excluded, released := 0, 0, 0
+	w.runner.AskPlacements(&relay.RemotePlacement{
+		Ask: func(_ context.Context, question *region.PlacementQuestion, _ time.Duration) (*region.PlacementAnswer, string, error) {
+			answer := &region.PlacementAnswer{Lease: question.Lease, Outcome: region.PlacementGranted, Replica: "generator"}
+			if question.Kind == region.PlaceRead {
+				asked++
+				answer.Replica, answer.BusyMicros = "resting", 1
+				if slices.Contains(question.Excluded, "resting") {
+					excluded++
+				}
+			}
+			return answer, "coordinator", nil
+		},
+		Tell: func(event region.LeaseEvent) {
+			if event.Kind == region.LeaseReleased {
+				released++
+			}
+		},
+	})
+	for number := range 10 {
+		require.True(t, w.run(modelCallOf(number)).ended)
+	}
+	assert.Equal(t, 1, w.visits("resting"))
+	assert.Equal(t, 10, asked, "no question more")
+	assert.Equal(t, 9, excluded)
+	assert.GreaterOrEqual(t, released, 10, "what is not used is given back")
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -177,7 +177,7 @@
 		lease.Misdirected()
 		return
 	}
-	lease.Full()
+	lease.Refused(lease.RestLeft())
 }
 
 // relayWhole hands a whole answer on. A failure of the replica's own is kept
