Keep replicas less full than one was that asked for rest

Callers would see, with rests kept: more load than all replicas bear fills up one after the other, each asks for a rest, and none is left.

A replica that turns a request away beside as many others as it has slots, or about as many as its like have taken a request beside of late, has shown how full its kind gets. What a replica shows that had fewer requests than slots is in doubt until it is shown again: several that refuse together for another reason say the same once, and the others have to take over at once.

Readers that turn away beside four waiting prompts: see TestUrgentAndLargePromptsAreServedWhileReadersAskForRest.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -53,6 +53,8 @@
 	RefusalBackoff Mechanism = "refusal_backoff"
 	// RestHints avoids replicas that have asked other gateways for rest.
 	RestHints Mechanism = "rest_hints"
+	// LearnedRoom keeps replicas less full than one was that has asked for rest.
+	LearnedRoom Mechanism = "learned_room"
 )
 
 // The mechanisms of coordinators.
@@ -88,6 +90,7 @@
 		ReplicaLimits,
 		RefusalBackoff,
 		RestHints,
+		LearnedRoom,
 		StageChanges,
 		Forecast,
 		EvenShortage,
--- a/internal/relay/comeback.go
+++ b/internal/relay/comeback.go
@@ -22,10 +22,10 @@
 // leastLatency stands for the time that a request takes where none is known.
 const leastLatency = 50 * time.Millisecond
 
-// restsReturn is in how long a caller should come back whose request no replica of a service takes since
-// all rest; zero if one does not. Those who were refused here come back one after the other, at this
-// process's part of the pace at which the replicas serve when they are full.
-func (d *Directory) restsReturn(service string) time.Duration {
+// restsReturn is in how long a caller should come back whose request of a rank no replica of a service takes
+// since all rest, or are as full as they may get; zero if one does not. Those who were refused here come back
+// one after the other, at this process's part of the pace at which the replicas serve when they are full.
+func (d *Directory) restsReturn(service string, rank int) time.Duration {
 	asking := d.askingNow()
 	if asking == 0 {
 		return 0
@@ -33,23 +33,27 @@
 	latency := max(d.typicalLatency(service), leastLatency.Seconds())
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	now := d.clock()
 	slots, earliest := 0, time.Duration(0)
+	var awake []*Replica
 	for _, replica := range d.services[service] {
 		if replica.leaves() || replica.gone || replica.Stage == region.StagePrefill {
 			continue
 		}
-		if !replica.rests(asking) {
-			return 0
+		left := time.Duration(0)
+		if replica.rests(asking) {
+			left = replica.asks.RestLeft(asking)
+		} else {
+			awake = append(awake, replica)
 		}
-		if left := replica.asks.RestLeft(asking); slots == 0 || left < earliest {
+		if slots == 0 || left < earliest {
 			earliest = left
 		}
 		slots += max(replica.Slots, 1)
 	}
-	if slots == 0 {
+	if slots == 0 || len(d.withRoom(awake, rank, now)) > 0 {
 		return 0
 	}
-	now := d.clock()
 	pace := time.Duration(latency / float64(slots) * float64(d.choosers()) * float64(time.Second))
 	return d.callBack(service, now+earliest, pace, now+earliest+longestReturn) - now
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -63,6 +63,8 @@
 	restRevision uint64
 	// returnAt is by service when the caller that was refused last, for limits or rests, should come back.
 	returnAt map[string]time.Duration
+	// rooms are what was found of the room at replicas, by service and stage.
+	rooms map[string]*room
 	// choosers is the number of processes that choose replicas, this one among them.
 	choosers func() int
 	// off are the mechanisms that are switched off.
@@ -110,6 +112,7 @@
 		returnAt:  map[string]time.Duration{},
 		onDropped: onDropped,
 		choosers:  func() int { return 1 },
+		rooms:     map[string]*room{},
 		draw:      rand.Float64,
 		logger:    logger,
 	}
@@ -133,6 +136,7 @@
 		}
 		draining := known.Draining || listed.Draining
 		known.Replica = listed
+		known.room = d.roomOf(listed.Service, listed.Stage)
 		known.Draining = draining
 		if known.leaves() {
 			known.tellStreams()
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -15,6 +15,6 @@
 }
 
 // RestsReturn is in how long a caller is called back that finds all replicas of a service resting.
-func (d *Directory) RestsReturn(service string) time.Duration {
-	return d.restsReturn(service)
+func (d *Directory) RestsReturn(service string, rank int) time.Duration {
+	return d.restsReturn(service, rank)
 }
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -17,6 +17,8 @@
 	Choice    Choice
 	directory *Directory
 	begun     time.Duration
+	// beside are the requests that the replica had beside this one as it was chosen.
+	beside int
 	// reading is the prompt that the replica has yet to read, nil if there is none.
 	reading *placedReading
 	// fetchFrom is the replica from which this one should fetch the prompt's
@@ -40,7 +42,8 @@
 // lease is called with the mutex held.
 func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
-	return &Lease{Replica: replica, directory: d, begun: d.clock(), leaving: make(chan struct{})}
+	now := d.clock()
+	return &Lease{Replica: replica, directory: d, begun: now, beside: d.requestsBeside(replica, now), leaving: make(chan struct{})}
 }
 
 // placedReading is a prompt that a replica has been given to read.
@@ -209,6 +212,7 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	l.Replica.progressAt = l.directory.clock()
+	l.tookWell(l.Replica.progressAt)
 	l.tell(region.LeaseEvent{Kind: region.LeaseRead})
 	l.noteExcess()
 	l.noteCost()
@@ -294,7 +298,7 @@
 func (l *Lease) Refused(rest time.Duration) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.directory.noteRefusal(l.Replica, rest)
+	l.directory.noteRefusal(l, rest)
 	l.tell(region.LeaseEvent{Kind: region.LeaseFull, Micros: rest.Microseconds()})
 }
 
@@ -316,7 +320,7 @@
 	}
 	l.Replica.answered(now, now-l.begun, failed)
 	if !failed {
-		l.Replica.tookWell(l.begun)
+		l.tookWell(now)
 	}
 	l.tell(answeredEvent(failed, load))
 	if load != nil && !l.directory.off[mechanism.ReportedLoad] {
--- a/internal/relay/limited.go
+++ b/internal/relay/limited.go
@@ -107,7 +107,7 @@
 
 // noReplica is why no replica is left for the request.
 func (r *run) noReplica() error {
-	if wait := r.directory.restsReturn(r.call.Service.Name); wait > 0 {
+	if wait := r.directory.restsReturn(r.call.Service.Name, rankOf(r.call.Route.Priority)); wait > 0 {
 		return &restingError{wait: wait}
 	}
 	if r.limits == nil {
@@ -124,12 +124,14 @@
 	return limited
 }
 
-// restingError is the refusal of a request since all replicas want to be left alone; wait is in how long
-// one does not.
+// restingError is the refusal of a request since all replicas want to be left alone, or would soon if they
+// got more; wait is in how long one takes it.
 type restingError struct{ wait time.Duration }
 
 // Error implements error.
-func (*restingError) Error() string { return "all replicas have asked for rest" }
+func (*restingError) Error() string {
+	return "all replicas have asked for rest, or are as full as one was that has"
+}
 
 // limitedError is the refusal of a request since no replica has room under the limit that it names.
 // wait is in how long one should, and replica one that was asked about, empty if none had to be.
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -107,7 +107,7 @@
 			candidates = append(candidates, replica)
 		}
 	}
-	return candidates
+	return d.withRoom(candidates, wanted.Rank, now)
 }
 
 // lowest returns the candidate with the lowest score.
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -67,20 +67,25 @@
 // avoidFull has the replica avoided until a time.
 func (r *refusals) avoidFull(until time.Duration) { r.avoidUntil = max(r.avoidUntil, until) }
 
-// tookWell notes that the replica has taken a request well that began at a time.
-func (r *Replica) tookWell(begun time.Duration) {
-	r.refusals.ramp.tookWell(begun, max(r.Slots, 1))
-	if begun > r.refusals.lastAt {
-		r.refusals.inRow = 0
+// tookWell notes that the lease's replica has taken the request well. It is called with the mutex held.
+func (l *Lease) tookWell(now time.Duration) {
+	slots := max(l.Replica.Slots, 1)
+	l.Replica.room.tookWell(now, slots, l.beside)
+	l.Replica.refusals.ramp.tookWell(l.begun, slots)
+	if l.begun > l.Replica.refusals.lastAt {
+		l.Replica.refusals.inRow = 0
 	}
 }
 
-// noteRefusal notes that a replica has refused a request of this process, or of one that it places for, and
-// has asked it for a rest, or for none. It is called with the mutex held.
-func (d *Directory) noteRefusal(replica *Replica, rest time.Duration) {
-	now := d.clock()
+// noteRefusal notes that a lease's replica has refused the request, and has asked for a rest, or for none. It
+// is called with the mutex held.
+func (d *Directory) noteRefusal(lease *Lease, rest time.Duration) {
+	now, replica := d.clock(), lease.Replica
 	known := &replica.refusals
 	known.avoidFull(now + fullAvoidance)
+	if rest > 0 && !d.off[mechanism.LearnedRoom] {
+		d.noteFull(replica, now, lease.begun, rest)
+	}
 	if d.isFull(replica, now) || d.off[mechanism.RefusalBackoff] {
 		// Others may find a free place there at once.
 		return
@@ -96,14 +101,6 @@
 	}
 }
 
-// isFull reports whether a replica has as many requests as slots, as far as is known, beside one that it
-// has refused. What others choose is told by some of them only, and late: they may have as many there as
-// this process. It is called with the mutex held.
-func (d *Directory) isFull(replica *Replica, now time.Duration) bool {
-	known := max(replica.allInFlight(now)-1, (replica.inFlight-1)*d.choosers())
-	return known >= max(replica.Slots, 1)
-}
-
 // jittered is a time, or somewhat more.
 func (d *Directory) jittered(length time.Duration) time.Duration {
 	jitter := min(returnJitter*float64(length), float64(longestJitter))
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -40,7 +40,9 @@
 	// unconnected says that the last failure was that of making a connection.
 	unconnected bool
 	refusals    refusals
-	limit       namedLimit
+	// room is that of its stage of its service.
+	room  *room
+	limit namedLimit
 	// asks is what the replica asks of this process, nil if that is nothing.
 	asks      *backpressure.Standing
 	latency   float64
--- a/internal/relay/rest_load_test.go
+++ b/internal/relay/rest_load_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/quota"
+	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 )
@@ -30,6 +32,8 @@
 	// that came before.
 	restEnds  map[int]time.Duration
 	disturbed int
+	// taken are when requests were taken in.
+	taken []time.Duration
 }
 
 // pace is how many requests a second it serves.
@@ -50,6 +54,8 @@
 	gateways []*relay.Directory
 	gates    []*backpressure.Gate
 	budgets  []*relay.Budgets
+	// limits take a rest for a limit, nil if it is none.
+	limits   *restLimits
 	replicas map[string]*shedder
 	random   *rand.Rand
 	returns  map[time.Duration][]*shedRequest
@@ -133,10 +139,15 @@
 			break
 		}
 		tried = append(tried, lease.Replica)
+		if !r.limits.allow(r.now, lease) {
+			lease.Release()
+			continue
+		}
 		if r.replicas[lease.Replica.ID].take(r.now, request, lease) {
 			return
 		}
 		r.turnedOff++
+		r.limits.turnedAway(r.now, lease.Replica.ID, r.replicas[lease.Replica.ID])
 		if r.blind {
 			lease.Refused(0)
 			lease.Release()
@@ -148,7 +159,7 @@
 		lease.Release()
 	}
 	left := request.first + r.deadline - r.now
-	wait := directory.RestsReturn("s")
+	wait := directory.RestsReturn("s", 0)
 	if wait == 0 {
 		wait = 150 * time.Millisecond
 	}
@@ -171,6 +182,7 @@
 		return false
 	}
 	request.lease = lease
+	s.taken = append(s.taken, now)
 	s.waiting = append(s.waiting, request)
 	return true
 }
@@ -267,3 +279,215 @@
 		}
 	}
 }
+
+// A replica that gets more than it can do asks for a second's rest, again and again.
+func TestARestingReplicaIsUsedToItsOwnPaceByAnyNumberOfGateways(t *testing.T) {
+	shape := shedder{slots: 8, queue: 16, work: 100 * time.Millisecond, rest: time.Second}
+	for _, gateways := range []int{1, 9, 65, 985} {
+		for _, load := range []float64{1, 1.5, 3} {
+			r := newShedReplay(gateways, 1, shape, 1, nil)
+			served := r.play(load*shape.pace(), 10*time.Second) / shape.pace()
+			t.Logf("%d gateways, %.1f of the pace: %.3f of it served, %d turned away", gateways, load, served, r.turnedOff)
+			assert.Zero(t, r.disturbed(), "within a rest")
+			assert.Greater(t, served, 0.9)
+		}
+	}
+}
+
+// All replicas get more than they can do. Who fills the first one up has shown how full the others get: else
+// one after the other is left alone, and none is left.
+func TestGoodputIsLevelWhileAllReplicasAskForRest(t *testing.T) {
+	const replicas = 12
+	for _, gateways := range []int{1, 9, 65} {
+		for _, rest := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 30 * time.Second} {
+			for _, load := range []float64{0.9, 1.5, 3} {
+				for _, off := range []mechanism.Set{{mechanism.LearnedRoom: true}, nil} {
+					shape := shedder{slots: 8, queue: 16, work: 200 * time.Millisecond, rest: rest}
+					r := newShedReplay(gateways, replicas, shape, 1, off)
+					goodput := r.play(load*replicas*shape.pace(), 10*time.Second) / replicas / shape.pace()
+					t.Logf("%d gateways, rest %v, load %.1f, learned room %t: goodput %.3f, refused %.3f, turned away %.3f of what was asked", gateways, rest, load,
+						off == nil, goodput, float64(r.refused)/float64(r.asked), float64(r.turnedOff)/float64(r.asked))
+					assert.Zero(t, r.disturbed(), "within a rest")
+					if off == nil {
+						assert.Greater(t, goodput, 0.9*min(load, 1))
+					}
+				}
+			}
+		}
+	}
+}
+
+// restLimits take a rest for a limit of all gateways together: a replica that turns one away has named its
+// pace, what it has taken in the second before. One pool counts.
+type restLimits struct {
+	pool  *quota.Pool
+	asked uint64
+	ends  map[string]time.Duration
+}
+
+// newRestLimits returns limits that none has been named for.
+func newRestLimits() *restLimits {
+	pool := quota.NewPool(0, quota.Options{Address: "a", Life: 1, Lease: time.Second, Terms: ratelimit.Terms()})
+	pool.SetGroup(0, "a", []string{"a"})
+	return &restLimits{pool: pool, ends: map[string]time.Duration{}}
+}
+
+func (l *restLimits) turnedAway(now time.Duration, id string, replica *shedder) {
+	if l == nil {
+		return
+	}
+	taken := 0
+	for _, at := range replica.taken {
+		if now-at <= time.Second {
+			taken++
+		}
+	}
+	l.ends[id] = max(l.ends[id], now+replica.rest)
+	l.pool.SetLimit(now, id, ratelimit.PoolLimit(float64(taken), 3*time.Second))
+}
+
+// allow reports whether a request may go to a replica as far as its limit goes.
+func (l *restLimits) allow(now time.Duration, lease *relay.Lease) bool {
+	if l == nil || now >= l.ends[lease.Replica.ID] {
+		return true
+	}
+	l.asked++
+	l.pool.Ask(now, "gateway", quota.Question{ID: l.asked, Account: lease.Replica.ID, Units: 1})
+	return l.pool.Ready().Decisions[0].Answer.Admitted
+}
+
+// TestWaysToBearRestsCompared plays the same load with each way to bear rests.
+func TestWaysToBearRestsCompared(t *testing.T) {
+	const replicas = 12
+	alone := mechanism.Set{mechanism.RefusalBackoff: true, mechanism.RestHints: true, mechanism.LearnedRoom: true}
+	ways := []struct {
+		name   string
+		off    mechanism.Set
+		limits bool
+	}{
+		{"each gateway for itself", alone, false},
+		{"told to all", mechanism.Set{mechanism.LearnedRoom: true}, false},
+		{"taken for a limit of all", alone, true},
+		{"told, and room learned", nil, false},
+	}
+	for _, rest := range []time.Duration{200 * time.Millisecond, 3 * time.Second} {
+		for _, faulty := range []int{0, 6} {
+			load := 1.5
+			if faulty > 0 {
+				load = 0.35
+			}
+			goodputs := map[string]float64{}
+			for _, way := range ways {
+				shape := shedder{slots: 8, queue: 16, work: 200 * time.Millisecond, rest: rest}
+				r := newShedReplay(9, replicas, shape, 1, way.off)
+				if way.limits {
+					r.limits = newRestLimits()
+					// The pool counts a part that another one may have counted before.
+					r.now += 2 * time.Second
+				}
+				for number := range faulty {
+					from := r.now + 2*time.Second
+					r.replicas[fmt.Sprint("r", number)].sheds = func(now time.Duration) bool { return now > from && now < from+6*time.Second }
+				}
+				goodputs[way.name] = r.play(load*replicas*shape.pace(), 10*time.Second) / replicas / shape.pace()
+				t.Logf("rest %v, %d of %d turn all away, load %.2f, %s: goodput %.3f, refused %.3f, turned away %.3f", rest, faulty, replicas, load, way.name,
+					goodputs[way.name], float64(r.refused)/float64(r.asked), float64(r.turnedOff)/float64(r.asked))
+				assert.Zero(t, r.disturbed(), "within a rest")
+			}
+			for name, goodput := range goodputs {
+				assert.Greater(t, goodputs["told, and room learned"], goodput-0.03, name)
+			}
+		}
+	}
+}
+
+// restingReaders is a replay whose readers keep some prompts waiting, and turn others away and ask for a rest.
+type restingReaders struct {
+	*replay
+	gate       *backpressure.Gate
+	most       int
+	rest       time.Duration
+	turnedAway int
+	// restEnds is when each reader's rest ends, and rested the sum of them.
+	restEnds map[string]time.Duration
+	rested   time.Duration
+}
+
+func newRestingReaders(readers, most int, rest time.Duration, seed uint64, heeds bool) *restingReaders {
+	r := &restingReaders{replay: newReplay(readers), most: most, rest: rest, restEnds: map[string]time.Duration{}}
+	r.seed = seed
+	r.gate = backpressure.NewGate(backpressure.Options{Clock: func() time.Duration { return r.now + time.Second }, Logger: logr.Discard()})
+	if heeds {
+		r.Heed(r.gate)
+	}
+	r.place = r.placeOrTurnAway
+	return r
+}
+
+func (r *restingReaders) placeOrTurnAway(request relay.ReadRequest) (*relay.Lease, error) {
+	for range 4 {
+		lease, err := r.PlaceReading("s", request)
+		if err != nil {
+			return nil, err
+		}
+		id := lease.Replica.ID
+		if lease.Replica.Stage == region.StageDecode {
+			lease.Release()
+			return nil, errNoReader
+		}
+		if len(r.waiting[id]) < r.most {
+			return lease, nil
+		}
+		r.turnedAway++
+		r.rested += r.now + r.rest - max(r.restEnds[id], r.now)
+		r.restEnds[id] = r.now + r.rest
+		turnedAway := http.Header{"Retry-After": {strconv.FormatFloat(r.rest.Seconds(), 'f', -1, 64)}}
+		r.gate.Hear(backpressure.Peer{Address: lease.Replica.Address, Instance: id}, http.StatusServiceUnavailable, turnedAway)
+		lease.Refused(lease.RestLeft())
+		lease.Release()
+		request.Excluded = append(request.Excluded, lease.Replica)
+	}
+	return nil, errNoReader
+}
+
+// Readers that are full turn prompts away for a time. Urgent prompts go first as before, and large ones are
+// served like others.
+func TestUrgentAndLargePromptsAreServedWhileReadersAskForRest(t *testing.T) {
+	const (
+		readers = 12
+		most    = 4
+		length  = 12 * time.Second
+		seeds   = 4
+	)
+	for _, rest := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 30 * time.Second} {
+		for _, load := range []float64{1.5, 3} {
+			goodputs := map[bool]float64{}
+			for _, heeds := range []bool{false, true} {
+				var light, middle, heavy, all, largest float64
+				away, rested := 0, 0.0
+				for seed := range uint64(seeds) {
+					r := newRestingReaders(readers, most, rest, seed+1, heeds)
+					goodputs[heeds] += r.play(readers, load, mixedWork, length) / seeds
+					light += float64(r.inTime["light"]) / float64(r.asked["light"]) / seeds
+					middle += float64(r.inTime["middle"]) / float64(r.asked["middle"]) / seeds
+					heavy += float64(r.inTime["heavy"]) / float64(r.asked["heavy"]) / seeds
+					away += r.turnedAway
+					rested += min(r.rested, time.Duration(r.turnedAway)*length).Seconds() / readers / length.Seconds() / seeds
+					s := newRestingReaders(readers, most, rest, seed+1, heeds)
+					s.play(readers, load, sizedWork(), length)
+					each, _, most := s.servedBySize()
+					all, largest = all+each/seeds, largest+most/seeds
+				}
+				t.Logf("rest %v, load %.1f, kept %t: goodput %.3f, light %.3f, middle %.3f, heavy %.3f, turned away %d, rested %.3f; by size %.3f, largest tenth %.3f",
+					rest, load, heeds, goodputs[heeds], light, middle, heavy, away, rested, all, largest)
+				if heeds {
+					assert.Greater(t, light, middle)
+					assert.Greater(t, middle, heavy)
+					assert.Greater(t, largest, all/2)
+					assert.Less(t, rested, 1.0/3, "most readers stay in use")
+					assert.Greater(t, goodputs[true], 0.9*(1-rested)*goodputs[false], "what does not rest is used as before")
+				}
+			}
+		}
+	}
+}
