Try replicas that refuse once the others are full, instead of never beside others

Replicas that refuse a part of their requests take the rest: left out wholly for 60 ms and longer after each refusal, they left their load to the others, which were late for it. Now such a replica counts as a full one (or half an objective, for a prompt) when replicas are compared.

TestReplicasThatTurnRequestsAwayDrawNone holds as before.

--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -169,6 +169,9 @@
 	errorWeight    = 2.0
 	slownessWeight = 0.1
 	jitterWeight   = 0.02
+	// refusingPenalty is what a replica that is expected to refuse counts for, in shares of its slots in use:
+	// it is tried once the others are full.
+	refusingPenalty = 1
 	// connectedBonus is what a connection is worth, in shares of the slots in use: less than one request
 	// takes at a small replica, so that load goes before it. Without it each of many gateways hardly
 	// meets a replica twice, and each request waits for a connection to be made.
@@ -183,6 +186,9 @@
 	if replica.Zone != s.zone {
 		score += s.distance
 	}
+	if replica.refuses(now) {
+		score += refusingPenalty
+	}
 	if s.connected != nil && s.connected(replica.Address, replica.name) {
 		score -= connectedBonus
 	}
@@ -293,7 +299,7 @@
 	defer d.mutex.Unlock()
 	now := d.clock()
 	candidates := slices.DeleteFunc(d.candidates(service, wanted, ofStage(region.StageDecode), now), func(r *Replica) bool {
-		return r.avoided(now) || r.occupancy(now) > moveLimit
+		return r.avoided(now) || r.refuses(now) || r.occupancy(now) > moveLimit
 	})
 	if len(candidates) == 0 {
 		return nil
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -150,7 +150,7 @@
 	var bestScore time.Duration
 	for index, replica := range generators {
 		estimated := d.estimate(replica, request, urgency, sources, now)
-		score := d.readScore(&estimated, request, false) + time.Duration(occupancyShare*replica.occupancy(now)*float64(request.Objective))
+		score := d.readScore(&estimated, request, false, now) + time.Duration(occupancyShare*replica.occupancy(now)*float64(request.Objective))
 		if index == 0 || score < bestScore {
 			best, bestScore = estimated, score
 		}
@@ -239,7 +239,7 @@
 	var best, unlimited ratedEstimate
 	for _, replica := range candidates {
 		estimated := d.estimate(replica, request, urgency, sources, now)
-		rated := ratedEstimate{estimated, d.readScore(&estimated, request, slices.Contains(homes, replica))}
+		rated := ratedEstimate{estimated, d.readScore(&estimated, request, slices.Contains(homes, replica), now)}
 		best = best.better(rated)
 		if !replica.limit.named {
 			unlimited = unlimited.better(rated)
@@ -274,7 +274,7 @@
 }
 
 // readScore rates an estimate; the lowest is the best. It is called with the mutex held.
-func (d *Directory) readScore(estimated *readEstimate, request ReadRequest, isHome bool) time.Duration {
+func (d *Directory) readScore(estimated *readEstimate, request ReadRequest, isHome bool, now time.Duration) time.Duration {
 	score := estimated.total()
 	if shared := estimated.missing - request.Prompt.ownTokens(); isHome && shared > 0 {
 		score -= time.Duration(homeShare * float64(estimated.busy) * float64(shared) / float64(estimated.missing))
@@ -283,9 +283,16 @@
 		score += time.Duration(zoneShare * float64(request.Objective))
 	}
 	score += time.Duration(errorWeight * estimated.replica.errorRate * float64(request.Objective))
+	if estimated.replica.refuses(now) {
+		score += time.Duration(refusingShare * float64(request.Objective))
+	}
 	return score + time.Duration(d.draw()*float64(scoreJitter))
 }
 
+// refusingShare of the objective is what a replica that is expected to refuse counts for: it is tried where
+// others would hardly read the prompt in time.
+const refusingShare = 0.5
+
 // homeShare is how much of a prefix its home counts as keeping.
 const homeShare = 0.5
 
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -16,7 +16,7 @@
 	// came at lastAt.
 	inRow  int
 	lastAt time.Duration
-	// avoidUntil is until when the replica is avoided, if another can take a request.
+	// avoidUntil is until when the replica is expected to refuse requests.
 	avoidUntil time.Duration
 	// restUntil is when the rest ends that the replica has asked of this process, or of one that it places
 	// for.
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -130,8 +130,11 @@
 )
 
 // avoided reports whether a replica should get no request now if another can.
-func (r *Replica) avoided(now time.Duration) bool {
-	return now < r.avoidUntil || now < r.refusals.avoidUntil || !r.refusals.ramp.takes(r.inFlight)
+func (r *Replica) avoided(now time.Duration) bool { return now < r.avoidUntil }
+
+// refuses reports whether a replica is expected to refuse a request, or more than it has of this process.
+func (r *Replica) refuses(now time.Duration) bool {
+	return now < r.refusals.avoidUntil || !r.refusals.ramp.takes(r.inFlight)
 }
 
 // unreachable notes a failure of the connection or a silence.
