Move only streams of model engines away from replicas that leave

Callers saw all their connections to a gateway break: a stream without a prompt (a plain service, or a request that names no model) at a replica that begins to drain had a place asked for its memory, and the question, which reads the prompt, ended the process. Only engines have memory that could be moved; other streams now stay to their end, as they did where no coordinator is asked.

--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -167,3 +168,32 @@
 	assert.False(t, answer.ended)
 	assert.Equal(t, text(1, 3), answer.body.String())
 }
+
+// A stream of a service without engines has no memory that could be moved: the question where to ended the
+// gateway.
+func TestAStreamWithoutAPromptStaysAtAReplicaThatDrains(t *testing.T) {
+	w := newWorld(t)
+	first := newStoppable()
+	w.add("draining", "", first.serve)
+	w.list("other", "", "127.0.0.1:1")
+	w.runner.AskPlacements(&relay.RemotePlacement{
+		Ask: func(context.Context, *region.PlacementQuestion, time.Duration) (*region.PlacementAnswer, string, error) {
+			t.Error("a place is asked for")
+			return nil, "", errGone
+		},
+		Tell: func(region.LeaseEvent) {},
+	})
+	w.replicas[1].Draining = true
+	w.directory.Replace(w.replicas)
+	call := callOf(traffic.KindStream, 1)
+	answered := make(chan *recorder)
+	go func() { answered <- w.run(call) }()
+	<-first.begun
+	w.replicas[0].Draining = true
+	w.directory.Replace(w.replicas)
+	time.Sleep(20 * time.Millisecond)
+	close(first.goOn)
+	answer := <-answered
+	assert.True(t, answer.ended)
+	assert.Equal(t, text(1, 6), answer.body.String())
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,7 +59,7 @@
 				r.countBegun(time.Now())
 				lease.Answered(false, marks.Load)
 				r.noteBegun(lease, send)
-				if !r.directory.off[mechanism.StreamMoves] {
+				if r.isModelCall() && !r.directory.off[mechanism.StreamMoves] {
 					moving = r.watchStream(ctx, lease)
 				}
 			} else {
