Send nothing new to replicas that say in their answers that they leave

The gate hears the mark in every answer. From then on the replica is chosen no more by this gateway, its streams are moved as for one that the list shows as draining, and it is no home of prefixes; others may go on fetching from it. The gateway tells the coordinator that it polls, at once and each second until the list shows it; that one tells the leader once a second whoever tells it, and the leader commits it into the list, so that all gateways, the plan of stages, what stands by and what is ordered go by it, whatever the platform's list shows later of the same life. Where no other replica is left it is used for three quarters of the time that the settings allow (drain_ms, now for gateways too), then callers are refused at once, truly not run; the check before each send holds new work back and lets releases and moves through.

Why it holds: what a gateway has heard itself binds it without any other process.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -20,7 +20,10 @@
 	Clock func() time.Duration
 	// Leaving reports whether an answer says that its sender leaves; nil if none can say so.
 	Leaving func(header http.Header) bool
-	Logger  logr.Logger
+	// LeaveTime is for how long a peer that leaves may be sent new work after it has first said so; 0 for no
+	// bound.
+	LeaveTime time.Duration
+	Logger    logr.Logger
 }
 
 // Gate keeps what peers ask of this process. It may be used concurrently.
@@ -28,7 +31,7 @@
 	options Options
 	// asked is the number of standings, so that calls pay nothing while there are none.
 	asked atomic.Int64
-	// told is the function of OnAsked.
+	// told is the function of OnChange.
 	told func(peer Peer, standing *Standing)
 
 	mutex     sync.Mutex
@@ -48,9 +51,9 @@
 	return &Gate{options: options, told: func(Peer, *Standing) {}, standings: map[Peer]*Standing{}, sweepAt: leastSwept}
 }
 
-// OnAsked has a function told of each peer that asks for something for the first time. It is called
-// before any use.
-func (g *Gate) OnAsked(told func(peer Peer, standing *Standing)) { g.told = told }
+// OnChange has a function told of each peer that asks for something for the first time, and again when it
+// says that it leaves. It is called before any use.
+func (g *Gate) OnChange(told func(peer Peer, standing *Standing)) { g.told = told }
 
 // Now is the time by which standings are kept.
 func (g *Gate) Now() time.Duration { return g.options.Clock() }
@@ -72,7 +75,7 @@
 	now := g.Now()
 	longer := standing.askRest(now, rest)
 	leaves := leaving && standing.sayLeaving(now)
-	if first {
+	if first || leaves {
 		g.told(peer, standing)
 	}
 	switch {
@@ -85,27 +88,45 @@
 	}
 }
 
-// HeldError says that a peer is to be sent nothing for now.
-type HeldError struct {
-	// Left is for how much longer.
-	Left time.Duration
-}
+// HeldError says that a peer must not be sent something now.
+type HeldError struct{ reason string }
 
 // Error implements error.
-func (e *HeldError) Error() string { return "it has asked for rest" }
+func (e *HeldError) Error() string { return e.reason }
+
+var (
+	errRests  = &HeldError{reason: "it has asked for rest"}
+	errLeaves = &HeldError{reason: "it has said that it leaves"}
+)
 
-// Permits returns a HeldError if a peer is to be sent nothing now, else nil.
-func (g *Gate) Permits(peer Peer) error {
+// Permits returns a HeldError if a peer must not be sent something now, else nil. work says that it is new
+// work: what only concerns work that the peer has may be sent to one that leaves, and to none that rests.
+func (g *Gate) Permits(peer Peer, work bool) error {
 	standing := g.find(peer)
 	if standing == nil {
 		return nil
 	}
-	if left := standing.RestLeft(g.Now()); left > 0 {
-		return &HeldError{Left: left}
+	now := g.Now()
+	if standing.RestLeft(now) > 0 {
+		return errRests
+	}
+	if work && !g.TakesWork(standing, now) {
+		return errLeaves
 	}
 	return nil
 }
 
+// TakesWork reports whether a peer with a standing may be sent new work, as far as its leaving goes.
+func (g *Gate) TakesWork(standing *Standing, now time.Duration) bool {
+	since := time.Duration(standing.leavingSince.Load())
+	return since == 0 || g.InLeaveTime(since, now)
+}
+
+// InLeaveTime reports whether a peer may still be sent new work that is known to leave since a time.
+func (g *Gate) InLeaveTime(since, now time.Duration) bool {
+	return g.options.LeaveTime == 0 || now < since+g.options.LeaveTime
+}
+
 // standing returns that of a peer, and whether it is new.
 func (g *Gate) standing(peer Peer) (standing *Standing, first bool) {
 	g.mutex.Lock()
@@ -171,10 +192,6 @@
 	return g.standings[peer]
 }
 
-// droppedMemory is for how long the standing of a peer is kept that is not known any more: lists that are
-// older, or doubted, may show it again.
-const droppedMemory = time.Minute
-
 // Drop notes that a peer is not known any more.
 func (g *Gate) Drop(peer Peer) {
 	if g.Quiet() {
@@ -184,14 +201,14 @@
 	defer g.mutex.Unlock()
 	if dropped, found := g.standings[peer]; found {
 		now := g.Now()
-		dropped.forgetAt = now + max(droppedMemory, dropped.RestLeft(now))
+		dropped.forgetAt = now + max(memory, dropped.RestLeft(now))
 	}
 }
 
 // leastSwept is the number of standings below which none is looked for that may be forgotten.
 const leastSwept = 64
 
-// sweep forgets peers that have not been known for long, each time that there are twice as many standings as
+// sweep forgets peers that have asked for nothing, or have not been known, for long, each time that there are twice as many standings as
 // after the last time. It is called with the mutex held.
 func (g *Gate) sweep() {
 	if len(g.standings) < g.sweepAt {
@@ -199,7 +216,7 @@
 	}
 	now := g.Now()
 	for peer, each := range g.standings {
-		if each.forgetAt > 0 && now >= each.forgetAt {
+		if each.forgettable(now) {
 			delete(g.standings, peer)
 			g.asked.Add(-1)
 		}
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -70,7 +70,7 @@
 func TestAPeerLeavesUntilItsLifeEnds(t *testing.T) {
 	g := newTestGate(logr.Discard())
 	told := 0
-	g.OnAsked(func(peer Peer, standing *Standing) {
+	g.OnChange(func(peer Peer, standing *Standing) {
 		assert.Equal(t, peerA, peer)
 		assert.True(t, standing.Leaving())
 		told++
@@ -105,7 +105,7 @@
 		peer := Peer{Address: "c:1", Instance: strconv.Itoa(number)}
 		g.turnAway(peer, 1)
 		g.Drop(peer)
-		g.now += droppedMemory / 100
+		g.now += memory / 100
 	}
 	assert.Less(t, len(g.standings), 500)
 	assert.EqualValues(t, len(g.standings), g.asked.Load())
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -26,6 +26,18 @@
 // Leaving reports whether the peer has said that it leaves.
 func (s *Standing) Leaving() bool { return s.leavingSince.Load() != 0 }
 
+// memory is for how long a standing is kept that says nothing any more, or whose peer is not known any more:
+// lists that are older, or doubted, may show it again.
+const memory = time.Minute
+
+// forgettable reports whether the standing may be forgotten. It is called with the Gate's mutex held.
+func (s *Standing) forgettable(now time.Duration) bool {
+	if s.forgetAt > 0 && now >= s.forgetAt {
+		return true
+	}
+	return !s.Leaving() && now >= time.Duration(s.restEnds.Load())+memory
+}
+
 // askRest notes that the peer asks to be left alone, and reports whether that is for longer than before. Of
 // several times the latest end counts, and no other answer ends a rest.
 func (s *Standing) askRest(now, rest time.Duration) (longer bool) {
--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -145,7 +145,7 @@
 
 func runRelay(process regionalProcess) error {
 	settings := process.settings
-	gate := platform.NewGate(process.logger)
+	gate := platform.NewGate(settings.LeaveTime(), process.logger)
 	created, err := daemon.New(daemon.Settings{
 		Name: settings.Name,
 		Zone: settings.Zone,
@@ -217,7 +217,8 @@
 	if duties.Usage {
 		terms = coordinator.UsageTerms{Window: settings.UsageWindow(), Late: settings.UsageLate()}
 	}
-	engines := platform.NewEngines(platform.NewGate(process.logger))
+	gate := platform.NewGate(settings.LeaveTime(), process.logger)
+	engines := platform.NewEngines(gate)
 	created, err := coordinator.New(coordinator.Settings{
 		Name:       settings.Name,
 		Zone:       settings.Zone,
@@ -256,6 +257,7 @@
 	if err != nil {
 		return err
 	}
+	gate.OnChange(created.NoteStanding)
 	operators, err := net.Listen("tcp", settings.OperatorListen)
 	if err != nil {
 		return err
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -61,8 +61,8 @@
 	// ActiveReplicas is the number of replicas of a service and region that take work whatever the load
 	// is; the others stand by until they are needed. 0 is activeset.DefaultLeast.
 	ActiveReplicas int `yaml:"active_replicas"`
-	// DrainMillis is how long after the platform's list shows it a leaving replica may get requests, 0 if
-	// there is no bound.
+	// DrainMillis is how long after the platform's list shows it, or it has said so itself, a leaving replica
+	// may get requests, 0 if there is no bound.
 	DrainMillis int `yaml:"drain_ms"`
 	// LeaseMillis is how far the orders of two coordinators to a replica must lie
 	// apart.
@@ -297,6 +297,15 @@
 	return time.Duration(listShare * float64(s.DrainMillis) * float64(time.Millisecond))
 }
 
+// leaveShare of the time within which a leaving replica may get requests may pass before the last one is
+// sent: the rest is for its way.
+const leaveShare = 0.75
+
+// LeaveTime is for how long a replica that has said it leaves may get new requests; 0 for no bound.
+func (s *Settings) LeaveTime() time.Duration {
+	return time.Duration(leaveShare * float64(s.DrainMillis) * float64(time.Millisecond))
+}
+
 // Hold is for how long a request is held under which replicas have ended, 0 for the default.
 func (s *Settings) Hold() time.Duration {
 	return time.Duration(s.HoldSeconds * float64(time.Second))
--- a/internal/coordinator/activity.go
+++ b/internal/coordinator/activity.go
@@ -102,7 +102,7 @@
 	changing := changingReplicas(state)
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
-		sound := !replica.Draining && !changing[replica.ID]
+		sound := !replica.Leaves() && !changing[replica.ID]
 		if sound && len(unreachable)+len(limited) > 0 {
 			life := replica.Life().Name()
 			sound = !unreachable[life] && !limited[life]
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -45,6 +45,7 @@
 	usage     *usageState
 	quotas    *quotaService
 	limits    *limitService
+	leaving   *leavingWords
 	permits   permits
 	outlooks  fleetOutlooks
 	activity  activityKeeper
@@ -91,6 +92,7 @@
 		reported:  newDemandTable(),
 		zones:     newMemberZones(),
 		builds:    newBuildTable(),
+		leaving:   newLeavingWords(),
 		clock:     clock,
 		members:   memberWatch{lastHeard: map[uint64]time.Duration{}},
 		permits:   permits{given: poison.NewPermits()},
@@ -141,7 +143,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run, c.limits.Run, c.limits.show} {
+	for _, loop := range []func(context.Context){c.enter, c.confirm, c.keepMembers, c.keepList, c.keepActivity, c.keepStages, c.keepUsage, c.keepFleet, c.keepPoison, c.tellLeaving, c.logLeadership, c.listenForDatagrams, c.place, c.quotas.Run, c.limits.Run, c.limits.show} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
@@ -217,6 +219,7 @@
 	rpc.Handle(engine, region.PathBuilds, c.handleBuilds)
 	rpc.Handle(engine, region.PathPermit, c.handlePermit)
 	rpc.Handle(engine, region.PathKept, c.handleKept)
+	rpc.Handle(engine, region.PathLeaving, c.handleLeaving)
 	return engine
 }
 
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		zone := zoneOf(replica.Zone)
-		if replica.Draining {
+		if replica.Leaves() {
 			zone.Leaving[kindOf(replica.Preemptible)]++
 		} else {
 			zone.Serving[kindOf(replica.Preemptible)]++
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -88,7 +88,7 @@
 			c.logger.Info(event.ReplicaRestarted, "replica", replica.ID, "born", replica.Born, "born_before", known.Born)
 		}
 		c.logger.Info(event.ReplicaListed, "replica", replica.ID, "born", replica.Born, "service", replica.Service,
-			"address", replica.Address, "draining", replica.Draining, "stage", replica.Stage)
+			"address", replica.Address, "draining", replica.Draining, "leaving", replica.Leaving, "stage", replica.Stage)
 	}
 	for _, id := range change.Removed {
 		c.logger.Info(event.ReplicaGone, "replica", id)
--- a/internal/coordinator/replicalist.go
+++ b/internal/coordinator/replicalist.go
@@ -36,6 +36,10 @@
 	for _, replica := range after {
 		kept[replica.ID] = true
 		at, found := slices.BinarySearchFunc(before, replica.ID, compareReplica)
+		if found && before[at].Replica.Life() == replica.Life() {
+			// It has said so itself, whatever the list shows.
+			replica.Leaving = before[at].Replica.Leaving
+		}
 		if !found || before[at].Replica != replica {
 			change.Changed = append(change.Changed, replica)
 		}
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -196,7 +196,7 @@
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
 		switch {
-		case replica.Stage == "" || replica.Draining:
+		case replica.Stage == "" || replica.Leaves():
 		case !listed.Standby:
 			services[replica.Service] = append(services[replica.Service], replica)
 		default:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -98,6 +98,8 @@
 	RestUnreadable Event = "replica's rest unreadable"
 	// LeavingSaid: a replica says in an answer that it leaves.
 	LeavingSaid Event = "replica says that it leaves"
+	// LeavingUntold: that a replica says it leaves could not be told to a coordinator; it is told again.
+	LeavingUntold Event = "leaving was not told"
 	// LimitUnreadable: a replica names a limit that can't be read; what was known of it stays.
 	LimitUnreadable Event = "replica's limit unreadable"
 	// MessageUnreadable: a message of another process can't be read.
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -22,6 +22,7 @@
 	PathPermit        = "/internal/v1/region/permit"
 	PathKept          = "/internal/v1/region/kept"
 	PathBuilds        = "/internal/v1/region/builds"
+	PathLeaving       = "/internal/v1/region/leaving"
 )
 
 // Stages of a model replica.
@@ -43,14 +44,19 @@
 	Zone    string `msg:"zone"`
 	// Slots is the number of requests that it works on at once.
 	Slots int `msg:"slots"`
-	// Draining replicas take no new work.
+	// Draining replicas take no new work, as the platform's list says.
 	Draining bool `msg:"draining"`
 	// Stage is empty for replicas that are not model engines.
 	Stage string `msg:"stage"`
 	// Preemptible replicas cost less and may be taken away, all of a zone at once.
 	Preemptible bool `msg:"preemptible"`
+	// Leaving replicas have said in an answer that they take no new work, which the list may not show.
+	Leaving bool `msg:"leaving,omitempty"`
 }
 
+// Leaves reports whether the replica takes no new work until its life ends.
+func (r *Replica) Leaves() bool { return r.Draining || r.Leaving }
+
 // State is what the coordinators replicate.
 type State struct {
 	// Version is that of the configuration; 0 while there is none.
@@ -484,6 +490,12 @@
 	LeftMillis int `msg:"left_ms"`
 }
 
+// LeavingReport tells of replicas that have said in an answer that they leave.
+type LeavingReport struct {
+	// Replicas are Life.Names.
+	Replicas []string `msg:"replicas"`
+}
+
 // OutstandingWork is a gateway's work at one replica.
 type OutstandingWork struct {
 	// Replica is a Life.Name.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -2012,6 +2012,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *LeavingReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "replicas"
+	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0001 := range z.Replicas {
+		o = msgp.AppendString(o, z.Replicas[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LeavingReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "replicas":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Replicas) >= int(zb0002) {
+				z.Replicas = (z.Replicas)[:zb0002]
+			} else {
+				z.Replicas = make([]string, zb0002)
+			}
+			for za0001 := range z.Replicas {
+				z.Replicas[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LeavingReport) Msgsize() (s int) {
+	s = 1 + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += msgp.StringPrefixSize + len(z.Replicas[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3516,34 +3595,52 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "id"
-	o = append(o, 0x89, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.ID)
-	// string "born"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Born)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "address"
-	o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.Slots)
-	// string "draining"
-	o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Draining)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendString(o, z.Stage)
-	// string "preemptible"
-	o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
-	o = msgp.AppendBool(o, z.Preemptible)
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.ID)
+		// string "born"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
+		o = msgp.AppendInt64(o, z.Born)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.Zone)
+		// string "slots"
+		o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+		o = msgp.AppendInt(o, z.Slots)
+		// string "draining"
+		o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Draining)
+		// string "stage"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+		o = msgp.AppendString(o, z.Stage)
+		// string "preemptible"
+		o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
+		o = msgp.AppendBool(o, z.Preemptible)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "leaving"
+			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+	}
 	return
 }
 
@@ -3623,6 +3720,12 @@
 				err = msgp.WrapError(err, "Preemptible")
 				return
 			}
+		case "leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3637,7 +3740,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Replica) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize + 8 + msgp.BoolSize
 	return
 }
 
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -13,15 +13,84 @@
 // any use.
 func (d *Directory) Heed(gate *backpressure.Gate) {
 	d.gate = gate
-	gate.OnAsked(d.noteAsking)
+	gate.OnChange(d.noteAsking)
 }
 
-// noteAsking takes the standing of a replica that has asked for something for the first time.
+// OnLeaving has a function told of each replica, by its life's name, that says to this process that it leaves.
+// It is called before any use.
+func (d *Directory) OnLeaving(told func(life string)) { d.onLeaving = told }
+
+// noteAsking takes the standing of a replica that has asked for something, or has said that it leaves.
 func (d *Directory) noteAsking(peer backpressure.Peer, standing *backpressure.Standing) {
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if replica, listed := d.replicas[peer.Instance]; listed && replica.Address == peer.Address {
+	replica, listed := d.replicas[peer.Instance]
+	if listed = listed && replica.Address == peer.Address; listed {
 		replica.asks = standing
+		if replica.leaves() {
+			replica.tellStreams()
+		}
+	}
+	d.mutex.Unlock()
+	if listed && standing.Leaving() {
+		d.onLeaving(peer.Instance)
+	}
+}
+
+// LeavingUntold lists the replicas, by their lives' names, that have said to this process that they leave,
+// and are not listed so.
+func (d *Directory) LeavingUntold() []string {
+	if d.gate == nil || d.gate.Quiet() {
+		return nil
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var names []string
+	for name, replica := range d.replicas {
+		if replica.saysLeaving() && !replica.Leaves() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TakeLeaving notes replicas, by their lives' names, that have said to others that they leave.
+func (d *Directory) TakeLeaving(names []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range names {
+		if replica, known := d.replicas[name]; known {
+			d.noteLeaving(replica)
+			replica.tellStreams()
+		}
+	}
+}
+
+// saysLeaving reports whether the replica has said to this process that it leaves. It is called with the
+// mutex held.
+func (r *Replica) saysLeaving() bool { return r.asks != nil && r.asks.Leaving() }
+
+// takesLast reports whether a replica that leaves by its own word may still be sent work: where no other is
+// left, for as long as it bears. It is called with the mutex held.
+func (d *Directory) takesLast(replica *Replica) bool {
+	if d.gate == nil {
+		return true
+	}
+	now := d.gate.Now()
+	if replica.asks != nil && !d.gate.TakesWork(replica.asks, now) {
+		return false
+	}
+	return !replica.Leaving || d.gate.InLeaveTime(replica.leavingSince, now)
+}
+
+// noteLeaving notes that others have heard that the replica leaves. It is called with the mutex held.
+func (d *Directory) noteLeaving(replica *Replica) {
+	if replica.Leaving {
+		return
+	}
+	replica.Leaving = true
+	if d.gate != nil {
+		replica.leavingSince = d.gate.Now()
 	}
 }
 
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -43,6 +43,7 @@
 	ready     atomic.Bool
 	evidence  *evidence
 	limits    *limitClient
+	leaving   *leavingTeller
 	// callers are the connections of callers, nil before the gateway listens.
 	callers atomic.Pointer[listener.Listener]
 }
@@ -65,7 +66,7 @@
 	clock := func() time.Duration { return time.Since(started) }
 	if settings.Gate == nil {
 		settings.Gate = backpressure.NewGate(backpressure.Options{
-			Clock: uptime.Since(settings.Now), Leaving: settings.Dialect.Leaving, Logger: settings.Logger,
+			Clock: uptime.Since(settings.Now), Leaving: settings.Dialect.Leaving, LeaveTime: settings.LeaveTime, Logger: settings.Logger,
 		})
 	}
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Gate: settings.Gate})
@@ -120,6 +121,7 @@
 		front:     &front{settings: settings, keeper: keeper, runner: runner, quotas: quotas},
 		evidence:  evidence,
 		limits:    limits,
+		leaving:   newLeavingTeller(settings, client, keeper, directory),
 	}
 	created.registerGauges(settings.Metrics)
 	return created, nil
@@ -230,6 +232,7 @@
 	go d.placement.Run(work)
 	go d.warmUp(work)
 	go d.evidence.Run(work)
+	go d.leaving.Run(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
 	go func() { _ = d.front.newServer(callers).Run() }()
 	<-stopping.Done()
--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -35,6 +35,8 @@
 const (
 	// contactTime is how long processes that reach each other may take to know what one knows.
 	contactTime = 3 * time.Second
+	// leaveTime is for how long replicas that say they leave may get requests.
+	leaveTime = 2 * time.Second
 	// endingBody is that of the request which ends replicas.
 	endingBody = "ends what runs it"
 	// downTime is how long a replica that has ended is down.
@@ -55,6 +57,8 @@
 	// limits are those that replicas name, by their ids, and taken the arrivals of all requests.
 	limits map[string]float64
 	taken  map[string][]time.Time
+	// leaving are the ids of those that say that they leave.
+	leaving map[string]bool
 }
 
 // mortalReplica is one incarnation of a replica.
@@ -66,7 +70,7 @@
 
 func newReplicaSet(t *testing.T, count int) *replicaSet {
 	t.Helper()
-	set := &replicaSet{t: t, running: map[string]*mortalReplica{}, limits: map[string]float64{}, taken: map[string][]time.Time{}}
+	set := &replicaSet{t: t, running: map[string]*mortalReplica{}, limits: map[string]float64{}, taken: map[string][]time.Time{}, leaving: map[string]bool{}}
 	for range count {
 		set.start(testnet.Address(t))
 	}
@@ -262,7 +266,7 @@
 		PeerListen: testnet.Address(r.t), Seeds: func() []string { return []string{r.coordinator} },
 		Budget:   relay.BudgetTerms{Ratio: 1, Window: time.Second, Slack: 100},
 		StopTime: 2 * time.Second, Lister: emptyList{}, Codec: jsonCodec{}, Dialect: testDialect{},
-		Contact: r.contact(), Metrics: telemetry.NewMetrics("test"), Logger: logr.Discard(),
+		Contact: r.contact(), LeaveTime: leaveTime, Metrics: telemetry.NewMetrics("test"), Logger: logr.Discard(),
 	})
 	require.NoError(r.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/relay/daemon/replicalimits_test.go
+++ b/internal/relay/daemon/replicalimits_test.go
@@ -33,6 +33,9 @@
 	if limit, named := s.limits[replica.id]; named {
 		writer.Header().Set("Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 	}
+	if s.leaving[replica.id] {
+		writer.Header().Set("Leaving", "1")
+	}
 }
 
 // name has a replica name a limit from now on.
@@ -141,16 +144,20 @@
 func (r *endingRegion) learnLimits(gateway int, replica string) {
 	r.t.Helper()
 	require.Eventually(r.t, func() bool {
-		// So many at once that each replica gets one.
-		var sending sync.WaitGroup
-		for number := range 8 {
-			sending.Go(func() { r.ask(gateway, fmt.Sprint("learning-", number), "body") })
-		}
-		sending.Wait()
+		r.askAll(gateway)
 		return r.knownLimits()[replica] != 0
 	}, 30*time.Second, 10*time.Millisecond)
 }
 
+// askAll sends so many requests to a gateway at once that each replica gets one.
+func (r *endingRegion) askAll(gateway int) {
+	var sending sync.WaitGroup
+	for number := range 8 {
+		sending.Go(func() { r.ask(gateway, fmt.Sprint("learning-", number), "body") })
+	}
+	sending.Wait()
+}
+
 // What one gateway has been told is known to the others, to one that joins and to a coordinator that
 // begins anew, though none of them has had an answer that says so.
 func TestALimitIsKnownToAll(t *testing.T) {
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -60,6 +60,9 @@
 	CallerStall time.Duration
 	// Lister is asked directly if no coordinator has a fresh view.
 	Lister coordinator.Lister
+	// LeaveTime is for how long a replica that has said it leaves may get new requests, if no other is left; 0
+	// for no bound. It counts if Gate is nil.
+	LeaveTime time.Duration
 	// Gate keeps what replicas ask of this process; nil for one of its own. Whatever else sends to them uses it.
 	Gate *backpressure.Gate
 	// Prefixes tells what replicas keep; nil leaves that to be found out.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -59,6 +59,8 @@
 	onLimit func(word ratelimit.Word)
 	// gate keeps what replicas ask of this process; nil if they can ask for nothing.
 	gate *backpressure.Gate
+	// onLeaving is told of each replica that says to this process that it leaves.
+	onLeaving func(life string)
 	// restRevision grows with each rest that is asked of this process, or of one that it places for.
 	restRevision uint64
 	// returnAt is by service when the caller that was refused last, for limits or rests, should come back.
@@ -111,6 +113,7 @@
 		limits:    ratelimit.NewTable(),
 		returnAt:  map[string]time.Duration{},
 		onDropped: onDropped,
+		onLeaving: func(string) {},
 		choosers:  func() int { return 1 },
 		rooms:     map[string]*room{},
 		draw:      rand.Float64,
@@ -134,8 +137,12 @@
 			known = &Replica{name: name, prefixes: newPrefixMemory(), keptKnown: len(d.replicas) > 0}
 			known.asks = d.asksOf(backpressure.Peer{Address: listed.Address, Instance: name})
 		}
-		draining := known.Draining || listed.Draining
+		draining, leaving := known.Draining || listed.Draining, known.Leaving
 		known.Replica = listed
+		known.Leaving = leaving
+		if listed.Leaving {
+			d.noteLeaving(known)
+		}
 		known.room = d.roomOf(listed.Service, listed.Stage)
 		known.Draining = draining
 		if known.leaves() {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -28,7 +28,7 @@
 func (l *Lease) leavesByPlan() bool {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	return l.Replica.Draining
+	return l.Replica.ends()
 }
 
 // age is how long ago the lease began.
--- a/internal/relay/grant.go
+++ b/internal/relay/grant.go
@@ -54,7 +54,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	replica, known := d.replicas[answer.Replica]
-	if !known || replica.Draining || replica.gone || !slices.Contains(stages, replica.Stage) || slices.Contains(request.Excluded, replica) || replica.rests(d.askingNow()) {
+	if !known || replica.ends() || replica.gone || !slices.Contains(stages, replica.Stage) || slices.Contains(request.Excluded, replica) || replica.rests(d.askingNow()) {
 		return nil
 	}
 	lease := d.lease(replica)
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -100,13 +100,22 @@
 // candidates are the replicas of a service that may get a request. It is called
 // with the mutex held.
 func (d *Directory) candidates(service string, wanted Wanted, passes func(*Replica) bool, now time.Duration) []*Replica {
-	var candidates []*Replica
+	var candidates, ending []*Replica
 	asking := d.askingNow()
 	for _, replica := range d.services[service] {
-		if !replica.Draining && !replica.gone && passes(replica) && !replica.rests(asking) && !wanted.excludes(replica, now) {
+		if replica.Draining || replica.gone || !passes(replica) || replica.rests(asking) || wanted.excludes(replica, now) {
+			continue
+		}
+		if !replica.ends() {
 			candidates = append(candidates, replica)
+		} else if d.takesLast(replica) {
+			ending = append(ending, replica)
 		}
 	}
+	if len(candidates) == 0 {
+		// Better served by one that leaves than by none.
+		candidates = ending
+	}
 	return d.withRoom(candidates, wanted.Rank, now)
 }
 
@@ -230,7 +239,7 @@
 	}
 	var homes []weightedHome
 	for _, replica := range d.services[service] {
-		if replica.Draining || replica.gone || replica.Stage != stage || now < replica.avoidUntil {
+		if replica.ends() || replica.gone || replica.Stage != stage || now < replica.avoidUntil {
 			continue
 		}
 		homes = d.heaviest(homes, weightedHome{replica, xxhash.Sum64String(key + "/" + replica.ID)})
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -246,7 +246,7 @@
 	rate, room := 0.0, time.Duration(-1)
 	for _, replica := range d.services[service] {
 		limit := &replica.limit
-		if !limit.named || replica.Draining || replica.gone || replica.Stage == region.StagePrefill {
+		if !limit.named || replica.ends() || replica.gone || replica.Stage == region.StagePrefill {
 			continue
 		}
 		rate += limit.rate
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -43,6 +43,8 @@
 	// room is that of its stage of its service.
 	room  *room
 	limit namedLimit
+	// leavingSince is when others were known to have heard that it leaves, by the gate's clock.
+	leavingSince time.Duration
 	// asks is what the replica asks of this process, nil if that is nothing.
 	asks      *backpressure.Standing
 	latency   float64
@@ -183,8 +185,12 @@
 }
 
 // leaves reports whether the replica takes no new work, for good or until it has another
-// stage.
-func (r *Replica) leaves() bool { return r.Draining || r.Stage == region.StageChanging }
+// stage. It is called with the mutex held.
+func (r *Replica) leaves() bool { return r.ends() || r.Stage == region.StageChanging }
+
+// ends reports whether the replica takes no new work until its life ends, as the list or its own answers
+// say. It is called with the mutex held.
+func (r *Replica) ends() bool { return r.Leaves() || r.saysLeaving() }
 
 // tellStreams tells the streams that run there that the replica leaves.
 func (r *Replica) tellStreams() {
--- a/internal/relay/rest_load_test.go
+++ b/internal/relay/rest_load_test.go
@@ -251,6 +251,7 @@
 // A part of the replicas turn everything away for some seconds. The others could take it all: a replica that
 // turns requests away is empty, and drew them from all gateways.
 func TestReplicasThatTurnRequestsAwayDrawNone(t *testing.T) {
+	t.Parallel()
 	const replicas, load = 12, 0.35
 	for _, gateways := range []int{1, 9, 65} {
 		for _, faulty := range []int{1, 6} {
@@ -282,6 +283,7 @@
 
 // A replica that gets more than it can do asks for a second's rest, again and again.
 func TestARestingReplicaIsUsedToItsOwnPaceByAnyNumberOfGateways(t *testing.T) {
+	t.Parallel()
 	shape := shedder{slots: 8, queue: 16, work: 100 * time.Millisecond, rest: time.Second}
 	for _, gateways := range []int{1, 9, 65, 985} {
 		for _, load := range []float64{1, 1.5, 3} {
@@ -297,6 +299,7 @@
 // All replicas get more than they can do. Who fills the first one up has shown how full the others get: else
 // one after the other is left alone, and none is left.
 func TestGoodputIsLevelWhileAllReplicasAskForRest(t *testing.T) {
+	t.Parallel()
 	const replicas = 12
 	for _, gateways := range []int{1, 9, 65} {
 		for _, rest := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second, 30 * time.Second} {
@@ -358,6 +361,7 @@
 
 // TestWaysToBearRestsCompared plays the same load with each way to bear rests.
 func TestWaysToBearRestsCompared(t *testing.T) {
+	t.Parallel()
 	const replicas = 12
 	alone := mechanism.Set{mechanism.RefusalBackoff: true, mechanism.RestHints: true, mechanism.LearnedRoom: true}
 	ways := []struct {
@@ -453,6 +457,7 @@
 // Readers that are full turn prompts away for a time. Urgent prompts go first as before, and large ones are
 // served like others.
 func TestUrgentAndLargePromptsAreServedWhileReadersAskForRest(t *testing.T) {
+	t.Parallel()
 	const (
 		readers = 12
 		most    = 4
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -159,3 +159,24 @@
 	assert.Equal(t, 9, excluded)
 	assert.GreaterOrEqual(t, released, 10, "what is not used is given back")
 }
+
+// Where all replicas leave, they are used for as long as they bear it; then callers are refused at once.
+func TestReplicasThatAllLeaveAreUsedUntilTheirTimeIsOver(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"a", "b"} {
+		w.add(id, "", leavingAnswer(sealed(http.StatusOK, "ok")))
+	}
+	for range 10 {
+		require.True(t, w.run(callOf(traffic.KindOnce, 1)).ended)
+	}
+	w.skip(leaveTime)
+	visits := w.visits("a") + w.visits("b")
+	for range 10 {
+		answer := w.run(callOf(traffic.KindOnce, 1))
+		require.Error(t, answer.err)
+		assert.Equal(t, failure.RanNo, failure.AnswerFor(answer.err).Ran)
+	}
+	assert.Equal(t, visits, w.visits("a")+w.visits("b"))
+	w.add("new", "", sealed(http.StatusOK, "ok"))
+	require.True(t, w.run(callOf(traffic.KindOnce, 1)).ended)
+}
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -130,7 +130,7 @@
 	began := time.Now()
 	w := &world{t: t, seen: map[string]int{}}
 	clock := func() time.Duration { return time.Since(began) + time.Duration(w.skipped.Load()) }
-	gate := backpressure.NewGate(backpressure.Options{Clock: clock, Leaving: testDialect{}.Leaving, Logger: logger})
+	gate := backpressure.NewGate(backpressure.Options{Clock: clock, Leaving: testDialect{}.Leaving, LeaveTime: leaveTime, Logger: logger})
 	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20, Gate: gate})
 	w.directory = relay.NewDirectory(clock, "zone", client.Forget, logger)
 	w.directory.Heed(gate)
@@ -139,6 +139,9 @@
 	return w
 }
 
+// leaveTime is for how long replicas that say they leave may get requests.
+const leaveTime = 3 * time.Second
+
 // skip puts the clock forward.
 func (w *world) skip(ahead time.Duration) { w.skipped.Add(int64(ahead)) }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -42,6 +42,7 @@
 		Host:     r.call.Host,
 		Header:   append(r.call.Header[:len(r.call.Header):len(r.call.Header)], r.dialect.Fields(send)...),
 		Body:     r.call.Body,
+		Work:     true,
 		Belongs: func(header http.Header) bool {
 			marks := r.dialect.ReadMarks(header)
 			return marks.RequestID == "" || marks.RequestID == r.call.ID
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,6 +56,8 @@
 	// longer: for requests that can't be repeated if the replica has silently
 	// dropped the connection.
 	MaximumRest time.Duration
+	// Work says that the request is new work for the replica, and does not only concern work that it has.
+	Work bool
 	// Belongs reports whether an answer is to this request; nil takes any.
 	Belongs func(http.Header) bool
 }
@@ -101,12 +103,12 @@
 	return exchange, nil
 }
 
-// permits returns an error if nothing may be sent to whom the request is for.
+// permits returns an error if the request must not be sent now to whom it is for.
 func (c *Client) permits(request *Request) error {
 	if c.options.Gate == nil {
 		return nil
 	}
-	return c.options.Gate.Permits(request.peer())
+	return c.options.Gate.Permits(request.peer(), request.Work)
 }
 
 // giveUp closes the connection of an exchange whose context has ended.
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -36,7 +36,7 @@
 // that the system gave the connection up.
 func Silent(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
 
-// Held reports whether a request was not sent since its peer has asked for rest.
+// Held reports whether a request was not sent since its peer has asked for rest, or leaves.
 func Held(err error) bool {
 	var held *backpressure.HeldError
 	return errors.As(err, &held)
