Call the platform no sooner than it says

The same cause elsewhere: a time to return in the platform's refusals (its list, usage, orders of replicas) was read by nobody, and each was called again at its usual pace. They go through the same gate now, each kind of call for itself.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -232,7 +232,7 @@
 		Lister:     newLister(process),
 		Engines:    engines,
 		Prefixes:   engines,
-		Platform:   platform.NewCaller(settings.ReplicaList),
+		Platform:   platform.NewCaller(settings.ReplicaList, process.logger),
 		Usage:      terms,
 		OrderFleet: duties.Fleet,
 		Lease:      settings.Lease(),
--- a/internal/coordinator/duties_test.go
+++ b/internal/coordinator/duties_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -107,7 +108,7 @@
 	server := httptest.NewServer(duties.Handler())
 	defer server.Close()
 	g := newGroupWith(t, func(settings *coordinator.Settings) {
-		settings.Platform = platform.NewCaller(server.Listener.Addr().String())
+		settings.Platform = platform.NewCaller(server.Listener.Addr().String(), logr.Discard())
 		settings.Usage = coordinator.UsageTerms{Window: usageWindow, Late: usageLate}
 		settings.Lease = dutyLease
 	})
@@ -178,7 +179,7 @@
 	}
 	list.set(replicasOf(ordered)...)
 	g := newGroupWith(t, func(settings *coordinator.Settings) {
-		settings.Platform = platform.NewCaller(server.Listener.Addr().String())
+		settings.Platform = platform.NewCaller(server.Listener.Addr().String(), logr.Discard())
 		settings.OrderFleet = true
 		settings.Lease = dutyLease
 		settings.Lister = list
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,10 +92,10 @@
 	ReplicaBack Event = "replica back"
 	// LimitNamed: a replica names another limit of requests than before, or none any more.
 	LimitNamed Event = "replica's limit"
-	// RestAsked: a replica has turned a request away, and asks this process to be left alone for a time.
-	RestAsked Event = "replica asks for rest"
-	// RestUnreadable: a replica has turned a request away and names a time that can't be read.
-	RestUnreadable Event = "replica's rest unreadable"
+	// RestAsked: a replica, or the platform, has turned a call away, and asks this process to be left alone for a time.
+	RestAsked Event = "rest asked for"
+	// RestUnreadable: one has turned a call away and names a time that can't be read.
+	RestUnreadable Event = "rest unreadable"
 	// LeavingSaid: a replica says in an answer that it leaves.
 	LeavingSaid Event = "replica says that it leaves"
 	// LeavingUntold: that a replica says it leaves could not be told to a coordinator; it is told again.
