--- a/internal/relay/connected_test.go
+++ b/internal/relay/connected_test.go
@@ -34,3 +34,16 @@
 		assert.NotEqual(t, first.Replica.ID, second.Replica.ID, "load goes before a connection")
 	}
 }
+
+// Symptom: a replica resets what is beyond the connections that it takes. Cause: each gateway kept eight of its
+// own, however many gateways there are.
+func TestUnusedConnectionsOfAllGatewaysLeaveRoomForRequests(t *testing.T) {
+	for _, taken := range []int{1, 4, 32, 110, 250, 520, 2100} {
+		for _, gateways := range []int{1, 4, 9, 65, 295, 985} {
+			part := relay.IdlePart(taken, gateways)
+			assert.GreaterOrEqual(t, part, 1, "connections are used again")
+			assert.LessOrEqual(t, gateways*part, max(taken/2, gateways), "%d connections, %d gateways", taken, gateways)
+		}
+	}
+	assert.Equal(t, 8, relay.IdlePart(0, 985), "nothing is said of it")
+}
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -18,3 +18,6 @@
 func (d *Directory) RestsReturn(service string, rank int) time.Duration {
 	return d.restsReturn(service, rank)
 }
+
+// IdlePart is how many unused connections each of several processes may keep to a replica.
+func IdlePart(taken, choosers int) int { return idlePart(taken, choosers) }
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -245,6 +245,8 @@
 		Method:   method,
 		Target:   path,
 		Host:     handle.replica.Address,
+
+		MaximumIdle: 1,
 	})
 	if err != nil {
 		r.logger.V(1).Info(event.HandleNotFreed, "replica", handle.replica.ID, "error", err.Error())
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -43,6 +43,8 @@
 		Header:   append(r.call.Header[:len(r.call.Header):len(r.call.Header)], r.dialect.Fields(send)...),
 		Body:     r.call.Body,
 		Work:     true,
+
+		MaximumIdle: idlePart(r.call.Service.MaximumConnections, r.directory.choosers()),
 		Belongs: func(header http.Header) bool {
 			marks := r.dialect.ReadMarks(header)
 			return marks.RequestID == "" || marks.RequestID == r.call.ID
@@ -54,6 +56,24 @@
 	return request
 }
 
+const (
+	// idleShare of the connections that a replica takes may be kept unused by all gateways together: the
+	// others are for requests.
+	idleShare = 0.5
+	// mostIdle bounds the unused connections of one gateway to a replica.
+	mostIdle = 8
+)
+
+// idlePart is how many unused connections each of several processes may keep to a replica that takes a
+// number of connections, 0 if that is not known: its part, and one at least.
+func idlePart(taken, choosers int) int {
+	if taken <= 0 {
+		return mostIdle
+	}
+	part := int(idleShare * float64(taken) / float64(choosers))
+	return min(max(part, 1), mostIdle)
+}
+
 // attempt sends the request to a replica and hands its answer on. The handle is
 // that of the prompt, nil if the replica is to read it itself.
 func (r *run) attempt(ctx context.Context, lease *Lease, handle *promptHandle) (verdict, error) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -58,6 +58,9 @@
 	MaximumRest time.Duration
 	// Work says that the request is new work for the replica, and does not only concern work that it has.
 	Work bool
+	// MaximumIdle is how many unused connections may be kept to the replica once this one is one of them;
+	// 0 for maximumIdlePerReplica.
+	MaximumIdle int
 	// Belongs reports whether an answer is to this request; nil takes any.
 	Belongs func(http.Header) bool
 }
@@ -90,7 +93,7 @@
 	}
 	// Another answer may have asked for rest while the connection was made.
 	if err := c.permits(request); err != nil {
-		c.pool.put(request.key(), conn, time.Now(), defaultIdleTime)
+		c.pool.put(request.key(), conn, time.Now(), defaultIdleTime, request.MaximumIdle)
 		return nil, &Error{Cause: err}
 	}
 	stopWatch := context.AfterFunc(ctx, func() { c.giveUp(conn) })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -128,7 +128,7 @@
 		_ = e.connection.Close()
 		return
 	}
-	e.client.pool.put(e.request.key(), e.connection, time.Now(), idleTimeOf(e.Header))
+	e.client.pool.put(e.request.key(), e.connection, time.Now(), idleTimeOf(e.Header), e.request.MaximumIdle)
 }
 
 func (e *Exchange) reusable() bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,12 +66,15 @@
 	p.idle[key] = waiting
 }
 
-// put keeps a connection for a time, or closes it if there are enough.
-func (p *pool) put(key string, kept *connection, now time.Time, idleTime time.Duration) {
+// put keeps a connection for a time, or closes it if there are enough; 0 is for maximumIdlePerReplica.
+func (p *pool) put(key string, kept *connection, now time.Time, idleTime time.Duration, enough int) {
+	if enough == 0 {
+		enough = maximumIdlePerReplica
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.sweep(now)
-	if idleTime <= 0 || len(p.idle[key]) >= maximumIdlePerReplica {
+	if idleTime <= 0 || len(p.idle[key]) >= enough {
 		_ = kept.Close()
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -307,3 +308,37 @@
 	require.NoError(t, call(http.MethodPost, "a"))
 	require.Equal(t, 3, seen)
 }
+
+func TestNoMoreUnusedConnectionsAreKeptThanAllowed(t *testing.T) {
+	var open atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 10})
+	for _, test := range []struct{ allowed, kept int64 }{{2, 2}, {1, 1}, {0, 6}} {
+		var calls sync.WaitGroup
+		for range 6 {
+			calls.Go(func() {
+				answer, err := client.Do(t.Context(), &upstream.Request{
+					Address: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", MaximumIdle: int(test.allowed),
+				})
+				if assert.NoError(t, err) {
+					_, err = answer.ReadAll()
+					assert.NoError(t, err)
+					answer.Close()
+				}
+			})
+		}
+		calls.Wait()
+		require.Eventually(t, func() bool { return open.Load() == test.kept }, 10*time.Second, time.Millisecond, "%d are open", open.Load())
+		client.Forget(server.Listener.Addr().String(), "")
+	}
+}
