Let what gateways save up for repeated sends lapse within the window that bounds it

What was saved up is now lost with the window's time constant, so that the sum is what the requests of about one window have earned. TestWhatQuietGatewaysSaveUpFitsIntoTheTerms failed for 65, 295 and 985 gateways (65 of 60, 295 of 83, 985 of 152); with 9 nothing was wrong.

--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -90,5 +90,6 @@
 		MinimumPerSecond: (1 - savedShare) * share / b.terms.Window.Seconds(),
 		Maximum:          max(savedShare*share, 1),
 		Initial:          initialShare * savedShare * share,
+		Memory:           b.terms.Window,
 	}
 }
--- a/internal/relay/budgets_test.go
+++ b/internal/relay/budgets_test.go
@@ -56,3 +56,34 @@
 		})
 	}
 }
+
+// Symptom: quiet gateways each save up a repeat, and many spend theirs at once, as a service begins to refuse:
+// 985 repeats where 152 are allowed.
+func TestWhatQuietGatewaysSaveUpFitsIntoTheTerms(t *testing.T) {
+	terms := relay.BudgetTerms{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	for _, gateways := range []int{9, 65, 295, 985} {
+		for _, pause := range []int{2, 5, 20} {
+			now := time.Duration(0)
+			budgets := make([]*relay.Budgets, gateways)
+			for index := range budgets {
+				budgets[index] = relay.NewBudgets(func() time.Duration { return now }, terms, gateways)
+			}
+			for second := range 600 {
+				for index, each := range budgets {
+					if (second+index)%pause == 0 {
+						each.Request("s")
+					}
+				}
+				now += time.Second
+			}
+			spent := 0
+			for _, each := range budgets {
+				for each.Withdraw("s") {
+					spent++
+				}
+			}
+			requests := float64(gateways) * terms.Window.Seconds() / float64(pause)
+			assert.LessOrEqual(t, float64(spent), terms.Ratio*requests+terms.Slack, "%d gateways, a request each %d s", gateways, pause)
+		}
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BudgetOptions are the settings of a Budget.
 type BudgetOptions struct {
@@ -12,6 +15,9 @@
 	Maximum float64
 	// Initial is what a new budget holds.
 	Initial float64
+	// Memory is the time constant by which what was saved up is lost: many gateways that save up in quiet
+	// times would else spend it together. 0 loses nothing.
+	Memory time.Duration
 }
 
 // DefaultBudgetOptions returns the settings that the experiments use. The ratio
@@ -68,7 +74,11 @@
 	if now <= b.last {
 		return
 	}
-	b.add((now - b.last).Seconds() * b.options.MinimumPerSecond)
+	passed := now - b.last
+	if b.options.Memory > 0 {
+		b.balance *= math.Exp(-passed.Seconds() / b.options.Memory.Seconds())
+	}
+	b.add(passed.Seconds() * b.options.MinimumPerSecond)
 	b.last = now
 }
 
