Plan stages without replicas that refuse everything

Callers saw refusals for as long as all generating replicas refused, beside readers that could have taken their place: the plan counted them as sound, and changed first what was idle, which is what refuses. Gateways now tell which replicas have refused everything for as long as a change takes (told as unreachable, which earlier builds know) and which refuse of late: the first count for nothing, also in the shares that the plan takes of all, the second are not changed. Two gateways have to say so.

TestWhatCountsForNothingHasNoShare failed before (5 of 6 sound replicas to generate instead of 4 at most), TestAReplicaThatRefusesIsNotChanged and TestReplicasThatRefuseEverythingAreToldToThePlanOfStages had nothing to test. Refusals of replicas with fewer requests than slots count as such whatever others took of late: a generator that refused everything passed for full while its streams ended.

--- a/internal/coordinator/activity.go
+++ b/internal/coordinator/activity.go
@@ -98,7 +98,7 @@
 		}
 		reports = append(reports, demand.Unreachable...)
 	}
-	unreachable := reportedUnreachable(reports)
+	unreachable := reportedByMany(reports)
 	changing := changingReplicas(state)
 	for _, listed := range state.Replicas {
 		replica := listed.Replica
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -124,7 +124,7 @@
 			return sums
 		}
 	}
-	added.Unreachable = slices.Clone(added.Unreachable)
+	added.Unreachable, added.Refusing = slices.Clone(added.Unreachable), slices.Clone(added.Refusing)
 	return append(sums, added)
 }
 
@@ -140,4 +140,5 @@
 	sum.Gateways += added.Gateways
 	sum.Running += added.Running
 	sum.Unreachable = append(sum.Unreachable, added.Unreachable...)
+	sum.Refusing = append(sum.Refusing, added.Refusing...)
 }
--- a/internal/coordinator/stageinput.go
+++ b/internal/coordinator/stageinput.go
@@ -50,8 +50,8 @@
 	return most.note(now, telling)
 }
 
-// reportedUnreachable are the replicas that enough gateways have reported, of one entry for each report.
-func reportedUnreachable(reports []string) map[string]bool {
+// reportedByMany are the replicas that enough gateways have reported, of one entry for each report.
+func reportedByMany(reports []string) map[string]bool {
 	counts := map[string]int{}
 	for _, replica := range reports {
 		counts[replica]++
@@ -73,7 +73,7 @@
 		Reading:    demand.Reading,
 		Spares:     k.spares[group],
 	}
-	unreachable := reportedUnreachable(demand.Unreachable)
+	unreachable, refusing := reportedByMany(demand.Unreachable), reportedByMany(demand.Refusing)
 	if demand.Gateways > 0 {
 		k.heard[group] = now
 	}
@@ -95,6 +95,7 @@
 		}
 		planned := stageplan.Replica{ID: name, Slots: replica.Slots, Generates: replica.Stage == region.StageDecode}
 		planned.Unsettled = unreachable[name]
+		planned.Refuses = refusing[name]
 		input.Restless = input.Restless || planned.Unsettled
 		for _, change := range changes {
 			if change.Life() == life {
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -353,8 +353,11 @@
 	Squares float64 `msg:"squares"`
 	// Delayed is the number of prompts a second that are late since they have to wait.
 	Delayed float64 `msg:"delayed"`
-	// Unreachable are the replicas that did not answer of late, by Life.Name.
+	// Unreachable are the replicas that did not answer, or have refused everything, for some time, by
+	// Life.Name.
 	Unreachable []string `msg:"unreachable"`
+	// Refusing are those that have refused several requests of late, or want to be left alone.
+	Refusing []string `msg:"refusing,omitempty"`
 	// Gateways is the number of gateways whose demand is summed up here.
 	Gateways int `msg:"gateways"`
 	// Running is the number of requests at replicas that are not model engines.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -3940,16 +3940,20 @@
 func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Region == "" {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	if z.Running == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x2000
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -3994,10 +3998,18 @@
 		for za0001 := range z.Unreachable {
 			o = msgp.AppendString(o, z.Unreachable[za0001])
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "refusing"
+			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
+			for za0002 := range z.Refusing {
+				o = msgp.AppendString(o, z.Refusing[za0002])
+			}
+		}
 		// string "gateways"
 		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
 		o = msgp.AppendInt(o, z.Gateways)
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "running"
 			o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
 			o = msgp.AppendFloat64(o, z.Running)
@@ -4111,6 +4123,29 @@
 					return
 				}
 			}
+		case "refusing":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusing")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Refusing) >= int(zb0003) {
+				z.Refusing = (z.Refusing)[:zb0003]
+			} else {
+				z.Refusing = make([]string, zb0003)
+			}
+			for za0002 := range z.Refusing {
+				z.Refusing[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0002)
+					return
+				}
+			}
 		case "gateways":
 			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4141,6 +4176,10 @@
 	for za0001 := range z.Unreachable {
 		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Refusing {
+		s += msgp.StringPrefixSize + len(z.Refusing[za0002])
+	}
 	s += 9 + msgp.IntSize + 8 + msgp.Float64Size
 	return
 }
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -27,9 +27,12 @@
 			staged = true
 			where := places.Group(replica.Zone)
 			generating[where] += float64(replica.generating)
-			if where == own.Region && replica.unconnected && now < replica.avoidUntil {
+			if where == own.Region && (replica.unconnected && now < replica.avoidUntil || d.refusesAll(replica, now)) {
 				own.Unreachable = append(own.Unreachable, replica.name)
 			}
+			if where == own.Region && replica.refusals.inRow > 1 && replica.refuses(now) {
+				own.Refusing = append(own.Refusing, replica.name)
+			}
 		}
 		if !staged {
 			demand = append(demand, running(service, replicas, places)...)
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -12,10 +12,10 @@
 
 // refusals is what a replica has shown by refusing requests. It is guarded by the Directory's mutex.
 type refusals struct {
-	// inRow counts those that came while it was not full, since it last took a request well; the last one
-	// came at lastAt.
-	inRow  int
-	lastAt time.Duration
+	// inRow counts those that came while it was not full, since it last took a request well; the first one
+	// came at firstAt, the last one at lastAt.
+	inRow           int
+	firstAt, lastAt time.Duration
 	// avoidUntil is until when the replica is expected to refuse requests.
 	avoidUntil time.Duration
 	// restUntil is when the rest ends that the replica has asked of this process, or of one that it places
@@ -90,6 +90,9 @@
 		// Others may find a free place there at once.
 		return
 	}
+	if known.inRow == 0 {
+		known.firstAt = now
+	}
 	known.inRow++
 	known.lastAt = now
 	known.ramp.begin(now)
@@ -101,6 +104,13 @@
 	}
 }
 
+// refusesAll reports whether a replica has refused all requests for as long as another one takes to change its
+// stage, so that one had better take its place. It is called with the mutex held.
+func (d *Directory) refusesAll(replica *Replica, now time.Duration) bool {
+	known := &replica.refusals
+	return known.inRow > 1 && replica.refuses(now) && now-known.firstAt >= d.engines[replica.Service].SwitchTime
+}
+
 // jittered is a time, or somewhat more.
 func (d *Directory) jittered(length time.Duration) time.Duration {
 	jitter := min(returnJitter*float64(length), float64(longestJitter))
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -15,6 +15,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
+	"github.com/pierhaven/pierhaven/internal/topology"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -180,3 +181,51 @@
 	w.add("new", "", sealed(http.StatusOK, "ok"))
 	require.True(t, w.run(callOf(traffic.KindOnce, 1)).ended)
 }
+
+// Who refuses everything for as long as a change of stage takes is told of, so that another takes its place; who
+// takes some is not, nor who takes requests again.
+func TestReplicasThatRefuseEverythingAreToldToThePlanOfStages(t *testing.T) {
+	d := newDirectory(replica("refusing", region.StageDecode), replica("partly", region.StageDecode), replica("sound", region.StageDecode))
+	d.SetEngine("s", traffic.Engine{SwitchTime: time.Second})
+	told := func() []string {
+		for _, each := range d.Demand(topology.Map{}) {
+			if each.Service == "s" {
+				return each.Unreachable
+			}
+		}
+		return nil
+	}
+	take := func(id string, well bool) {
+		var excluded []*relay.Replica
+		for {
+			lease := d.PickAny("s", relay.Wanted{Excluded: excluded})
+			if lease.Replica.ID != id {
+				lease.Release()
+				excluded = append(excluded, lease.Replica)
+				continue
+			}
+			d.now += time.Millisecond
+			if well {
+				lease.Answered(false, nil)
+			} else {
+				lease.Refused(0)
+			}
+			lease.Release()
+			return
+		}
+	}
+	for round := range 10 {
+		take("refusing", false)
+		take("partly", round%2 == 0)
+		take("sound", true)
+		if d.now < time.Second {
+			assert.Empty(t, told(), "a change would take longer")
+		}
+		d.now += 200 * time.Millisecond
+	}
+	take("refusing", false)
+	assert.Equal(t, []string{"refusing"}, told())
+	d.now += time.Millisecond
+	take("refusing", true)
+	assert.Empty(t, told())
+}
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -60,9 +60,9 @@
 	return r.taken * math.Exp(-(now-r.takenAt).Seconds()/takenMemory.Seconds())
 }
 
-// isFull reports whether a replica with so many slots may be full that has turned a request away beside so
+// mayBeFull reports whether a replica with so many slots may be full that has turned a request away beside so
 // many others: one that refuses beside fewer than its like have taken one refuses for another reason.
-func (r *room) isFull(now time.Duration, slots, beside int) bool {
+func (r *room) mayBeFull(now time.Duration, slots, beside int) bool {
 	return beside >= slots || beside > 0 && float64(beside)/float64(slots) >= fullShare*r.takenNow(now)
 }
 
@@ -124,17 +124,17 @@
 	return max(replica.allInFlight(now)-1, (replica.inFlight-1)*d.choosers())
 }
 
-// isFull reports whether a replica is full that has turned a request of this process away. It is called with
-// the mutex held.
+// isFull reports whether a replica that has turned a request of this process away has as many others as slots.
+// It is called with the mutex held.
 func (d *Directory) isFull(replica *Replica, now time.Duration) bool {
-	return replica.room.isFull(now, max(replica.Slots, 1), d.requestsBeside(replica, now))
+	return d.requestsBeside(replica, now) >= max(replica.Slots, 1)
 }
 
 // noteFull notes what a full replica shows of the room at its kind that has turned a request of this process
 // away, and has asked for a rest. It is called with the mutex held.
 func (d *Directory) noteFull(replica *Replica, now, begun, rest time.Duration) {
 	slots, all := max(replica.Slots, 1), d.requestsBeside(replica, now)
-	full := replica.room.isFull(now, slots, all)
+	full := replica.room.mayBeFull(now, slots, all)
 	if choosers := d.choosers(); choosers > fewChoosers*slots {
 		slots, all = d.atStage(replica, now)
 		full = all >= slots
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -26,6 +26,8 @@
 	// Unsettled replicas have come a short time ago or do not answer: they count
 	// for nothing and are not changed.
 	Unsettled bool
+	// Refuses says that a replica has refused requests of late: it would be of no use in another stage.
+	Refuses bool
 }
 
 // Input is what Step decides on.
@@ -188,7 +190,7 @@
 
 // wanted is the number of replicas that should generate.
 func (p *Planner) wanted(input Input, generating int) int {
-	total := len(input.Replicas)
+	total := settled(input.Replicas)
 	least := min(minimumReplicas, total-1)
 	most := max(total-minimumReplicas, least)
 	slots := float64(slotsOf(input.Replicas))
@@ -288,7 +290,7 @@
 func (p *Planner) candidates(now time.Duration, input Input, generates bool) []string {
 	var ids []string
 	for _, replica := range input.Replicas {
-		if replica.Generates == generates || replica.Changing || replica.Unsettled || p.dwells(now, replica.ID, input.Rules) {
+		if replica.Generates == generates || replica.Changing || replica.Unsettled || replica.Refuses || p.dwells(now, replica.ID, input.Rules) {
 			continue
 		}
 		ids = append(ids, replica.ID)
@@ -335,6 +337,17 @@
 	return generating, away
 }
 
+// settled counts the replicas that count for something.
+func settled(replicas []Replica) int {
+	count := 0
+	for _, replica := range replicas {
+		if !replica.Unsettled {
+			count++
+		}
+	}
+	return count
+}
+
 func slotsOf(replicas []Replica) int {
 	slots := 1
 	for _, replica := range replicas {
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -296,3 +296,27 @@
 		assert.Positive(t, changes, "no reader stands by any more")
 	}
 }
+
+// All generating replicas, and most others, refuse everything, and what is left is too little for both stages:
+// it is shared between them. All replicas were counted, so that nothing was short and one was left to read.
+func TestWhatCountsForNothingHasNoShare(t *testing.T) {
+	input := stageplan.Input{Replicas: fleet(15, 3), Known: true, Generating: 100, Expected: 100, Reading: 4}
+	for index := range input.Replicas {
+		input.Replicas[index].Unsettled = index >= 6
+	}
+	settle(t, &stageplan.Planner{}, 0, input)
+	generating := count(input.Replicas[:6])
+	assert.GreaterOrEqual(t, generating, 2)
+	assert.LessOrEqual(t, generating, 4, "two go on reading")
+}
+
+// An idle replica is changed first, and one that refuses everything is idle: it refused in its new stage, too.
+func TestAReplicaThatRefusesIsNotChanged(t *testing.T) {
+	input := stageplan.Input{Replicas: fleet(6, 2), Known: true, Generating: 200, Expected: 200}
+	for index := range 3 {
+		input.Replicas[index].Refuses = true
+	}
+	change := (&stageplan.Planner{}).Step(time.Second, input)
+	require.NotNil(t, change)
+	assert.Equal(t, []string{"r3", "r4", "r5"}, change.Candidates)
+}
