Forget what a replica asked for with its process where its next life has the same name

Where the platform tells no moments of starts, a replica that starts again in its place has the life's name of the one before: it went on resting, and leaving for ever, by the word of a process that had ended. A gateway that has seen the process end now forgets what it asked for, and passes over what others have heard. Lives that have names of their own were kept apart before; the tests show that late words of an old life touch nothing.

TestWhatALifeWithoutAMomentAskedForEndsWithItsProcess failed before (the replica stayed left out).

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -29,6 +29,8 @@
 // Gate keeps what peers ask of this process. It may be used concurrently.
 type Gate struct {
 	options Options
+	// rests and leaving say what is heard of.
+	rests, leaving bool
 	// asked is the number of standings, so that calls pay nothing while there are none.
 	asked atomic.Int64
 	// told is the function of OnChange.
@@ -48,9 +50,20 @@
 	if options.Leaving == nil {
 		options.Leaving = func(http.Header) bool { return false }
 	}
-	return &Gate{options: options, told: func(Peer, *Standing) {}, standings: map[Peer]*Standing{}, sweepAt: leastSwept}
+	return &Gate{
+		options:   options,
+		rests:     true,
+		leaving:   true,
+		told:      func(Peer, *Standing) {},
+		standings: map[Peer]*Standing{},
+		sweepAt:   leastSwept,
+	}
 }
 
+// Disregard has the gate pass over rests, or over that peers leave, to measure what that is worth. It is called
+// before any use.
+func (g *Gate) Disregard(rests, leaving bool) { g.rests, g.leaving = !rests, !leaving }
+
 // OnChange has a function told of each peer that asks for something for the first time, and again when it
 // says that it leaves. It is called before any use.
 func (g *Gate) OnChange(told func(peer Peer, standing *Standing)) { g.told = told }
@@ -67,7 +80,10 @@
 		return
 	}
 	rest, unreadable := readRest(status, header)
-	leaving := g.options.Leaving(header)
+	if !g.rests {
+		rest, unreadable = 0, false
+	}
+	leaving := g.leaving && g.options.Leaving(header)
 	if rest <= 0 && !unreadable && !leaving {
 		return
 	}
@@ -205,6 +221,19 @@
 	}
 }
 
+// Forget has the peer ask for nothing: its process has ended.
+func (g *Gate) Forget(peer Peer) {
+	if g.Quiet() {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if _, found := g.standings[peer]; found {
+		delete(g.standings, peer)
+		g.asked.Add(-1)
+	}
+}
+
 // leastSwept is the number of standings below which none is looked for that may be forgotten.
 const leastSwept = 64
 
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -85,6 +85,16 @@
 	assert.Equal(t, 1, leaving)
 }
 
+func TestAPeerWhoseProcessHasEndedAsksForNothing(t *testing.T) {
+	g := newTestGate(logr.Discard())
+	g.turnAway(peerA, 600)
+	g.Hear(peerA, http.StatusOK, leaving)
+	g.Forget(peerA)
+	g.Forget(peerB)
+	assert.True(t, g.Quiet())
+	require.NoError(t, g.Permits(peerA, true))
+}
+
 // Lists that are older than others, or doubted, drop a replica and show it again.
 func TestWhatAPeerAsksForOutlivesItsAbsenceFromTheList(t *testing.T) {
 	g := newTestGate(logr.Discard())
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -55,6 +55,10 @@
 	RestHints Mechanism = "rest_hints"
 	// LearnedRoom keeps replicas less full than one was that has asked for rest.
 	LearnedRoom Mechanism = "learned_room"
+	// ReplicaRests sends nothing to a replica that has asked this gateway for rest.
+	ReplicaRests Mechanism = "replica_rests"
+	// ReplicaLeaving sends nothing new to a replica that says it leaves.
+	ReplicaLeaving Mechanism = "replica_leaving"
 )
 
 // The mechanisms of coordinators.
@@ -91,6 +95,8 @@
 		RefusalBackoff,
 		RestHints,
 		LearnedRoom,
+		ReplicaRests,
+		ReplicaLeaving,
 		StageChanges,
 		Forecast,
 		EvenShortage,
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// forgetAsked has a replica whose process has ended ask for nothing, unless its next life has a name of its
+// own: what has ended may only be its listener. It is called with the mutex held.
+func (d *Directory) forgetAsked(replica *Replica) {
+	if d.gate == nil || replica.Born != 0 {
+		return
+	}
+	d.gate.Forget(backpressure.Peer{Address: replica.Address, Instance: replica.name})
+	replica.asks = nil
+	replica.Leaving, replica.endSeen = false, true
+}
+
 // saysLeaving reports whether the replica has said to this process that it leaves. It is called with the
 // mutex held.
 func (r *Replica) saysLeaving() bool { return r.asks != nil && r.asks.Leaving() }
@@ -85,7 +96,7 @@
 
 // noteLeaving notes that others have heard that the replica leaves. It is called with the mutex held.
 func (d *Directory) noteLeaving(replica *Replica) {
-	if replica.Leaving {
+	if replica.Leaving || replica.endSeen {
 		return
 	}
 	replica.Leaving = true
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/peers"
 	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/regionclock"
@@ -69,6 +70,7 @@
 			Clock: uptime.Since(settings.Now), Leaving: settings.Dialect.Leaving, LeaveTime: settings.LeaveTime, Logger: settings.Logger,
 		})
 	}
+	settings.Gate.Disregard(settings.Without[mechanism.ReplicaRests], settings.Without[mechanism.ReplicaLeaving])
 	replicas := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Gate: settings.Gate})
 	directory := relay.NewDirectory(clock, settings.Zone, func(address, life string) {
 		replicas.Forget(address, life)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -206,6 +206,7 @@
 		replica.load, replica.loadAt = Load{}, 0
 		// What the process named has ended with it.
 		d.takeLimit(ratelimit.Word{Replica: life}, d.clock())
+		d.forgetAsked(replica)
 	}
 }
 
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -203,3 +206,54 @@
 	_, whole = other.Kept(func(region.Replica) bool { return false })
 	assert.True(t, whole, "it has none to ask")
 }
+
+// heeding is a directory of a replica and of a busy one, with the gate that it heeds.
+func heeding(first region.Replica) (*directory, *backpressure.Gate) {
+	d := newDirectoryWithBusy(first)
+	gate := backpressure.NewGate(backpressure.Options{
+		Clock: func() time.Duration { return time.Hour }, Leaving: testDialect{}.Leaving, Logger: logr.Discard(),
+	})
+	d.Heed(gate)
+	return d, gate
+}
+
+// askForAll has a life ask for a rest and say that it leaves.
+func askForAll(gate *backpressure.Gate, life string) {
+	peer := backpressure.Peer{Address: replica("a", "").Address, Instance: life}
+	gate.Hear(peer, http.StatusServiceUnavailable, http.Header{"Retry-After": {"600"}, "Leaving": {"1"}})
+}
+
+// A word of a life that has ended may come after the next one is listed.
+func TestWhatALifeAsksForDoesNotHoldTheNext(t *testing.T) {
+	before, next := nameAt("a", 5), nameAt("a", 9)
+	words := func(d *directory, gate *backpressure.Gate) {
+		askForAll(gate, before)
+		d.TakeResting([]region.RestingReplica{{Replica: before, LeftMillis: 5000}})
+		d.TakeLeaving([]string{before})
+	}
+	d, gate := heeding(bornAt(5, replica("a", "")))
+	words(d, gate)
+	assert.Equal(t, "busy", d.PickAny("s", relay.Wanted{}).Replica.ID)
+	d.Replace([]region.Replica{bornAt(9, replica("a", "")), replica("busy", "")})
+	words(d, gate)
+	fresh, _ := heeding(bornAt(9, replica("a", "")))
+	lease, expected := d.PickAny("s", relay.Wanted{}), fresh.PickAny("s", relay.Wanted{})
+	assert.Equal(t, "a", lease.Replica.ID)
+	assert.Equal(t, expected.Choice, lease.Choice)
+	assert.Empty(t, d.LeavingUntold())
+	assert.NoError(t, gate.Permits(backpressure.Peer{Address: replica("a", "").Address, Instance: next}, true))
+}
+
+// Where no moments of starts are told, the next life has the name of the one before: what that has asked for
+// ends with its process, also for those who were told of it.
+func TestWhatALifeWithoutAMomentAskedForEndsWithItsProcess(t *testing.T) {
+	d, gate := heeding(replica("a", ""))
+	askForAll(gate, "a")
+	assert.Equal(t, "busy", d.PickAny("s", relay.Wanted{}).Replica.ID)
+	d.Ended("a")
+	listed := replica("a", "")
+	listed.Leaving = true
+	d.TakeLeaving([]string{"a"})
+	d.Replace([]region.Replica{listed, replica("busy", "")})
+	assert.Equal(t, "a", d.PickAny("s", relay.Wanted{}).Replica.ID)
+}
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -45,6 +45,8 @@
 	limit namedLimit
 	// leavingSince is when others were known to have heard that it leaves, by the gate's clock.
 	leavingSince time.Duration
+	// endSeen says that a process has ended which had the replica's name: what others have heard may be of it.
+	endSeen bool
 	// asks is what the replica asks of this process, nil if that is nothing.
 	asks      *backpressure.Standing
 	latency   float64
