internal/relay: a test that may run forever chooses its first replica for certain

TestLeavingReplicaReceivesNoNewRequests/reader repeated requests until the leaving replica was chosen. Both readers share the prompts' prefix, and whichever reads the first prompt has it cached: where reading takes longer than the score's jitter of 10 us, as with the race detector, all later prompts go there too, and the test ran until it was killed after ten minutes.

The leaving replica is now the only one of its stage for the first request, and the others come after it. The assertion is the same: it gets one request, of 101.

--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -105,14 +105,17 @@
 		t.Run(test.name, func(t *testing.T) {
 			w := newTestEnvironment(t)
 			w.addReplica("leaving", test.stage, leavingAnswer(test.answer))
-			w.addReplica("reader", region.StagePrefill, respondSealed(http.StatusOK, "handle"))
-			w.addReplica("generator", region.StageDecode, streamEvents(1, 3, false))
+			if test.stage == region.StagePrefill {
+				w.addReplica("generator", region.StageDecode, streamEvents(1, 3, false))
+			}
+			// It is the only one of its stage, so that the first request goes there.
+			require.True(t, w.runCall(test.call(0)).ended)
+			require.Equal(t, 1, w.requestCount("leaving"))
+			w.addReplica("other reader", region.StagePrefill, respondSealed(http.StatusOK, "handle"))
+			w.addReplica("other generator", region.StageDecode, streamEvents(1, 3, false))
 			if test.stage == "" {
 				w.addReplica("free", "", respondSealed(http.StatusOK, "ok"))
 			}
-			for number := 0; w.requestCount("leaving") == 0; number++ {
-				require.True(t, w.runCall(test.call(number)).ended)
-			}
 			for number := range 100 {
 				require.True(t, w.runCall(test.call(1000+number)).ended)
 				w.advanceClock(100 * time.Millisecond)
