internal/relay: the plain case of a leaving replica notices when it still gets requests

In the plain one the first answer, which includes the new connection, made the leaving replica look slower than the others, so that it was never chosen again whether it left or not. The other replica is now slower.

--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// slowly delays an answer, so that another replica would be preferred.
+func slowly(inner http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		inner(writer, request)
+	}
+}
+
 // Gateways ignored the leaving header of responses: new requests arrived until the list showed the replica as leaving.
 func TestLeavingReplicaReceivesNoNewRequests(t *testing.T) {
 	for _, test := range []struct {
@@ -111,10 +119,11 @@
 			// It is the only one of its stage, so that the first request goes there.
 			require.True(t, w.runCall(test.call(0)).ended)
 			require.Equal(t, 1, w.requestCount("leaving"))
-			w.addReplica("other reader", region.StagePrefill, respondSealed(http.StatusOK, "handle"))
-			w.addReplica("other generator", region.StageDecode, streamEvents(1, 3, false))
 			if test.stage == "" {
-				w.addReplica("free", "", respondSealed(http.StatusOK, "ok"))
+				w.addReplica("slower", "", slowly(respondSealed(http.StatusOK, "ok")))
+			} else {
+				w.addReplica("other reader", region.StagePrefill, respondSealed(http.StatusOK, "handle"))
+				w.addReplica("other generator", region.StageDecode, streamEvents(1, 3, false))
 			}
 			for number := range 100 {
 				require.True(t, w.runCall(test.call(1000+number)).ended)
