internal/relay: requests rely on what never changes of a replica

A list that was taken over overwrote the whole entry that running requests hold (known.Replica = listed), under the Directory's mutex; requests read the id, the address, the zone and the stage of their replica without it. Beside the torn read, a request could be sent by a stage that its replica got after it had been chosen, and for a moment an entry showed what the list says of draining and leaving instead of what was known.

Cause: the entry mixes what identifies it with what lists change, and nothing says which is which.

An entry is now found by its Identity (id, start, service, address, zone), which never changes and is read without a lock; a listing that differs in it is another entry, as one with another address was before. Replace writes only the fields that may change, which are behind the mutex. A lease takes the stage along by which its replica was chosen.

--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -49,7 +49,7 @@
 	defer d.mutex.Unlock()
 	var names []string
 	for name, replica := range d.replicas {
-		if replica.declaresLeaving() && !replica.IsLeaving() {
+		if replica.declaresLeaving() && !replica.isListedLeaving() {
 			names = append(names, name)
 		}
 	}
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -125,30 +125,28 @@
 	}
 }
 
-// Replace installs a new list, and fills in the incarnations that it does not state. A replica that was
-// once listed as draining stays so, because a list that arrives later by another path may be older.
+// Replace installs a new list, and fills in the incarnations that it does not state.
 func (d *Directory) Replace(list []region.Replica) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.keepLives(list)
 	replicas := make(map[string]*Replica, len(list))
 	services := map[string][]*Replica{}
-	for _, listed := range list {
-		name := listed.Incarnation().Name()
+	for index := range list {
+		listed := &list[index]
+		identity := identityOf(listed)
+		name := identity.name
 		known, found := d.replicas[name]
-		if !found || known.Address != listed.Address {
+		if !found || known.Identity != identity {
 			// Except in the first list, a new replica has just started and has nothing cached.
-			known = &Replica{name: name, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
+			known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
 			known.peerState = d.peerStateOf(backpressure.Peer{Address: listed.Address, Instance: name})
 		}
-		draining, leaving := known.Draining || listed.Draining, known.Leaving
-		known.Replica = listed
-		known.Leaving = leaving
+		known.update(listed)
 		if listed.Leaving {
 			d.noteLeaving(known)
 		}
 		known.learnedLimit = d.learnedLimitOf(listed.Service, listed.Stage)
-		known.Draining = draining
 		if known.isLeaving() {
 			known.notifyStreams()
 		}
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -13,6 +13,8 @@
 // Lease is the capacity that a request occupies on a replica.
 type Lease struct {
 	Replica *Replica
+	// Stage is the replica's stage when it was chosen.
+	Stage string
 	// Choice is what was known when the replica was chosen.
 	Choice    Choice
 	directory *Directory
@@ -43,7 +45,14 @@
 func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
 	now := d.clock()
-	return &Lease{Replica: replica, directory: d, startedAt: now, concurrent: d.concurrentRequests(replica, now), leaving: make(chan struct{})}
+	return &Lease{Replica: replica, Stage: replica.Stage, directory: d, startedAt: now, concurrent: d.concurrentRequests(replica, now), leaving: make(chan struct{})}
+}
+
+// stageUnchanged reports whether the replica has the stage that it had when it was chosen.
+func (l *Lease) stageUnchanged() bool {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	return l.Replica.Stage == l.Stage
 }
 
 // placedPrefill is a prompt that was assigned to a replica for prefill.
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -239,7 +239,7 @@
 	defer d.mutex.Unlock()
 	whole = len(d.replicas) > 0
 	for name, replica := range d.replicas {
-		if replica.Stage == "" || !wanted(replica.Replica) {
+		if replica.Stage == "" || !wanted(replica.listing()) {
 			continue
 		}
 		if !d.knowsCached(replica) {
@@ -277,7 +277,7 @@
 	var replicas []region.Replica
 	for _, replica := range d.replicas {
 		if replica.Stage != "" {
-			replicas = append(replicas, replica.Replica)
+			replicas = append(replicas, replica.listing())
 		}
 	}
 	return replicas
--- a/internal/relay/placement_benchmark_test.go
+++ b/internal/relay/placement_benchmark_test.go
@@ -9,10 +9,10 @@
 	"github.com/pierhaven/pierhaven/internal/relay"
 )
 
-// BenchmarkPlacement measures placing one prompt among the replicas of fleets up to the target size (3700), of
+// BenchmarkPlacement measures placing one prompt among the replicas of fleets up to the largest planned size, of
 // which 23 in 100 are prefill replicas.
 func BenchmarkPlacement(b *testing.B) {
-	for _, size := range []int{12, 32, 60, 160, 3700} {
+	for _, size := range []int{12, 32, 60, 160, 3700, 10_000} {
 		b.Run(fmt.Sprint(size, " replicas"), func(b *testing.B) {
 			var replicas []region.Replica
 			for number := range size {
@@ -37,3 +37,16 @@
 		})
 	}
 }
+
+// BenchmarkReplace measures replacing the list by one with the same replicas.
+func BenchmarkReplace(b *testing.B) {
+	var list []region.Replica
+	for number := range 10_000 {
+		list = append(list, replica(fmt.Sprint("r", number), region.StageDecode))
+	}
+	d := newDirectoryWithKnownCosts(list...)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Replace(list)
+	}
+}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if lease.Replica.Stage != region.StagePrefill {
+	if lease.Stage != region.StagePrefill {
 		return lease, nil, nil
 	}
 	return r.placeSeparatePrefill(ctx, lease)
@@ -222,7 +222,7 @@
 
 func (r *callState) recordPrefillRejection(lease *Lease, response *upstream.Exchange) {
 	switch {
-	case response.Status == http.StatusMisdirectedRequest && lease.Replica.Stage == region.StagePrefill:
+	case response.Status == http.StatusMisdirectedRequest && lease.stageUnchanged():
 		lease.Misdirected()
 	default:
 		lease.Refused(lease.BackoffLeft())
--- a/internal/relay/race_test.go
+++ b/internal/relay/race_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -59,3 +60,28 @@
 	close(stop)
 	running.Wait()
 }
+
+// A list that shows a replica elsewhere is about another entry: requests rely on what an entry names.
+func TestReplicaThatIsListedElsewhereIsAnotherEntry(t *testing.T) {
+	for name, change := range map[string]func(*region.Replica){
+		"service": func(listed *region.Replica) { listed.Service = "other" },
+		"zone":    func(listed *region.Replica) { listed.Zone = "other" },
+		"address": func(listed *region.Replica) { listed.Address = "127.0.0.2:1" },
+		"process": func(listed *region.Replica) { listed.Born = 2 },
+	} {
+		listed := startedAt(1, replica("a", region.StageDecode))
+		d := newDirectory(listed)
+		lease := d.PickDecode("s", relay.Wanted{}, "zone")
+		before := *lease.Replica
+		changed := listed
+		change(&changed)
+		d.Replace([]region.Replica{changed})
+		assert.Equal(t, before.Identity, lease.Replica.Identity, name)
+		assert.Equal(t, 1, d.Count(), name)
+		if found := d.Find([]string{changed.Incarnation().Name()}); assert.Len(t, found, 1, name) {
+			assert.NotSame(t, lease.Replica, found[0], name)
+			assert.Equal(t, changed.Zone, found[0].Zone, name)
+		}
+		lease.Release()
+	}
+}
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -7,12 +7,48 @@
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
-// Replica is what this gateway knows of one incarnation of a back end. Its fields are guarded by
-// Directory.mutex.
-type Replica struct {
-	region.Replica
-	// name is that of its incarnation.
+// Identity identifies an incarnation of a back end and its address. It never changes, so that requests read
+// it without a lock: a listing that differs in it is of another Replica.
+type Identity struct {
+	ID string
+	// Born is the start time of its process in milliseconds since 1970, 0 if it is not reported.
+	Born    int64
+	Service string
+	// Address is an IP:port.
+	Address string
+	Zone    string
+	// name is that of the incarnation.
 	name string
+}
+
+// identityOf returns the identity of a listed replica.
+func identityOf(listed *region.Replica) Identity {
+	return Identity{
+		ID:      listed.ID,
+		Born:    listed.Born,
+		Service: listed.Service,
+		Address: listed.Address,
+		Zone:    listed.Zone,
+		name:    listed.Incarnation().Name(),
+	}
+}
+
+// Incarnation returns the replica's incarnation.
+func (i *Identity) Incarnation() region.Incarnation {
+	return region.Incarnation{ID: i.ID, Born: i.Born}
+}
+
+// Replica is what this gateway knows of one incarnation of a back end. All fields but its Identity are
+// guarded by Directory.mutex.
+type Replica struct {
+	Identity
+	// Slots, Stage and Preemptible are those of the newest list. Draining and Leaving are set if any list, or
+	// the replica itself, has said so.
+	Slots       int
+	Stage       string
+	Preemptible bool
+	Draining    bool
+	Leaving     bool
 	// inFlight is the number of this gateway's requests there, and prefillWork the part of their prefill work
 	// that is not yet complete.
 	inFlight    int
@@ -61,6 +97,29 @@
 	cacheKnown bool
 }
 
+// update applies a listing of the replica. One that was once listed as draining stays so, because a list that
+// arrives later by another path may be older. The caller must hold Directory.mutex.
+func (r *Replica) update(listed *region.Replica) {
+	r.Slots, r.Stage, r.Preemptible = listed.Slots, listed.Stage, listed.Preemptible
+	r.Draining = r.Draining || listed.Draining
+}
+
+// listing returns the replica as a list shows it. The caller must hold Directory.mutex.
+func (r *Replica) listing() region.Replica {
+	return region.Replica{
+		ID:          r.ID,
+		Born:        r.Born,
+		Service:     r.Service,
+		Address:     r.Address,
+		Zone:        r.Zone,
+		Slots:       r.Slots,
+		Draining:    r.Draining,
+		Stage:       r.Stage,
+		Preemptible: r.Preemptible,
+		Leaving:     r.Leaving,
+	}
+}
+
 // peerWork is what another gateway has reported of its work at a replica.
 type peerWork struct {
 	requests    int
@@ -192,7 +251,11 @@
 
 // isLeavingForGood reports whether the replica takes no new work until its incarnation ends, according to the list or
 // its own answers. The caller must hold Directory.mutex.
-func (r *Replica) isLeavingForGood() bool { return r.IsLeaving() || r.declaresLeaving() }
+func (r *Replica) isLeavingForGood() bool { return r.isListedLeaving() || r.declaresLeaving() }
+
+// isListedLeaving reports whether a list has shown that the replica takes no new work until its incarnation ends.
+// The caller must hold Directory.mutex.
+func (r *Replica) isListedLeaving() bool { return r.Draining || r.Leaving }
 
 // notifyStreams notifies the streams on the replica that it is leaving. The caller must hold Directory.mutex.
 func (r *Replica) notifyStreams() {
