One line says who ended an answer that is not whole, where and under which configuration

The users' record of the lost stream names the request in no line of a gateway, and our lines could not have told the hypotheses apart: 'caller gone' gave no reason, and 'stream broken off' neither the replica nor whose end it was. Both now carry ended_by (caller, replica, gateway), the cause, the events, bytes and id of the last event sent on, the replica with its life, the configuration's version at the begin and now, and the age of the list; 'pierhaven explain' prints them.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -79,13 +79,13 @@
 		return fmt.Sprintf("was answered after %v ms, in %v sends", line.Fields["after_ms"], line.Fields["sends"])
 	},
 	event.CallerGone: func(line Line) string {
-		return fmt.Sprintf("was left by its caller after %v ms, before its answer", line.Fields["after_ms"])
+		return fmt.Sprintf("was left by its caller after %v ms, before its answer%s", line.Fields["after_ms"], incomplete(line))
 	},
 	event.FailureHandedOn: func(line Line) string {
 		return fmt.Sprintf("got the replica's own status %v, and was not repeated because %v", line.Fields["status"], line.Fields["cause"])
 	},
 	event.StreamBrokenOff: func(line Line) string {
-		return fmt.Sprintf("had its stream broken off after %v parts because %v", line.Fields["events"], line.Fields["cause"])
+		return fmt.Sprintf("had its stream broken off after %v parts because %v%s", line.Fields["events"], line.Fields["cause"], incomplete(line))
 	},
 	event.RequestRefused: func(line Line) string {
 		if reason, found := line.Fields["reason"]; found {
@@ -95,6 +95,16 @@
 	},
 }
 
+// incomplete says who ended an answer that is not complete, where, and under which configuration.
+func incomplete(line Line) string {
+	by, found := line.Fields["ended_by"]
+	if !found {
+		return ""
+	}
+	return fmt.Sprintf(" (ended by the %v, behind event %q and %v bytes, at replica %v, with configuration %v at its begin and %v at its end, by a list of %v ms)",
+		by, line.Fields["last_event"], line.Fields["bytes"], line.Fields["replica"], line.Fields["version"], line.Fields["version_now"], line.Fields["list_age_ms"])
+}
+
 func causeOf(request string, lines []Line) string {
 	if len(lines) == 0 {
 		return fmt.Sprintf("Request %s is in none of the logs.", request)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -47,7 +47,8 @@
 		`{"msg":"caller gone","request":"r-1","after_ms":2400}`:                                  "left by its caller after 2400 ms",
 		`{"msg":"replica's failure handed on","request":"r-1","status":500,"cause":"no budget"}`: "own status 500, and was not repeated because no budget",
 		`{"msg":"stream broken off","request":"r-1","events":3,"cause":"reset"}`:                 "broken off after 3 parts because reset",
-		`{"msg":"request refused","request":"r-1","reason":"no route"}`:                          "refused because no route",
+		`{"msg":"stream broken off","request":"r-1","events":3,"cause":"reset","ended_by":"replica","last_event":"7","bytes":120,"replica":"i-1@x","version":4,"version_now":5,"list_age_ms":30}`: `because reset (ended by the replica, behind event "7" and 120 bytes, at replica i-1@x, with configuration 4 at its begin and 5 at its end, by a list of 30 ms)`,
+		`{"msg":"request refused","request":"r-1","reason":"no route"}`: "refused because no route",
 	} {
 		assert.Contains(t, explained(t, line).Cause, says)
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -22,6 +22,8 @@
 	Body   []byte
 	// Arrived is the time at which the request had been read.
 	Arrived time.Time
+	// Version is that of the configuration by which the call is served.
+	Version uint64
 	Route   *traffic.Route
 	Service *traffic.Service
 	// Tenant is the name of the caller's tenant, empty if no API key was required.
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -106,6 +106,7 @@
 	runner := relay.NewRunner(directory, upstreams, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.SetRemotePlacement(placements.Remote())
 	runner.OnRequestStart(usageReports.recordStart)
+	runner.SetConfigurationVersion(views.version)
 	runner.SetGuard(evidence.Guard)
 	runner.SetProbationPermits(evidence.requestPermit)
 	runner.SetSuspendedTime(suspended)
@@ -203,10 +204,7 @@
 		return age.Seconds()
 	})
 	registry.GaugeFunc("configuration_version", "Version in force, 0 before there is one.", func() float64 {
-		if table := d.views.Table(); table != nil {
-			return float64(table.Configuration.Version)
-		}
-		return 0
+		return float64(d.views.version())
 	})
 }
 
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -147,6 +147,7 @@
 		Header:          f.forwardedFields(request, len(table.Configuration.Tenants) > 0),
 		Body:            request.Request.Body(),
 		Arrived:         arrived,
+		Version:         table.Configuration.Version,
 		Route:           withTenantPriority(owner, route.Route),
 		Service:         table.Service(service),
 	}
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -93,6 +93,14 @@
 // Table returns the configuration in effect, nil if none is known yet.
 func (v *viewClient) Table() *traffic.Table { return v.table.Load() }
 
+// version returns the version of the configuration in effect, 0 if none is known yet.
+func (v *viewClient) version() uint64 {
+	if table := v.Table(); table != nil {
+		return table.Configuration.Version
+	}
+	return 0
+}
+
 // awaitTable returns the configuration in effect. If none is known yet, it waits up to limit for
 // one, and returns nil if none arrives.
 func (v *viewClient) awaitTable(ctx context.Context, limit time.Duration) *traffic.Table {
@@ -185,9 +193,7 @@
 	if v.evidence != nil {
 		request.PoisonRevision = v.evidence.Guard.Revision()
 	}
-	if table := v.Table(); table != nil {
-		request.Version = table.Configuration.Version
-	}
+	request.Version = v.version()
 	v.mutex.Lock()
 	request.ListRevision, request.MembersHash = v.listRevision, v.membersHash
 	v.mutex.Unlock()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -29,6 +29,8 @@
 	crossRegionLog crossRegionLog
 	// firstListAt is when the first list was received: the last one that replaced an empty list.
 	firstListAt time.Duration
+	// listedAt is when the newest list was received.
+	listedAt time.Duration
 	// replicas are by Incarnation.Name: a replica that restarts is a new entry without history, and reports about
 	// its previous incarnation do not apply to it.
 	replicas map[string]*Replica
@@ -166,10 +168,18 @@
 	if len(d.replicas) == 0 {
 		d.firstListAt = d.clock()
 	}
+	d.listedAt = d.clock()
 	d.replicas = replicas
 	d.services = services
 }
 
+// listAge returns the time since the newest list was received.
+func (d *Directory) listAge() time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.clock() - d.listedAt
+}
+
 // keepLives fills in the incarnations that a list does not state. The caller must hold d.mutex.
 func (d *Directory) keepLives(list []region.Replica) {
 	incarnations := make(map[string]region.Incarnation, len(d.replicas))
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -27,6 +27,8 @@
 	// onStart is called once for each request of a tenant that begins to run, with the time at which
 	// it began.
 	onStart func(tenant string, at time.Time)
+	// configurationVersion returns the version of the configuration in effect, 0 if it is unknown.
+	configurationVersion func() uint64
 	// crashDetector finds out whether the process of a replica has ended after a connection to it was lost.
 	crashDetector *poison.CrashDetector
 	// suspended returns how long the machine has been suspended since a fixed point in time.
@@ -53,6 +55,8 @@
 		logger:    logger,
 		onStart:   func(string, time.Time) {},
 		suspended: func() time.Duration { return 0 },
+
+		configurationVersion: func() uint64 { return 0 },
 	}
 	runner.crashDetector = poison.NewLoggingDetector(upstream.Refuses, logger)
 	return runner
@@ -145,8 +149,10 @@
 	// replica ran it to its end.
 	connectionLost bool
 	succeeded      bool
-	// callerGone is set if the answer could not be written to the caller.
-	callerGone bool
+	// writeError is set if the answer could not be written to the caller.
+	writeError error
+	// streamBreak is why the connection to the stream's last replica broke, nil if it did not.
+	streamBreak error
 }
 
 type bufferedResponse struct {
@@ -174,9 +180,8 @@
 	err := state.serve(deadlineCtx)
 	call.Runs = state.attempts
 	state.reportSuccess()
-	if ctx.Err() != nil || state.callerGone {
-		r.logger.Info(event.CallerGone, "request", call.ID, "after_ms", time.Since(call.Arrived).Milliseconds(),
-			"sends", state.sends)
+	if ctx.Err() != nil || state.writeError != nil {
+		state.logCallerGone(ctx)
 		r.metrics.countRequest(call, outcomeCallerGone)
 		state.abortStream()
 		return
@@ -322,7 +327,7 @@
 // response of a replica takes precedence over an error of the gateway.
 func (r *callState) refuse(err error) {
 	if r.stream != nil {
-		r.logger.Info(event.StreamBrokenOff, "request", r.call.ID, "events", r.stream.events, "cause", err.Error())
+		r.logStreamBrokenOff(err)
 		r.metrics.countRequest(r.call, outcomeBrokenOff)
 		r.abortStream()
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,7 +17,9 @@
 type streamState struct {
 	writer    StreamWriter
 	lastEvent string
-	events    int
+	// events counts the batches of events forwarded, bytes their size.
+	events int
+	bytes  int
 	// firstAt and lastAt are the times at which the first and the last event were forwarded.
 	firstAt         time.Time
 	lastAt          time.Time
@@ -55,6 +57,7 @@
 		if len(complete) > 0 {
 			if first {
 				first = false
+				r.streamBreak = nil
 				r.countStart(time.Now())
 				lease.Answered(false, metadata.Load)
 				r.recordStreamStart(lease, send)
@@ -65,7 +68,7 @@
 				lease.StreamContinued()
 			}
 			if err := r.forward(response, complete, events.lastID); err != nil {
-				r.callerGone = true
+				r.writeError = err
 				return verdictAnswered, nil
 			}
 		}
@@ -83,7 +86,8 @@
 			}
 			lease.Unreachable(true)
 			r.recordConnectionLoss(ctx, lease, err)
-			return verdictUnknown, brokenStream(err)
+			r.streamBreak = brokenStream(err)
+			return verdictUnknown, r.streamBreak
 		}
 	}
 }
@@ -106,6 +110,7 @@
 		r.stream.lastEvent = lastID
 	}
 	r.stream.recordEvent(time.Now())
+	r.stream.bytes += len(complete)
 	return r.stream.writer.Send(complete)
 }
 
