internal/relay: failing tests for streams that a gateway stops and can't continue

What a caller sees: a closed connection in the middle of its stream, though no replica has broken anything.

--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -197,3 +197,53 @@
 	assert.True(t, answer.ended)
 	assert.Equal(t, eventText(1, 6), answer.body.String())
 }
+
+// rejectedMove has a stream moved away from its replica to one that rejects it, and returns the answer. after
+// adds the replicas that are listed beside the rejecting one.
+func rejectedMove(t *testing.T, options relay.RetryBudgetOptions, call *relay.Call, after func(w *testEnvironment)) *recordingResponder {
+	t.Helper()
+	w := newTestEnvironmentWithBudget(t, options)
+	leaving := newPausedStream()
+	w.addReplica("leaving", region.StageDecode, leaving.serveHTTP)
+	go func() {
+		<-leaving.firstEventsSent
+		w.addReplica("rejecting", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+			// The stream goes on elsewhere only after this one was tried.
+			after(w)
+			rejectRequest(writer, request)
+		})
+		w.changeFirstReplica(leaveReasons["drains"])
+	}()
+	return w.runCall(call)
+}
+
+// oneRetry is a budget that allows one retry, which the move itself takes.
+var oneRetry = relay.RetryBudgetOptions{Window: time.Hour, Slack: 4.5}
+
+// The gateway has the replica stop the stream, so that the stream must go on even if the budget is used up.
+func TestStreamStoppedForAMoveGoesOnThoughTheRetryBudgetIsUsedUp(t *testing.T) {
+	call := newUnsplitCall()
+	call.Route = &traffic.Route{Name: "route", Kind: traffic.KindStream, MaximumAttempts: 2, Resumable: true}
+	answer := rejectedMove(t, oneRetry, call, func(w *testEnvironment) {
+		w.addReplica("other", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+			assert.Equal(t, "3", request.Header.Get("Last-Event"))
+			streamEvents(4, 6, false)(writer, request)
+		})
+	})
+	assert.True(t, answer.ended)
+	assert.Equal(t, eventText(1, 6), answer.body.String())
+}
+
+// On a route with one attempt, the prompt may not be read again, but another replica can take over the memory.
+func TestStreamStoppedForAMoveIsOfferedToAnotherReplica(t *testing.T) {
+	call := newUnsplitCall()
+	call.Route = &traffic.Route{Name: "route", Kind: traffic.KindStream, MaximumAttempts: 1}
+	answer := rejectedMove(t, oneRetry, call, func(w *testEnvironment) {
+		w.addReplica("other", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+			assert.Equal(t, w.replicaList[0].Address+"/moved", request.Header.Get("Source"))
+			streamEvents(4, 6, false)(writer, request)
+		})
+	})
+	assert.True(t, answer.ended)
+	assert.Equal(t, eventText(1, 6), answer.body.String())
+}
