internal/relay: a stream that the gateway has stopped goes on, whatever its next replica says

What callers saw: their connection closed in the middle of a stream beside planned work (a release, a change of stage), with no replica having broken anything off.

Cause: to move a stream, the gateway has the replica stop it, and from then on depends on the one replica that it has chosen. If that one rejects it (the memory is out, its stage has changed, it is full), the next send was an ordinary retry: with 77 gateways a budget holds 1.1 of them, and the move had just taken one; on a route with one attempt there was none. If the answer to the stop was lost, the end of the stream was taken for the replica's, with the same result.

Now what this gateway has stopped, it continues: the retry is charged as a debt of at most the budget's maximum, which delays later retries (retry.Budget.Overdraw), and where the prompt may not be read again the memory is offered to another replica. A run that was moved and whose target breaks counts as one attempt, as it does when the target answers.

--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -71,6 +71,14 @@
 	return b.serviceBudget(service).Withdraw(b.clock())
 }
 
+// Overdraw takes one retry out of a service's budget that has to be made even if none is left. It reports false
+// if the budget is overdrawn by too much.
+func (b *RetryBudgets) Overdraw(service string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.serviceBudget(service).Overdraw(b.clock())
+}
+
 func (b *RetryBudgets) serviceBudget(service string) *retry.Budget {
 	budget, found := b.services[service]
 	if !found {
--- a/internal/relay/incomplete.go
+++ b/internal/relay/incomplete.go
@@ -52,7 +52,7 @@
 // logStreamBrokenOff logs that a stream is broken off because of err.
 func (r *callState) logStreamBrokenOff(err error) {
 	by, cause := endedByGateway, err.Error()
-	if r.streamBreak != nil && failure.KindOf(err) != failure.DeadlineExceeded {
+	if r.streamBreak != nil && !r.stopped && failure.KindOf(err) != failure.DeadlineExceeded {
 		by = endedByReplica
 	}
 	if r.streamBreak != nil {
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -25,6 +25,24 @@
 	handle *promptHandle
 }
 
+// offerElsewhere offers a stream that was stopped for a move to another replica after its target has rejected it, and
+// reports whether there is one. It is for streams whose prompt may not be prefilled again.
+func (r *callState) offerElsewhere(ctx context.Context, rejected *Lease, handle *promptHandle) bool {
+	if r.call.Route.Repeatable() && !r.attemptsUsedUp() || r.sendsUsedUp() {
+		return false
+	}
+	target := r.placer.PlaceWithCapacity(ctx, rejected, r.prefillRequest())
+	if target == nil {
+		return false
+	}
+	if !r.permits(ctx, target) || !r.budgets.Overdraw(r.call.Service.Name) {
+		target.Release()
+		return false
+	}
+	r.moved = &movedStream{lease: target, handle: handle}
+	return true
+}
+
 // streamMover moves a stream away from a replica that is leaving or changing its stage. Otherwise the
 // stream would delay the replica until it ends, or be cut off.
 type streamMover struct {
@@ -35,6 +53,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	moved  *movedStream
+	// stopped is set if the replica was told to stop the stream and has not refused.
+	stopped bool
 }
 
 // startMover starts a mover for a stream that has begun.
@@ -127,6 +147,7 @@
 	stopped, status := r.requestMove(context.WithoutCancel(ctx), m.lease.Replica, target.Replica, true)
 	r.logger.V(1).Info(event.StreamMoved, "request", r.call.ID, "replica", m.lease.Replica.ID, "to", target.Replica.ID,
 		"status", status, "moved", stopped != nil)
+	m.stopped = stopped != nil || status == 0
 	if stopped == nil {
 		target.Release()
 		go r.freeHandle(copied)
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -22,6 +22,8 @@
 	firstEventsSent, resume, stopped chan struct{}
 	// moveStatus is the error status of the response to move requests; 0 accepts them.
 	moveStatus int
+	// losesAnswer drops the connection instead of answering the request that stops the stream.
+	losesAnswer bool
 }
 
 func newPausedStream() *pausedStream {
@@ -56,6 +58,10 @@
 	}
 	if request.URL.Query().Get("last") == "true" {
 		close(s.stopped)
+		if s.losesAnswer {
+			dropConnection(writer, request)
+			return
+		}
 	}
 	_, _ = io.WriteString(writer, "moved")
 }
@@ -247,3 +253,21 @@
 	assert.True(t, answer.ended)
 	assert.Equal(t, eventText(1, 6), answer.body.String())
 }
+
+// The answer to the request that stops a stream may be lost: the stream has ended because of this gateway.
+func TestStreamGoesOnIfTheAnswerToItsStopIsLost(t *testing.T) {
+	w := newTestEnvironmentWithBudget(t, oneRetry)
+	leaving := newPausedStream()
+	leaving.losesAnswer = true
+	w.addReplica("leaving", region.StageDecode, leaving.serveHTTP)
+	go func() {
+		<-leaving.firstEventsSent
+		w.addReplica("other", region.StageDecode, streamEvents(4, 6, false))
+		w.changeFirstReplica(leaveReasons["drains"])
+	}()
+	call := newUnsplitCall()
+	call.Route = &traffic.Route{Name: "route", Kind: traffic.KindStream, MaximumAttempts: 2, Resumable: true}
+	answer := w.runCall(call)
+	assert.True(t, answer.ended)
+	assert.Equal(t, eventText(1, 6), answer.body.String())
+}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -138,8 +138,10 @@
 	stream     *streamState
 	// earlierEvents counts the event batches forwarded by earlier attempts.
 	earlierEvents int
-	// moved is set while a stream is between two replicas.
-	moved *movedStream
+	// moved is set while a stream is between two replicas. stopped is set from when this gateway has had a replica
+	// stop the stream until another one has continued it.
+	moved   *movedStream
+	stopped bool
 	// lastErrorResponse is an error response of a replica, forwarded to the caller if no later attempt
 	// gets an answer.
 	lastErrorResponse *bufferedResponse
@@ -254,7 +256,7 @@
 		if outcome == verdictAnswered {
 			return nil
 		}
-		if outcome == verdictMoved {
+		if outcome == verdictMoved && cause == nil {
 			continue
 		}
 		r.logger.Info(event.AttemptEnded, "request", r.call.ID, "replica", lease.Replica.ID, "verdict", outcome.String(),
@@ -289,15 +291,30 @@
 	if r.sends > 0 && r.directory.disabled[mechanism.Retries] {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.attempts >= max(r.call.Route.MaximumAttempts, 1) || r.sends-r.unsent >= maximumSends || r.tooManyUnsent() {
+	if r.attemptsUsedUp() || r.sendsUsedUp() {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.arrivals > 0 && !r.budgets.Withdraw(r.call.Service.Name) {
+	if r.arrivals > 0 && !r.chargeRetry() {
 		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
 	}
 	return nil
 }
 
+// attemptsUsedUp reports whether as many replicas may have run the request as its route allows.
+func (r *callState) attemptsUsedUp() bool { return r.attempts >= max(r.call.Route.MaximumAttempts, 1) }
+
+// sendsUsedUp reports whether the request was offered to as many replicas as a call may be.
+func (r *callState) sendsUsedUp() bool { return r.sends-r.unsent >= maximumSends || r.tooManyUnsent() }
+
+// chargeRetry charges a send to the retry budget, and reports whether it may be made. A stream that this gateway
+// has stopped is continued even if the budget is used up.
+func (r *callState) chargeRetry() bool {
+	if r.stopped {
+		return r.budgets.Overdraw(r.call.Service.Name)
+	}
+	return r.budgets.Withdraw(r.call.Service.Name)
+}
+
 // tooManyUnsent reports whether too many sends and prefills have reached no replica.
 func (r *callState) tooManyUnsent() bool { return r.unsent+r.unsentPrefills >= maximumUnsent }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -78,7 +78,11 @@
 // attemptSend sends the request to a replica and forwards its answer. The handle is that of the
 // prompt, or nil if the replica is to prefill it itself.
 func (r *callState) attemptSend(ctx context.Context, lease *Lease, handle *promptHandle) (verdict, error) {
-	defer handle.freeUnlessConsumed(r.Runner)
+	defer func() {
+		if r.moved == nil || r.moved.handle != handle {
+			handle.freeUnlessConsumed(r.Runner)
+		}
+	}()
 	if ctx.Err() != nil {
 		return verdictNotRun, context.Cause(ctx)
 	}
@@ -99,6 +103,9 @@
 	if handle != nil {
 		handle.consumed = outcome != verdictNotRun
 	}
+	if send.Moved && outcome == verdictNotRun && r.offerElsewhere(ctx, lease, handle) {
+		return verdictMoved, err
+	}
 	return outcome, err
 }
 
@@ -137,7 +144,7 @@
 			// The request may have run, and most that fail after they were sent have.
 			r.countStart(sentAt)
 		}
-		return r.classifyFailure(ctx, lease, err)
+		return r.classifyFailure(ctx, lease, send, err)
 	}
 	defer response.Close()
 	r.arrivals++
@@ -164,7 +171,7 @@
 }
 
 // classifyFailure returns the verdict on an exchange that failed without an answer.
-func (r *callState) classifyFailure(ctx context.Context, lease *Lease, err error) (verdict, error) {
+func (r *callState) classifyFailure(ctx context.Context, lease *Lease, send Send, err error) (verdict, error) {
 	if upstream.HeldBack(err) {
 		r.unsent++
 		return verdictNotRun, err
@@ -182,7 +189,9 @@
 		return verdictNotRun, err
 	}
 	r.arrivals++
-	r.attempts++
+	if !send.Moved {
+		r.attempts++
+	}
 	return verdictUnknown, err
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -57,7 +57,7 @@
 		if len(complete) > 0 {
 			if first {
 				first = false
-				r.streamBreak = nil
+				r.streamBreak, r.stopped = nil, false
 				r.countStart(time.Now())
 				lease.Answered(false, metadata.Load)
 				r.recordStreamStart(lease, send)
@@ -80,7 +80,9 @@
 			return verdictAnswered, nil
 		default:
 			if mover != nil {
-				if r.moved = mover.stop(); r.moved != nil {
+				r.moved = mover.stop()
+				r.stopped = mover.stopped
+				if r.moved != nil {
 					return verdictMoved, nil
 				}
 			}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -66,10 +66,22 @@
 	return true
 }
 
+// Overdraw takes one retry out of the budget that has to be made even if none is left. The debt delays later
+// retries. It returns false if the debt would exceed the maximum balance.
+func (b *Budget) Overdraw(now time.Duration) bool {
+	b.advance(now)
+	if b.balance-1 < -b.options.Maximum {
+		b.refused++
+		return false
+	}
+	b.balance--
+	return true
+}
+
 // Refused returns the number of withdrawals that were refused.
 func (b *Budget) Refused() uint64 { return b.refused }
 
-// Balance returns the number of retries left.
+// Balance returns the number of retries left, negative if they are overdrawn.
 func (b *Budget) Balance() float64 { return b.balance }
 
 func (b *Budget) advance(now time.Duration) {
@@ -77,7 +89,7 @@
 		return
 	}
 	elapsed := now - b.lastAdvance
-	if b.options.DecayTime > 0 {
+	if b.options.DecayTime > 0 && b.balance > 0 {
 		b.balance *= math.Exp(-elapsed.Seconds() / b.options.DecayTime.Seconds())
 	}
 	b.add(elapsed.Seconds() * b.options.MinimumPerSecond)
