internal/relay: a stream that the gateway has stopped waits for a replica that takes it

Now a stream that this gateway has stopped is offered to all replicas again every 0.2 s, until its caller may have given up (2 s after the last event) or its time ends; what reaches a replica is charged, and nothing else. On a route with one attempt the memory is offered, otherwise the prompt is read again. TestStoppedStreamWaitsForAReplicaThatAcceptsIt failed before in both its cases (aborted behind event 3). A lease whose request is held or on probation between two replicas is released now (next).

--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -25,22 +25,59 @@
 	handle *promptHandle
 }
 
-// offerElsewhere offers a stream that was stopped for a move to another replica after its target has rejected it, and
-// reports whether there is one. It is for streams whose prompt may not be prefilled again.
-func (r *callState) offerElsewhere(ctx context.Context, rejected *Lease, handle *promptHandle) bool {
-	if r.call.Route.Repeatable() && !r.attemptsUsedUp() || r.sendsUsedUp() {
+// awaitContinuation waits for some time if the call is a stream that this gateway has stopped and that lacks a
+// replica to continue it. It reports whether the next one should be looked for: replicas that have rejected the
+// stream may accept it by then.
+func (r *callState) awaitContinuation(ctx context.Context, err error) bool {
+	if !r.stopped || r.attemptsUsedUp() {
 		return false
 	}
-	target := r.placer.PlaceWithCapacity(ctx, rejected, r.prefillRequest())
-	if target == nil {
+	switch failure.KindOf(err) {
+	case failure.RequestHeld, failure.OutcomeUnknown, failure.DeadlineExceeded:
 		return false
 	}
-	if !r.permits(ctx, target) || !r.budgets.Overdraw(r.call.Service.Name) {
-		target.Release()
+	return r.pauseStopped(ctx)
+}
+
+// pauseStopped pauses a stream that was stopped, and has it offered to all replicas again. It reports false once the
+// caller may have given up.
+func (r *callState) pauseStopped(ctx context.Context) bool {
+	if time.Since(r.stream.lastAt) >= minimumCallerPatience {
 		return false
 	}
-	r.moved = &movedStream{lease: target, handle: handle}
-	return true
+	r.tried = nil
+	return sleepUnlessDone(ctx, moveRetryInterval)
+}
+
+// offerElsewhere offers a stream that was stopped for a move to other replicas after one has rejected it, and reports
+// whether one was found. It is for streams whose prompt may not be prefilled again.
+func (r *callState) offerElsewhere(ctx context.Context, handle *promptHandle) bool {
+	if r.call.Route.Repeatable() && !r.attemptsUsedUp() {
+		return false
+	}
+	for !r.isHeld() {
+		if target := r.placeMove(ctx, handle.replica, r.budgets.Overdraw); target != nil {
+			r.moved = &movedStream{lease: target, handle: handle}
+			return true
+		}
+		if !r.pauseStopped(ctx) {
+			return false
+		}
+	}
+	return false
+}
+
+// placeMove leases a replica to which a stream may be moved, and charges the move. It returns nil if there is none.
+func (r *callState) placeMove(ctx context.Context, from *Replica, charge func(service string) bool) *Lease {
+	target := r.placer.PlaceWithCapacity(ctx, from, r.prefillRequest())
+	if target == nil {
+		return nil
+	}
+	if !r.permits(ctx, target) || !charge(r.call.Service.Name) {
+		target.Release()
+		return nil
+	}
+	return target
 }
 
 // streamMover moves a stream away from a replica that is leaving or changing its stage. Otherwise the
@@ -125,18 +162,10 @@
 	if m.lease.BackoffLeft() > 0 {
 		return false
 	}
-	target := r.placer.PlaceWithCapacity(ctx, m.lease, r.prefillRequest())
+	target := r.placeMove(ctx, m.lease.Replica, r.budgets.Withdraw)
 	if target == nil {
 		return false
 	}
-	if !r.permits(ctx, target) {
-		target.Release()
-		return false
-	}
-	if !r.budgets.Withdraw(r.call.Service.Name) {
-		target.Release()
-		return false
-	}
 	// The memory is copied while the stream runs, which keeps the interruption short.
 	copied, status := r.requestMove(ctx, m.lease.Replica, target.Replica, false)
 	if copied == nil {
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -271,3 +271,35 @@
 	assert.True(t, answer.ended)
 	assert.Equal(t, eventText(1, 6), answer.body.String())
 }
+
+// All other replicas may reject the stream at first. Its caller has a part of it, and waits.
+func TestStoppedStreamWaitsForAReplicaThatAcceptsIt(t *testing.T) {
+	for name, route := range map[string]*traffic.Route{
+		"one attempt": {Name: "route", Kind: traffic.KindStream, MaximumAttempts: 1},
+		"resumable":   {Name: "route", Kind: traffic.KindStream, MaximumAttempts: 2, Resumable: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvironmentWithBudget(t, oneRetry)
+			leaving := newPausedStream()
+			w.addReplica("leaving", region.StageDecode, leaving.serveHTTP)
+			go func() {
+				<-leaving.firstEventsSent
+				w.addReplica("other", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+					if w.requestCount("other") == 1 {
+						rejectRequest(writer, request)
+						return
+					}
+					assert.Equal(t, "3", request.Header.Get("Last-Event"))
+					streamEvents(4, 6, false)(writer, request)
+				})
+				w.changeFirstReplica(leaveReasons["drains"])
+			}()
+			call := newUnsplitCall()
+			call.Route = route
+			answer := w.runCall(call)
+			assert.True(t, answer.ended)
+			assert.Equal(t, eventText(1, 6), answer.body.String())
+			assert.Equal(t, 2, w.requestCount("other"))
+		})
+	}
+}
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -59,14 +59,13 @@
 }
 
 // PlaceWithCapacity leases a replica with capacity for a stream that must move away from another, nil if there is none.
-func (p *Placer) PlaceWithCapacity(ctx context.Context, from *Lease, request PrefillRequest) *Lease {
-	request.Excluded = append(slices.Clone(request.Excluded), from.Replica)
-	service, zone := from.Replica.Service, from.Replica.Zone
-	lease, err := p.ask(ctx, region.PlaceWithCapacity, service, request, zone, region.StageDecode)
+func (p *Placer) PlaceWithCapacity(ctx context.Context, from *Replica, request PrefillRequest) *Lease {
+	request.Excluded = append(slices.Clone(request.Excluded), from)
+	lease, err := p.ask(ctx, region.PlaceWithCapacity, from.Service, request, from.Zone, region.StageDecode)
 	if lease != nil || err != nil {
 		return lease
 	}
-	return p.Directory.PickWithCapacity(service, request.wanted(), zone)
+	return p.Directory.PickWithCapacity(from.Service, request.wanted(), from.Zone)
 }
 
 // ask queries a coordinator. It returns neither a lease nor an error if the gateway has to choose by
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -232,22 +232,12 @@
 // serve makes attempts until one is answered or no other may be made.
 func (r *callState) serve(ctx context.Context) error {
 	for {
-		if err := r.checkSendAllowed(); err != nil {
-			r.releaseMoved()
-			return err
-		}
-		if err := r.checkProbation(ctx); err != nil {
-			return err
-		}
-		lease, handle, err := r.place(ctx)
-		if lease == nil {
-			handle.freeUnlessConsumed(r.Runner)
+		lease, handle, err := r.next(ctx)
+		if err != nil && r.awaitContinuation(ctx, err) {
+			continue
 		}
 		if err != nil {
-			return r.explainNoReplica(err)
-		}
-		if lease == nil {
-			return r.noReplicaError()
+			return err
 		}
 		r.tried = append(r.tried, lease.Replica)
 		outcome, cause := r.attemptSend(ctx, lease, handle)
@@ -270,8 +260,37 @@
 	}
 }
 
+// next leases the replica for the next send, with the handle of the prompt or the moved stream if there is one. It
+// returns the reason if no further send may be made or no replica was found.
+func (r *callState) next(ctx context.Context) (*Lease, *promptHandle, error) {
+	if err := r.checkSendAllowed(); err != nil {
+		r.releaseMoved()
+		return nil, nil, err
+	}
+	if err := r.checkProbation(ctx); err != nil {
+		r.releaseMoved()
+		return nil, nil, err
+	}
+	lease, handle, err := r.place(ctx)
+	if lease == nil {
+		handle.freeUnlessConsumed(r.Runner)
+	}
+	if err != nil {
+		return nil, nil, r.explainNoReplica(err)
+	}
+	if lease == nil {
+		return nil, nil, r.noReplicaError()
+	}
+	if r.stopped && handle == nil && !r.budgets.Overdraw(r.call.Service.Name) {
+		lease.Release()
+		return nil, nil, failure.New(failure.AttemptsExhausted, "the retry budget is overdrawn")
+	}
+	return lease, handle, nil
+}
+
 // checkSendAllowed returns the reason why no further send may be made, or nil. If an earlier send may have
-// reached a replica, it takes the retry out of the retry budget, except for a moved stream.
+// reached a replica, it takes the retry out of the retry budget, except for a stream that this gateway has stopped:
+// that is charged once a replica was found.
 func (r *callState) checkSendAllowed() error {
 	if r.isHeld() {
 		return failure.New(failure.RequestHeld, "replicas have ended under this request")
@@ -291,10 +310,10 @@
 	if r.sends > 0 && r.directory.disabled[mechanism.Retries] {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.attemptsUsedUp() || r.sendsUsedUp() {
+	if r.attemptsUsedUp() || !r.stopped && r.sendsUsedUp() {
 		return failure.New(failure.AttemptsExhausted, "no further attempt is allowed")
 	}
-	if r.arrivals > 0 && !r.chargeRetry() {
+	if r.arrivals > 0 && !r.stopped && !r.budgets.Withdraw(r.call.Service.Name) {
 		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
 	}
 	return nil
@@ -306,15 +325,6 @@
 // sendsUsedUp reports whether the request was offered to as many replicas as a call may be.
 func (r *callState) sendsUsedUp() bool { return r.sends-r.unsent >= maximumSends || r.tooManyUnsent() }
 
-// chargeRetry charges a send to the retry budget, and reports whether it may be made. A stream that this gateway
-// has stopped is continued even if the budget is used up.
-func (r *callState) chargeRetry() bool {
-	if r.stopped {
-		return r.budgets.Overdraw(r.call.Service.Name)
-	}
-	return r.budgets.Withdraw(r.call.Service.Name)
-}
-
 // tooManyUnsent reports whether too many sends and prefills have reached no replica.
 func (r *callState) tooManyUnsent() bool { return r.unsent+r.unsentPrefills >= maximumUnsent }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -103,8 +103,11 @@
 	if handle != nil {
 		handle.consumed = outcome != verdictNotRun
 	}
-	if send.Moved && outcome == verdictNotRun && r.offerElsewhere(ctx, lease, handle) {
-		return verdictMoved, err
+	if send.Moved && outcome == verdictNotRun {
+		lease.Release()
+		if r.offerElsewhere(ctx, handle) {
+			return verdictMoved, err
+		}
 	}
 	return outcome, err
 }
