bench/soak: judge each call that ends without a whole answer, and change what running requests use

The soak passed over each call that ended with an error, and the only part of its configurations that changed was a route that nobody calls: it could not see a gateway that cuts a stream.

- A call whose connection ends without a whole answer is a violation, unless its replica broke it off or ended, its deadline was reached, it crossed the close of a kept connection (no replica has received it, within 0.2 s), or a fault that was not planned hit its gateway or all links.
What is planned excuses nothing, nor does harm to coordinators or to other gateways.
A resumable route and a split one are new; half of the callers keep their connections; half of the seeds have two regions with 6 ms one way between them; engines reject 3 in 10 streams that are moved to them.
- Planted: connections that are reset with each version (TestASoakNoticesGatewaysThatCutWhatRunsAtEachVersion), and each excuse on its own in TestTheCheckerCatchesEachPlantedBreak.

--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -68,6 +68,7 @@
 // endReplica ends a replica under a request, and starts another incarnation after a while, unless
 // another request has ended the replica already.
 func (s *soak) endReplica(replica int, content string) {
+	s.truth.interrupts(replicaName(replica))
 	ended := s.fleet.endReplica(replica)
 	s.truth.lifeEnded(replicaName(replica))
 	s.truth.endingArrived(content, time.Now(), ended)
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -78,6 +78,10 @@
 	// half of the seeds.
 	keepsIDs bool
 	plants   Plants
+	// draining are the engines that the list shows as draining.
+	draining map[string]bool
+	// farApart says that there are two regions with a delay between them, as with half of the seeds.
+	farApart bool
 	// broken are the entries of the list that name no usable replica, and strays the requests
 	// that were sent to the address that they tell of.
 	broken []string
@@ -97,6 +101,8 @@
 		activeReplicas: int(options.Seed/2%2) * fewActive,
 		keepsIDs:       options.Seed/2%2 == 0,
 		plants:         options.Plants,
+		draining:       map[string]bool{},
+		farApart:       options.Seed/4%2 == 1,
 		duties:         platformtest.NewDuties(options.Seed, leaseMillis*time.Millisecond),
 
 		engineTargets: map[string]string{},
@@ -118,6 +124,7 @@
 		}
 	}
 	f.layBrokenEntries()
+	f.addOther(run)
 	list := httptest.NewServer(f.platform())
 	f.servers = append(f.servers, list)
 	if err := f.addEngines(engineWatch); err != nil {
@@ -127,6 +134,7 @@
 	if err != nil {
 		return f, err
 	}
+	f.delayRegions()
 	for number := range coordinators + gateways {
 		if err := f.lay(number, listed, options); err != nil {
 			return f, err
@@ -153,7 +161,7 @@
 	address := trap.Listener.Addr().String()
 	f.broken = platformtest.BrokenEntries("service", address)
 	if f.plants.UsableEntry {
-		f.list = append(f.list, platformtest.Listed{ID: "planted", Service: "service", Address: address, Zone: "zone", Slots: 16, State: "ready"})
+		f.list = append(f.list, platformtest.Listed{ID: "planted", Service: "service", Address: address, Zone: nearZone, Slots: 16, State: "ready"})
 	}
 }
 
@@ -175,12 +183,78 @@
 		f.engines.Reach(id, address)
 		f.engineTargets[id] = server.Listener.Addr().String()
 		f.list = append(f.list, platformtest.Listed{
-			ID: id, Service: engineService, Address: address, Zone: "zone", Slots: 16, State: "ready", Stage: stage,
+			ID: id, Service: engineService, Address: address, Zone: f.engineZone(number), Slots: 16, State: "ready", Stage: stage,
 		})
 	}
 	return nil
 }
 
+// otherReplica is the replica of the service that only a part of a split goes to. It never ends.
+const otherReplica = "i-other"
+
+// addOther adds the replica of the other service.
+func (f *fleet) addOther(run func(replica int, request platformtest.Request) platformtest.Reply) {
+	server := httptest.NewServer(platformtest.ReplicaHandler(otherReplica, func(request platformtest.Request) platformtest.Reply {
+		return run(replicas, request)
+	}))
+	f.servers = append(f.servers, server)
+	f.list = append(f.list, platformtest.Listed{
+		ID: otherReplica, Service: otherService, Address: server.Listener.Addr().String(), Zone: f.zoneOf(farGateway), Slots: 16, State: "ready",
+	})
+}
+
+// setDraining has the list show an engine as draining, or as ready again.
+func (f *fleet) setDraining(id string, draining bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.draining[id] = draining
+}
+
+const (
+	nearZone = "zone"
+	farZone  = "far"
+	// regionDelay is added one way to and from processes of the other region.
+	regionDelay = 6 * time.Millisecond
+	// farCoordinator and farGateway are the processes in the other region.
+	farCoordinator = coordinators - 1
+	farGateway     = coordinators + gateways - 1
+)
+
+// zoneOf returns the zone of a process.
+func (f *fleet) zoneOf(number int) string {
+	if f.farApart && (number == farCoordinator || number == farGateway) {
+		return farZone
+	}
+	return nearZone
+}
+
+// engineZone returns the zone of an engine: every other one is in the other region.
+func (f *fleet) engineZone(number int) string {
+	if f.farApart && number%2 == 1 {
+		return farZone
+	}
+	return nearZone
+}
+
+// zoneSettings is the line on zones and regions in the settings of all processes.
+func (f *fleet) zoneSettings() string {
+	if !f.farApart {
+		return ""
+	}
+	return fmt.Sprintf("zones: {%s: near, %s: far}\n", nearZone, farZone)
+}
+
+// delayRegions puts the delay between the regions on the links of the far processes.
+func (f *fleet) delayRegions() {
+	if !f.farApart {
+		return
+	}
+	coordinator, gateway := fmt.Sprintf("p%d", farCoordinator), fmt.Sprintf("p%d", farGateway)
+	for _, link := range []faultproxy.Match{{Source: coordinator}, {Destination: coordinator}, {Source: gateway}} {
+		f.proxy.Apply(link, faultproxy.Faults{Delay: regionDelay})
+	}
+}
+
 // restartEngine has an engine start again at once, under its id and at its address.
 func (f *fleet) restartEngine(number int) error {
 	id := engineName(number)
@@ -198,7 +272,7 @@
 	list := slices.Clone(f.list)
 	for _, replica := range f.replicas {
 		entry := platformtest.Listed{
-			ID: replica.instance(), Service: "service", Address: replica.address, Zone: "zone", Slots: 16, State: "ready", Born: replica.born.UnixMilli(),
+			ID: replica.instance(), Service: "service", Address: replica.address, Zone: nearZone, Slots: 16, State: "ready", Born: replica.born.UnixMilli(),
 		}
 		if replica.runs || replica.keepsID {
 			list = append(list, entry)
@@ -211,6 +285,9 @@
 	for index := range f.list {
 		if list[index].Stage != "" {
 			list[index].Stage, list[index].Born = f.engines.Shows(list[index].ID)
+			if f.draining[list[index].ID] {
+				list[index].State = "draining"
+			}
 		}
 	}
 	if f.plants.UntoldStarts {
@@ -239,6 +316,17 @@
 	return numbers
 }
 
+// callerLinks are the callers' connections, if they lead through the proxy.
+var callerLinks = faultproxy.Match{Destination: "callers-*"}
+
+// callerListen returns where a gateway listens for callers: behind the proxy if their connections are to be cut.
+func (f *fleet) callerListen(number int, options Options) string {
+	if options.Plants.CutsAtVersions {
+		return fmt.Sprintf("%s:%d", f.hiddenIP(number), callerPort)
+	}
+	return fmt.Sprintf("%s:%d", f.ip(number), callerPort)
+}
+
 // lay writes the settings of one process.
 func (f *fleet) lay(number int, list string, options Options) error {
 	var seeds []string
@@ -247,8 +335,8 @@
 	}
 	ip := f.ip(number)
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary()}
-	common := fmt.Sprintf("name: p%d\nzone: zone\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
-		number, ip, internalPort, strings.Join(seeds, ","), list, ip, metricsPort, usageSeconds, quotaSettings())
+	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
+		number, f.zoneOf(number), ip, internalPort, strings.Join(seeds, ","), list, ip, metricsPort, usageSeconds, quotaSettings())
 	if number < coordinators {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
@@ -267,7 +355,12 @@
 			common += fmt.Sprintf("without: [%s]\n", strings.Join(options.Without, ", "))
 		}
 		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\n",
-			laid.address, ip, readyPort)
+			f.callerListen(number, options), ip, readyPort)
+		if options.Plants.CutsAtVersions {
+			if _, err := f.proxy.ListenTCP("callers-"+laid.name, laid.address, f.callerListen(number, options)); err != nil {
+				return err
+			}
+		}
 		f.gateways = append(f.gateways, laid)
 	}
 	laid.settings = filepath.Join(f.folder, laid.name+".yaml")
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -99,7 +99,11 @@
 func (s *soak) anyOf(processes []*process) *process { return processes[s.random.IntN(len(processes))] }
 
 func (s *soak) restart(ctx context.Context, harmed *process, signal syscall.Signal) {
-	defer s.truth.disturbs(harmed.name, "")()
+	if signal == syscall.SIGTERM {
+		defer s.truth.plans(harmed.name)()
+	} else {
+		defer s.truth.disturbs(harmed.name, "")()
+	}
 	harmed.end(signal)
 	pause(ctx, time.Duration(s.random.IntN(800))*time.Millisecond)
 	s.startAgain(harmed)
--- a/bench/soak/limits.go
+++ b/bench/soak/limits.go
@@ -48,6 +48,8 @@
 type disturbance struct {
 	gateway, replica string
 	from, until      time.Time
+	// planned ones are no reason to end a running request.
+	planned bool
 }
 
 // toldDelay is how long after a gateway has handed on an answer that names a limit it is held to it.
@@ -90,6 +92,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
+	t.receivers[request] = append(t.receivers[request], replica)
 	life := t.limitOf(replica, now)
 	if life == nil {
 		return ""
@@ -195,10 +198,20 @@
 
 // disturbs notes harm to a gateway or its links, and returns what ends it.
 func (t *truth) disturbs(gateway, replica string) (ends func()) {
+	return t.notes(disturbance{gateway: gateway, replica: replica})
+}
+
+// plans notes a planned stop of a gateway, and returns what ends it.
+func (t *truth) plans(gateway string) (ends func()) {
+	return t.notes(disturbance{gateway: gateway, planned: true})
+}
+
+func (t *truth) notes(begun disturbance) (ends func()) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	index := len(t.disturbances)
-	t.disturbances = append(t.disturbances, disturbance{gateway: gateway, replica: replica, from: time.Now(), until: time.Now().Add(time.Hour)})
+	begun.from, begun.until = time.Now(), time.Now().Add(time.Hour)
+	t.disturbances = append(t.disturbances, begun)
 	return func() {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
--- a/bench/soak/lives.go
+++ b/bench/soak/lives.go
@@ -26,6 +26,7 @@
 			// Its limit has to be judged for longer than lives last here.
 			continue
 		}
+		s.truth.interrupts(engineName(number))
 		if err := s.fleet.restartEngine(number); err != nil {
 			s.truth.mutex.Lock()
 			s.truth.violate("%s does not start again: %v", engineName(number), err)
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 
@@ -33,6 +34,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	command := exec.Command(p.binary, p.role, "--settings", p.settings)
+	// A program without the race detector ignores it.
+	command.Env = append(os.Environ(), "GORACE=log_path="+filepath.Join(filepath.Dir(p.settings), raceLog))
 	command.Stdout = p.log
 	command.Stderr = p.log
 	if err := command.Start(); err != nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -3,7 +3,8 @@
 // and checks the promises while it runs:
 //   - what was acknowledged is never lost or shown older
 //   - a request that may not be repeated runs at most once, and an answer "not run" is true
-//   - every answer is the whole answer to its request
+//   - every answer is the whole answer to its request, and a connection ends without one only by its replica, by its
+//     deadline or by a fault that was not planned: not by a configuration, a planned stop or a replica that leaves
 //   - a request runs for the tenant of its key alone, and no replica gets the key
 //   - a tenant with a limit gets no more than is tolerated over all gateways
 //   - a replica that names a limit gets no more than that allows from all gateways together
@@ -44,6 +45,13 @@
 	Production string
 	// Calm leaves out all faults: processes are replaced by those of another build, and nothing else.
 	Calm bool
+	// Planned leaves out all faults that are not planned: processes are stopped and started, configurations change, and
+	// replicas leave.
+	Planned bool
+	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
+	Callers int
+	// Race builds the program with the race detector; each of its reports is a violation.
+	Race bool
 	// Halt stops the replacing of processes half-way: the two builds go on side by side. LateThaw has
 	// the process that is replaced last stand still until all others are new; it needs Calm.
 	Halt, LateThaw bool
@@ -57,12 +65,22 @@
 	Log      io.Writer
 }
 
+// callers returns the number of callers.
+func (o *Options) callers() int {
+	if o.Callers > 0 {
+		return o.Callers
+	}
+	return defaultCallers
+}
+
 // Plants are faults of the platform's list, to see that the checker notices.
 type Plants struct {
 	// UntoldStarts keeps the moments of starts off the list.
 	UntoldStarts bool
 	// UsableEntry has the list name a replica at the address of the entries that name none.
 	UsableEntry bool
+	// CutsAtVersions resets the callers' connections with each version, as a gateway would that ends what runs.
+	CutsAtVersions bool
 	// NoLimits has no replica name a limit: where one of three does, few of the requests that end
 	// replicas reach them, and their check has little to go by.
 	NoLimits bool
@@ -91,13 +109,16 @@
 	Named int
 	// Replaced are the processes that were replaced by one of another build.
 	Replaced int
+	// Cuts are the calls that ended without a whole answer and may, and Excused why.
+	Cuts    int
+	Excused map[string]int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
 	// first process was replaced, and from then on.
 	ServedBefore, ServedDuring float64
 }
 
 const (
-	callers         = 6
+	defaultCallers  = 6
 	callWait        = 2 * time.Second
 	operatorTimeout = 2 * time.Second
 	recoverTimeout  = time.Minute
@@ -105,6 +126,8 @@
 	onceRoute       = "/once/"
 	repeatRoute     = "/repeat/"
 	modelRoute      = "/model/"
+	splitRoute      = "/split/"
+	resumableRoute  = "/resumable/"
 )
 
 // soak is one run.
@@ -146,26 +169,35 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.operate(work) })
 	running.Go(func() { s.readBack(work) })
-	running.Go(func() { s.sendEnding(work) })
-	running.Go(func() { s.restartEngines(work) })
+	if options.Planned {
+		running.Go(func() { s.releaseEngines(work) })
+	} else {
+		running.Go(func() { s.sendEnding(work) })
+		running.Go(func() { s.restartEngines(work) })
+	}
 	if !options.Plants.NoLimits {
 		running.Go(func() { s.nameLimits(work) })
 	}
-	for number := range callers {
+	for number := range options.callers() {
 		running.Go(func() { s.call(work, number) })
 	}
 	for number := range quotaCallers {
 		running.Go(func() { s.sendLimited(work, number) })
 	}
 	s.awaitService(ctx, "at the start")
-	if options.Calm {
+	switch {
+	case options.Calm:
 		s.replaceAll(ctx)
-	} else {
+	case options.Planned:
+		s.plan(ctx)
+	default:
 		s.harm(ctx)
 	}
 	s.awaitService(ctx, "after the last fault")
 	cancel()
 	running.Wait()
+	s.truth.judgeCuts()
+	s.truth.races(options.Folder)
 	s.truth.endings()
 	s.truth.limits()
 	s.truth.replicaLimits()
@@ -220,14 +252,23 @@
 // be moved.
 const eventPace = 25 * time.Millisecond
 
+// rejectedMoves is the share of moved streams that the engine rejects to which they are moved.
+const rejectedMoves = 0.3
+
 // engineWatch is what the model replicas do, and what is checked of them.
 func (s *soak) engineWatch() platformtest.EngineWatch {
 	return platformtest.EngineWatch{
 		Runs: func(_, request string) platformtest.Reply {
 			s.truth.ran(request)
 			time.Sleep(5 * time.Millisecond)
-			return platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Pace: eventPace, Drop: s.roll(0.02)}
+			reply := platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Pace: eventPace, Drop: s.roll(0.02)}
+			if reply.Drop {
+				s.truth.brokeOff(request)
+			}
+			return reply
 		},
+		Rejects:    func(string, string) bool { return s.roll(rejectedMoves) },
+		Broke:      func(_, request string) { s.truth.brokeOff(request) },
 		Arrived:    s.truth.arrived,
 		Crossed:    s.truth.crossed,
 		Moved:      s.truth.moved,
@@ -254,29 +295,6 @@
 	return chosen.APIKeys[number/3%len(chosen.APIKeys)], chosen.Name
 }
 
-// operate sends configurations, each until it is acknowledged or the next comes.
-func (s *soak) operate(ctx context.Context) {
-	routes := []platformtest.Route{
-		{Name: "once", Host: host, Prefix: onceRoute, Service: "service"},
-		{Name: "repeat", Host: host, Prefix: repeatRoute, Service: "service", Repeatable: true},
-		{Name: "model", Host: host, Prefix: modelRoute, Service: engineService, Streaming: true, Engine: true},
-	}
-	for version := uint64(1); ctx.Err() == nil; version++ {
-		changed := append(routes[:len(routes):len(routes)], platformtest.Route{
-			Name: "changing", Host: host, Prefix: fmt.Sprintf("/v%d/", version), Service: "service",
-		})
-		document := platformtest.Configuration(version, changed, append(tenants[:len(tenants):len(tenants)], limitedTenant)...)
-		s.truth.sends(version, document)
-		for range 8 {
-			if s.replace(ctx, document) {
-				s.truth.acknowledged(version)
-				break
-			}
-		}
-		pause(ctx, 200*time.Millisecond)
-	}
-}
-
 func (s *soak) replace(ctx context.Context, document []byte) bool {
 	bounded, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
@@ -311,24 +329,33 @@
 
 // call sends requests one after the other.
 func (s *soak) call(ctx context.Context, caller int) {
+	client := s.client
+	if caller%2 == 1 {
+		client = newKeptClient()
+		defer client.CloseIdleConnections()
+	}
+	routes := []string{onceRoute, repeatRoute, modelRoute, splitRoute, resumableRoute}
 	for number := 0; ctx.Err() == nil; number++ {
-		path := []string{onceRoute, repeatRoute, modelRoute}[number%3]
+		path := routes[number%len(routes)]
 		id := fmt.Sprintf("c%d-%d", caller, number)
 		wanted := bodyFor(id)
 		var prompt *platformtest.Prompt
-		if path == modelRoute {
+		if path == modelRoute || path == resumableRoute {
 			prompt = &platformtest.Prompt{Tokens: 4000, Shared: fmt.Sprint("s", number%7), Own: id}
 			wanted = platformtest.Streamed(eventsFor(id))
 		}
 		key, owner := keyFor(caller, number)
-		s.truth.begin(id, path != repeatRoute, wanted, owner)
-		gateway := s.gatewayFor(id, caller+number/3)
+		s.truth.begin(id, path == onceRoute || path == modelRoute, wanted, owner)
+		gateway := s.gatewayFor(id, caller+number/len(routes))
 		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
-		answer, err := platformtest.CallAs(bounded, s.client, gateway, host, path+"x", id, callWait, prompt, key)
-		cancel()
+		sent := time.Now()
+		answer, err := platformtest.CallAs(bounded, client, gateway, host, path+"x", id, callWait, prompt, key)
 		if err == nil {
 			s.truth.answered(id, answer)
+		} else if bounded.Err() == nil {
+			s.truth.cut(id, sent, err)
 		}
+		cancel()
 		if owner != "" && ctx.Err() == nil {
 			s.upgrade.note(err == nil && answer.Status < http.StatusMultipleChoices)
 		}
@@ -397,6 +424,9 @@
 	command.Flags().Uint64Var(&options.Seed, "seed", 0, "first seed; 0 draws one")
 	command.Flags().StringVar(&options.Production, "production", "", "a commit, or a program built before, with which all processes begin; they are replaced one after the other, there and back")
 	command.Flags().BoolVar(&options.Calm, "calm", false, "no faults: replace all processes once, and tell what was served before and meanwhile")
+	command.Flags().BoolVar(&options.Planned, "planned", false, "only what is planned: processes are stopped and started, configurations change, replicas leave")
+	command.Flags().IntVar(&options.Callers, "callers", defaultCallers, "callers, each with one request at a time")
+	command.Flags().BoolVar(&options.Race, "race", false, "build the program with the race detector, whose reports are violations")
 	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
 	command.Flags().BoolVar(&options.LateThaw, "late-thaw", false, "with --calm: the process that is replaced last stands still until all others are new")
 	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
@@ -414,7 +444,11 @@
 		return err
 	}
 	binary := filepath.Join(folder, "pierhaven")
-	if output, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/pierhaven").CombinedOutput(); err != nil {
+	build := []string{"build", "-o", binary}
+	if options.Race {
+		build = append(build, "-race")
+	}
+	if output, err := exec.CommandContext(ctx, "go", append(build, "./cmd/pierhaven")...).CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w: %s", err, output)
 	}
 	options.Binary = binary
@@ -435,9 +469,9 @@
 			return err
 		}
 		options.Seed++
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d violations\n",
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d violations\n",
 			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
-			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, len(result.Violations))
+			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, result.Cuts, result.Excused, len(result.Violations))
 		if options.Calm {
 			_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", result.ServedBefore, result.ServedDuring)
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -32,6 +32,34 @@
 	}
 }
 
+// plannedSeeds are played with planned work alone: each seed that ever had a gateway cut a call.
+var plannedSeeds = []uint64{5501}
+
+func TestPlannedWorkCutsNoCall(t *testing.T) {
+	binary := buildProgram(t, t.TempDir())
+	for _, seed := range plannedSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			result, err := Run(t.Context(), Options{
+				Seed: seed, Planned: true, Duration: 15 * time.Second, Binary: binary, Folder: t.TempDir(), Log: t.Output(),
+			})
+			require.NoError(t, err)
+			require.Empty(t, result.Violations)
+			require.Positive(t, result.Served)
+			require.Positive(t, result.Streams)
+			require.Positive(t, result.Changes)
+		})
+	}
+}
+
+func TestASoakNoticesGatewaysThatCutWhatRunsAtEachVersion(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Seed: 18, Planned: true, Duration: 4 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Plants: Plants{CutsAtVersions: true, NoLimits: true},
+	})
+	require.NoError(t, err)
+	require.Contains(t, strings.Join(result.Violations, "\n"), "was cut off by p")
+}
+
 func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 13, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -41,7 +41,15 @@
 	sentTo       map[string]string
 	answeredAt   map[string]time.Time
 	disturbances []disturbance
-	violations   []string
+	// receivers are the replicas that each request has reached, brokenOff the requests that a replica broke off, and
+	// interruptions the ends of replicas.
+	receivers     map[string][]string
+	brokenOff     map[string]bool
+	interruptions []interruption
+	// cuts are the calls that ended without a whole answer, and excused how many of them may, by reason.
+	cuts       []cutCall
+	excused    map[string]int
+	violations []string
 }
 
 func newTruth() *truth {
@@ -58,6 +66,10 @@
 		namedLimits: map[string][]*limitedLife{},
 		sentTo:      map[string]string{},
 		answeredAt:  map[string]time.Time{},
+
+		receivers: map[string][]string{},
+		brokenOff: map[string]bool{},
+		excused:   map[string]int{},
 	}
 }
 
@@ -244,5 +256,14 @@
 		Held:       t.held,
 		Limited:    t.refusedLimited,
 		Named:      t.limitWindows,
+		Cuts:       sumOf(t.excused),
+		Excused:    t.excused,
+	}
+}
+
+func sumOf(counts map[string]int) (sum int) {
+	for _, count := range counts {
+		sum += count
 	}
+	return sum
 }
--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -126,6 +126,40 @@
 			limitedBy(t, 0, 4, 6)
 			t.replicaLimits()
 		}, "names 0 requests a second, and got 6"},
+		"a call that its gateway cuts": {func(t *truth) { cutAfter(t, 300*time.Millisecond) }, "was cut off by g 300ms after it was sent"},
+		"a call that is cut while another gateway is harmed": {func(t *truth) {
+			t.disturbances = []disturbance{{gateway: "h", from: time.Unix(0, 0), until: time.Unix(9, 0)}}
+			cutAfter(t, 300*time.Millisecond)
+		}, "was cut off by g"},
+		"a call that is cut while its gateway stops as planned": {func(t *truth) {
+			t.disturbances = []disturbance{{gateway: "g", planned: true, from: time.Unix(0, 0), until: time.Unix(9, 0)}}
+			cutAfter(t, 300*time.Millisecond)
+		}, "was cut off by g"},
+		"a call that is cut while its gateway is harmed": {func(t *truth) {
+			t.disturbances = []disturbance{{gateway: "g", from: time.Unix(0, 0), until: time.Unix(9, 0)}}
+			cutAfter(t, 300*time.Millisecond)
+		}, ""},
+		"a call that its replica breaks off": {func(t *truth) {
+			t.brokeOff("a")
+			cutAfter(t, 300*time.Millisecond)
+		}, ""},
+		"a call whose replica ends": {func(t *truth) {
+			t.interruptions = []interruption{{replica: "e", at: time.Unix(1, 0)}}
+			cutAfter(t, 300*time.Millisecond)
+		}, ""},
+		"a call that is cut as another replica ends": {func(t *truth) {
+			t.interruptions = []interruption{{replica: "f", at: time.Unix(1, 0)}}
+			cutAfter(t, 300*time.Millisecond)
+		}, "was cut off by g"},
+		"a call that is cut at its deadline": {func(t *truth) { cutAfter(t, shortestTimeout) }, ""},
+		"a call that no replica has received crosses a close": {func(t *truth) {
+			t.cuts = []cutCall{{id: "b", sent: time.Unix(1, 0), ended: time.Unix(1, 1e6)}}
+			t.judgeCuts()
+		}, ""},
+		"a call that no replica has received is cut later": {func(t *truth) {
+			t.cuts = []cutCall{{id: "b", sent: time.Unix(1, 0), ended: time.Unix(1, 5e8)}}
+			t.judgeCuts()
+		}, "request b was cut off"},
 		"other content": {func(t *truth) {
 			t.sends(3, []byte(`{"Version":3,"Routes":null}`))
 			t.readBack("c", 3, []byte(`{"Version":3}`))
@@ -161,3 +195,12 @@
 	}
 	t.namedLimits["e"] = append(t.namedLimits["e"], life)
 }
+
+// cutAfter has request a, which replica e has received from gateway g, end without a whole answer, and judges it.
+func cutAfter(t *truth, lasted time.Duration) {
+	sent := time.Unix(1, 0)
+	t.sendsTo("a", "g")
+	t.arrived("e", "a")
+	t.cuts = []cutCall{{id: "a", sent: sent, ended: sent.Add(lasted)}}
+	t.judgeCuts()
+}
