bench/soak: engines ask for rest and say that they leave, at random

An engine now wants to rest for some seconds now and then (503 with Retry-After), and says in all its answers that it leaves until it starts again. Judged: more than two requests from a gateway between half a second after it was asked and the end of that time; a request that a caller sent later than drain_ms and half a second after its gateway had passed on that the engine leaves. A restart, freeze or cut of the gateway excuses both.

--- /dev/null
+++ b/bench/soak/asks.go
@@ -0,0 +1,166 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"github.com/pierhaven/pierhaven/platform/platformtest"
+)
+
+const (
+	// restEvery is the mean time between two engines that begin to rest, and restFor the mean time for which one does.
+	restEvery = 1500 * time.Millisecond
+	restFor   = 2500 * time.Millisecond
+	// restDelay is how long after an engine has asked a gateway for rest it may still get what was under way, and
+	// restSlack how many requests besides.
+	restDelay = 500 * time.Millisecond
+	restSlack = 2
+	// leaveEvery is the mean time between two engines that begin to say that they leave.
+	leaveEvery = 2500 * time.Millisecond
+	// leaveTime is how long after a gateway has passed on that an engine leaves a caller may send a request that
+	// reaches it. leaveSlack is for the way to the gateway.
+	leaveTime  = 2 * time.Second
+	leaveSlack = 500 * time.Millisecond
+)
+
+// engineLifeOf identifies a life of an engine.
+type engineLifeOf struct {
+	engine string
+	life   int
+}
+
+// told is what a life of an engine has asked of a gateway.
+type told struct {
+	engineLifeOf
+	gateway string
+}
+
+// rest is a time for which a gateway was asked to send nothing, and what came nevertheless.
+type rest struct {
+	at, until time.Time
+	came      []string
+}
+
+// asks is what engines ask of gateways, and what they got after that. It is guarded by the truth's mutex.
+type asks struct {
+	lives map[string]int
+	// restUntil are the engines that rest, leaving those that say that they leave.
+	restUntil map[string]time.Time
+	leaving   map[engineLifeOf]bool
+	rests     map[told][]*rest
+	// leavingAnswers are the requests whose answers say that their engine leaves, and arrivals all that came to
+	// engines that leave.
+	leavingAnswers map[told][]string
+	arrivals       map[told][]string
+}
+
+func newAsks() asks {
+	return asks{
+		lives:          map[string]int{},
+		restUntil:      map[string]time.Time{},
+		leaving:        map[engineLifeOf]bool{},
+		rests:          map[told][]*rest{},
+		leavingAnswers: map[told][]string{},
+		arrivals:       map[told][]string{},
+	}
+}
+
+// askAtRandom has engines rest and say that they leave until the context ends.
+func (s *soak) askAtRandom(ctx context.Context) {
+	go func() {
+		for ctx.Err() == nil {
+			pause(ctx, time.Duration((0.5+s.draw())*float64(leaveEvery)))
+			s.truth.leaves(engineName(int(s.draw() * engines)))
+		}
+	}()
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration((0.5+s.draw())*float64(restEvery)))
+		s.truth.rest(engineName(int(s.draw()*engines)), time.Duration((0.5+s.draw())*float64(restFor)))
+	}
+}
+
+// rest has an engine want to rest for a time.
+func (t *truth) rest(engine string, length time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.asks.restUntil[engine] = time.Now().Add(length)
+}
+
+// leaves has an engine say that it leaves, until it starts again.
+func (t *truth) leaves(engine string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.asks.leaving[engineLifeOf{engine, t.asks.lives[engine]}] = true
+}
+
+// ask returns what an engine asks of the gateway that has sent it a request, and notes the request.
+func (t *truth) ask(engine, request string) platformtest.Ask {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	life := engineLifeOf{engine, t.asks.lives[engine]}
+	gateway := told{life, t.sentTo[request]}
+	ask := platformtest.Ask{Leaving: t.asks.leaving[life], Rest: max(t.asks.restUntil[engine].Sub(now), 0)}
+	if ask.Leaving {
+		t.asks.arrivals[gateway] = append(t.asks.arrivals[gateway], request)
+	}
+	t.noteRest(gateway, request, ask.Rest, now)
+	if ask.Leaving && ask.Rest == 0 {
+		t.asks.leavingAnswers[gateway] = append(t.asks.leavingAnswers[gateway], request)
+	}
+	return ask
+}
+
+// noteRest notes a request that comes in a rest that its gateway was asked for, or asks for one. It is called with
+// the mutex held.
+func (t *truth) noteRest(gateway told, request string, wanted time.Duration, now time.Time) {
+	known := t.asks.rests[gateway]
+	if len(known) > 0 {
+		if last := known[len(known)-1]; now.Before(last.until) {
+			if now.After(last.at.Add(restDelay)) && !t.isDisturbed(gateway.gateway, gateway.engine, now) {
+				last.came = append(last.came, request)
+			}
+			return
+		}
+	}
+	if wanted > 0 {
+		t.asks.rests[gateway] = append(known, &rest{at: now, until: now.Add(wanted)})
+	}
+}
+
+// judgeAsks checks that gateways leave engines alone that want to rest, and send nothing new to those that leave.
+func (t *truth) judgeAsks() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for gateway, rests := range t.asks.rests {
+		for _, each := range rests {
+			t.rested++
+			if len(each.came) > restSlack {
+				t.violate("%s has asked %s for %s of rest, and got %v", gateway.engine, gateway.gateway, each.until.Sub(each.at), each.came)
+			}
+		}
+	}
+	for gateway, answers := range t.asks.leavingAnswers {
+		from, passedOn := t.passedOn(answers)
+		if !passedOn {
+			continue
+		}
+		t.left++
+		for _, request := range t.asks.arrivals[gateway] {
+			sent := t.sentAt[request]
+			if sent.After(from.Add(leaveTime+leaveSlack)) && !t.isDisturbed(gateway.gateway, gateway.engine, sent) {
+				t.violate("%s has told %s that it leaves, and got %s, which was sent %s later", gateway.engine, gateway.gateway, request, sent.Sub(from))
+			}
+		}
+	}
+}
+
+// passedOn returns when the first of some answers came to its caller. It is called with the mutex held.
+func (t *truth) passedOn(requests []string) (first time.Time, found bool) {
+	for _, request := range requests {
+		if at, answered := t.answeredAt[request]; answered && (!found || at.Before(first)) {
+			first, found = at, true
+		}
+	}
+	return first, found
+}
--- a/bench/soak/cut.go
+++ b/bench/soak/cut.go
@@ -48,6 +48,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.interruptions = append(t.interruptions, interruption{replica: replica, at: time.Now()})
+	t.asks.lives[replica]++
+	delete(t.asks.restUntil, replica)
 }
 
 // interruption is the end of a replica's process.
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -354,8 +354,8 @@
 		if len(options.Without) > 0 {
 			common += fmt.Sprintf("without: [%s]\n", strings.Join(options.Without, ", "))
 		}
-		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\n",
-			f.callerListen(number, options), ip, readyPort)
+		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\ndrain_ms: %d\n",
+			f.callerListen(number, options), ip, readyPort, leaveTime.Milliseconds())
 		if options.Plants.CutsAtVersions {
 			if _, err := f.proxy.ListenTCP("callers-"+laid.name, laid.address, f.callerListen(number, options)); err != nil {
 				return err
--- a/bench/soak/limits.go
+++ b/bench/soak/limits.go
@@ -224,4 +224,5 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.sentTo[id] = gateway
+	t.sentAt[id] = time.Now()
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -48,6 +48,8 @@
 	// Planned leaves out all faults that are not planned: processes are stopped and started, configurations change, and
 	// replicas leave.
 	Planned bool
+	// Asks has engines want to rest, and say that they leave, at random.
+	Asks bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
 	Callers int
 	// Race builds the program with the race detector; each of its reports is a violation.
@@ -112,6 +114,9 @@
 	// Cuts are the calls that ended without a whole answer and may, and Excused why.
 	Cuts    int
 	Excused map[string]int
+	// Rested are the times for which a gateway was asked to leave an engine alone, and Left the engines that had told
+	// a gateway that they leave, which were judged.
+	Rested, Left int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
 	// first process was replaced, and from then on.
 	ServedBefore, ServedDuring float64
@@ -169,6 +174,9 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.operate(work) })
 	running.Go(func() { s.readBack(work) })
+	if options.Asks {
+		running.Go(func() { s.askAtRandom(work) })
+	}
 	if options.Planned {
 		running.Go(func() { s.releaseEngines(work) })
 	} else {
@@ -197,6 +205,7 @@
 	cancel()
 	running.Wait()
 	s.truth.judgeCuts()
+	s.truth.judgeAsks()
 	s.truth.races(options.Folder)
 	s.truth.endings()
 	s.truth.limits()
@@ -268,6 +277,7 @@
 			return reply
 		},
 		Rejects:    func(string, string) bool { return s.roll(rejectedMoves) },
+		Asks:       s.truth.ask,
 		Broke:      func(_, request string) { s.truth.brokeOff(request) },
 		Arrived:    s.truth.arrived,
 		Crossed:    s.truth.crossed,
@@ -439,6 +449,7 @@
 		options.Seed = rand.Uint64N(1 << 32)
 	}
 	options.Log = out
+	options.Asks = true
 	folder, err := os.MkdirTemp("", "pierhaven-soak")
 	if err != nil {
 		return err
@@ -469,9 +480,9 @@
 			return err
 		}
 		options.Seed++
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d violations\n",
+		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests and %d leaving engines judged, %d violations\n",
 			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
-			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, result.Cuts, result.Excused, len(result.Violations))
+			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, result.Cuts, result.Excused, result.Rested, result.Left, len(result.Violations))
 		if options.Calm {
 			_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", result.ServedBefore, result.ServedDuring)
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -60,6 +60,17 @@
 	require.Contains(t, strings.Join(result.Violations, "\n"), "was cut off by p")
 }
 
+func TestASoakNoticesGatewaysThatPassOverRestAndLeaving(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Seed: 19, Asks: true, Planned: true, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Without: []string{string(mechanism.ReplicaRests), string(mechanism.ReplicaLeaving), string(mechanism.RestHints), string(mechanism.RefusalBackoff)},
+	})
+	require.NoError(t, err)
+	violations := strings.Join(result.Violations, "\n")
+	require.Contains(t, violations, "of rest, and got")
+	require.Contains(t, violations, "that it leaves, and got")
+}
+
 func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 13, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -39,6 +39,7 @@
 	limitWindows int
 	// sentTo is the gateway that each request was sent to, and answeredAt when its answer came.
 	sentTo       map[string]string
+	sentAt       map[string]time.Time
 	answeredAt   map[string]time.Time
 	disturbances []disturbance
 	// receivers are the replicas that each request has reached, brokenOff the requests that a replica broke off, and
@@ -46,6 +47,9 @@
 	receivers     map[string][]string
 	brokenOff     map[string]bool
 	interruptions []interruption
+	// asks are what engines ask of gateways; rested and left count the rests and the leaving engines that were judged.
+	asks         asks
+	rested, left int
 	// cuts are the calls that ended without a whole answer, and excused how many of them may, by reason.
 	cuts       []cutCall
 	excused    map[string]int
@@ -65,6 +69,8 @@
 		limitedSent: map[string]time.Time{},
 		namedLimits: map[string][]*limitedLife{},
 		sentTo:      map[string]string{},
+		sentAt:      map[string]time.Time{},
+		asks:        newAsks(),
 		answeredAt:  map[string]time.Time{},
 
 		receivers: map[string][]string{},
@@ -258,6 +264,8 @@
 		Named:      t.limitWindows,
 		Cuts:       sumOf(t.excused),
 		Excused:    t.excused,
+		Rested:     t.rested,
+		Left:       t.left,
 	}
 }
 
