--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -48,7 +48,7 @@
 	restUntil map[string]time.Time
 	leaving   map[engineLifeOf]bool
 	rests     map[told][]*rest
-	// leavingAnswers are the requests whose answers say that their engine leaves, and arrivals all that came to
+	// leavingAnswers are the requests that run and whose answers say that their engine leaves, and arrivals all that came to
 	// engines that leave.
 	leavingAnswers map[told][]string
 	arrivals       map[told][]string
@@ -105,10 +105,19 @@
 		t.asks.arrivals[gateway] = append(t.asks.arrivals[gateway], request)
 	}
 	t.noteRest(gateway, request, ask.Rest, now)
-	if ask.Leaving && ask.Rest == 0 {
+	return ask
+}
+
+// answersLeaving notes that an engine runs a request, and says in the answer that it leaves if it does. Other answers
+// that say so are not passed on to a caller.
+func (t *truth) answersLeaving(engine, request string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	life := engineLifeOf{engine, t.asks.lives[engine]}
+	if t.asks.leaving[life] {
+		gateway := told{life, t.sentTo[request]}
 		t.asks.leavingAnswers[gateway] = append(t.asks.leavingAnswers[gateway], request)
 	}
-	return ask
 }
 
 // noteRest notes a request that comes in a rest that its gateway was asked for, or asks for one. It is called with
--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -125,8 +125,23 @@
 func (t *truth) endings() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for content, known := range t.ending {
+	for _, known := range t.ending {
 		t.ends += len(known.ends)
+	}
+	t.violations = append(t.violations, t.lateEndings()...)
+}
+
+// noticed reports whether a promise is known to be broken.
+func (t *truth) noticed() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.violations)+len(t.lateEndings()) > 0
+}
+
+// lateEndings returns the violations by contents that have reached too many replicas. It is called with the mutex
+// held.
+func (t *truth) lateEndings() (violations []string) {
+	for content, known := range t.ending {
 		if len(known.ends) < lateArrivals {
 			continue
 		}
@@ -137,8 +152,9 @@
 			}
 		}
 		if allowed := lateArrivals + strayArrivals*gateways; late > allowed {
-			t.violate("content %s has ended %d replicas and reached %d later than %s after the third, %d are allowed",
-				content, len(known.ends), late, contactTime, allowed)
+			violations = append(violations, fmt.Sprintf("content %s has ended %d replicas and reached %d later than %s after the third, %d are allowed",
+				content, len(known.ends), late, contactTime, allowed))
 		}
 	}
+	return violations
 }
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// harm draws faults until the duration is over.
+// harm draws faults until the duration is over, or a broken promise is noticed that is waited for.
 func (s *soak) harm(ctx context.Context) {
 	end := time.Now().Add(s.options.Duration)
-	for ctx.Err() == nil && time.Now().Before(end) {
+	for ctx.Err() == nil && time.Now().Before(end) && !(s.options.EndsWhenNoticed && s.truth.noticed()) {
 		if s.options.Production != "" {
 			s.replaceNext(ctx)
 		}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -43,6 +43,8 @@
 	Binary string
 	// Production is an earlier build of it, with which all processes begin; empty for none.
 	Production string
+	// EndsWhenNoticed ends the faults as soon as a broken promise is noticed.
+	EndsWhenNoticed bool
 	// Calm leaves out all faults: processes are replaced by those of another build, and nothing else.
 	Calm bool
 	// Planned leaves out all faults that are not planned: processes are stopped and started, configurations change, and
@@ -267,8 +269,9 @@
 // engineWatch is what the model replicas do, and what is checked of them.
 func (s *soak) engineWatch() platformtest.EngineWatch {
 	return platformtest.EngineWatch{
-		Runs: func(_, request string) platformtest.Reply {
+		Runs: func(engine, request string) platformtest.Reply {
 			s.truth.ran(request)
+			s.truth.answersLeaving(engine, request)
 			time.Sleep(5 * time.Millisecond)
 			reply := platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Pace: eventPace, Drop: s.roll(0.02)}
 			if reply.Drop {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -73,7 +73,7 @@
 
 func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
 	result, err := Run(t.Context(), Options{
-		Seed: 13, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Seed: 13, Duration: time.Minute, EndsWhenNoticed: true, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
 		Without: []string{string(mechanism.RequestHolds)},
 	})
 	require.NoError(t, err)
@@ -92,6 +92,16 @@
 	require.Contains(t, violations, "an entry that names no usable replica")
 }
 
+// A gateway keeps the limit that an engine has named by the life that it knows. If the engine has started again, and the
+// list that shows it comes late, the limit is forgotten with the former life.
+func TestLimitOfALifeThatIsListedLateIsKept(t *testing.T) {
+	result, err := Run(t.Context(), Options{
+		Seed: 6006, Callers: 20, Duration: 10 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+}
+
 func TestASoakNoticesGatewaysThatDoNotCountLimits(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 14, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
