internal/relay: the line on an answer that is not whole names the last replica also after a pause

A stream that waits for a replica may be offered to those again that have rejected it, and its list of tried ones is emptied: the line then named none. TestStreamThatNoReplicaContinuesIsEndedByTheGateway failed before.

--- a/internal/relay/incomplete.go
+++ b/internal/relay/incomplete.go
@@ -31,8 +31,8 @@
 		last, bytes = r.stream.lastEvent, r.stream.bytes
 	}
 	replica := ""
-	if len(r.tried) > 0 {
-		replica = r.tried[len(r.tried)-1].name
+	if r.lastTried != nil {
+		replica = r.lastTried.name
 	}
 	r.logger.Info(logged, "request", r.call.ID, "route", r.call.Route.Name, "ended_by", string(by), "cause", cause,
 		"events", r.eventCount(), "last_event", last, "bytes", bytes, "replica", replica, "sends", r.sends,
--- a/internal/relay/incomplete_test.go
+++ b/internal/relay/incomplete_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -98,3 +99,21 @@
 		})
 	}
 }
+
+func TestStreamThatNoReplicaContinuesIsEndedByTheGateway(t *testing.T) {
+	logs := &logLines{}
+	w := newLoggedTestEnvironment(t, funcr.NewJSON(logs.add, funcr.Options{}))
+	leaving := newPausedStream()
+	w.addReplica("leaving", region.StageDecode, leaving.serveHTTP)
+	go func() {
+		<-leaving.firstEventsSent
+		w.addReplica("rejecting", region.StageDecode, rejectRequest)
+		w.changeFirstReplica(leaveReasons["drains"])
+	}()
+	assert.True(t, w.runCall(newUnsplitCall()).aborted)
+	if lines := logs.of(event.StreamBrokenOff); assert.Len(t, lines, 1) {
+		assert.Equal(t, "gateway", lines[0]["ended_by"])
+		assert.Equal(t, "rejecting", lines[0]["replica"])
+		assert.Equal(t, "3", lines[0]["last_event"])
+	}
+}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -128,7 +128,9 @@
 	unsentPrefills int
 	// arrivals counts the sends that may have reached a replica.
 	arrivals int
-	tried    []*Replica
+	// tried are the replicas that are not to be sent the request again, lastTried is the last one that it was sent to.
+	tried     []*Replica
+	lastTried *Replica
 	// denied are the replicas that declare a limit and had no capacity left for the request.
 	denied []*Replica
 	// prefills counts the prefill requests sent, without those that reached no replica.
@@ -239,7 +241,7 @@
 		if err != nil {
 			return err
 		}
-		r.tried = append(r.tried, lease.Replica)
+		r.tried, r.lastTried = append(r.tried, lease.Replica), lease.Replica
 		outcome, cause := r.attemptSend(ctx, lease, handle)
 		lease.Release()
 		r.metrics.countAttempt(outcome)
