--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -23,15 +23,15 @@
 	leaveSlack = 500 * time.Millisecond
 )
 
-// engineLifeOf identifies a life of an engine.
-type engineLifeOf struct {
+// engineLife identifies a life of an engine.
+type engineLife struct {
 	engine string
 	life   int
 }
 
-// told is what a life of an engine has asked of a gateway.
-type told struct {
-	engineLifeOf
+// askedGateway is a life of an engine, with a gateway that it has asked for something.
+type askedGateway struct {
+	engineLife
 	gateway string
 }
 
@@ -46,22 +46,22 @@
 	lives map[string]int
 	// restUntil are the engines that rest, leaving those that say that they leave.
 	restUntil map[string]time.Time
-	leaving   map[engineLifeOf]bool
-	rests     map[told][]*rest
+	leaving   map[engineLife]bool
+	rests     map[askedGateway][]*rest
 	// leavingAnswers are the requests that run and whose answers say that their engine leaves, and arrivals all that came to
 	// engines that leave.
-	leavingAnswers map[told][]string
-	arrivals       map[told][]string
+	leavingAnswers map[askedGateway][]string
+	arrivals       map[askedGateway][]string
 }
 
 func newAsks() asks {
 	return asks{
 		lives:          map[string]int{},
 		restUntil:      map[string]time.Time{},
-		leaving:        map[engineLifeOf]bool{},
-		rests:          map[told][]*rest{},
-		leavingAnswers: map[told][]string{},
-		arrivals:       map[told][]string{},
+		leaving:        map[engineLife]bool{},
+		rests:          map[askedGateway][]*rest{},
+		leavingAnswers: map[askedGateway][]string{},
+		arrivals:       map[askedGateway][]string{},
 	}
 }
 
@@ -90,7 +90,7 @@
 func (t *truth) leaves(engine string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.asks.leaving[engineLifeOf{engine, t.asks.lives[engine]}] = true
+	t.asks.leaving[engineLife{engine, t.asks.lives[engine]}] = true
 }
 
 // ask returns what an engine asks of the gateway that has sent it a request, and notes the request.
@@ -98,8 +98,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	life := engineLifeOf{engine, t.asks.lives[engine]}
-	gateway := told{life, t.sentTo[request]}
+	life := engineLife{engine, t.asks.lives[engine]}
+	gateway := askedGateway{life, t.sentTo[request]}
 	ask := platformtest.Ask{Leaving: t.asks.leaving[life], Rest: max(t.asks.restUntil[engine].Sub(now), 0)}
 	if ask.Leaving {
 		t.asks.arrivals[gateway] = append(t.asks.arrivals[gateway], request)
@@ -113,16 +113,16 @@
 func (t *truth) answersLeaving(engine, request string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	life := engineLifeOf{engine, t.asks.lives[engine]}
+	life := engineLife{engine, t.asks.lives[engine]}
 	if t.asks.leaving[life] {
-		gateway := told{life, t.sentTo[request]}
+		gateway := askedGateway{life, t.sentTo[request]}
 		t.asks.leavingAnswers[gateway] = append(t.asks.leavingAnswers[gateway], request)
 	}
 }
 
 // noteRest notes a request that comes in a rest that its gateway was asked for, or asks for one. It is called with
 // the mutex held.
-func (t *truth) noteRest(gateway told, request string, wanted time.Duration, now time.Time) {
+func (t *truth) noteRest(gateway askedGateway, request string, wanted time.Duration, now time.Time) {
 	known := t.asks.rests[gateway]
 	if len(known) > 0 {
 		if last := known[len(known)-1]; now.Before(last.until) {
