bench/faultproxy: nothing listens after Close

Its stacks: Proxy.Close waits for a goroutine that accepts connections. A replica that a request had ended starts again 0.25 to 0.75 s later; if the soak's fleet was closed meanwhile, the listener came after those that Close ends, and nobody closed it.

After Close, ListenTCP returns an error; before it returned none, by its source (TestNothingListensAfterClose needs the new error and was not run on the code before).

--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -52,12 +53,28 @@
 	if err != nil {
 		return "", merry.Prependf(err, "fault proxy before %s", destination)
 	}
-	p.keep(listener)
+	if err := p.keepNamed(destination, listener, func() { p.accept(listener, destination, target) }); err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), nil
+}
+
+// errClosed means that an endpoint was added after Close.
+var errClosed = errors.New("the fault proxy is closed")
+
+// keepNamed keeps a destination's listener, and runs accept until it is closed. After Close it closes the listener and
+// returns an error, since Close waits for all that runs.
+func (p *Proxy) keepNamed(destination string, listener net.Listener, accept func()) error {
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.context.Err() != nil {
+		_ = listener.Close()
+		return errClosed
+	}
+	p.listeners = append(p.listeners, listener)
 	p.named[destination] = listener
-	p.mutex.Unlock()
-	p.tasks.Go(func() { p.accept(listener, destination, target) })
-	return listener.Addr().String(), nil
+	p.tasks.Go(accept)
+	return nil
 }
 
 func (p *Proxy) keep(listener interface{ Close() error }) {
@@ -179,8 +196,8 @@
 
 // Close ends all endpoints and connections and waits until they are gone.
 func (p *Proxy) Close() {
-	p.cancel()
 	p.mutex.Lock()
+	p.cancel()
 	for _, listener := range p.listeners {
 		_ = listener.Close()
 	}
--- a/bench/faultproxy/proxy_test.go
+++ b/bench/faultproxy/proxy_test.go
@@ -272,3 +272,11 @@
 	asking.Wait()
 	assert.Less(t, resolver.calls.Load(), int64(questions/2), "each question would have cost a look through all sockets")
 }
+
+// A replica that comes back while its soak ends kept the proxy waiting for ever.
+func TestNothingListensAfterClose(t *testing.T) {
+	proxy, _ := startProxy(t)
+	proxy.Close()
+	_, err := proxy.ListenTCP("engine-2", "127.0.0.1:0", startEcho(t))
+	require.ErrorIs(t, err, errClosed)
+}
