bench/soak: rest and leaving are judged as requests come, and their plants run until noticed

Cause: a request counts against a gateway only 2.5 s after a caller has got an answer that says that its engine leaves, and not from a planned stop of that gateway until 3 s after it. With a stop of one of the two gateways every second or so, few moments are left in 8 s; whether one falls into them is chance. The check itself is right.

The violations are now noted when the request arrives and no longer at the end, by the same conditions, so that the soak can end when one is noticed (EndsWhenNoticed, now with planned work too). Each of the two mechanisms is switched off in a run of its own: before, one run had both off and needed both violations.

The bound of these runs is 3 min.

--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -48,10 +48,8 @@
 	restUntil map[string]time.Time
 	leaving   map[engineLife]bool
 	rests     map[askedGateway][]*rest
-	// leavingAnswers are the requests that run and whose answers say that their engine leaves, and arrivals all that came to
-	// engines that leave.
+	// leavingAnswers are the requests that run and whose answers say that their engine leaves.
 	leavingAnswers map[askedGateway][]string
-	arrivals       map[askedGateway][]string
 }
 
 func newAsks() asks {
@@ -61,7 +59,6 @@
 		leaving:        map[engineLife]bool{},
 		rests:          map[askedGateway][]*rest{},
 		leavingAnswers: map[askedGateway][]string{},
-		arrivals:       map[askedGateway][]string{},
 	}
 }
 
@@ -102,7 +99,7 @@
 	gateway := askedGateway{life, t.sentTo[request]}
 	ask := platformtest.Ask{Leaving: t.asks.leaving[life], Rest: max(t.asks.restUntil[engine].Sub(now), 0)}
 	if ask.Leaving {
-		t.asks.arrivals[gateway] = append(t.asks.arrivals[gateway], request)
+		t.judgeArrival(gateway, request)
 	}
 	t.noteRest(gateway, request, ask.Rest, now)
 	return ask
@@ -127,7 +124,7 @@
 	if len(known) > 0 {
 		if last := known[len(known)-1]; now.Before(last.until) {
 			if now.After(last.at.Add(restDelay)) && !t.isDisturbed(gateway.gateway, gateway.engine, now) {
-				last.came = append(last.came, request)
+				t.judgeRest(gateway, last, request)
 			}
 			return
 		}
@@ -137,29 +134,33 @@
 	}
 }
 
-// judgeAsks checks that gateways leave engines alone that want to rest, and send nothing new to those that leave.
-func (t *truth) judgeAsks() {
+// judgeRest checks that a gateway leaves an engine alone that wants to rest. It is called with the mutex held.
+func (t *truth) judgeRest(gateway askedGateway, asked *rest, request string) {
+	asked.came = append(asked.came, request)
+	if len(asked.came) > restSlack {
+		t.violate("%s has asked %s for %s of rest, and got %v", gateway.engine, gateway.gateway, asked.until.Sub(asked.at), asked.came)
+	}
+}
+
+// judgeArrival checks that a gateway sends nothing new to an engine that leaves. It is called with the mutex held.
+func (t *truth) judgeArrival(gateway askedGateway, request string) {
+	from, passedOn := t.passedOn(t.asks.leavingAnswers[gateway])
+	sent := t.sentAt[request]
+	if passedOn && sent.After(from.Add(leaveTime+leaveSlack)) && !t.isDisturbed(gateway.gateway, gateway.engine, sent) {
+		t.violate("%s has told %s that it leaves, and got %s, which was sent %s later", gateway.engine, gateway.gateway, request, sent.Sub(from))
+	}
+}
+
+// countAsks counts the rests, and the engines that have told a gateway that they leave.
+func (t *truth) countAsks() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for gateway, rests := range t.asks.rests {
-		for _, each := range rests {
-			t.rested++
-			if len(each.came) > restSlack {
-				t.violate("%s has asked %s for %s of rest, and got %v", gateway.engine, gateway.gateway, each.until.Sub(each.at), each.came)
-			}
-		}
+	for _, rests := range t.asks.rests {
+		t.rested += len(rests)
 	}
-	for gateway, answers := range t.asks.leavingAnswers {
-		from, passedOn := t.passedOn(answers)
-		if !passedOn {
-			continue
-		}
-		t.left++
-		for _, request := range t.asks.arrivals[gateway] {
-			sent := t.sentAt[request]
-			if sent.After(from.Add(leaveTime+leaveSlack)) && !t.isDisturbed(gateway.gateway, gateway.engine, sent) {
-				t.violate("%s has told %s that it leaves, and got %s, which was sent %s later", gateway.engine, gateway.gateway, request, sent.Sub(from))
-			}
+	for _, answers := range t.asks.leavingAnswers {
+		if _, passedOn := t.passedOn(answers); passedOn {
+			t.left++
 		}
 	}
 }
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -84,7 +84,7 @@
 // harm draws faults until the duration is over, or a broken promise is noticed that is waited for.
 func (s *soak) harm(ctx context.Context) {
 	end := time.Now().Add(s.options.Duration)
-	for ctx.Err() == nil && time.Now().Before(end) && !(s.options.EndsWhenNoticed && s.truth.noticed()) {
+	for ctx.Err() == nil && time.Now().Before(end) && !s.waitedFor() {
 		if s.options.Production != "" {
 			s.replaceNext(ctx)
 		}
@@ -96,6 +96,11 @@
 	}
 }
 
+// waitedFor reports whether a broken promise is noticed that ends the faults.
+func (s *soak) waitedFor() bool {
+	return s.options.EndsWhenNoticed && s.truth.noticed()
+}
+
 func (s *soak) anyOf(processes []*process) *process { return processes[s.random.IntN(len(processes))] }
 
 func (s *soak) restart(ctx context.Context, harmed *process, signal syscall.Signal) {
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -20,15 +20,15 @@
 	drainEvery = 700 * time.Millisecond
 )
 
-// plan stops and starts gateways and coordinators, beside each other and in series, until the duration is over. One
-// coordinator at a time is stopped, so that the others stay a majority.
+// plan stops and starts gateways and coordinators, beside each other and in series, until the duration is over, or a
+// broken promise is noticed that is waited for. One coordinator at a time is stopped, so that the others stay a majority.
 func (s *soak) plan(ctx context.Context) {
 	ending, cancel := context.WithTimeout(ctx, s.options.Duration)
 	defer cancel()
 	var running sync.WaitGroup
 	for _, processes := range [][]*process{s.fleet.gateways, s.fleet.coordinators} {
 		running.Go(func() {
-			for ending.Err() == nil {
+			for ending.Err() == nil && !s.waitedFor() {
 				s.planned(ctx, processes[int(s.draw()*float64(len(processes)))])
 				pause(ending, time.Duration(s.draw()*float64(planPause)))
 			}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -207,7 +207,7 @@
 	cancel()
 	running.Wait()
 	s.truth.judgeCuts()
-	s.truth.judgeAsks()
+	s.truth.countAsks()
 	s.truth.races(options.Folder)
 	s.truth.endings()
 	s.truth.limits()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// noticeTime bounds a soak that ends as soon as a planted fault is noticed.
+const noticeTime = 3 * time.Minute
+
 // plannedSeeds are played with planned work alone: each seed that ever had a gateway cut a call.
 var plannedSeeds = []uint64{5501}
 
@@ -61,19 +64,31 @@
 }
 
 func TestASoakNoticesGatewaysThatPassOverRestAndLeaving(t *testing.T) {
-	result, err := Run(t.Context(), Options{
-		Seed: 19, Asks: true, Planned: true, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
-		Without: []string{string(mechanism.ReplicaRests), string(mechanism.ReplicaLeaving), string(mechanism.RestHints), string(mechanism.RefusalBackoff)},
-	})
-	require.NoError(t, err)
-	violations := strings.Join(result.Violations, "\n")
-	require.Contains(t, violations, "of rest, and got")
-	require.Contains(t, violations, "that it leaves, and got")
+	binary := buildProgram(t, t.TempDir())
+	for _, passedOver := range []struct {
+		mechanisms []mechanism.Mechanism
+		violation  string
+	}{
+		{[]mechanism.Mechanism{mechanism.ReplicaRests, mechanism.RestHints, mechanism.RefusalBackoff}, "of rest, and got"},
+		{[]mechanism.Mechanism{mechanism.ReplicaLeaving}, "that it leaves, and got"},
+	} {
+		t.Run(passedOver.violation, func(t *testing.T) {
+			options := Options{
+				Seed: 19, Asks: true, Planned: true, Duration: noticeTime, EndsWhenNoticed: true, Binary: binary, Folder: t.TempDir(), Log: t.Output(),
+			}
+			for _, name := range passedOver.mechanisms {
+				options.Without = append(options.Without, string(name))
+			}
+			result, err := Run(t.Context(), options)
+			require.NoError(t, err)
+			require.Contains(t, strings.Join(result.Violations, "\n"), passedOver.violation)
+		})
+	}
 }
 
 func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
 	result, err := Run(t.Context(), Options{
-		Seed: 13, Duration: time.Minute, EndsWhenNoticed: true, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+		Seed: 13, Duration: noticeTime, EndsWhenNoticed: true, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
 		Without: []string{string(mechanism.RequestHolds)},
 	})
 	require.NoError(t, err)
