relay: what a new life asks for before it is listed is kept

What callers and engines saw: an engine that has started again under its id names a limit, or asks for rest, while the list still shows its former life.

Cause: answers don't tell a life, so that what they ask for is recorded for the life that is listed, and dropped with it by the next list (Directory.Replace, Table.Forget; the gate's states go by the life's name too). Leaving is recorded in the same way.

Now the next life at the same address begins with what was heard since its start, by the moment that the list tells. A limit of the former life is not carried over: it is older than the start.

Tried and taken back: a report to the coordinators from Replace. The client of views calls Replace with its mutex held, and the report asks it for the coordinators: both gateways stood still, which the soak noticed (0 requests in 1 min). It is not needed: the next view finds that the hashes differ, and all limits are told (limitClient.applyView).

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -107,8 +107,8 @@
 	require.Contains(t, violations, "an entry that names no usable replica")
 }
 
-// A gateway keeps the limit that an engine has named by the life that it knows. If the engine has started again, and the
-// list that shows it comes late, the limit is forgotten with the former life.
+// A gateway records the limit that an engine names, and the rest that it asks for, under the life that the list shows. If
+// the engine has started again, and the list that shows it comes late, they must not be forgotten with the former life.
 func TestLimitOfALifeThatIsListedLateIsKept(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 6006, Callers: 20, Duration: 10 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -89,8 +89,9 @@
 	if backoff <= 0 && !unreadable && !leaving {
 		return
 	}
-	state, first := g.getOrCreate(peer)
 	now := g.Now()
+	state, first := g.getOrCreate(peer)
+	g.note(state, now, backoff, leaving)
 	longer := state.extendBackoff(now, backoff)
 	leaves := leaving && state.markLeaving(now)
 	if first || leaves {
@@ -106,6 +107,39 @@
 	}
 }
 
+func (g *Gate) note(state *PeerState, now, backoff time.Duration, leaving bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	state.note(now, backoff, leaving)
+}
+
+// Inherit records for the next incarnation of a peer what the former one is recorded to have asked for since the
+// next one started, age ago: responses don't state their incarnation, and the next one may answer before it is
+// expected. It does not call the function of OnChange.
+func (g *Gate) Inherit(former, next Peer, age time.Duration) {
+	before := g.lookup(former)
+	if before == nil {
+		return
+	}
+	now := g.Now()
+	startedAt := now - age
+	g.mutex.Lock()
+	askedAt, askedUntil, leavingSaidAt := before.askedAt, before.askedUntil, before.leavingSaidAt
+	g.mutex.Unlock()
+	backoff := askedAt > 0 && askedAt >= startedAt && askedUntil > now
+	leaving := leavingSaidAt > 0 && leavingSaidAt >= startedAt
+	if !backoff && !leaving {
+		return
+	}
+	state, _ := g.getOrCreate(next)
+	if backoff {
+		state.extendBackoff(now, askedUntil-now)
+	}
+	if leaving {
+		state.markLeaving(now)
+	}
+}
+
 // BlockedError says that a request must not be sent to a peer now.
 type BlockedError struct{ reason string }
 
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -140,3 +140,25 @@
 	assert.LessOrEqual(t, lines[event.RestAsked]+lines[event.RestUnreadable], 11)
 	assert.GreaterOrEqual(t, lines[event.RestAsked]+lines[event.RestUnreadable], 9)
 }
+
+func TestNextIncarnationInheritsWhatWasAskedSinceItsStart(t *testing.T) {
+	g := newTestGate(logr.Discard())
+	next := Peer{Address: peerA.Address, Instance: "a@9"}
+	g.Inherit(peerA, next, time.Hour)
+	assert.True(t, g.Empty(), "nothing was asked")
+
+	g.reject(peerA, 60)
+	g.now += 2 * time.Second
+	g.Inherit(peerA, next, time.Second)
+	assert.NoError(t, g.Permits(next, true), "the former one has asked")
+
+	g.Observe(peerA, http.StatusOK, leaving)
+	g.Inherit(peerA, next, time.Second)
+	assert.Zero(t, g.MarkListed(next).BackoffLeft(g.now))
+	assert.True(t, g.MarkListed(next).Leaving())
+
+	g.reject(peerA, 3)
+	g.now += time.Second
+	g.Inherit(peerA, next, 2*time.Second)
+	assert.Equal(t, 2*time.Second, g.MarkListed(next).BackoffLeft(g.now), "the newest request counts, not the longest")
+}
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -12,7 +12,10 @@
 	// leaving; 0 for never.
 	backoffEnd, leavingSince atomic.Int64
 
-	// The fields below are guarded by the Gate's mutex. nextLogAt is when the next line may be logged, and
+	// The fields below are guarded by the Gate's mutex. askedAt is when the newest response came that asked for a
+	// backoff, askedUntil the end of that, and leavingSaidAt when the newest came that said that the peer is leaving.
+	askedAt, askedUntil, leavingSaidAt time.Duration
+	// nextLogAt is when the next line may be logged, and
 	// omitted the number of lines omitted since the last one.
 	nextLogAt time.Duration
 	omitted   int
@@ -52,6 +55,16 @@
 	return true
 }
 
+// note records the newest response that asked for something. The caller must hold the Gate's mutex.
+func (s *PeerState) note(now, backoff time.Duration, leaving bool) {
+	if backoff > 0 {
+		s.askedAt, s.askedUntil = now, now+backoff
+	}
+	if leaving {
+		s.leavingSaidAt = now
+	}
+}
+
 // markLeaving records that the peer is leaving, and reports whether that is new. It holds until the process ends.
 func (s *PeerState) markLeaving(now time.Duration) (first bool) {
 	return s.leavingSince.CompareAndSwap(0, int64(max(now, 1)))
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -111,12 +111,21 @@
 func (t *Table) Reports(now time.Duration) []Report {
 	reports := make([]Report, 0, len(t.entries))
 	for _, replica := range slices.Sorted(maps.Keys(t.entries)) {
-		each := t.entries[replica]
-		reports = append(reports, Report{Replica: replica, Declared: each.declared, Rate: each.rate, AgeMicros: (now - each.observedAt).Microseconds()})
+		report, _ := t.Report(now, replica)
+		reports = append(reports, report)
 	}
 	return reports
 }
 
+// Report returns the report of a replica, if there is an entry of it.
+func (t *Table) Report(now time.Duration, replica string) (report Report, found bool) {
+	known, found := t.entries[replica]
+	if !found {
+		return report, false
+	}
+	return Report{Replica: replica, Declared: known.declared, Rate: known.rate, AgeMicros: (now - known.observedAt).Microseconds()}, true
+}
+
 // Limit is the limit that a replica declares now.
 type Limit struct {
 	Replica string
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -77,7 +77,7 @@
 	if d.gate == nil || replica.Born != 0 {
 		return
 	}
-	d.gate.Forget(backpressure.Peer{Address: replica.Address, Instance: replica.name})
+	d.gate.Forget(replica.peer())
 	replica.peerState = nil
 	replica.Leaving, replica.processEnded = false, true
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -131,9 +131,14 @@
 func (d *Directory) Replace(list []region.Replica) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.keepLives(list)
+	former := make(map[string]*Replica, len(d.replicas))
+	for _, replica := range d.replicas {
+		former[replica.ID] = replica
+	}
+	keepLives(list, former)
 	replicas := make(map[string]*Replica, len(list))
 	services := map[string][]*Replica{}
+	var limits []ratelimit.Report
 	for index := range list {
 		listed := &list[index]
 		identity := identityOf(listed)
@@ -142,7 +147,8 @@
 		if !found || known.Identity != identity {
 			// Except in the first list, a new replica has just started and has nothing cached.
 			known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
-			known.peerState = d.peerStateOf(backpressure.Peer{Address: listed.Address, Instance: name})
+			limits = append(limits, d.inherit(former[listed.ID], known)...)
+			known.peerState = d.peerStateOf(known.peer())
 		}
 		known.update(listed)
 		if listed.Leaving {
@@ -157,20 +163,48 @@
 	}
 	for name, before := range d.replicas {
 		if replicas[name] != before {
-			before.removed = true
-			if before.limit.declared {
-				d.countLimited(false)
-			}
-			d.limits.Forget(name)
-			d.onDropped(before.Address, name)
+			d.drop(before)
 		}
 	}
+	now := d.clock()
 	if len(d.replicas) == 0 {
-		d.firstListAt = d.clock()
+		d.firstListAt = now
 	}
-	d.listedAt = d.clock()
+	d.listedAt = now
 	d.replicas = replicas
 	d.services = services
+	for _, report := range limits {
+		d.mergeLimit(report, now)
+	}
+}
+
+// inherit records for a new incarnation what it has asked for since it started: responses don't state their
+// incarnation, so that it was recorded for the former one, nil if there was none. It returns the limit that the new
+// one has declared, if any. The caller must hold d.mutex.
+func (d *Directory) inherit(former, next *Replica) (limits []ratelimit.Report) {
+	if former == nil || former.Address != next.Address {
+		return nil
+	}
+	age := time.Since(time.UnixMilli(next.Born))
+	if d.gate != nil {
+		d.gate.Inherit(former.peer(), next.peer(), age)
+	}
+	report, found := d.limits.Report(d.clock(), former.name)
+	if !found || !report.Declared || report.Age() > age {
+		return nil
+	}
+	report.Replica = next.name
+	return []ratelimit.Report{report}
+}
+
+// drop forgets a replica that is no longer listed. The caller must hold d.mutex.
+func (d *Directory) drop(replica *Replica) {
+	replica.removed = true
+	if replica.limit.declared {
+		d.countLimited(false)
+	}
+	d.limits.Forget(replica.name)
+	d.onDropped(replica.Address, replica.name)
 }
 
 // listAge returns the time since the newest list was received.
@@ -180,15 +214,14 @@
 	return d.clock() - d.listedAt
 }
 
-// keepLives fills in the incarnations that a list does not state. The caller must hold d.mutex.
-func (d *Directory) keepLives(list []region.Replica) {
-	incarnations := make(map[string]region.Incarnation, len(d.replicas))
-	for _, replica := range d.replicas {
-		incarnations[replica.ID] = replica.Incarnation()
-	}
+// keepLives fills in the incarnations that a list does not state, given the former replicas by their IDs.
+func keepLives(list []region.Replica, former map[string]*Replica) {
 	region.KeepIncarnations(list, func(id string) (region.Incarnation, bool) {
-		incarnation, known := incarnations[id]
-		return incarnation, known
+		replica, known := former[id]
+		if !known {
+			return region.Incarnation{}, false
+		}
+		return replica.Incarnation(), true
 	})
 }
 
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -38,6 +38,11 @@
 	return region.Incarnation{ID: i.ID, Born: i.Born}
 }
 
+// peer returns the incarnation as the peer of a gate.
+func (i *Identity) peer() backpressure.Peer {
+	return backpressure.Peer{Address: i.Address, Instance: i.name}
+}
+
 // Replica is what this gateway knows of one incarnation of a back end. All fields but its Identity are
 // guarded by Directory.mutex.
 type Replica struct {
