bench/soak: engines listen at addresses of their own

An engine ends and listens again at its port, which lies among those that outgoing connections get at 127.0.0.1. Replicas had addresses of their own already; engines have them now too. TestEngineStartsAgainThoughItsPortIsTakenAtTheCommonAddress fails without it, with the same error.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -110,7 +110,7 @@
 	f.duties.Lose, f.duties.LateBy = lostCalls, lateBy
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
-		added := &replicaProcess{name: replicaName(number), keepsID: f.keepsIDs, address: fmt.Sprintf("127.79.%d.%d:0", f.subnet, number+1)}
+		added := &replicaProcess{name: replicaName(number), keepsID: f.keepsIDs, address: f.replicaIP(number) + ":0"}
 		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			platformtest.ReplicaHandler(f.instanceOf(added), func(request platformtest.Request) platformtest.Reply {
 				return run(number, request)
@@ -176,7 +176,7 @@
 		}
 		server := httptest.NewServer(f.engines.Add(id, stage))
 		f.servers = append(f.servers, server)
-		address, err := f.proxy.ListenTCP(id, "127.0.0.1:0", server.Listener.Addr().String())
+		address, err := f.proxy.ListenTCP(id, f.replicaIP(replicas+number)+":0", server.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -303,6 +303,10 @@
 // hiddenIP is where a coordinator listens behind the proxy.
 func (f *fleet) hiddenIP(number int) string { return fmt.Sprintf("127.78.%d.%d", f.subnet, number+1) }
 
+// replicaIP is where a replica or an engine is reached, each at an address of its own: outgoing connections take
+// ports of the common one, so that a port there may be taken when it is needed again.
+func (f *fleet) replicaIP(number int) string { return fmt.Sprintf("127.79.%d.%d", f.subnet, number+1) }
+
 // numbers names the running processes by their numbers, for the proxy.
 func (f *fleet) numbers() map[int]string {
 	numbers := map[int]string{}
