bench/soak: tenants' limits and settings files change, and callers half-close

- A hangup comes with a changed settings file: first one that is cut short, then one with the seeds in another order.
- A caller sends its request and closes its direction of the connection.

--- a/bench/soak/configurations.go
+++ b/bench/soak/configurations.go
@@ -20,6 +20,10 @@
 	invalidEvery = 5
 	withoutOnce  = 6
 	withoutKey   = 7
+	// limitedEvery is the number of versions after which one limits a tenant of all routes to limitedRate requests a
+	// second.
+	limitedEvery = 4
+	limitedRate  = 20
 )
 
 var (
@@ -34,7 +38,8 @@
 )
 
 // configuration returns a version's configuration. Unless the soak is calm, it changes what running requests use: the
-// timeouts of their routes, the split between services, whether a route and a key exist, and the idle time.
+// timeouts of their routes, the split between services, whether a route and a key exist, a tenant's limit, and the
+// idle time.
 func (s *soak) configuration(version uint64) []byte {
 	timeout, split, idle := timeouts[0], splits[0], idleTimes[0]
 	known := slices.Clone(tenants)
@@ -44,6 +49,9 @@
 		split = splits[version/2%uint64(len(splits))]
 		idle = idleTimes[version%uint64(len(idleTimes))]
 		lacksOnce = version%withoutOnce == 0
+		if s.changesQuotas() && version%limitedEvery == 0 {
+			known[0].RatePerS, known[0].Burst = limitedRate, limitedRate
+		}
 		if version%withoutKey == 0 {
 			known[1].APIKeys = known[1].APIKeys[:1]
 		}
@@ -61,6 +69,9 @@
 	return platformtest.ConfigurationWithIdleTime(version, idle, routes, append(known, limitedTenant)...)
 }
 
+// changesQuotas reports whether configurations change the limit of a tenant, as with two of five seeds.
+func (s *soak) changesQuotas() bool { return s.options.Seed%5 > 2 }
+
 // operate sends configurations, each until it is acknowledged or the next comes.
 func (s *soak) operate(ctx context.Context) {
 	for version := uint64(1); ctx.Err() == nil; version++ {
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -338,9 +338,9 @@
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(seed), operatorPort)))
 	}
 	ip := f.ip(number)
-	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary()}
-	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\nseeds: [%s]\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
-		number, f.zoneOf(number), ip, internalPort, strings.Join(seeds, ","), list, ip, metricsPort, usageSeconds, quotaSettings())
+	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary(), seeds: seeds}
+	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\n%s\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
+		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), list, ip, metricsPort, usageSeconds, quotaSettings())
 	if number < coordinators {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
@@ -367,10 +367,7 @@
 		}
 		f.gateways = append(f.gateways, laid)
 	}
-	laid.settings = filepath.Join(f.folder, laid.name+".yaml")
-	if err := os.WriteFile(laid.settings, []byte(common), 0o600); err != nil {
-		return err
-	}
+	laid.settings, laid.text = filepath.Join(f.folder, laid.name+".yaml"), common
 	var err error
 	laid.log, err = os.Create(filepath.Join(f.folder, laid.name+".log"))
 	return err
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -26,7 +26,7 @@
 	{"stop a gateway", func(s *soak, ctx context.Context) { s.restart(ctx, s.anyOf(s.fleet.gateways), syscall.SIGTERM) }},
 	{"freeze a coordinator", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.coordinators)) }},
 	{"freeze a gateway", func(s *soak, ctx context.Context) { s.freeze(ctx, s.anyOf(s.fleet.gateways)) }},
-	{"hang up", func(s *soak, _ context.Context) { s.anyOf(s.fleet.all()).signal(syscall.SIGHUP) }},
+	{"change the settings and hang up", func(s *soak, _ context.Context) { s.hangUp(s.anyOf(s.fleet.all())) }},
 	{"kill all coordinators", (*soak).killAll},
 	{"wipe a disk", (*soak).wipe},
 	{"refuse a coordinator's writes", func(s *soak, ctx context.Context) { s.refuseWrites(ctx, s.anyOf(s.fleet.coordinators)) }},
@@ -122,6 +122,18 @@
 	}
 }
 
+// hangUp changes a process's settings, and tells it. The process has to stay up.
+func (s *soak) hangUp(process *process) {
+	err := process.changeSettings()
+	if err == nil && !process.hasEnded() {
+		return
+	}
+	s.truth.mutex.Lock()
+	s.truth.violate("%s has ended because its settings changed, or they can't be written: %v", process.name, err)
+	s.truth.mutex.Unlock()
+	s.startAgain(process)
+}
+
 func (s *soak) freeze(ctx context.Context, harmed *process) {
 	defer s.truth.disturbs(harmed.name, "")()
 	harmed.signal(syscall.SIGSTOP)
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -42,7 +42,7 @@
 	s.countFault()
 	if s.draw() < hangUps {
 		_, _ = fmt.Fprintf(s.options.Log, "seed %d: hang up %s\n", s.options.Seed, process.name)
-		process.signal(syscall.SIGHUP)
+		s.hangUp(process)
 		return
 	}
 	_, _ = fmt.Fprintf(s.options.Log, "seed %d: stop %s\n", s.options.Seed, process.name)
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,6 +22,9 @@
 	// address takes callers at gateways and operators at coordinators.
 	address string
 	folder  string
+	// seeds are those in the settings, as they are written there, and text the settings.
+	seeds []string
+	text  string
 	// binary is the program that it runs, and endOlder ends the time in which it is a gateway of an
 	// earlier build, nil for any other.
 	binary   string
@@ -33,6 +40,9 @@
 func (p *process) start() error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if err := os.WriteFile(p.settings, []byte(p.text), 0o600); err != nil {
+		return err
+	}
 	command := exec.Command(p.binary, p.role, "--settings", p.settings)
 	// A program without the race detector ignores it.
 	command.Env = append(os.Environ(), "GORACE=log_path="+filepath.Join(filepath.Dir(p.settings), raceLog))
@@ -59,6 +69,30 @@
 	}
 }
 
+// changeSettings lists the seeds in another order, first in a file that is cut short, and tells the process of each.
+func (p *process) changeSettings() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	rotated := append(slices.Clone(p.seeds[1:]), p.seeds[0])
+	p.text = strings.Replace(p.text, seedsLine(p.seeds), seedsLine(rotated), 1)
+	p.seeds = rotated
+	for _, text := range []string{p.text[:len(p.text)/2], p.text} {
+		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+			return err
+		}
+		if p.command != nil {
+			_ = p.command.Process.Signal(syscall.SIGHUP)
+		}
+		time.Sleep(cutShortTime)
+	}
+	return nil
+}
+
+// cutShortTime is how long a settings file stays cut short.
+const cutShortTime = 20 * time.Millisecond
+
+func seedsLine(seeds []string) string { return fmt.Sprintf("seeds: [%s]", strings.Join(seeds, ", ")) }
+
 // end sends a signal and waits for the process's end.
 func (p *process) end(signal syscall.Signal) {
 	p.signal(signal)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -179,6 +179,9 @@
 	if options.Asks {
 		running.Go(func() { s.askAtRandom(work) })
 	}
+	if !options.Calm {
+		running.Go(func() { s.callHalfClosed(work) })
+	}
 	if options.Planned {
 		running.Go(func() { s.releaseEngines(work) })
 	} else {
