--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -18,20 +18,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/spf13/cobra"
-
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
 
@@ -419,89 +413,3 @@
 	case <-time.After(wait):
 	}
 }
-
-var errThawNeedsCalm = errors.New("--late-thaw needs --calm: a process that stands still can't be harmed otherwise")
-
-// Command returns the command that runs soaks.
-func Command() *cobra.Command {
-	var options Options
-	var runs int
-	command := &cobra.Command{
-		Use:   "soak",
-		Short: "Run a region's real processes under random faults and check the promises",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			if options.LateThaw && !options.Calm {
-				return errThawNeedsCalm
-			}
-			return runAll(command.Context(), command.OutOrStdout(), options, runs)
-		},
-	}
-	command.Flags().Uint64Var(&options.Seed, "seed", 0, "first seed; 0 draws one")
-	command.Flags().StringVar(&options.Production, "production", "", "a commit, or a program built before, with which all processes begin; they are replaced one after the other, there and back")
-	command.Flags().BoolVar(&options.Calm, "calm", false, "no faults: replace all processes once, and tell what was served before and meanwhile")
-	command.Flags().BoolVar(&options.Planned, "planned", false, "only what is planned: processes are stopped and started, configurations change, replicas leave")
-	command.Flags().IntVar(&options.Callers, "callers", defaultCallers, "callers, each with one request at a time")
-	command.Flags().BoolVar(&options.Race, "race", false, "build the program with the race detector, whose reports are violations")
-	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
-	command.Flags().BoolVar(&options.LateThaw, "late-thaw", false, "with --calm: the process that is replaced last stands still until all others are new")
-	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
-	command.Flags().DurationVar(&options.Duration, "duration", 30*time.Second, "time of faults in each")
-	return command
-}
-
-func runAll(ctx context.Context, out io.Writer, options Options, runs int) error {
-	if options.Seed == 0 {
-		options.Seed = rand.Uint64N(1 << 32)
-	}
-	options.Log = out
-	options.Asks = true
-	folder, err := os.MkdirTemp("", "pierhaven-soak")
-	if err != nil {
-		return err
-	}
-	binary := filepath.Join(folder, "pierhaven")
-	build := []string{"build", "-o", binary}
-	if options.Race {
-		build = append(build, "-race")
-	}
-	if output, err := exec.CommandContext(ctx, "go", append(build, "./cmd/pierhaven")...).CombinedOutput(); err != nil {
-		return fmt.Errorf("build: %w: %s", err, output)
-	}
-	options.Binary = binary
-	if options.Production != "" {
-		if options.Production, err = buildCommit(ctx, options.Production, folder); err != nil {
-			return err
-		}
-	}
-	broken := 0
-	for range runs {
-		own := filepath.Join(folder, fmt.Sprint(options.Seed))
-		if err := os.Mkdir(own, 0o700); err != nil {
-			return err
-		}
-		options.Folder = own
-		result, err := Run(ctx, options)
-		if err != nil {
-			return err
-		}
-		options.Seed++
-		_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests and %d leaving engines judged, %d violations\n",
-			result.Seed, result.Served, result.Streams, result.Moves, result.Faults, result.Changes, result.Orders, result.Windows,
-			result.Ends, result.Held, result.Limited, result.Named, result.Replaced, result.Cuts, result.Excused, result.Rested, result.Left, len(result.Violations))
-		if options.Calm {
-			_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", result.ServedBefore, result.ServedDuring)
-		}
-		for _, violation := range result.Violations {
-			_, _ = fmt.Fprintln(out, "  "+violation)
-		}
-		if len(result.Violations) > 0 {
-			broken++
-			_, _ = fmt.Fprintln(out, "  logs: "+own)
-		}
-	}
-	if broken > 0 {
-		return fmt.Errorf("%d of %d soaks broke a promise", broken, runs)
-	}
-	return os.RemoveAll(folder)
-}
