usage: names and comments in the terms of the field

Book is Collector, and its lives are incarnations with reports; Begun, Taken, Fixed, Missing and Told are CountRequest, Acknowledge, FinalizeBefore, Unreported and acknowledged. The tests check what they did under plainer names. Behaviour, the wire and the log stay.

--- a/internal/coordinator/duties_test.go
+++ b/internal/coordinator/duties_test.go
@@ -69,8 +69,8 @@
 			continue
 		}
 		reportedTo = address
-		r.ledger.Taken(report.Counts)
-		r.ledger.Fixed(view.NextWindow)
+		r.ledger.Acknowledge(report.Counts)
+		r.ledger.FinalizeBefore(view.NextWindow)
 		if ctx.Err() != nil && len(r.ledger.Report(true)) == 0 {
 			return
 		}
@@ -80,8 +80,8 @@
 func (r *reportingGateway) recordRequest(at time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.ledger.Begun("depot", at)
-	r.counted[usage.WindowOf(at, usageWindow)]++
+	r.ledger.CountRequest("depot", at)
+	r.counted[usage.WindowAt(at, usageWindow)]++
 }
 
 // leader waits for a leader and returns its address.
--- a/internal/coordinator/usage.go
+++ b/internal/coordinator/usage.go
@@ -64,10 +64,10 @@
 	// ownClocks holds the clocks of the gateways that poll this coordinator, and regionClocks, at the leader,
 	// those of all gateways of the region.
 	ownClocks, regionClocks *regionclock.Samples
-	book                    *usage.Book
+	collector               *usage.Collector
 
 	mutex sync.Mutex
-	// reportedTo is the leader that knows the book up to reportedRevision.
+	// reportedTo is the leader that knows the collector up to reportedRevision.
 	reportedTo       string
 	reportedRevision uint64
 }
@@ -77,7 +77,7 @@
 		clock:        regionclock.New(suspended),
 		ownClocks:    regionclock.NewSamples(suspended),
 		regionClocks: regionclock.NewSamples(suspended),
-		book:         usage.NewBook(),
+		collector:    usage.NewCollector(),
 	}
 }
 
@@ -86,22 +86,22 @@
 	if report == nil {
 		return
 	}
-	if ignored := c.usage.book.Take(report); ignored > 0 {
+	if ignored := c.usage.collector.Add(report); ignored > 0 {
 		c.logger.Info(event.UsageIgnored, "gateway", report.Gateway, "counts", ignored)
 	}
 }
 
-// unreported returns the counts that the leader may not know yet, and the revision of the book that they include.
+// unreported returns the counts that the leader may not know yet, and the revision of the collector that they include.
 func (u *usageState) unreported(leader string) ([]region.GatewayUsage, uint64) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if leader != u.reportedTo {
 		u.reportedTo, u.reportedRevision = leader, 0
 	}
-	return u.book.Since(u.reportedRevision)
+	return u.collector.Since(u.reportedRevision)
 }
 
-// markReported records that the leader knows the book up to a revision.
+// markReported records that the leader knows the collector up to a revision.
 func (u *usageState) markReported(leader string, revision uint64) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -148,13 +148,13 @@
 	reporter := &usageReporter{dutyHolder: dutyHolder{Coordinator: c, duty: dutyUsage}}
 	for lifecycle.Sleep(ctx, usageInterval) {
 		state, _ := c.machine.read()
-		c.usage.book.Fixed(state.NextWindow, c.usage.clock.Now().Add(-gatewayRetention))
+		c.usage.collector.FinalizeBefore(state.NextWindow, c.usage.clock.Now().Add(-gatewayRetention))
 		begun, leads := reporter.leads(ctx)
 		if !leads {
 			continue
 		}
 		if begun {
-			reporter.first = usage.WindowOf(c.usage.clock.Now(), c.settings.Usage.Window)
+			reporter.first = usage.WindowAt(c.usage.clock.Now(), c.settings.Usage.Window)
 			reporter.finalizeFrom = c.now() + time.Duration(newLeaderWaitShare*float64(c.settings.Usage.Late))
 		}
 		reporter.finalizeWindow(ctx, state)
@@ -172,22 +172,22 @@
 	window := state.NextWindow
 	if window == 0 {
 		// Gateways may have counted requests before this leader's term.
-		window = r.usage.book.Oldest(r.first)
+		window = r.usage.collector.OldestWindow(r.first)
 	}
-	if currentWindow := usage.WindowOf(now, options.Window); window+maximumPendingWindows < currentWindow {
+	if currentWindow := usage.WindowAt(now, options.Window); window+maximumPendingWindows < currentWindow {
 		r.logger.Info(event.UsageSkipped, "from", window, "to", currentWindow-maximumPendingWindows)
 		window = currentWindow - maximumPendingWindows
 	}
-	end := usage.EndOf(window, options.Window)
+	end := usage.WindowEnd(window, options.Window)
 	elapsed := now.Sub(end)
 	if elapsed < time.Duration(minimumWaitShare*float64(options.Late)) || r.now() < r.finalizeFrom {
 		return
 	}
-	missing := r.usage.book.Missing(r.gateways.allKnown(r.now()), end)
+	missing := r.usage.collector.Unreported(r.gateways.allKnown(r.now()), end)
 	if len(missing) > 0 && elapsed < time.Duration(maximumWaitShare*float64(options.Late)) {
 		return
 	}
-	final := &region.UsageWindow{Window: window, Counts: r.usage.book.Sum(window)}
+	final := &region.UsageWindow{Window: window, Counts: r.usage.collector.Sum(window)}
 	_, err := r.commit(ctx, &region.Command{Usage: final})
 	r.logger.Info(event.UsageFixed, "window", window, "tenants", len(final.Counts), "requests", requestsOf(final),
 		"missing", missing[:min(len(missing), maximumLoggedGateways)], "missing_count", len(missing), "after_ms", elapsed.Milliseconds(),
@@ -214,7 +214,7 @@
 		err = r.settings.Platform.ReportUsage(bounded, DutyCall{Holder: r.settings.Name, Fence: fence}, window)
 	}
 	r.logger.Info(event.UsageReported, "window", window.Window, "requests", requestsOf(&window), "tenants", len(window.Counts),
-		"fence", fence, "term", r.term, "after_ms", r.usage.clock.Now().Sub(usage.EndOf(window.Window, r.settings.Usage.Window)).Milliseconds(),
+		"fence", fence, "term", r.term, "after_ms", r.usage.clock.Now().Sub(usage.WindowEnd(window.Window, r.settings.Usage.Window)).Milliseconds(),
 		"error", failure.Text(err))
 	if err != nil {
 		r.reportFrom = r.now() + reportRetryInterval
--- a/internal/relay/daemon/usage.go
+++ b/internal/relay/daemon/usage.go
@@ -21,12 +21,12 @@
 
 // recordStart counts a request that began to run at a time of this process's clock.
 func (c *usageReporter) recordStart(tenant string, at time.Time) {
-	c.ledger.Begun(tenant, c.clock.At(at))
+	c.ledger.CountRequest(tenant, c.clock.At(at))
 }
 
 // report returns the counts to send to a coordinator, nil if counting is disabled.
 func (c *usageReporter) report(gateway, coordinator string) *region.GatewayUsage {
-	if !c.ledger.Counts() {
+	if !c.ledger.Enabled() {
 		return nil
 	}
 	return &region.GatewayUsage{
@@ -43,8 +43,8 @@
 		return
 	}
 	c.reportedTo = coordinator
-	c.ledger.Taken(report.Counts)
-	c.ledger.Fixed(view.NextWindow)
+	c.ledger.Acknowledge(report.Counts)
+	c.ledger.FinalizeBefore(view.NextWindow)
 	if view.RegionNanos > 0 {
 		c.clock.Set(receivedAt, time.Unix(0, view.RegionNanos))
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,8 +1,7 @@
-// Package usage counts what tenants use, by windows of the region's time. A gateway counts in a
-// Ledger and tells sums, so that what comes twice or by two ways changes nothing; coordinators
-// gather them in a Book, from which the leader fixes a window's counts once. Both are kept in
-// memory: what a gateway has told outlives it at the coordinators, and what a coordinator has
-// been told outlives it at the gateways until the window is fixed.
+// Package usage counts the requests of tenants in windows of the region's time. A gateway counts in a Ledger and
+// reports cumulative counts, so that a report that arrives twice or by two paths changes nothing. Coordinators collect
+// them in a Collector, from which the leader finalizes each window once. Both are kept in memory: reported counts
+// survive their gateway at the coordinators, and survive a coordinator at the gateways until the window is finalized.
 package usage
 
 import (
@@ -14,59 +13,59 @@
 )
 
 const (
-	// maximumOpenWindows bounds the windows that are kept until they are fixed: what a region
-	// without a leader can be told of later.
+	// maximumOpenWindows bounds the windows that are kept until they are finalized, and so the time without a leader
+	// whose counts can still be reported.
 	maximumOpenWindows = 64
-	// maximumTenants bounds the tenants of a window, as a configuration does.
+	// maximumTenants bounds the tenants of a window; it is the bound of a configuration.
 	maximumTenants = 10_000
 )
 
-// WindowOf is the number of the window that a moment lies in, counted from 1970.
-func WindowOf(at time.Time, length time.Duration) uint64 {
+// WindowAt returns the number of the window that contains a time, counted from 1970; 0 without a length.
+func WindowAt(at time.Time, length time.Duration) uint64 {
 	if length <= 0 {
 		return 0
 	}
 	return uint64(max(at.UnixNano(), 0)) / uint64(length)
 }
 
-// EndOf is when a window ends.
-func EndOf(window uint64, length time.Duration) time.Time {
+// WindowEnd returns the end of a window.
+func WindowEnd(window uint64, length time.Duration) time.Time {
 	return time.Unix(0, int64(window+1)*int64(length))
 }
 
-// Ledger is a gateway's count. It may be used concurrently.
+// Ledger holds a gateway's counts. It is safe for concurrent use.
 type Ledger struct {
 	mutex  sync.Mutex
 	length time.Duration
-	// next is the first window that is not fixed.
+	// next is the first window that is not finalized.
 	next    uint64
 	windows map[uint64]map[string]*entry
 }
 
-// entry is a tenant's count in a window, and what of it has been told.
+// entry is a tenant's count in a window, and the part of it that a coordinator has acknowledged.
 type entry struct {
-	count uint32
-	told  uint32
+	count        uint32
+	acknowledged uint32
 }
 
-// NewLedger returns a ledger of windows of a length; one of length 0 counts nothing.
+// NewLedger returns a Ledger with windows of a length; with length 0, it counts nothing.
 func NewLedger(length time.Duration) *Ledger {
 	return &Ledger{length: length, windows: map[uint64]map[string]*entry{}}
 }
 
-// Counts reports whether anything is counted.
-func (l *Ledger) Counts() bool { return l.length > 0 }
+// Enabled reports whether the ledger counts.
+func (l *Ledger) Enabled() bool { return l.length > 0 }
 
-// Begun counts a tenant's request that began to run at a moment of the region's time.
-func (l *Ledger) Begun(tenant string, at time.Time) {
-	if !l.Counts() || tenant == "" {
+// CountRequest counts a tenant's request that began to run at a time of the region. Without a tenant, in a finalized
+// window or with too many windows open, it does nothing.
+func (l *Ledger) CountRequest(tenant string, at time.Time) {
+	if !l.Enabled() || tenant == "" {
 		return
 	}
-	window := WindowOf(at, l.length)
+	window := WindowAt(at, l.length)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if window < l.next {
-		// The window's counts can't change any more.
 		return
 	}
 	counts := l.windowOf(window)
@@ -83,7 +82,7 @@
 	}
 }
 
-// windowOf is called with the mutex held.
+// windowOf returns the counts of a window by tenant, nil if too many windows are open. The caller must hold l.mutex.
 func (l *Ledger) windowOf(window uint64) map[string]*entry {
 	counts, known := l.windows[window]
 	if known {
@@ -97,15 +96,14 @@
 	return counts
 }
 
-// Report returns what has been counted since the last report that was taken, or all if whole is
-// set.
+// Report returns the counts that have changed since they were last acknowledged, or all if whole is set.
 func (l *Ledger) Report(whole bool) []region.UsageCount {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var counts []region.UsageCount
 	for window, tenants := range l.windows {
 		for tenant, each := range tenants {
-			if whole || each.count > each.told {
+			if whole || each.count > each.acknowledged {
 				counts = append(counts, region.UsageCount{Window: window, Tenant: tenant, Count: each.count})
 			}
 		}
@@ -113,19 +111,19 @@
 	return counts
 }
 
-// Taken notes that a report has been taken.
-func (l *Ledger) Taken(counts []region.UsageCount) {
+// Acknowledge records that a coordinator has received a report.
+func (l *Ledger) Acknowledge(counts []region.UsageCount) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, each := range counts {
 		if known := l.windows[each.Window][each.Tenant]; known != nil {
-			known.told = max(known.told, each.Count)
+			known.acknowledged = max(known.acknowledged, each.Count)
 		}
 	}
 }
 
-// Fixed forgets the windows before one.
-func (l *Ledger) Fixed(next uint64) {
+// FinalizeBefore deletes the windows before next.
+func (l *Ledger) FinalizeBefore(next uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if next <= l.next {
