--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -1,6 +1,5 @@
-// Package event is the closed list of the events that the processes of a region
-// write to their logs. docs/OPERATIONS.md has a table of them with the fields of
-// each, which a test holds against this list.
+// Package event lists all events that the processes of a region write to their logs. docs/OPERATIONS.md documents each
+// event with its fields; a test checks that table against this list.
 package event
 
 import "github.com/pierhaven/pierhaven/coordination/replica"
@@ -16,194 +15,194 @@
 	Stop Event = "stop"
 	// Reload: the settings file was read again on a hangup.
 	Reload Event = "reload"
-	// SettingsUnreadable: a changed settings file is not taken over.
+	// SettingsUnreadable: a changed settings file can't be read or is invalid, and the previous settings stay in use.
 	SettingsUnreadable Event = "settings can't be read again"
-	// Ready: callers may come here.
+	// Ready: the gateway accepts requests.
 	Ready Event = "ready"
-	// NotReady: callers should not come here any more.
+	// NotReady: the gateway should get no new requests.
 	NotReady Event = "not ready"
-	// Stopped: all requests in flight are answered, or the time for it is over.
+	// Stopped: all requests in flight are answered, or the stop timeout is over.
 	Stopped Event = "stopped"
-	// RequestTaken: a route and a part of its split were chosen.
+	// RequestTaken: the route of a request, and the service within its split, were chosen.
 	RequestTaken Event = "request taken"
-	// RequestSent: a replica was chosen.
+	// RequestSent: a request was sent to a chosen replica.
 	RequestSent Event = "request sent"
-	// PromptRead: a prompt was read by a replica that does not generate.
+	// PromptRead: a prompt was prefilled by a replica other than the one that generates the answer.
 	PromptRead Event = "prompt read apart"
-	// AttemptEnded: a send did not lead to the answer.
+	// AttemptEnded: a send ended without an answer for the caller.
 	AttemptEnded Event = "attempt ended"
 	// ReplicaLost: the connection to a replica has broken under a request.
 	ReplicaLost Event = "replica lost under a request"
-	// RequestAnswered: the caller has its whole answer.
+	// RequestAnswered: the caller got a complete answer.
 	RequestAnswered Event = "request answered"
-	// RequestRefused: the caller got a failure of the gateway.
+	// RequestRefused: the caller got an error of the gateway.
 	RequestRefused Event = "request refused"
-	// FailureHandedOn: the caller got a failure of a replica.
+	// FailureHandedOn: the caller got an error response of a replica.
 	FailureHandedOn Event = "replica's failure handed on"
-	// StreamContinued: a stream goes on behind its last whole event.
+	// StreamContinued: a stream is continued after its last complete event.
 	StreamContinued Event = "stream continued"
-	// StreamMoved: a replica that leaves was asked to stop a stream, which goes on elsewhere.
+	// StreamMoved: a leaving replica was asked to stop a stream, which is continued by another one.
 	StreamMoved Event = "stream moved"
 	// MoveFailed: a stream's memory could not be copied to another replica.
 	MoveFailed Event = "stream not moved"
-	// StreamBrokenOff: a stream ended before its end.
+	// StreamBrokenOff: a stream was aborted before it was complete.
 	StreamBrokenOff Event = "stream broken off"
-	// CallerGone: the caller left before its answer.
+	// CallerGone: the caller closed its connection before the answer was complete.
 	CallerGone Event = "caller gone"
-	// HandleNotFreed: the memory of a prompt may stay until it lapses.
+	// HandleNotFreed: a replica may hold the memory of a prompt until it expires.
 	HandleNotFreed Event = "handle not freed"
-	// ConfigurationReceived: an operator's configuration was handled.
+	// ConfigurationReceived: a configuration from an operator was handled.
 	ConfigurationReceived Event = "configuration received"
-	// ConfigurationRefused: an operator's configuration is invalid.
+	// ConfigurationRefused: a configuration from an operator is invalid.
 	ConfigurationRefused Event = "configuration refused"
-	// ConfigurationApplied: a gateway has a configuration in force.
+	// ConfigurationApplied: a gateway uses a new configuration.
 	ConfigurationApplied Event = "configuration applied"
-	// ViewFreshness: a gateway's view became fresh or old.
+	// ViewFreshness: a gateway's view became current or outdated.
 	ViewFreshness Event = "view's freshness changed"
-	// CopyFreshness: a coordinator's copy became fresh or old.
+	// CopyFreshness: a coordinator's copy of the state became current or outdated.
 	CopyFreshness Event = "copy's freshness changed"
 	// ListTaken: a gateway has a new list.
 	ListTaken Event = "list of replicas taken over"
-	// ListTakenDirectly: a gateway without a fresh view asked the platform's list.
+	// ListTakenDirectly: a gateway with an outdated view got the list from the platform.
 	ListTakenDirectly Event = "list of replicas taken from the platform"
-	// ListUnreadable: the platform's list did not answer a gateway.
+	// ListUnreadable: a gateway could not get the list from the platform.
 	ListUnreadable Event = "list of replicas can't be read"
-	// ListEntriesUnusable: entries of the platform's list name no replica, others than before.
+	// ListEntriesUnusable: the set of entries of the platform's list that name no usable replica has changed.
 	ListEntriesUnusable Event = "entries of the list name no replica"
-	// ListReachable: the platform's list was lost or regained by the leader.
+	// ListReachable: the leader can no longer get the platform's list, or can again.
 	ListReachable Event = "list of replicas"
-	// ReplicaListed: a replica has come or changed.
+	// ReplicaListed: a replica was added to the list, or its entry has changed.
 	ReplicaListed Event = "replica listed"
-	// ReplicaRestarted: a replica has started again under its id; nothing that was known of it holds.
+	// ReplicaRestarted: a replica has restarted under its ID; what was known of the previous process is discarded.
 	ReplicaRestarted Event = "replica started again"
-	// ReplicaGone: a replica has gone.
+	// ReplicaGone: a replica was removed from the list.
 	ReplicaGone Event = "replica gone from the list"
-	// ListChanged: so many replicas have come, gone or changed at once that not each has a line.
+	// ListChanged: too many replicas were added, removed or changed at once for a line each.
 	ListChanged Event = "list of replicas changed"
-	// ListDoubted: most replicas are missing from the list at once; they are kept for now.
+	// ListDoubted: most replicas are missing from a new list; they are kept for a time.
 	ListDoubted Event = "list of replicas doubted"
-	// ReplicaActivity: replicas take work from now on, or stand by.
+	// ReplicaActivity: replicas became active, or were put on standby.
 	ReplicaActivity Event = "replicas activated"
-	// ReplicaActivityLost: such a change was not committed; it is made again if it still is due.
+	// ReplicaActivityLost: such a change was not committed; it is retried if it is still due.
 	ReplicaActivityLost Event = "activation not committed"
 	// ReplicaAvoided: a replica gets no requests for a time.
 	ReplicaAvoided Event = "replica avoided"
-	// ReplicaBack: a replica that had not been reached answers again.
+	// ReplicaBack: a replica that could not be reached answers again.
 	ReplicaBack Event = "replica back"
-	// LimitNamed: a replica names another limit of requests than before, or none any more.
+	// LimitNamed: the rate limit that a replica declares has changed, or is no longer declared.
 	LimitNamed Event = "replica's limit"
-	// RestAsked: a replica, or the platform, has turned a call away, and asks this process to be left alone for a time.
+	// RestAsked: a replica or the platform has rejected a call and requested a backoff.
 	RestAsked Event = "rest asked for"
-	// RestUnreadable: one has turned a call away and names a time that can't be read.
+	// RestUnreadable: one has rejected a call, and the requested backoff can't be parsed.
 	RestUnreadable Event = "rest unreadable"
-	// LeavingSaid: a replica says in an answer that it leaves.
+	// LeavingSaid: a replica's response says that it is leaving.
 	LeavingSaid Event = "replica says that it leaves"
-	// LeavingUntold: that a replica says it leaves could not be told to a coordinator; it is told again.
+	// LeavingUntold: a coordinator could not be told that a replica is leaving; the report is retried.
 	LeavingUntold Event = "leaving was not told"
-	// LimitUnreadable: a replica names a limit that can't be read; what was known of it stays.
+	// LimitUnreadable: a replica declares a rate limit that can't be parsed; the previous limit stays in use.
 	LimitUnreadable Event = "replica's limit unreadable"
-	// MessageUnreadable: a message of another process can't be read.
+	// MessageUnreadable: a message of another process can't be decoded.
 	MessageUnreadable Event = "message unreadable"
-	// LimitDenied: a replica's limit leaves no room for a request, which goes to another one or is refused.
+	// LimitDenied: a replica has no capacity for a request under its rate limit. The request goes to another one or is
+	// refused.
 	LimitDenied Event = "no room under a replica's limit"
-	// PrefixesLearned: a replica told what it keeps.
+	// PrefixesLearned: a replica reported its cached prefixes.
 	PrefixesLearned Event = "kept prefixes learned"
-	// PrefixesUnknown: a replica did not tell what it keeps.
+	// PrefixesUnknown: a replica did not report its cached prefixes.
 	PrefixesUnknown Event = "kept prefixes unknown"
-	// PeersUnreachable: load is not shared with other processes.
+	// PeersUnreachable: load reports can't be exchanged with other processes.
 	PeersUnreachable Event = "peers can't be told"
-	// PlacementBy: a gateway has another coordinator choose replicas, or none.
+	// PlacementBy: another coordinator chooses replicas for this gateway, or none does.
 	PlacementBy Event = "placement by another coordinator"
-	// PlacementSilent: the coordinator did not answer a question in time.
+	// PlacementSilent: the coordinator did not answer a placement query in time.
 	PlacementSilent Event = "coordinator silent on a placement"
-	// PlacementForgotten: the coordinator has restarted, and is told what is open.
+	// PlacementForgotten: the coordinator has restarted, and gets a report of the open leases.
 	PlacementForgotten Event = "coordinator has forgotten its leases"
-	// PlacementRefused: a coordinator does not take a gateway's question.
+	// PlacementRefused: a coordinator rejects a gateway's placement query.
 	PlacementRefused Event = "placement refused"
-	// RegionLeft: a request was given to a replica of another region.
+	// RegionLeft: a replica of another region was chosen for a request.
 	RegionLeft Event = "region left"
-	// RegionWord: a coordinator hears of another region's work again, or no more.
+	// RegionWord: a coordinator receives reports of another region's work again, or no longer.
 	RegionWord Event = "word of a region"
-	// PlacementBegun: a coordinator begins to choose replicas for gateways.
+	// PlacementBegun: a coordinator starts to choose replicas for gateways.
 	PlacementBegun Event = "placement begun"
 	// LeaderChanged: this coordinator follows another leader, or leads.
 	LeaderChanged Event = "leader changed"
 	// VoteCast: this coordinator has voted in an election, or has begun a term
 	// without a vote.
 	VoteCast Event = replica.LogVoteCast
-	// SnapshotTaken: the log up to a position is replaced by the state.
+	// SnapshotTaken: the log up to an index was replaced by a snapshot.
 	SnapshotTaken Event = replica.LogSnapshotTaken
-	// WriteRefused: the disk of a process takes no writes, so that its replica stands
-	// still until WriteAccepted.
+	// WriteRefused: writes to the disk of a process fail. Its replica of the group stops until WriteAccepted.
 	WriteRefused  Event = replica.LogWriteRefused
 	WriteAccepted Event = replica.LogWriteAccepted
-	// LeadershipHandedOver: a leader stops by plan.
+	// LeadershipHandedOver: a leader that stops has transferred its leadership.
 	LeadershipHandedOver Event = "handed leadership over"
-	// GroupFounded: the seeds have founded the group.
+	// GroupFounded: the seeds have bootstrapped the group.
 	GroupFounded Event = "founded group"
-	// FoundingUntold: a founder learns of the group from its leader.
+	// FoundingUntold: a seed missed the bootstrap, and learns of the group from its leader.
 	FoundingUntold Event = "founding was not told"
-	// FoundingRetried: a founder is missing.
+	// FoundingRetried: a seed can't be reached, and the bootstrap is retried.
 	FoundingRetried Event = "group is not founded yet"
-	// JoinAsked: this coordinator is no member yet.
+	// JoinAsked: this coordinator has requested to join the group.
 	JoinAsked Event = "asked to join the group"
-	// ReplicaJoins: the leader has taken a coordinator in, without a vote.
+	// ReplicaJoins: the leader has added a coordinator as a non-voting member.
 	ReplicaJoins Event = "replica joins"
 	// MembershipChanged: the leader has changed the voters.
 	MembershipChanged Event = "membership change"
-	// DataUnusable: the replica takes no part until its folder is replaced.
+	// DataUnusable: the stored data can't be used; the replica of the group stays out until its folder is replaced.
 	DataUnusable Event = "data folder can't be used"
 	// BatchFailed: messages to a coordinator were lost.
 	BatchFailed Event = "consensus batch failed"
-	// OrdersBegin: a new leader may make the calls of a duty, from a time on.
+	// OrdersBegin: a new leader may make the calls of a duty from a given time on.
 	OrdersBegin Event = "orders may begin"
 	// PolicyInForce: a policy's file was read.
 	PolicyInForce Event = "policy in force"
-	// PolicyRefused: a changed policy is not valid; the one before stays.
+	// PolicyRefused: a changed policy is invalid; the previous one stays in use.
 	PolicyRefused Event = "policy refused"
-	// UsageFixed: the counts of a window of usage were fixed.
+	// UsageFixed: the counts of a usage window were finalized.
 	UsageFixed Event = "usage fixed"
-	// UsageReported: a window's usage was reported to the platform.
+	// UsageReported: the usage of a window was reported to the platform.
 	UsageReported Event = "usage reported"
-	// UsageEndLost: the platform has taken a window's usage, which could not be noted.
+	// UsageEndLost: the platform has accepted the usage of a window, but that could not be committed.
 	UsageEndLost Event = "end of usage report not noted"
-	// UsageIgnored: a gateway has told counts that can't be true.
+	// UsageIgnored: a gateway has reported invalid counts.
 	UsageIgnored Event = "usage ignored"
-	// UsageSkipped: windows lie so far back that nobody waits for them.
+	// UsageSkipped: windows are too old to be reported.
 	UsageSkipped Event = "usage skipped"
 	// FleetOrdered: a number of replicas was ordered.
 	FleetOrdered Event = "fleet ordered"
-	// FleetTermsIgnored: what the configuration says of a service's number can't be.
+	// FleetTermsIgnored: the bounds that the configuration gives for a service's number of replicas are invalid.
 	FleetTermsIgnored Event = "fleet terms ignored"
-	// RequestHeld: a request that ends replicas is sent to none any more.
+	// RequestHeld: a request under which replicas have crashed is no longer sent to any.
 	RequestHeld Event = "request held"
-	// RequestHeldHere: a gateway that reaches no coordinator holds a request by its own evidence.
+	// RequestHeldHere: a gateway that reaches no coordinator holds such a request by its own evidence.
 	RequestHeldHere Event = "request held by one gateway"
-	// RequestReleased: an operator has let a request go that was held.
+	// RequestReleased: an operator has released a held request.
 	RequestReleased Event = "request released"
-	// PoisonDropped: evidence against requests was given up for lack of room.
+	// PoisonDropped: evidence against requests was discarded because the table is full.
 	PoisonDropped Event = "evidence dropped"
-	// PoisonForgotten: evidence and holds have lapsed.
+	// PoisonForgotten: evidence against requests and holds have expired.
 	PoisonForgotten Event = "evidence lapsed"
-	// PoisonUntold: a gateway's evidence was not taken by a coordinator; it is told again.
+	// PoisonUntold: a coordinator has not acknowledged a gateway's evidence; the report is retried.
 	PoisonUntold Event = "evidence not told"
-	// QuotaLimits: a configuration's limits of tenants are in force at a coordinator.
+	// QuotaLimits: a coordinator enforces the tenant limits of a configuration.
 	QuotaLimits Event = "quota limits applied"
-	// QuotaMode: a coordinator counts more or fewer parts of the tenants' limits than before.
+	// QuotaMode: a coordinator holds a different number of shares of the tenant limits than before.
 	QuotaMode Event = "quota parts changed"
-	// QuotaSilent: a coordinator has not answered whether a tenant's request may run.
+	// QuotaSilent: a coordinator has not answered a quota query in time.
 	QuotaSilent Event = "quota not answered"
 	// QuotaLocal: a gateway that reaches no coordinator decides by its own part of the tolerance.
 	QuotaLocal Event = "quota decided by one gateway"
-	// QuotaStatusHere: an operator is told what one coordinator counts alone.
+	// QuotaStatusHere: an operator gets the counts of one coordinator, because the leader can't be reached.
 	QuotaStatusHere Event = "quota leader not reached"
-	// DutyUnknown: the platform asks for calls that this version does not know.
+	// DutyUnknown: the platform requests a kind of call that this version does not know.
 	DutyUnknown Event = "duty unknown"
 	// Order: an order was given to a replica.
 	Order Event = "order"
-	// ChangeStuck: the list has not shown an ordered stage in time.
+	// ChangeStuck: the list does not show the ordered stage of a replica in time.
 	ChangeStuck Event = "stage change has not ended"
-	// ChangeEndLost: the end of a stage change is tried again.
+	// ChangeEndLost: the end of a stage change was not committed, and is retried.
 	ChangeEndLost Event = "end of a stage change not committed"
 )
 
