bench/manygateways: names and comments in the terms of the field

A decider is a coordinator, a reader a prefill replica, what is kept a cache; processes report to each other. Behaviour and figures stay (its tests, which compare runs by hash, pass).

--- a/bench/manygateways/command.go
+++ b/bench/manygateways/command.go
@@ -13,10 +13,10 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// defaultCoordinators is their number on the users' large deployment.
+// defaultCoordinators is the number of coordinators of a large deployment.
 const defaultCoordinators = 5
 
-// Curve is the goodput for numbers of gateways, as a mean of some seeds.
+// Curve is the goodput by the number of gateways, as the mean of several seeds.
 type Curve struct {
 	Name     string
 	Gateways []int
@@ -55,7 +55,7 @@
 	return command
 }
 
-// measure plays each number of gateways.
+// measure simulates each number of gateways.
 func measure(name string, gateways []int, coordinators, seeds int) Curve {
 	curve := Curve{Name: name, Gateways: gateways}
 	for _, count := range gateways {
--- a/bench/manygateways/doc.go
+++ b/bench/manygateways/doc.go
@@ -1,6 +1,5 @@
-// Package manygateways plays the same load with few and with many gateways before the same
-// model replicas, in virtual time: what is served must not depend on how many gateways
-// choose. Gateways decide as in the product (relay.Placer), by themselves with the word of
-// their peers, or by asking coordinators (placement.Server); the replicas, the network and
-// the callers are models.
+// Package manygateways simulates the same load with few and with many gateways in front of the same replicas, in
+// virtual time: the goodput must not depend on the number of gateways. Placement is that of the product: by the gateways
+// themselves, with the reports of their peers (relay.Placer), or by coordinators (placement.Server). The replicas, the
+// network and the callers are models.
 package manygateways
--- a/bench/manygateways/world.go
+++ b/bench/manygateways/world.go
@@ -18,10 +18,10 @@
 // Options describe a run.
 type Options struct {
 	Gateways int
-	// Coordinators are asked by the gateways; with 0 these choose by themselves.
+	// Coordinators is the number of coordinators that place requests; with 0, gateways place them themselves.
 	Coordinators int
 	Seed         uint64
-	// Silence is when the first coordinator falls silent for silenceTime; 0 for never.
+	// Silence is when the first coordinator stops answering for silenceTime; 0 for never.
 	Silence time.Duration
 }
 
@@ -29,82 +29,82 @@
 type Result struct {
 	Options
 	Asked, InTime, Late, Refused, Failed int
-	// Busiest is the time that the busiest reader has read, against the mean.
+	// Busiest is the busy time of the busiest prefill replica, as a multiple of the mean.
 	Busiest float64
-	// Events is a hash of what happened to the requests, when and where: equal for equal options.
+	// Events is a hash of all events of requests, with time and replica: equal for equal options.
 	Events uint64
 }
 
-// Goodput is the share of the requests that were answered within their objective.
+// Goodput returns the share of the requests that were answered within their objective.
 func (r Result) Goodput() float64 { return float64(r.InTime) / float64(max(r.Asked, 1)) }
 
-// The load: prompts of which eight in nine tokens are shared, so that their place matters. The
-// readers are busy for half of the time if each shared part is read once and kept.
+// The load consists of prompts of which eight in nine tokens are shared, so that it matters where they are placed. The
+// prefill replicas are busy for half of the time if each shared prefix is prefilled once and stays cached.
 const (
-	service        = "model"
-	readers        = 24
-	generators     = 8
-	slots          = 64
-	cacheTokens    = 400_000
-	things         = 400
-	sharedTokens   = 8000
-	ownTokens      = 1000
-	tokensPerS     = 37_000
-	requestsPerS   = 280
-	runTime        = 20 * time.Second
-	objective      = time.Second
-	callerWait     = 4 * time.Second
-	targetGap      = 300 * time.Millisecond
-	moveTime       = 5 * time.Millisecond
-	firstEventTime = 10 * time.Millisecond
-	streamTime     = 100 * time.Millisecond
-	silenceTime    = 3 * time.Second
+	service         = "model"
+	prefillReplicas = 24
+	decodeReplicas  = 8
+	slots           = 64
+	cacheTokens     = 400_000
+	sharedPrefixes  = 400
+	sharedTokens    = 8000
+	ownTokens       = 1000
+	tokensPerS      = 37_000
+	requestsPerS    = 280
+	runTime         = 20 * time.Second
+	objective       = time.Second
+	callerWait      = 4 * time.Second
+	targetGap       = 300 * time.Millisecond
+	transferTime    = 5 * time.Millisecond
+	firstEventTime  = 10 * time.Millisecond
+	streamTime      = 100 * time.Millisecond
+	silenceTime     = 3 * time.Second
 )
 
-// firstProcessStream parts the processes' random numbers from those of the load.
+// firstProcessStream separates the random streams of the processes from those of the load.
 const firstProcessStream = 1 << 32
 
-// world is one run.
+// world is the state of one run.
 type world struct {
 	options Options
 	queue   virtualtime.Queue
 	now     time.Duration
-	// random draws the load, spread the gateways that it comes to, so that any number of
-	// gateways gets the same load.
+	// random draws the load, and spread the gateways that receive it, so that the load does not depend on the number
+	// of gateways.
 	random *rand.Rand
 	spread *rand.Rand
 	events *xxhash.Digest
-	// processes counts the processes that choose; each draws numbers of its own.
-	processes uint64
-	replicas  []region.Replica
-	readers   map[string]*reader
-	gateways  []*gateway
-	deciders  []*decider
-	result    Result
+	// processes counts the processes that place requests; each has a random stream of its own.
+	processes    uint64
+	replicas     []region.Replica
+	prefillers   map[string]*prefillReplica
+	gateways     []*gateway
+	coordinators []*coordinator
+	result       Result
 }
 
-// gateway is one process that takes callers' requests.
+// gateway models a gateway.
 type gateway struct {
 	name      string
 	directory *relay.Directory
 	placer    *relay.Placer
-	// told is the last placement that peers have been told of.
-	told uint64
+	// lastReported is the sequence number of the last placement that was reported to peers.
+	lastReported uint64
 }
 
-// Run plays the load.
+// Run simulates the load.
 func Run(options Options) Result {
 	w := &world{
-		options: options,
-		random:  rand.New(rand.NewPCG(options.Seed, 0)),
-		spread:  rand.New(rand.NewPCG(options.Seed, 1)),
-		events:  xxhash.New(),
-		readers: map[string]*reader{},
-		result:  Result{Options: options},
+		options:    options,
+		random:     rand.New(rand.NewPCG(options.Seed, 0)),
+		spread:     rand.New(rand.NewPCG(options.Seed, 1)),
+		events:     xxhash.New(),
+		prefillers: map[string]*prefillReplica{},
+		result:     Result{Options: options},
 	}
 	w.build()
 	w.queue.Add(0, w.arrive)
-	w.queue.Add(0, w.tellPeers)
+	w.queue.Add(0, w.exchangeReports)
 	for {
 		next, found := w.queue.Take(runTime + callerWait)
 		if !found {
@@ -119,30 +119,30 @@
 }
 
 func (w *world) build() {
-	for number := range readers {
+	for number := range prefillReplicas {
 		id := fmt.Sprint("reader-", number)
 		w.replicas = append(w.replicas, region.Replica{ID: id, Service: service, Address: id, Zone: "zone", Slots: slots, Stage: region.StagePrefill})
-		w.readers[id] = &reader{world: w, kept: keptParts{tokens: map[string]int{}}}
+		w.prefillers[id] = &prefillReplica{world: w, cache: prefixCache{tokens: map[string]int{}}}
 	}
-	for number := range generators {
+	for number := range decodeReplicas {
 		id := fmt.Sprint("generator-", number)
 		w.replicas = append(w.replicas, region.Replica{ID: id, Service: service, Address: id, Zone: "zone", Slots: slots, Stage: region.StageDecode})
 	}
 	for number := range w.options.Coordinators {
-		w.deciders = append(w.deciders, newDecider(w, number))
+		w.coordinators = append(w.coordinators, newCoordinator(w, number))
 	}
 	for number := range w.options.Gateways {
 		created := &gateway{name: fmt.Sprint("gateway-", number), directory: w.newDirectory()}
 		created.placer = &relay.Placer{Directory: created.directory}
-		if len(w.deciders) > 0 {
-			created.placer.Remote = w.deciders[number%len(w.deciders)].remoteFor(created)
+		if len(w.coordinators) > 0 {
+			created.placer.Remote = w.coordinators[number%len(w.coordinators)].remoteFor(created)
 		}
 		w.gateways = append(w.gateways, created)
 	}
 }
 
-// note adds what happened to a request to the hash of events.
-func (w *world) note(what string, lease *relay.Lease) {
+// record adds an event of a request to the hash of events.
+func (w *world) record(what string, lease *relay.Lease) {
 	place := ""
 	if lease != nil {
 		place = lease.Replica.ID
@@ -150,7 +150,7 @@
 	_, _ = fmt.Fprintln(w.events, w.now, what, place)
 }
 
-// newDirectory is the knowledge of one process.
+// newDirectory returns the directory of one process.
 func (w *world) newDirectory() *relay.Directory {
 	created := relay.NewDirectory(func() time.Duration { return w.now }, "zone", func(string, string) {}, logr.Discard())
 	w.processes++
@@ -160,7 +160,7 @@
 	return created
 }
 
-// arrive has a request come to a gateway, and sets the next one.
+// arrive starts a request at a gateway, and schedules the next one.
 func (w *world) arrive() {
 	if w.now >= runTime {
 		return
@@ -172,24 +172,24 @@
 		gateway: w.gateways[w.spread.IntN(len(w.gateways))],
 		arrived: w.now,
 		prompt: &relay.Prompt{Tokens: sharedTokens + ownTokens, Parts: []relay.PromptPart{
-			{ID: fmt.Sprint("shared-", w.random.IntN(things)), Tokens: sharedTokens},
+			{ID: fmt.Sprint("shared-", w.random.IntN(sharedPrefixes)), Tokens: sharedTokens},
 			{ID: fmt.Sprint("own-", w.result.Asked), Tokens: ownTokens},
 		}},
 	}
 	arrived.begin()
 }
 
-// busiest is the time that the busiest reader has read, against the mean.
+// busiest returns Result.Busiest.
 func (w *world) busiest() float64 {
 	var most, sum time.Duration
-	for _, each := range w.readers {
-		most = max(most, each.spent)
-		sum += each.spent
+	for _, each := range w.prefillers {
+		most = max(most, each.busyTime)
+		sum += each.busyTime
 	}
-	return float64(most) * readers / float64(max(sum, 1))
+	return float64(most) * prefillReplicas / float64(max(sum, 1))
 }
 
-// call is one request.
+// call is one request of a caller.
 type call struct {
 	world   *world
 	gateway *gateway
@@ -210,21 +210,21 @@
 	lease, err := c.gateway.placer.PlacePrefill(context.Background(), service, c.request())
 	if err != nil {
 		c.world.result.Refused++
-		c.world.note("refused", nil)
+		c.world.record("refused", nil)
 		return
 	}
 	c.lease = lease
-	c.world.note("placed", lease)
-	if read, found := c.world.readers[lease.Replica.ID]; found {
-		read.add(c)
+	c.world.record("placed", lease)
+	if prefiller, found := c.world.prefillers[lease.Replica.ID]; found {
+		prefiller.add(c)
 		return
 	}
-	// The generator reads the prompt itself, at half of the pace.
-	c.world.queue.Add(c.world.now+2*readTime(c.prompt.Tokens), c.generate)
+	// A decode replica prefills the prompt itself, at half of the rate.
+	c.world.queue.Add(c.world.now+2*prefillTime(c.prompt.Tokens), c.generate)
 }
 
-// read goes on with a prompt that a reader has read.
-func (c *call) read() {
+// prefilled continues the call after the prefill of its prompt.
+func (c *call) prefilled() {
 	c.lease.Answered(false, nil)
 	c.lease.PrefillDone()
 	c.lease.PromptCached(c.prompt)
@@ -237,7 +237,7 @@
 	w := c.world
 	w.queue.Add(w.now+firstEventTime, func() {
 		c.lease.StreamBegun("route", true)
-		w.note("begun", c.lease)
+		w.record("begun", c.lease)
 		if w.now-c.arrived <= objective {
 			w.result.InTime++
 		} else {
@@ -247,9 +247,9 @@
 	w.queue.Add(w.now+firstEventTime+streamTime, c.lease.Release)
 }
 
-// giveUp ends a call whose caller has left before its prompt was read.
-func (c *call) giveUp() {
-	c.world.note("given up", c.lease)
+// abandon ends a call whose caller has left before its prompt was prefilled.
+func (c *call) abandon() {
+	c.world.record("given up", c.lease)
 	c.lease.Release()
 	c.world.result.Failed++
 }
