relay: a replica that keeps rejecting is tried only if there is no other

Cause: a replica that is expected to reject has a penalty of one full replica in the choice. It is empty, so that it comes first as soon as the others are full: the pause after a rejection, which doubles, is passed over.

Now one that has rejected four requests in a row without being full is left out until its pause is over, as one that can't be reached is.

Test: TestRejectingReplicasDrawFewRequestsThoughTheOthersAreFull fails on the code before (1,377 rejections by such replicas at one gateway, 1,479 at 12; 72 and 864 are allowed, eight tries of each gateway at each). Now 64 and 625, and 1,180 of 1,561 and 1,149 of 1,570 requests served, for 1,121 of 1,572 and 1,109 of 1,564.

--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -87,11 +87,11 @@
 	return lowest(free, rating, now), crossing.Offer{Outcome: crossing.InTime}
 }
 
-// healthyCandidates returns the candidates that are not avoided, or all if every one is or ejection is
-// disabled. The caller must hold d.mutex.
+// healthyCandidates returns the candidates that are not avoided and do not keep rejecting requests, or all if there
+// are none or ejection is disabled. The caller must hold d.mutex.
 func (d *Directory) healthyCandidates(service string, wanted Wanted, passes func(*Replica) bool, now time.Duration) []*Replica {
 	candidates := d.candidates(service, wanted, passes, now)
-	healthy := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) })
+	healthy := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool { return r.avoided(now) || r.keepsRejecting(now) })
 	if len(healthy) > 0 && !d.disabled[mechanism.Ejection] {
 		return healthy
 	}
@@ -181,7 +181,7 @@
 	slownessWeight = 0.1
 	jitterWeight   = 0.02
 	// refusingPenalty is added to the score of a replica that is expected to refuse, in shares of its
-	// slots: it is tried once the others are full.
+	// slots: it is tried once the others are full, unless it keeps rejecting.
 	refusingPenalty = 1
 	// connectedBonus is subtracted from the score of a replica that this process is connected to, in shares
 	// of its slots. It is less than one request adds at a small replica, so that load has precedence.
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -53,6 +53,9 @@
 func (r *slowStart) allows(inFlight int) bool { return r.limit == 0 || inFlight < r.limit }
 
 const (
+	// rejectionsInARow is the number of consecutive rejections after which a replica is taken for one that rejects
+	// everything. One that rejects half of its requests is mistaken for it once in sixteen.
+	rejectionsInARow = 4
 	// minimumAvoidance is the least time for which a replica is avoided after it has rejected a request.
 	minimumAvoidance = 60 * time.Millisecond
 	// maximumBackoff bounds the time for which a replica is avoided that rejects requests repeatedly,
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -206,6 +206,12 @@
 	return now < r.rejections.avoidUntil || !r.rejections.slowStart.allows(r.inFlight)
 }
 
+// keepsRejecting reports whether a replica has rejected rejectionsInARow requests while it was not full, and is
+// expected to reject another one.
+func (r *Replica) keepsRejecting(now time.Duration) bool {
+	return r.rejections.consecutive >= rejectionsInARow && r.refuses(now)
+}
+
 // unreachable records that the replica could not be connected to, or did not answer.
 func (r *Replica) unreachable(now time.Duration, unconnected bool) {
 	r.failures++
--- a/internal/relay/rest_load_test.go
+++ b/internal/relay/rest_load_test.go
@@ -32,6 +32,8 @@
 	// arrived before.
 	backoffEnds   map[int]time.Duration
 	sentInBackoff int
+	// shed counts the requests that it rejected while it rejected everything.
+	shed int
 	// acceptedAt are the times at which requests were accepted.
 	acceptedAt []time.Duration
 }
@@ -182,7 +184,11 @@
 	if now < s.backoffEnds[request.gateway] {
 		s.sentInBackoff++
 	}
-	if s.sheds != nil && s.sheds(now) || len(s.waiting) >= s.queue && len(s.running) >= s.slots {
+	sheds := s.sheds != nil && s.sheds(now)
+	if sheds {
+		s.shed++
+	}
+	if sheds || len(s.waiting) >= s.queue && len(s.running) >= s.slots {
 		s.backoffEnds[request.gateway] = max(s.backoffEnds[request.gateway], now+s.backoff)
 		return false
 	}
@@ -286,6 +292,32 @@
 	}
 }
 
+// Most replicas reject everything for several seconds, and the others are full. A rejecting replica is empty, and was
+// tried again and again once the others were full, with the retry budget of all requests.
+func TestRejectingReplicasDrawFewRequestsThoughTheOthersAreFull(t *testing.T) {
+	t.Parallel()
+	const replicas, sound, load = 12, 3, 0.4
+	for _, gateways := range []int{1, 12} {
+		for _, backoff := range []time.Duration{0, 3 * time.Second} {
+			shape := shedder{slots: 8, queue: 16, work: 200 * time.Millisecond, backoff: backoff}
+			r := newShedReplay(gateways, replicas, shape, 1, nil)
+			for number := range replicas - sound {
+				r.replicas[fmt.Sprint("r", number)].sheds = func(now time.Duration) bool { return now > 3*time.Second && now < 9*time.Second }
+			}
+			r.play(load*replicas*shape.pace(), 8*time.Second)
+			shed := 0
+			for _, each := range r.replicas {
+				shed += each.shed
+			}
+			t.Logf("%d gateways, backoff %v: %d served of %d, %d refused, %d rejected, %d of them by those that reject everything",
+				gateways, backoff, r.served, r.asked, r.refused, r.rejected, shed)
+			// Delays that double from 60 ms on add up to five seconds after seven tries.
+			const tries = 8
+			assert.LessOrEqual(t, shed, gateways*(replicas-sound)*tries)
+		}
+	}
+}
+
 // An overloaded replica requests a backoff of a second, again and again, and still serves at its full rate.
 func TestReplicaThatRequestsBackoffsServesAtFullRate(t *testing.T) {
 	t.Parallel()
