--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -2,5 +2,5 @@
 // callers' interface, dispatches to the engines and application back ends of
 // its zone, and keeps a session with the zone's controllers. It needs no disk.
 //
-// The packages below it have one job each; this package puts them together.
+// Its subpackages have one job each; this package connects them.
 package gateway
--- a/internal/gateway/doors.go
+++ b/internal/gateway/doors.go
@@ -6,8 +6,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 )
 
-// doors counts the callers' requests in hand and refuses new ones when they are
-// closed or there are too many.
+// doors counts the callers' requests in flight, and refuses new ones once it is closed or too many are in flight.
 type doors struct {
 	maximum int
 
@@ -43,8 +42,7 @@
 	d.noteEmpty()
 }
 
-// close refuses new requests from now on; the result is closed when none is in
-// hand.
+// close makes doors refuse new requests. The returned channel is closed when none is in flight any more.
 func (d *doors) close() <-chan struct{} {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -66,14 +64,14 @@
 	}
 }
 
-// leaving reports whether the doors are closed.
+// leaving reports whether doors is closed.
 func (d *doors) leaving() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.closed
 }
 
-// count is the number of requests in hand.
+// count is the number of requests in flight.
 func (d *doors) count() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/gateway/exchange/client_test.go
+++ b/internal/gateway/exchange/client_test.go
@@ -147,7 +147,7 @@
 	}
 }
 
-// One that is closed with the request in hand, answered or not, is unknown.
+// One that is closed with the request in flight, answered or not, is unknown.
 func TestAConnectionClosedAfterTheRequestIsUnknown(t *testing.T) {
 	callee, client := startPeer(t), testClient()
 	defer client.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,11 +75,11 @@
 
 	cut    context.Context
 	cutNow context.CancelFunc
-	// cutList is what was in hand at the first Cut, nil before.
+	// cutList is what was in flight at the first Cut, nil before.
 	cutList atomic.Pointer[[]string]
 }
 
-// New checks the settings, opens the listener and puts the parts together.
+// New checks the settings, opens the listener and connects the components.
 // Nothing is served before Run.
 func New(settings Settings) (*Gateway, error) {
 	settings = settings.withDefaults()
@@ -179,18 +179,17 @@
 	return handler.Zones{Own: g.settings.Zone, Known: g.settings.knowsZone}
 }
 
-// contactTime is how long a gateway and the zone group may take to know what one of them knows:
-// a few heartbeats.
+// contactTime bounds the time until information reaches both a gateway and the zone group: a few heartbeats.
 const contactTime = 3 * time.Second
 
-// batchShare is the part of the workers (one in so many) that attempts of
-// batches may take; the others are left to requests that somebody waits for.
+// batchShare limits attempts of batches to one in batchShare workers; the others are reserved for interactive
+// requests.
 const batchShare = 2
 
-// batchPause bounds the wait of a batch for memory.
+// batchPause is the longest wait of a batch for memory.
 const batchPause = 5 * time.Minute
 
-// itemTries bounds the tries of one item of a batch.
+// itemTries is the maximum number of attempts of one item of a batch.
 const itemTries = 8
 
 func (g *Gateway) batchOptions() batch.Options {
@@ -261,7 +260,7 @@
 	}
 }
 
-// peers lists the other zones' gateways.
+// peers returns the gateways of other zones.
 func (s *Settings) peers() []forward.Peer {
 	var peers []forward.Peer
 	for _, peer := range s.Peers {
@@ -278,8 +277,8 @@
 // maximumIdlePerEngine bounds the unused connections kept to one engine.
 const maximumIdlePerEngine = 64
 
-// clock is the time since the process began, with what the machine was suspended. It starts above zero,
-// because zero means "never" in deadlines.
+// clock returns the time since the process started, including the time for which the machine was suspended. It starts
+// above zero, because zero means "never" in deadlines.
 func (g *Gateway) clock() time.Duration { return g.uptime() + time.Nanosecond }
 
 // Address is where callers are served, with the port that was chosen.
@@ -293,14 +292,14 @@
 	return g.peers.listener.Addr().String()
 }
 
-// InFlight lists what the gateway has in hand.
+// InFlight lists what the gateway has in flight.
 func (g *Gateway) InFlight() []string {
 	return slices.Concat(g.runner.InFlight(), g.applications.InFlight(), g.batches.InFlight())
 }
 
-// Cut ends everything in hand at once; Run returns soon after.
+// Cut aborts all requests in flight; Run returns soon after.
 func (g *Gateway) Cut() {
-	// What is in hand is read before it ends.
+	// What is in flight is read before it ends.
 	inHand := g.InFlight()
 	g.cutList.CompareAndSwap(nil, &inHand)
 	g.cutNow()
@@ -319,5 +318,5 @@
 	return g.fleet.Snapshot().Configuration
 }
 
-// errCut is returned by Run if work in hand was cut.
+// errCut is returned by Run if work in flight was cut.
 var errCut = errors.New("the gateway stopped before its work was done")
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -9,11 +9,11 @@
 	"github.com/pierhaven/pierhaven/internal/session"
 )
 
-// askTimeout bounds one question to a target.
+// askTimeout is the timeout of one query to a target.
 const askTimeout = time.Second
 
-// askTargets asks the targets that a gateway without a lease may use whether
-// they take new work. One that finds no free worker is asked again soon.
+// askTargets queries the targets that a gateway without a lease may use for whether they accept new work. If there is no
+// free worker for a query, it is retried soon.
 func (g *Gateway) askTargets() {
 	for _, target := range g.keeper.Asks(g.clock()) {
 		_ = g.workers.Submit(func() { g.askTarget(target) })
@@ -32,7 +32,7 @@
 	g.keeper.Told(sentAt, target, serves)
 }
 
-// serves reports whether a target takes new work, by its own word.
+// serves reports whether a target says that it accepts new work.
 func (g *Gateway) serves(ctx context.Context, target session.Target) (bool, error) {
 	if target.IsBackEnd {
 		state, err := g.applicationClient.State(ctx, target.Address)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,6 @@
 package gateway
 
-// registerMetrics registers what is read when the metrics page is asked for;
+// registerMetrics registers the metrics that are read on each scrape;
 // docs/operations/logs-and-metrics.md lists all metrics.
 func (g *Gateway) registerMetrics() {
 	g.metrics.WatchHealth(g.health)
--- a/internal/gateway/middleware/leaving.go
+++ b/internal/gateway/middleware/leaving.go
@@ -11,7 +11,7 @@
 )
 
 // Leaving refuses new work once the gateway has begun its planned stop, and
-// counts the requests in hand, up to a bound.
+// counts the requests in flight, up to a bound.
 type Leaving struct {
 	doors Doors
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// queueTick is the time between looks at the queues while any is waiting.
+	// queueTick is the interval at which the queues are checked while a request waits.
 	queueTick = 5 * time.Millisecond
-	// watchTick is the time between looks at the session and withheld engines.
+	// watchTick is the interval at which the session and withheld engines are checked.
 	watchTick = 200 * time.Millisecond
-	// collectTick is the time between looks at results that wait to be fetched.
+	// collectTick is the interval at which results that wait to be fetched are checked.
 	collectTick = 50 * time.Millisecond
 	// releaseTimeout bounds the wait for busy workers at the end.
 	releaseTimeout = time.Second
@@ -24,10 +24,10 @@
 	shutdownTimeout = 250 * time.Millisecond
 )
 
-// Run serves until the context ends, then stops by plan: it announces that it
-// leaves, refuses new work, finishes what is in hand, closes its session and
+// Run serves until the context ends, then stops gracefully: it announces that it
+// leaves, refuses new work, finishes what is in flight, closes its session and
 // returns nil. If Cut was called before that was done, the error says what was
-// in hand.
+// in flight.
 func (g *Gateway) Run(ctx context.Context) error {
 	defer g.log.Close()
 	defer g.releaseWorkers()
@@ -57,15 +57,14 @@
 	return err
 }
 
-// releaseWorkers waits a short time for what is still to be told to engines:
-// attempts of callers that have gone, or that were cut.
+// releaseWorkers waits a short time until engines are told to cancel the attempts of callers that have gone, and of
+// aborted requests.
 func (g *Gateway) releaseWorkers() {
 	_ = g.batchWorkers.ReleaseTimeout(releaseTimeout)
 	_ = g.workers.ReleaseTimeout(releaseTimeout)
 }
 
-// guarded has the log ring written before a panic of a long-lived goroutine ends
-// the process.
+// guarded writes the log ring before a panic of a long-lived goroutine ends the process.
 func (g *Gateway) guarded(work func()) func() error {
 	guarded := eventlog.Guard(g.log.Dump, work)
 	return func() error {
@@ -74,10 +73,10 @@
 	}
 }
 
-// leave finishes what is in hand.
+// leave finishes what is in flight.
 func (g *Gateway) leave() error {
 	g.logger.Info("leaving", "in_hand", g.doors.count())
-	// The health pages never say "ready" while new work is refused.
+	// The health pages must not report ready while new work is refused.
 	g.health.SetLeaving()
 	emptied := g.doors.close()
 	g.keeper.SetLeaving()
@@ -123,7 +122,7 @@
 	}
 }
 
-// startKeeper keeps the session until the returned function is called.
+// startKeeper maintains the session until the returned function is called.
 func (g *Gateway) startKeeper() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -144,7 +143,7 @@
 	g.applications.Wait(g.cut)
 }
 
-// waitBriefly lets cut requests write their last answer.
+// waitBriefly gives aborted requests time to write their responses.
 func waitBriefly(emptied <-chan struct{}) {
 	timer := time.NewTimer(time.Second)
 	defer timer.Stop()
@@ -186,8 +185,8 @@
 	d.listener.CloseConnections()
 }
 
-// watch keeps the health page true, moves streams off withheld engines, and asks
-// for what a gateway without a lease has to know.
+// watch updates the health page, moves streams off withheld engines, and queries the targets while the gateway has no
+// lease.
 func (g *Gateway) watch() {
 	now := g.clock()
 	g.health.Set(conditionSession, g.checkReady() == nil)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,7 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 )
 
-// door is one listener with its server.
+// door is a listener with its server.
 type door struct {
 	listener *listener.Listener
 	server   *server.Hertz
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// openServers puts the routes behind the listeners.
+// openServers adds the routes to the servers of the listeners.
 func (g *Gateway) openServers() {
 	routes := g.newRoutes()
 	g.callers.server = g.newServer(g.callers.listener)
@@ -126,7 +126,7 @@
 	callers.POST(callerapi.PathIdempotencyKeys, r.keys.Handle)
 	callers.POST(callerapi.PathBatches, r.batches.Submit)
 
-	// A leaving gateway still tells what became of the batches that it has.
+	// A leaving gateway still returns the states and results of its batches.
 	collectors := router.Group("/", slices.Concat(opening, []app.HandlerFunc{r.collecting}, r.identity)...)
 	collectors.GET(callerapi.PathBatches+"/:id", r.batches.Progress)
 	collectors.GET(callerapi.PathBatches+"/:id/results", r.batches.Results)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,16 +10,15 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 )
 
-// Settings are all that a gateway is told at its start. Addresses are IP:port.
+// Settings are the settings of a gateway. Addresses are IP:port.
 // Times of 0 and bounds of 0 take the defaults of DefaultSettings.
 type Settings struct {
-	// ID names the gateway within its zone and stays over restarts.
+	// ID identifies the gateway within its zone, and is the same after a restart.
 	ID   string `validate:"required,max=64" yaml:"id" json:"id"`
 	Zone string `validate:"required,max=64" yaml:"zone" json:"zone"`
-	// Zones are all zones of the deployment, for the keys that name one.
+	// Zones are all zones of the deployment; idempotency keys name one of them.
 	Zones []string `yaml:"zones" json:"zones"`
-	// Listen takes callers; PeerListen takes other zones' gateways, empty for
-	// none.
+	// Listen is the address for callers, and PeerListen the one for gateways of other zones, empty for none.
 	Listen     string `validate:"required,ip_port" yaml:"listen" json:"listen"`
 	PeerListen string `validate:"omitempty,ip_port" yaml:"peer_listen" json:"peer_listen"`
 	// Controllers are the controllers of the zone.
@@ -28,7 +27,7 @@
 	ClusterToken string `yaml:"cluster_token" json:"-"`
 	// Peers are other zones' gateways, to which work may be forwarded.
 	Peers []Peer `validate:"dive" yaml:"peers" json:"peers"`
-	// DataFolder takes dumps of the log ring; empty writes them to stderr.
+	// DataFolder is the folder for dumps of the log ring; if empty, they are written to stderr.
 	DataFolder string      `yaml:"data_folder" json:"data_folder"`
 	Log        LogSettings `yaml:"log" json:"log"`
 
@@ -42,7 +41,7 @@
 	Entries int `validate:"gte=0" yaml:"entries" json:"entries"`
 	// Verbosity is the highest level of records that are kept.
 	Verbosity int `validate:"gte=0" yaml:"verbosity" json:"verbosity"`
-	// Threshold is the least severity of an error that has the log written.
+	// Threshold is the least severity of an error that causes a dump.
 	Threshold failure.Severity `validate:"gte=0" yaml:"threshold" json:"threshold"`
 	// MaximumFiles bounds the dumps kept in the data folder.
 	MaximumFiles int `validate:"gte=0" yaml:"maximum_files" json:"maximum_files"`
@@ -54,13 +53,13 @@
 	Address string `validate:"required,ip_port" yaml:"address" json:"address"`
 }
 
-// Limits are the bounds of a gateway's memory and work.
+// Limits bound the memory and the concurrency of a gateway.
 type Limits struct {
 	MaximumBodyBytes   int `validate:"gte=0" yaml:"maximum_body_bytes" json:"maximum_body_bytes"`
 	MaximumHeaderBytes int `validate:"gte=0" yaml:"maximum_header_bytes" json:"maximum_header_bytes"`
 	// MaximumConnections bounds callers' connections.
 	MaximumConnections int `validate:"gte=0" yaml:"maximum_connections" json:"maximum_connections"`
-	// MaximumRequests bounds the callers' requests that are in hand.
+	// MaximumRequests bounds the callers' requests that are in flight.
 	MaximumRequests int `validate:"gte=0" yaml:"maximum_requests" json:"maximum_requests"`
 	// MaximumWorkers bounds the concurrent attempts, cancels and reports.
 	MaximumWorkers int `validate:"gte=0" yaml:"maximum_workers" json:"maximum_workers"`
@@ -93,7 +92,7 @@
 	MaximumDeadline time.Duration `validate:"gte=0" yaml:"maximum_deadline" json:"maximum_deadline"`
 	// MaximumWait bounds the wait for an engine.
 	MaximumWait time.Duration `validate:"gte=0" yaml:"maximum_wait" json:"maximum_wait"`
-	// DialTimeout and SendTimeout bound the handing over to a back end.
+	// DialTimeout and SendTimeout bound the connection to a back end and the sending of a request.
 	DialTimeout time.Duration `validate:"gte=0" yaml:"dial_timeout" json:"dial_timeout"`
 	SendTimeout time.Duration `validate:"gte=0" yaml:"send_timeout" json:"send_timeout"`
 	// AcceptTimeout, FirstTokenTimeout and StallTimeout bound an engine's
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -58,7 +58,7 @@
 	require.NoError(t, <-gateway.result)
 }
 
-// A second signal cuts what is in hand: Run's error names it, the caller is told
+// A second signal cuts what is in flight: Run's error names it, the caller is told
 // that its answer is not whole, and the engine's slot is freed.
 func TestASecondSignalSaysWhatWasCut(t *testing.T) {
 	zone := startZone(t)
