--- a/bench/scale/budget.go
+++ b/bench/scale/budget.go
@@ -2,42 +2,41 @@
 
 import "time"
 
-// The users' budgets.
+// Budgets of the target deployment.
 const (
 	budgetNodeCore        = 0.033     // of one core
 	budgetNodeMemory      = 128 << 20 // bytes
 	budgetNodeBytes       = 2000      // a second, received and sent together
 	budgetControlMachines = 20
 	budgetInForce         = 5 * time.Second
-	// budgetRunMemory is half of the smallest machine that the run is meant
-	// for.
+	// budgetRunMemory is half of the memory of the smallest machine that the run is meant for.
 	budgetRunMemory = 15 << 30 // bytes
 )
 
-// Judgement compares one figure with its budget.
+// Judgement is the comparison of a figure with its budget.
 type Judgement struct {
 	Name   string  `json:"name"`
 	Unit   string  `json:"unit"`
 	Budget float64 `json:"budget"`
-	// Measured is meaningless if Known is false: nothing was measured.
+	// Measured is undefined unless Known is set.
 	Measured float64 `json:"measured"`
 	Known    bool    `json:"known"`
 	Met      bool    `json:"met"`
 }
 
-// judge compares a figure that was measured.
+// judge compares a measured figure with its budget.
 func judge(name, unit string, budget, measured float64) Judgement {
 	return Judgement{Name: name, Unit: unit, Budget: budget, Measured: measured, Known: true, Met: measured <= budget}
 }
 
-// unknown is a budget that the run could not measure; it counts as missed.
+// unknown returns the judgement of a figure that the run could not measure; it counts as missed.
 func unknown(name, unit string, budget float64) Judgement {
 	return Judgement{Name: name, Unit: unit, Budget: budget}
 }
 
 const mebibyte = 1 << 20
 
-// judgements compares a run with the budgets.
+// judgements compares the figures of a run with their budgets.
 func (r *Report) judgements() []Judgement {
 	list := []Judgement{
 		judge("control traffic of a node", "bytes/s", budgetNodeBytes, r.HollowGateway.ReceivedBytes+r.HollowGateway.SentBytes),
--- a/bench/scale/command.go
+++ b/bench/scale/command.go
@@ -19,13 +19,13 @@
 	fault    string
 	binaries string
 	asJSON   bool
-	// slopes is the folder for the slopes; empty makes a single run.
+	// slopes is the output folder of the sweeps; if empty, there is a single run.
 	slopes string
 }
 
 const defaultDuration = time.Minute
 
-// Command returns the sub-command that runs the control plane at a size.
+// Command returns the sub-command that runs the control plane at a given size.
 func Command() *cobra.Command {
 	options := &commandOptions{settings: Settings{Size: TargetSize()}}
 	command := &cobra.Command{
@@ -60,7 +60,7 @@
 	flags.BoolVar(&o.asJSON, "json", false, "write the report as JSON")
 }
 
-// prepare builds what is needed and completes the settings.
+// prepare builds the programs and completes the settings.
 func (o *commandOptions) prepare(ctx context.Context) error {
 	o.settings.Fault = Fault(o.fault)
 	if !slices.Contains(faults(), o.settings.Fault) {
@@ -104,8 +104,7 @@
 	return nil
 }
 
-// runInFolder runs in the settings' folder, or in a temporary one that is kept
-// only if something went wrong.
+// runInFolder runs in the settings' folder, or in a temporary one that is deleted unless the run fails.
 func runInFolder(ctx context.Context, settings Settings) (*Report, error) {
 	if settings.Folder != "" {
 		return Run(ctx, settings)
--- a/bench/scale/deployment.go
+++ b/bench/scale/deployment.go
@@ -15,15 +15,14 @@
 	modelVersion    = "1"
 	applicationName = "records"
 	operationName   = "write"
-	// Objectives of the users' target, and bounds of one request.
+	// Objectives of the target deployment, and bounds of one request.
 	firstTokenMillis    = 320
 	betweenTokensMillis = 29
 	maximumPromptTokens = 32768
 	maximumOutputTokens = 4096
 	// tenantTokensPerSecond is a budget that no run of this bench exhausts.
 	tenantTokensPerSecond = 100_000
-	// fixedPolicy holds the planner still, so that role changes are those that
-	// the bench asks for.
+	// fixedPolicy makes the planner change no roles, so that only the bench does.
 	fixedPolicyPrice = 1e12
 )
 
@@ -31,8 +30,7 @@
 func tenantName(tenant int) string { return fmt.Sprintf("tenant-%03d", tenant+1) }
 func modelName(model int) string   { return fmt.Sprintf("model-%02d", model+1) }
 
-// deployment describes the fleet of a size. The hollow gateways need no place
-// in it: nobody connects to them.
+// deployment returns the deployment of a size. Hollow gateways are left out, since nothing connects to them.
 func (s Size) deployment() *fleet.Deployment {
 	deployment := &fleet.Deployment{
 		Name:          deploymentName,
@@ -51,8 +49,7 @@
 	return deployment
 }
 
-// engines spreads the replicas of a zone over the models and, in each, a part
-// over the prefill role.
+// engines distributes the replicas of a zone among the models; a part of those of each model has the prefill role.
 func (s Size) engines(replicas int) []fleet.Engine {
 	var groups []fleet.Engine
 	for model, count := range split(replicas, s.Models) {
@@ -98,8 +95,7 @@
 	return snapshot
 }
 
-// tenant is a tenant after a number of changes, each of which gives it another
-// weight.
+// tenant returns a tenant after a number of changes, each of which changes its weight.
 func (s Size) tenant(number, changes int) dynamic.Tenant {
 	hash := sha256.Sum256([]byte(tenantName(number)))
 	return dynamic.Tenant{
--- a/bench/scale/fit.go
+++ b/bench/scale/fit.go
@@ -16,15 +16,15 @@
 	Points []Point
 	Base   float64
 	Slope  float64
-	// Determination is R²: the part of the variance that the line explains. It
-	// is small for a figure that does not depend on x.
+	// Determination is R², the share of the variance that the line explains. It is small for a figure that does not
+	// depend on x.
 	Determination float64
 }
 
-// leastPoints is the least number of sizes that a slope is taken over.
+// leastPoints is the minimum number of sizes for a slope.
 const leastPoints = 4
 
-// fit lays a line through the points; false with too few of them.
+// fit returns the line through the points, and false if there are too few.
 func fit(sweep string, metric Metric, points []Point) (Fit, bool) {
 	if len(points) < leastPoints {
 		return Fit{}, false
@@ -41,5 +41,5 @@
 	}, true
 }
 
-// at is the line's value.
+// at returns the value of the line at x.
 func (f Fit) at(x float64) float64 { return f.Base + f.Slope*x }
--- a/bench/scale/inforce.go
+++ b/bench/scale/inforce.go
@@ -14,19 +14,18 @@
 	Accepted  time.Duration
 }
 
-// ChangeSummary tells how fast changes came into force.
+// ChangeSummary summarizes how fast changes came into force.
 type ChangeSummary struct {
 	Accepted int `json:"accepted"`
-	// InForce counts those that came into force on all; Missing the others.
+	// InForce counts the changes that came into force at all processes, and Missing the others.
 	InForce int `json:"in_force"`
 	Missing int `json:"missing"`
-	// Slowest and Median are over the changes in force, from acceptance to the
-	// last process.
+	// Slowest and Median are times from the acceptance of a change until it is in force at the last process.
 	Slowest time.Duration `json:"slowest_ns"`
 	Median  time.Duration `json:"median_ns"`
 }
 
-// timeline holds when each process took each configuration.
+// timeline holds when each process applied each configuration.
 type timeline map[string][]truthConfig
 
 type truthConfig struct {
@@ -34,7 +33,7 @@
 	revision uint64
 }
 
-// newTimeline collects the configurations in force from the ground truth.
+// newTimeline collects from the ground truth when configurations were applied.
 func newTimeline(entries []truth.Entry) timeline {
 	collected := make(timeline)
 	for _, entry := range entries {
@@ -48,8 +47,7 @@
 	return collected
 }
 
-// reached is the first time at or after from at which a process is known to
-// have a revision or a later one.
+// reached returns the first time, not before from, at which a process is known to have a revision or a later one.
 func (t timeline) reached(process string, revision uint64, from time.Duration) (time.Duration, bool) {
 	for _, taken := range t[process] {
 		if taken.revision >= revision {
@@ -59,7 +57,7 @@
 	return 0, false
 }
 
-// inForceAt is the time at which the last of the processes reached a revision.
+// inForceAt returns the time at which the last of the processes reached a revision.
 func (t timeline) inForceAt(processes []string, revision uint64, from time.Duration) (time.Duration, bool) {
 	latest := from
 	for _, process := range processes {
@@ -72,7 +70,7 @@
 	return latest, true
 }
 
-// summarize measures changes over processes that ran all the time.
+// summarize summarizes changes over processes that ran all the time.
 func (t timeline) summarize(changes []Change, processes []string) ChangeSummary {
 	summary := ChangeSummary{Accepted: len(changes)}
 	var times []time.Duration
@@ -93,9 +91,8 @@
 	return summary
 }
 
-// recovery is the time from an event to the moment at which a change that was
-// submitted after it was in force on all the processes. Changes are submitted
-// one after another, so that the answer is as fine as their spacing.
+// recovery returns the time from an event until a change that was submitted after it was in force at all processes. Its
+// resolution is the interval between changes, which are submitted one after another.
 func (t timeline) recovery(event time.Duration, changes []Change, processes []string) (time.Duration, bool) {
 	best := time.Duration(-1)
 	for _, change := range changes {
--- a/bench/scale/leaders.go
+++ b/bench/scale/leaders.go
@@ -9,7 +9,7 @@
 	"github.com/pierhaven/pierhaven/internal/api/operatorapi"
 )
 
-// controllerRole is what a controller does besides following.
+// controllerRole says which groups a controller leads.
 type controllerRole int
 
 const (
@@ -19,13 +19,13 @@
 	controllerRoles
 )
 
-// leaders names the controllers that lead.
+// leaders holds the names of the controllers that lead groups.
 type leaders struct {
 	config string
 	zones  map[string]string
 }
 
-// leaders asks who leads the groups.
+// leaders queries which controllers lead the groups.
 func (s *stage) leaders(ctx context.Context) (*leaders, error) {
 	found := &leaders{zones: make(map[string]string)}
 	list, err := s.operator.client.Zones(ctx)
@@ -59,7 +59,7 @@
 	return roleFollower
 }
 
-// machineOf is the number of the control machine of a controller.
+// machineOf returns the number of a controller's control machine.
 func (s *stage) machineOf(process string) int {
 	for zone, places := range s.fleet.Layout().Zones {
 		for index, place := range places.Controllers {
@@ -71,8 +71,8 @@
 	return -1
 }
 
-// controllersOf lists the controllers on the machines that stand in a zone,
-// with the witness that one of them may run for another zone.
+// controllersOf returns the controllers on the machines of a zone, including the witness that one of them may run for
+// another zone.
 func (s *stage) controllersOf(zone int) []*fleet.Process {
 	own := make(map[int]bool)
 	count := s.settings.Size.machinesPerZone()[zone]
--- a/bench/scale/losses.go
+++ b/bench/scale/losses.go
@@ -14,25 +14,23 @@
 )
 
 const (
-	// holdTime is how long a loss lasts, and healTime how long its end is
-	// watched.
+	// holdTime is the duration of a loss, and healTime the time for which the recovery is observed.
 	holdTime = 15 * time.Second
 	healTime = 20 * time.Second
-	// probePause is the time between two changes while a loss is watched: the
-	// grain of recovery times.
+	// probePause is the interval between changes during a loss. It is the resolution of recovery times.
 	probePause = 250 * time.Millisecond
 )
 
-// loss is something that is taken away and given back.
+// loss is a failure that is injected and then repaired.
 type loss struct {
 	event string
 	take  func(context.Context) error
 	give  func(context.Context) error
-	// others must go on during the loss; all must be back after its end.
+	// others must keep working during the loss, and all must work after its end.
 	others []string
 }
 
-// lose carries out the run's loss and measures it.
+// lose injects the run's loss and measures the recovery.
 func (s *stage) lose(ctx context.Context) ([]Loss, error) {
 	chosen, err := s.chooseLoss(ctx)
 	if err != nil {
@@ -71,8 +69,7 @@
 	}, nil
 }
 
-// event makes something happen, waits, and tells how many nodes were without a
-// lease at the end.
+// event performs an action, waits, and returns the number of nodes without a lease afterwards.
 func (s *stage) event(ctx context.Context, name string, act func(context.Context) error, wait time.Duration) (at time.Duration, note string, err error) {
 	if err := s.truth.Write(truth.FaultInjected{Fault: name, Target: name}); err != nil {
 		return 0, "", merry.Wrap(err)
@@ -88,7 +85,7 @@
 	return at, fmt.Sprintf("%d of %d running nodes without a lease %.0f s later", without, up, wait.Seconds()), err
 }
 
-// changesBefore keeps the changes that were submitted before a time.
+// changesBefore returns the changes that were submitted before a time.
 func changesBefore(changes []Change, end time.Duration) []Change {
 	for index, change := range changes {
 		if change.Submitted >= end {
@@ -154,7 +151,7 @@
 	return &loss{event: event, take: each((*fleet.Process).Kill), give: each((*fleet.Process).Start), others: others}
 }
 
-// rackLoss loses a rack's worth of nodes of the last zone.
+// rackLoss ends as many nodes of the last zone as a rack holds.
 func (s *stage) rackLoss() *loss {
 	zone := s.zones[len(s.zones)-1]
 	rack := zone.rack()
@@ -176,8 +173,7 @@
 	}
 }
 
-// regionLoss cuts the first region's controllers, which are the majority of the
-// config group, off from the others.
+// regionLoss cuts the controllers of the first region, the majority of the config group, off from the others.
 func (s *stage) regionLoss() *loss {
 	isFirst := func(zone int) bool { return s.settings.Size.regionOf(zone) == 0 }
 	var heal []func()
--- a/bench/scale/machine.go
+++ b/bench/scale/machine.go
@@ -11,7 +11,7 @@
 	"github.com/shirou/gopsutil/v4/mem"
 )
 
-// Machine says where and when a run was made.
+// Machine describes where and when a run took place.
 type Machine struct {
 	Processor string    `json:"processor"`
 	Cores     int       `json:"cores"`
@@ -22,13 +22,13 @@
 	Time      time.Time `json:"time"`
 }
 
-// String writes the machine in one line.
+// String returns the machine on one line.
 func (m Machine) String() string {
 	return fmt.Sprintf("%s, %d cores, %.0f GiB, %s, %s, revision %s, %s",
 		m.Processor, m.Cores, float64(m.Memory)/(1<<30), m.System, m.Go, m.Revision, m.Time.Format(time.RFC3339))
 }
 
-// describeMachine tells what it can find out.
+// describeMachine returns what can be determined about this machine.
 func describeMachine() Machine {
 	machine := Machine{
 		Processor: "unknown processor", Cores: runtime.NumCPU(), System: runtime.GOOS + "/" + runtime.GOARCH,
@@ -43,8 +43,7 @@
 	return machine
 }
 
-// sourceRevision is the commit of the working folder, with a mark if files
-// differ from it.
+// sourceRevision returns the commit of the working folder, marked if files differ from it.
 func sourceRevision() string {
 	output, err := exec.Command("git", "describe", "--always", "--dirty").Output()
 	if err != nil {
--- a/bench/scale/metric.go
+++ b/bench/scale/metric.go
@@ -8,7 +8,7 @@
 	read func(*Report) float64
 }
 
-// roleMetrics are the figures of one role.
+// roleMetrics returns the metrics of one role.
 func roleMetrics(role string, rates func(*Report) Rates) []Metric {
 	return []Metric{
 		{role, "processor", "% of a core", func(r *Report) float64 { return 100 * rates(r).Core }},
@@ -30,7 +30,7 @@
 	roleControlPlane = "control plane"
 )
 
-// metrics are all figures that are fitted.
+// metrics returns all metrics that are fitted.
 func metrics() []Metric {
 	var list []Metric
 	list = append(list, roleMetrics(roleNode, func(r *Report) Rates { return r.HollowGateway })...)
--- a/bench/scale/nodes.go
+++ b/bench/scale/nodes.go
@@ -15,7 +15,7 @@
 	return strings.Contains(process, "-"+string(fleet.KindController)+"-")
 }
 
-// status asks the worker of a zone's gateways.
+// status queries the worker of a zone's gateways.
 func (s *stage) status(ctx context.Context, zone *zoneStage) (*hollow.Status, error) {
 	status := &hollow.Status{}
 	return status, s.client.Get(ctx, zone.controlAddress, hollow.PathStatus, status)
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// missing says which gateway of a zone is not ready, empty if none is.
+// missing returns a description of a gateway of the zone that is not ready, empty if all are.
 func (s *stage) missing(ctx context.Context, zone *zoneStage, revision uint64) string {
 	status, err := s.status(ctx, zone)
 	if err != nil {
@@ -62,7 +62,7 @@
 	return ""
 }
 
-// withoutLease counts the gateways that are up and hold no lease, and those up.
+// withoutLease returns the number of running gateways without a lease, and of all running ones.
 func (s *stage) withoutLease(ctx context.Context) (without, up int, err error) {
 	for _, zone := range s.zones {
 		status, err := s.status(ctx, zone)
@@ -82,7 +82,7 @@
 	return without, up, nil
 }
 
-// traffic sums what all hollow gateways exchanged, by path.
+// traffic returns the traffic of all hollow gateways, by path.
 func (s *stage) traffic(ctx context.Context) (map[string]hollow.Traffic, error) {
 	sums := make(map[string]hollow.Traffic)
 	for _, zone := range s.zones {
@@ -97,7 +97,7 @@
 	return sums, nil
 }
 
-// gatewayIDs lists the hollow gateways of the zones that fit.
+// gatewayIDs returns the IDs of the hollow gateways of the matching zones.
 func (s *stage) gatewayIDs(fits func(zone int) bool) []string {
 	var ids []string
 	for index, zone := range s.zones {
--- a/bench/scale/operator.go
+++ b/bench/scale/operator.go
@@ -15,7 +15,7 @@
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
 )
 
-// operator changes one tenant after another and remembers what was accepted.
+// operator changes one tenant after another, and records the accepted changes.
 type operator struct {
 	client *operatorapi.Client
 	size   Size
@@ -28,10 +28,10 @@
 	refused   int
 }
 
-// operatorName is the bench in the ground truth.
+// operatorName is the name of the bench in the ground truth.
 const operatorName = "bench"
 
-// readRevisions takes the tenants' revisions, which a change has to name.
+// readRevisions reads the tenants' revisions, which a change has to state.
 func (o *operator) readRevisions(ctx context.Context) error {
 	list, err := o.client.Documents(ctx, dynamic.KindTenant)
 	if err != nil {
@@ -46,8 +46,7 @@
 	return nil
 }
 
-// change changes the next tenant. A refusal is no error of the run: during a
-// loss there may be nobody to accept it.
+// change changes the next tenant. A refused change is no error of the run: during a loss, there may be no leader.
 func (o *operator) change(ctx context.Context) error {
 	o.mutex.Lock()
 	number := o.made % o.size.Tenants
@@ -74,8 +73,7 @@
 	return o.truth.Write(truth.ConfigAccepted{Operator: operatorName, Revision: result.Revision})
 }
 
-// changeUntil changes with a pause between the starts of two changes until the
-// context ends.
+// changeUntil makes changes at an interval until the context ends.
 func (o *operator) changeUntil(ctx context.Context, pause time.Duration) error {
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
@@ -91,7 +89,7 @@
 	}
 }
 
-// accepted lists the changes so far, from the one with the given number on.
+// accepted returns the accepted changes from a given index on.
 func (o *operator) accepted(from int) []Change {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -104,8 +102,7 @@
 	return len(o.changes), o.refused
 }
 
-// changeRole asks for another role of an engine, which the planner of this run
-// never does by itself.
+// changeRole requests another role for an engine, since the planner of this run changes none.
 func (o *operator) changeRole(ctx context.Context, zone, engine, role string) error {
 	_, err := o.client.CommandEngine(ctx, zone, engine, operatorapi.ActionAssign, operatorapi.EngineCommand{
 		RequestID: "role-" + engine + "-" + role + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
--- a/bench/scale/report.go
+++ b/bench/scale/report.go
@@ -15,7 +15,7 @@
 	"github.com/pierhaven/pierhaven/bench/truth"
 )
 
-// Report is what a run measured.
+// Report holds the results of a run.
 type Report struct {
 	Size     Size    `json:"size"`
 	Fault    Fault   `json:"fault,omitempty"`
@@ -25,23 +25,23 @@
 	Proxied  bool    `json:"proxied"`
 	Problems int     `json:"refused_changes"`
 
-	// HollowGateway is one node's share of its worker; RealGateway is the mean
-	// of the real ones, which have no callers either.
+	// HollowGateway is one node's share of its worker, and RealGateway the mean of the real gateways, which get no
+	// requests either.
 	HollowGateway Rates `json:"hollow_gateway"`
 	RealGateway   Rates `json:"real_gateway"`
-	// ZoneLeader, ZoneFollower and ConfigLeader are means over controllers;
-	// the config group's leader is in none of the others.
+	// ZoneLeader, ZoneFollower and ConfigLeader are means over controllers. The leader of the config group counts in
+	// none of the others.
 	ZoneLeader   Rates `json:"zone_leader"`
 	ZoneFollower Rates `json:"zone_follower"`
 	ConfigLeader Rates `json:"config_leader"`
-	// ControlMachine is the busiest control machine, with all its processes.
+	// ControlMachine is the usage of the busiest control machine, over all its processes.
 	ControlMachine Rates `json:"control_machine"`
 	// HollowEngine is one engine's share of its worker.
 	HollowEngine Rates `json:"hollow_engine"`
-	// Traffic is what one node exchanges with its controllers, by path.
+	// Traffic is the traffic between one node and its controllers, by path.
 	Traffic []PathTraffic `json:"traffic"`
-	// OpeningBytes are the bodies that one node received to open its session:
-	// the whole view and the whole configuration.
+	// OpeningBytes is the size of the bodies that one node received when it opened its session: the complete view and
+	// the complete configuration.
 	OpeningBytes float64 `json:"opening_bytes"`
 
 	Changes    ChangeSummary `json:"changes"`
@@ -63,11 +63,11 @@
 	ReplyBytes   float64 `json:"reply_bytes_per_call"`
 }
 
-// Loss is one measurement of what a loss did.
+// Loss is one measured effect of a loss.
 type Loss struct {
 	Event   string `json:"event"`
 	Measure string `json:"measure"`
-	// Time is meaningless unless Known.
+	// Time is undefined unless Known is set.
 	Time  time.Duration `json:"time_ns"`
 	Known bool          `json:"known"`
 	Note  string        `json:"note,omitempty"`
@@ -94,7 +94,7 @@
 	return list
 }
 
-// takeTruth counts violations and the orders that were carried out.
+// takeTruth counts the violations and the executed orders in the ground truth.
 func (r *Report) takeTruth(entries []truth.Entry) {
 	checker := truth.NewChecker(truth.DefaultParameters())
 	checker.Add(entries...)
@@ -217,7 +217,7 @@
 	return merry.Wrap(table.Render())
 }
 
-// newTable returns a table whose header stands as it is written.
+// newTable returns a table that keeps the case of its header.
 func newTable(out io.Writer) *tablewriter.Table {
 	return tablewriter.NewTable(out, tablewriter.WithHeaderAutoFormat(tw.Off))
 }
--- a/bench/scale/run.go
+++ b/bench/scale/run.go
@@ -15,18 +15,17 @@
 )
 
 const (
-	// settleTime lets sessions and polls reach their steady rhythm.
+	// settleTime is the time until sessions and polls are steady.
 	settleTime = 3 * time.Second
-	// drainTime lets the last change of a window come into force.
+	// drainTime is the time in which the last change of a window comes into force.
 	drainTime = 5 * time.Second
-	// observeTimeout bounds the asking for one process's configuration.
+	// observeTimeout bounds the query for one process's configuration.
 	observeTimeout = 30 * time.Second
-	// shortestPause bounds the rate of changes: one is made after another.
+	// shortestPause bounds the rate of changes, which are made one after another.
 	shortestPause = 50 * time.Millisecond
 )
 
-// Run carries out one run. The error tells of a run that could not be carried
-// out; violations and missed budgets stand in the report.
+// Run performs one run. It returns an error only if the run failed; violations and missed budgets are in the report.
 func Run(ctx context.Context, settings Settings) (*Report, error) {
 	if err := settings.Size.check(); err != nil {
 		return nil, merry.Wrap(err)
@@ -103,7 +102,7 @@
 	if err := s.takeRates(ctx, report, before, after); err != nil {
 		return err
 	}
-	// The last change may be on its way.
+	// The last change may not be in force yet.
 	if !sleep(ctx, drainTime) {
 		return ctx.Err()
 	}
@@ -113,7 +112,7 @@
 	return err
 }
 
-// work makes the window's changes.
+// work makes the changes of the window.
 func (s *stage) work(ctx context.Context) error {
 	window, cancel := context.WithTimeout(ctx, s.settings.Duration)
 	defer cancel()
@@ -138,13 +137,13 @@
 
 func (s *stage) hollowNodes() int { return len(s.gatewayIDs(anyZone)) }
 
-// timeline reads what came into force so far.
+// timeline returns the configurations that were applied so far.
 func (s *stage) timeline() (timeline, error) {
 	entries, _, err := truth.ReadFolder(s.fleet.TruthFolder())
 	return newTimeline(entries), merry.Wrap(err)
 }
 
-// takeRates shares the use of the processes out among the roles.
+// takeRates attributes the resource usage of the processes to the roles.
 func (s *stage) takeRates(ctx context.Context, report *Report, before, after *sample) error {
 	leaders, err := s.leaders(ctx)
 	if err != nil {
@@ -190,7 +189,7 @@
 	return nil
 }
 
-// mean is the mean use over processes or over what they stand for.
+// mean returns the mean usage per process, or per node that the processes simulate.
 type mean struct {
 	sum   Rates
 	parts int
@@ -210,7 +209,7 @@
 	return m.sum.dividedBy(float64(m.parts))
 }
 
-// observeConfigurations records which configuration the real processes follow.
+// observeConfigurations records which configuration the real processes have in force.
 func (s *stage) observeConfigurations(ctx context.Context) error {
 	for _, process := range s.fleet.Processes() {
 		if process.Kind != fleet.KindGateway && process.Kind != fleet.KindController {
@@ -227,8 +226,7 @@
 	return nil
 }
 
-// observedRevision asks a process until it answers; a busy machine may need
-// some tries.
+// observedRevision queries a process until it answers, since a query may time out on a busy machine.
 func (s *stage) observedRevision(ctx context.Context, process *fleet.Process) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
@@ -249,7 +247,7 @@
 	}
 }
 
-// rack names the nodes that are lost together in one zone.
+// rack returns the nodes that are lost together in one zone.
 func (z *zoneStage) rack() hollow.Rack {
 	return hollow.Rack{Gateways: z.gatewayIDs[:min(rackNodes, len(z.gatewayIDs))]}
 }
--- a/bench/scale/size.go
+++ b/bench/scale/size.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Fault names what a run loses.
+// Fault is the kind of loss that a run injects.
 type Fault string
 
 // Faults of a run.
@@ -21,15 +21,15 @@
 	return []Fault{FaultNone, FaultController, FaultZone, FaultRack, FaultRegionLink}
 }
 
-// Size says how much a run carries.
+// Size is the size of a simulated deployment.
 type Size struct {
-	// Nodes counts the gateways, hollow and real ones together.
+	// Nodes is the number of gateways, hollow and real ones together.
 	Nodes int `json:"nodes"`
-	// Replicas counts the hollow engines.
+	// Replicas is the number of hollow engines.
 	Replicas int `json:"replicas"`
 	Zones    int `json:"zones"`
 	Regions  int `json:"regions"`
-	// Controllers counts the control machines.
+	// Controllers is the number of control machines.
 	Controllers int `json:"controllers"`
 	Tenants     int `json:"tenants"`
 	Models      int `json:"models"`
@@ -39,7 +39,7 @@
 	ClaimsPerSecond float64 `json:"claims_per_second"`
 }
 
-// The users' target; docs/CAPACITY.md works it out role by role.
+// The target deployment; docs/CAPACITY.md evaluates it for each role.
 const (
 	targetNodes         = 480
 	targetReplicas      = 3700
@@ -54,7 +54,7 @@
 	minutesPerDay       = 24 * 60
 )
 
-// The make-up of a run.
+// Composition of a run.
 const (
 	controllersPerZone  = 3
 	realGatewaysPerZone = 1
@@ -62,7 +62,7 @@
 	maximumProcesses    = 200
 )
 
-// TargetSize is the users' target.
+// TargetSize returns the size of the target deployment.
 func TargetSize() Size {
 	return Size{
 		Nodes:            targetNodes,
@@ -76,7 +76,7 @@
 	}
 }
 
-// check reports the first mistake of a size.
+// check returns an error for the first invalid field.
 func (s Size) check() error {
 	switch {
 	case s.Zones < 1 || s.Zones > 40:
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// processes counts the operating-system processes of a run.
+// processes returns the number of operating-system processes of a run.
 func (s Size) processes() int {
 	const platformProcesses, workersPerZone = 2, 2
 	return platformProcesses + s.Zones*(controllersPerZone+realGatewaysPerZone+workersPerZone)
@@ -115,8 +115,7 @@
 	return shares
 }
 
-// regionOf is the region of a zone: the first regions have one zone more when
-// they don't divide evenly.
+// regionOf returns the region of a zone. If the zones don't divide evenly, the first regions have one more.
 func (s Size) regionOf(zone int) int {
 	counts := split(s.Zones, s.Regions)
 	for region, count := range counts {
@@ -128,10 +127,9 @@
 	return len(counts) - 1
 }
 
-// machineOf is the number of the control machine that runs a controller. With
-// fewer than three machines a zone, the last zones have two of their own, and
-// the third replica of their group runs on a machine of a neighbouring zone in
-// the same region, as the witness of the two.
+// machineOf returns the number of the control machine that runs a controller. With fewer than three machines per zone,
+// the last zones have two of their own, and the third replica of their group runs as the witness on a machine of a
+// neighboring zone in the same region.
 func (s Size) machineOf(zone, controller int) int {
 	own := s.machinesPerZone()
 	if controller < own[zone] {
@@ -145,12 +143,12 @@
 	return s.machineOf(neighbour, (controller-own[zone])%own[neighbour])
 }
 
-// machinesPerZone spreads the control machines; no zone has more than three.
+// machinesPerZone distributes the control machines among the zones, at most three to each.
 func (s Size) machinesPerZone() []int {
 	return split(min(s.Controllers, s.Zones*controllersPerZone), s.Zones)
 }
 
-// neighbourOf is another zone of the same region, or of any if there is none.
+// neighbourOf returns another zone of the same region, or of any region if there is none.
 func (s Size) neighbourOf(zone int) int {
 	var candidates []int
 	for other := range s.Zones {
--- a/bench/scale/slopefiles.go
+++ b/bench/scale/slopefiles.go
@@ -16,7 +16,7 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Files in the folder of the slopes.
+// Files in the output folder of the sweeps.
 const (
 	slopesFile = "slopes.md"
 	pointsFile = "points.csv"
@@ -24,7 +24,7 @@
 	plotWidth  = 7 * vg.Inch
 )
 
-// writeSlopes writes everything that the sweeps have given.
+// writeSlopes writes the results of the sweeps.
 func writeSlopes(folder string, results []*sweepResult) error {
 	if err := writeSlopeTable(filepath.Join(folder, slopesFile), results); err != nil {
 		return err
@@ -109,7 +109,7 @@
 	}
 }
 
-// slopePlot shows one figure of several roles over a sweep.
+// slopePlot is a plot of one figure of several roles over a sweep.
 type slopePlot struct {
 	file   string
 	figure string
--- a/bench/scale/slopes.go
+++ b/bench/scale/slopes.go
@@ -9,13 +9,13 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// sweepResult is what a sweep measured.
+// sweepResult holds the results of a sweep.
 type sweepResult struct {
 	sweep   Sweep
 	reports []*Report
 }
 
-// fits lays a line through each metric of the sweep.
+// fits returns the fitted line of each metric of the sweep.
 func (s *sweepResult) fits() []Fit {
 	var list []Fit
 	for _, metric := range metrics() {
@@ -42,7 +42,7 @@
 			return err
 		}
 		results = append(results, result)
-		// What was measured is kept even if a later sweep fails.
+		// Results are written even if a later sweep fails.
 		if err := writeSlopes(folder, results); err != nil {
 			return err
 		}
--- a/bench/scale/stage.go
+++ b/bench/scale/stage.go
@@ -21,17 +21,17 @@
 	"github.com/pierhaven/pierhaven/internal/api/engineapi"
 )
 
-// Settings are those of a run.
+// Settings are the settings of a run.
 type Settings struct {
 	Size     Size
 	Fault    Fault
 	Duration time.Duration
 	Binaries fleet.Binaries
-	// Folder takes settings, data, logs and the ground truth.
+	// Folder is the folder for settings, data, logs and the ground truth.
 	Folder string
 }
 
-// stage is a running fleet with its workers.
+// stage is a running deployment with its workers.
 type stage struct {
 	settings Settings
 	fleet    *fleet.Fleet
@@ -42,12 +42,12 @@
 	zones    []*zoneStage
 }
 
-// zoneStage is a zone's workers.
+// zoneStage holds the workers of a zone.
 type zoneStage struct {
 	name     string
 	engines  *fleet.Process
 	gateways *fleet.Process
-	// controlAddress is where the gateways' worker takes the bench's orders.
+	// controlAddress is the address at which the gateways' worker accepts commands of the bench.
 	controlAddress string
 	gatewayIDs     []string
 	engineIDs      []string
@@ -122,7 +122,7 @@
 	return s.waitForNodes(ctx, revision)
 }
 
-// startEngines starts the worker that stands for a zone's engines.
+// startEngines starts the worker that simulates the engines of a zone.
 func (s *stage) startEngines(places *fleet.ZonePlaces) error {
 	zone := &zoneStage{name: places.Name}
 	s.zones = append(s.zones, zone)
@@ -140,8 +140,7 @@
 	return err
 }
 
-// startGateways starts the worker that stands for a zone's gateways but the
-// real ones.
+// startGateways starts the worker that simulates the gateways of a zone, except the real ones.
 func (s *stage) startGateways(zone *zoneStage, index int) error {
 	specification := s.specification(zone, "gateways")
 	for _, controller := range s.fleet.Layout().Zones[index].Controllers {
@@ -151,7 +150,7 @@
 	for number := range count {
 		gateway := hollow.Gateway{
 			ID: fmt.Sprintf("%s-hollow-%d", zone.name, number+1),
-			// Nobody connects to it; it only has to be unique.
+			// Nothing connects to it; it only has to be unique.
 			Address: fmt.Sprintf("127.255.%d.%d:9", index+1, number+1),
 		}
 		specification.Gateways = append(specification.Gateways, gateway)
@@ -163,8 +162,7 @@
 	return err
 }
 
-// work is what one node carries at the users' target, whatever the size of the
-// run.
+// work returns the load of one node at the target, independent of the size of the run.
 func (s Size) work() hollow.Work {
 	work := hollow.Work{
 		RequestsPerSecond: float64(targetRequests) / targetNodes,
@@ -185,7 +183,7 @@
 	return &hollow.Specification{Name: zone.name + "-hollow-" + kind, Zone: zone.name, TruthFolder: s.fleet.TruthFolder()}
 }
 
-// startWorker starts a worker and returns where it takes the bench's orders.
+// startWorker starts a worker, and returns the address at which it accepts commands of the bench.
 func (s *stage) startWorker(specification *hollow.Specification) (*fleet.Process, string, error) {
 	address, err := freeAddress()
 	if err != nil {
@@ -200,7 +198,7 @@
 	return worker, address, worker.Start()
 }
 
-// freeAddress finds a port that is free now.
+// freeAddress returns an address with a port that is free now.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -209,7 +207,7 @@
 	return listener.Addr().String(), merry.Wrap(listener.Close())
 }
 
-// workers lists the workers that were started.
+// workers returns the workers that were started.
 func (s *stage) workers() []*fleet.Process {
 	var started []*fleet.Process
 	for _, zone := range s.zones {
@@ -222,7 +220,7 @@
 	return started
 }
 
-// kill ends everything at once.
+// kill kills all processes.
 func (s *stage) kill() {
 	for _, worker := range s.workers() {
 		_ = worker.Kill()
@@ -231,7 +229,7 @@
 	s.closeRest()
 }
 
-// stop ends everything by plan.
+// stop stops all processes gracefully.
 func (s *stage) stop() error {
 	var problems []error
 	for _, worker := range s.workers() {
@@ -249,8 +247,7 @@
 	_ = s.truth.Close()
 }
 
-// controllerNames names the controllers by their process numbers, as sources of
-// connections.
+// controllerNames returns the names of the controllers by process ID, to identify the sources of connections.
 func controllerNames(running *fleet.Fleet) map[int]string {
 	names := map[int]string{os.Getpid(): operatorName}
 	if running == nil {
@@ -262,7 +259,7 @@
 	return names
 }
 
-// controllerInterposer puts the proxy before the controllers alone.
+// controllerInterposer puts the proxy in front of the controllers only.
 type controllerInterposer struct {
 	proxy *faultproxy.Proxy
 }
--- a/bench/scale/sweep.go
+++ b/bench/scale/sweep.go
@@ -7,7 +7,7 @@
 // Sweep is a series of runs that differ in one variable.
 type Sweep struct {
 	Name string
-	// Variable names x; Target is x at the users' target.
+	// Variable is the name of x, and Target its value at the target deployment.
 	Variable string
 	Target   float64
 	Duration time.Duration
@@ -16,20 +16,20 @@
 }
 
 const (
-	// usageCycle is the time in which a gateway names each tenant once; windows
-	// that show its bytes last a multiple of it.
+	// usageCycle is the time in which a gateway reports each tenant once. Windows in which its bytes are measured
+	// last a multiple of it.
 	usageCycle  = 30 * time.Second
 	shortWindow = 20 * time.Second
-	// reducedNodes is the size of the sweeps of other variables.
+	// reducedNodes is the number of nodes in sweeps of other variables.
 	reducedNodes = 60
 )
 
-// sweeps are the series of the capacity page.
+// sweeps returns the sweeps of docs/CAPACITY.md.
 func sweeps() []Sweep {
 	return []Sweep{changeSweep(), sizeSweep(), claimSweep(), tenantSweep()}
 }
 
-// sized is the target with fewer nodes, and replicas in proportion.
+// sized returns the target with fewer nodes, and replicas in proportion.
 func sized(nodes int) Size {
 	size := TargetSize()
 	size.Nodes = nodes
@@ -61,8 +61,8 @@
 	return sweep
 }
 
-// claimSweep has no target: the users state no rate of application calls. It is
-// evaluated at a hundred claims a second in each zone.
+// claimSweep has no target, since no rate of application calls is given. It is evaluated at a hundred claims a second in
+// each zone.
 func claimSweep() Sweep {
 	sweep := Sweep{
 		Name: "claims", Variable: "once-only claims a second in a zone", Target: 100, Duration: shortWindow,
--- a/bench/scale/usage.go
+++ b/bench/scale/usage.go
@@ -9,20 +9,20 @@
 	"github.com/pierhaven/pierhaven/bench/fleet"
 )
 
-// Usage is what a process has used since its start.
+// Usage is the resource usage of a process since its start.
 type Usage struct {
 	Processor time.Duration
-	// ResidentBytes is the memory now, not a sum.
+	// ResidentBytes is the current memory, not a sum.
 	ResidentBytes uint64
-	// ReadBytes and WrittenBytes went through read and write calls: sockets
-	// and files. Reads and Writes count the calls.
+	// ReadBytes and WrittenBytes are those of read and write calls, to sockets and files. Reads and Writes count the
+	// calls.
 	ReadBytes, WrittenBytes uint64
 	Reads, Writes           uint64
-	// DiskBytes were written to disk.
+	// DiskBytes are the bytes written to disk.
 	DiskBytes uint64
 }
 
-// usageOf reads what the kernel counts of a process.
+// usageOf reads the usage of a process from the kernel.
 func usageOf(number int) (Usage, error) {
 	running, err := process.NewProcess(int32(number))
 	if err != nil {
@@ -51,21 +51,21 @@
 	}, nil
 }
 
-// Rates are the use of a process, or of a part of it, over a time.
+// Rates is the resource usage per second of a process, or of a part of it.
 type Rates struct {
-	// Core is processor time as a part of one core.
+	// Core is the processor time as a share of one core.
 	Core float64 `json:"core"`
-	// ReceivedBytes and SentBytes are bytes a second, with HTTP headers and
-	// without those of TCP and IP. For controllers they include files.
+	// ReceivedBytes and SentBytes are bytes a second, including HTTP headers, without those of TCP and IP. For
+	// controllers, they include files.
 	ReceivedBytes float64 `json:"received_bytes_per_second"`
 	SentBytes     float64 `json:"sent_bytes_per_second"`
-	// Messages are write calls a second.
+	// Messages is the number of write calls a second.
 	Messages      float64 `json:"messages_per_second"`
 	DiskBytes     float64 `json:"disk_bytes_per_second"`
 	ResidentBytes float64 `json:"resident_bytes"`
 }
 
-// rates compares two samples of the same process.
+// rates returns the usage between two samples of one process.
 func (u Usage) rates(earlier Usage, span time.Duration) Rates {
 	seconds := span.Seconds()
 	perSecond := func(now, before uint64) float64 { return float64(now-before) / seconds }
@@ -79,7 +79,7 @@
 	}
 }
 
-// dividedBy shares the use of a process among what it stands for.
+// dividedBy returns the usage per simulated node of a process.
 func (r Rates) dividedBy(parts float64) Rates {
 	return Rates{
 		Core:          r.Core / parts,
@@ -102,7 +102,7 @@
 	}
 }
 
-// sample reads the use of all processes at one time.
+// sample reads the usage of all processes.
 type sample struct {
 	at    time.Time
 	usage map[string]Usage
@@ -123,7 +123,7 @@
 	return taken, nil
 }
 
-// rates compares a process in two samples; found is false if it is not in both.
+// rates returns the usage of a process between two samples; found is false unless it is in both.
 func (s *sample) rates(earlier *sample, name string) (rates Rates, found bool) {
 	now, running := s.usage[name]
 	before, ran := earlier.usage[name]
@@ -133,7 +133,7 @@
 	return now.rates(before, s.at.Sub(earlier.at)), true
 }
 
-// residentBytes is the memory of all processes together.
+// residentBytes returns the memory of all processes together.
 func (s *sample) residentBytes() uint64 {
 	var sum uint64
 	for _, usage := range s.usage {
