relay: a line names a request whose answer can't be written

An answer that is no stream is written after the request has been handled: "request answered" (or "request refused") said that its caller had it, and if the connection ended meanwhile no line of the gateway named the request.

The server's tracer now tells of a response that can't be written, and "caller gone" is logged with the fields of the others (ended_by, cause, versions, age of the list).

Test: TestLogNamesRequestWhoseAnswerCannotBeWritten fails on the code before (no line in 30 s; the HTTP library's own log had the error without the request).

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -51,7 +51,7 @@
 	return c.digest
 }
 
-// Responder takes the answer to a call. Exactly one of its methods is called, once.
+// Responder takes the answer to a call. Exactly one of Answer, Refuse and Stream is called, once.
 type Responder interface {
 	// Answer writes a whole response.
 	Answer(status int, header http.Header, body []byte)
@@ -59,6 +59,9 @@
 	Refuse(err error)
 	// Stream begins a response whose body is sent in parts.
 	Stream(status int, header http.Header) StreamWriter
+	// OnWriteError sets a function that is called if a response of Answer or Refuse can't be written, which may be
+	// after the call.
+	OnWriteError(notify func(err error))
 }
 
 // StreamWriter writes the body of a stream.
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -153,6 +153,11 @@
 }
 
 func startGateway(t *testing.T, coordinators ...*fakeCoordinator) *gateway {
+	t.Helper()
+	return startLoggingGateway(t, logr.Discard(), coordinators...)
+}
+
+func startLoggingGateway(t *testing.T, logger logr.Logger, coordinators ...*fakeCoordinator) *gateway {
 	t.Helper()
 	var seeds []string
 	for _, each := range coordinators {
@@ -164,7 +169,7 @@
 		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:      relay.RetryBudgetOptions{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTimeout: 10 * time.Second, CallerStallTimeout: time.Second, MemoryBytes: gatewayMemory, Lister: unreachableList{}, Codec: jsonCodec{}, Dialect: testDialect{},
-		Metrics: g.metrics, Logger: logr.Discard(),
+		Metrics: g.metrics, Logger: logger,
 	})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
@@ -49,6 +50,8 @@
 		server.WithListener(opened),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
+		server.WithTracer(writeErrorTracer{}),
+		server.WithTraceLevel(stats.LevelBase),
 		server.WithMaxRequestBodySize(maximumBodyBytes),
 		server.WithMaxHeaderBytes(maximumHeaderBytes),
 		server.WithReadTimeout(headerTimeout),
--- a/internal/relay/daemon/responder.go
+++ b/internal/relay/daemon/responder.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -50,6 +51,29 @@
 	return r.stream
 }
 
+// writeErrorKey is the key of the function that OnWriteError sets in the context of a request.
+const writeErrorKey = "write error"
+
+// OnWriteError implements relay.Responder. The response is written once the request's handler has returned.
+func (r *responder) OnWriteError(notify func(err error)) { r.request.Set(writeErrorKey, notify) }
+
+// writeErrorTracer calls the function that was set by OnWriteError if a response can't be written.
+type writeErrorTracer struct{}
+
+// Start implements tracer.Tracer.
+func (writeErrorTracer) Start(ctx context.Context, _ *app.RequestContext) context.Context { return ctx }
+
+// Finish implements tracer.Tracer.
+func (writeErrorTracer) Finish(_ context.Context, request *app.RequestContext) {
+	err := request.GetTraceInfo().Stats().Error()
+	if err == nil {
+		return
+	}
+	if notify, found := request.Get(writeErrorKey); found {
+		notify.(func(err error))(err)
+	}
+}
+
 // finish must be called at the end of every request.
 func (r *responder) finish() {
 	if r.stream == nil {
--- a/internal/relay/daemon/slowcaller_test.go
+++ b/internal/relay/daemon/slowcaller_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -111,6 +113,33 @@
 	}
 }
 
+// An answer that is not a stream is written after the request was handled. That its caller had not got it whole was in no
+// line of the log.
+func TestLogNamesRequestWhoseAnswerCannotBeWritten(t *testing.T) {
+	lines := make(chan string, 1000)
+	logger := funcr.NewJSON(func(line string) { lines <- line }, funcr.Options{})
+	g := startLoggingGateway(t, logger, startCoordinator(t, newViewWithTimeout(t, traffic.KindRepeatable, startReplica(t, bodyOfSize(longAnswer/4)))))
+	g.awaitReadiness(http.StatusOK)
+	connection := g.startRequest("/v3/x").(*net.TCPConn)
+	_, err := io.ReadFull(connection, make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, connection.SetLinger(0))
+	require.NoError(t, connection.Close())
+	timeout := time.After(30 * time.Second)
+	for {
+		select {
+		case line := <-lines:
+			if strings.Contains(line, string(event.CallerGone)) {
+				assert.Contains(t, line, `"request":"r-slow"`)
+				assert.Contains(t, line, `"ended_by":"caller"`)
+				return
+			}
+		case <-timeout:
+			require.Fail(t, "no line")
+		}
+	}
+}
+
 // Guards against cutting off an answer at a planned stop: the request counted as finished as soon
 // as its answer had been produced, and all connections were closed 20 ms later. The caller, which
 // was still reading, received only a part of the answer.
--- a/internal/relay/incomplete.go
+++ b/internal/relay/incomplete.go
@@ -49,6 +49,11 @@
 	r.logIncomplete(event.CallerGone, endedByCaller, cause)
 }
 
+// logUnwritten logs that the caller has not taken its answer, which is no stream.
+func (r *callState) logUnwritten(err error) {
+	r.logIncomplete(event.CallerGone, endedByCaller, "the answer can't be written: "+err.Error())
+}
+
 // logStreamBrokenOff logs that a stream is broken off because of err.
 func (r *callState) logStreamBrokenOff(err error) {
 	by, cause := endedByGateway, err.Error()
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -190,6 +190,9 @@
 		state.abortStream()
 		return
 	}
+	if state.stream == nil {
+		responder.OnWriteError(state.logUnwritten)
+	}
 	if err != nil {
 		state.refuse(err)
 		return
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -87,6 +87,8 @@
 
 func (r *recordingResponder) Refuse(err error) { r.err = err }
 
+func (r *recordingResponder) OnWriteError(func(error)) {}
+
 func (r *recordingResponder) Stream(status int, _ http.Header) relay.StreamWriter {
 	r.status = status
 	return r
