--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -107,6 +107,7 @@
 	}
 }
 
+// note calls state.note with the mutex held.
 func (g *Gate) note(state *PeerState, now, backoff time.Duration, leaving bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -15,8 +15,7 @@
 	// The fields below are guarded by the Gate's mutex. askedAt is when the newest response came that asked for a
 	// backoff, askedUntil the end of that, and leavingSaidAt when the newest came that said that the peer is leaving.
 	askedAt, askedUntil, leavingSaidAt time.Duration
-	// nextLogAt is when the next line may be logged, and
-	// omitted the number of lines omitted since the last one.
+	// nextLogAt is when the next line may be logged, and omitted the number of lines omitted since the last one.
 	nextLogAt time.Duration
 	omitted   int
 	// expireAt is when the state of a peer that is no longer listed may be deleted; 0 while it is listed.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -140,26 +140,10 @@
 	services := map[string][]*Replica{}
 	var limits []ratelimit.Report
 	for index := range list {
-		listed := &list[index]
-		identity := identityOf(listed)
-		name := identity.name
-		known, found := d.replicas[name]
-		if !found || known.Identity != identity {
-			// Except in the first list, a new replica has just started and has nothing cached.
-			known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
-			limits = append(limits, d.inherit(former[listed.ID], known)...)
-			known.peerState = d.peerStateOf(known.peer())
-		}
-		known.update(listed)
-		if listed.Leaving {
-			d.noteLeaving(known)
-		}
-		known.learnedLimit = d.learnedLimitOf(listed.Service, listed.Stage)
-		if known.isLeaving() {
-			known.notifyStreams()
-		}
-		replicas[name] = known
-		services[listed.Service] = append(services[listed.Service], known)
+		known, declared := d.updateOrAdd(&list[index], former[list[index].ID])
+		limits = append(limits, declared...)
+		replicas[known.name] = known
+		services[known.Service] = append(services[known.Service], known)
 	}
 	for name, before := range d.replicas {
 		if replicas[name] != before {
@@ -178,6 +162,28 @@
 	}
 }
 
+// updateOrAdd updates the replica of a listing, or returns a new one, given the former incarnation of its ID. It returns
+// the limit that a new one has declared, if any. The caller must hold d.mutex.
+func (d *Directory) updateOrAdd(listed *region.Replica, former *Replica) (known *Replica, declared []ratelimit.Report) {
+	identity := identityOf(listed)
+	known, found := d.replicas[identity.name]
+	if !found || known.Identity != identity {
+		// Except in the first list, a new replica has just started and has nothing cached.
+		known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
+		declared = d.inherit(former, known)
+		known.peerState = d.peerStateOf(known.peer())
+	}
+	known.update(listed)
+	if listed.Leaving {
+		d.noteLeaving(known)
+	}
+	known.learnedLimit = d.learnedLimitOf(listed.Service, listed.Stage)
+	if known.isLeaving() {
+		known.notifyStreams()
+	}
+	return known, declared
+}
+
 // inherit records for a new incarnation what it has asked for since it started: responses don't state their
 // incarnation, so that it was recorded for the former one, nil if there was none. It returns the limit that the new
 // one has declared, if any. The caller must hold d.mutex.
