relay: what a new life asks for counts though its request was sent to the former one

Cause: the list with e-5's new life was taken over at 24.208. An answer to a request that was sent before that came at 24.411 and was recorded for the former life, which was gone: it was no part of what the new life had begun with at 24.208. The same holds for limits, which were dropped, and for leaving.

Now a rejection, a limit or word of leaving that comes for a life that the list has replaced at its address is given to the one that is listed there, if it started before. Another replica's process there would answer that it was misdirected.

Test: TestResponseThatArrivesAfterItsIncarnationIsListedCounts fails on the code before (a request is permitted).

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -110,11 +110,18 @@
 // A gateway records the limit that an engine names, and the rest that it asks for, under the life that the list shows. If
 // the engine has started again, and the list that shows it comes late, they must not be forgotten with the former life.
 func TestLimitOfALifeThatIsListedLateIsKept(t *testing.T) {
-	result, err := Run(t.Context(), Options{
-		Seed: 6006, Callers: 20, Duration: 10 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
-	})
-	require.NoError(t, err)
-	require.Empty(t, result.Violations)
+	binary := buildProgram(t, t.TempDir())
+	for _, options := range []Options{
+		{Seed: 6006, Duration: 10 * time.Second},
+		{Seed: 9126, Duration: 8 * time.Second, Asks: true},
+	} {
+		t.Run(fmt.Sprint("seed ", options.Seed), func(t *testing.T) {
+			options.Callers, options.Binary, options.Folder, options.Log = 20, binary, t.TempDir(), t.Output()
+			result, err := Run(t.Context(), options)
+			require.NoError(t, err)
+			require.Empty(t, result.Violations)
+		})
+	}
 }
 
 func TestASoakNoticesGatewaysThatDoNotCountLimits(t *testing.T) {
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -22,21 +22,45 @@
 
 // updatePeerState attaches the gate's peer state to the replica that it belongs to. The gate calls it when a
 // peer first asks for a backoff or says that it is leaving, and again when one that has asked for a backoff
-// says that it is leaving. If the replica is leaving, its streams are notified and onLeaving is called. A peer
-// that is not listed at that address is ignored.
+// says that it is leaving. If the replica is leaving, its streams are notified and onLeaving is called. For a peer
+// that is not listed at that address, the incarnation that is listed there inherits the state: another replica's
+// process would have answered that the request was misdirected.
 func (d *Directory) updatePeerState(peer backpressure.Peer, state *backpressure.PeerState) {
 	d.mutex.Lock()
 	replica, listed := d.replicas[peer.Instance]
 	if listed = listed && replica.Address == peer.Address; listed {
 		replica.peerState = state
-		if replica.isLeaving() {
-			replica.notifyStreams()
-		}
+	} else if replica = d.replicaAt(peer.Address); replica != nil {
+		d.inheritPeerState(peer, replica)
 	}
+	if replica != nil && replica.isLeaving() {
+		replica.notifyStreams()
+	}
+	saidLeaving := replica != nil && replica.declaresLeaving()
 	d.mutex.Unlock()
-	if listed && state.Leaving() {
-		d.onLeaving(peer.Instance)
+	if saidLeaving {
+		d.onLeaving(replica.name)
+	}
+}
+
+// replicaAt returns the replica that is listed at an address, nil if there is none. The caller must hold d.mutex.
+func (d *Directory) replicaAt(address string) *Replica {
+	for _, replica := range d.replicas {
+		if replica.Address == address {
+			return replica
+		}
+	}
+	return nil
+}
+
+// inheritPeerState gives an incarnation what it has asked for since it started, recorded for the former one. The
+// caller must hold d.mutex.
+func (d *Directory) inheritPeerState(former backpressure.Peer, next *Replica) {
+	if d.gate == nil {
+		return
 	}
+	d.gate.Inherit(former, next.peer(), next.age())
+	next.peerState = d.peerStateOf(next.peer())
 }
 
 // UnreportedLeaving returns the incarnation names of the replicas that have told this process that they are leaving,
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,8 +171,8 @@
 	if !found || known.Identity != identity {
 		// Except in the first list, a new replica has just started and has nothing cached.
 		known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
-		declared = d.inherit(former, known)
 		known.peerState = d.peerStateOf(known.peer())
+		declared = d.inherit(former, known)
 	}
 	known.update(listed)
 	if listed.Leaving {
@@ -191,18 +192,31 @@
 	if former == nil || former.Address != next.Address {
 		return nil
 	}
-	age := time.Since(time.UnixMilli(next.Born))
-	if d.gate != nil {
-		d.gate.Inherit(former.peer(), next.peer(), age)
-	}
+	d.inheritPeerState(former.peer(), next)
 	report, found := d.limits.Report(d.clock(), former.name)
-	if !found || !report.Declared || report.Age() > age {
+	if !found || !report.Declared || report.Age() > next.age() {
 		return nil
 	}
 	report.Replica = next.name
 	return []ratelimit.Report{report}
 }
 
+// successor returns the listed incarnation that has replaced a replica at its address, nil if there is none. The caller
+// must hold d.mutex.
+func (d *Directory) successor(former *Replica) *Replica {
+	if !former.removed {
+		return nil
+	}
+	listed := d.services[former.Service]
+	index := slices.IndexFunc(listed, func(r *Replica) bool {
+		return r != former && r.ID == former.ID && r.Address == former.Address
+	})
+	if index < 0 {
+		return nil
+	}
+	return listed[index]
+}
+
 // drop forgets a replica that is no longer listed. The caller must hold d.mutex.
 func (d *Directory) drop(replica *Replica) {
 	replica.removed = true
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -244,7 +244,7 @@
 func newDirectoryWithGate(first region.Replica) (*directory, *backpressure.Gate) {
 	d := newDirectoryWithBusy(first)
 	gate := backpressure.NewGate(backpressure.Options{
-		Clock: func() time.Duration { return time.Hour }, Leaving: testDialect{}.Leaving, Logger: logr.Discard(),
+		Clock: func() time.Duration { return time.Hour + d.now }, Leaving: testDialect{}.Leaving, Logger: logr.Discard(),
 	})
 	d.UseGate(gate)
 	return d, gate
@@ -291,6 +291,28 @@
 	assert.Equal(t, "busy", d.PickAny("s", relay.Wanted{}).Replica.ID)
 }
 
+// A request is sent before the list shows the new process, which rejects it after that, and declares a limit.
+func TestResponseThatArrivesAfterItsIncarnationIsListedCounts(t *testing.T) {
+	d, gate := newDirectoryWithGate(startedAt(5, replica("a", "")))
+	lease := d.PickAny("s", relay.Wanted{})
+	require.Equal(t, "a", lease.Replica.ID)
+	born := time.Now().Add(-time.Second).UnixMilli()
+	d.Replace([]region.Replica{startedAt(born, replica("a", "")), replica("busy", "")})
+	next := backpressure.Peer{Address: replica("a", "").Address, Instance: incarnationName("a", born)}
+	for range 2 {
+		require.NoError(t, gate.Permits(next, false))
+		gate.Observe(backpressure.Peer{Address: next.Address, Instance: incarnationName("a", 5)}, http.StatusServiceUnavailable, http.Header{"Retry-After": {"2"}})
+		lease.Refused(lease.BackoffLeft())
+		require.Error(t, gate.Permits(next, false))
+		assert.Equal(t, "busy", d.PickAny("s", relay.Wanted{}).Replica.ID)
+		d.now += 3 * time.Second
+	}
+	lease.NoteLimit(relay.RateLimit{Declared: true, Rate: 2}, true)
+	assert.Equal(t, []ratelimit.Report{{Replica: next.Instance, Declared: true, Rate: 2}}, d.LimitReports())
+	gate.Observe(backpressure.Peer{Address: next.Address, Instance: incarnationName("a", 5)}, http.StatusOK, http.Header{"Leaving": {"1"}})
+	assert.Equal(t, []string{next.Instance}, d.UnreportedLeaving())
+}
+
 // Without start times, the next incarnation has the name of the former one. What that has asked for ends
 // with its process, also for processes that learned of it from others.
 func TestBackoffEndsWithProcessOfUnknownStartTime(t *testing.T) {
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -108,6 +108,9 @@
 		d.logLimit(replica, event.LimitUnreadable)
 		return report, false
 	}
+	if next := d.successor(replica); next != nil && next.age() >= 0 {
+		replica = next
+	}
 	if !limit.Declared && !replica.limit.declared {
 		return report, false
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -91,6 +91,9 @@
 // none. The caller must hold d.mutex.
 func (d *Directory) recordRejection(lease *Lease, requestedBackoff time.Duration) {
 	now, replica := d.clock(), lease.Replica
+	if next := d.successor(replica); next != nil {
+		d.inheritPeerState(replica.peer(), next)
+	}
 	state := &replica.rejections
 	state.extendAvoidance(now + minimumAvoidance)
 	if requestedBackoff > 0 && !d.disabled[mechanism.LearnedRoom] {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -43,6 +43,9 @@
 	return backpressure.Peer{Address: i.Address, Instance: i.name}
 }
 
+// age returns the time since the incarnation's process started, by the clocks of two machines.
+func (i *Identity) age() time.Duration { return time.Since(time.UnixMilli(i.Born)) }
+
 // Replica is what this gateway knows of one incarnation of a back end. All fields but its Identity are
 // guarded by Directory.mutex.
 type Replica struct {
