bench/soak: a process that is still starting gets no changed settings

The soak stops, starts and hangs up the same process one step after the other.

Trace, on the program itself: a relay that is started with the file cut short exits with 3 and says which line it can't read; a hangup 2 and 10 ms after the start ends it (129), one after 30 ms and later does not. Both are what a process that starts has to do: it has no settings yet that it could keep, and the system ends it before the program has begun to take signals. So a process is left alone for two seconds after its start; from then on it has to stay up, as before.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -30,10 +30,11 @@
 	binary   string
 	endOlder func()
 
-	mutex   sync.Mutex
-	command *exec.Cmd
-	done    chan struct{}
-	log     *os.File
+	mutex     sync.Mutex
+	command   *exec.Cmd
+	startedAt time.Time
+	done      chan struct{}
+	log       *os.File
 }
 
 // start starts the process.
@@ -52,7 +53,7 @@
 		return err
 	}
 	done := make(chan struct{})
-	p.command, p.done = command, done
+	p.command, p.done, p.startedAt = command, done, time.Now()
 	go func() {
 		_ = command.Wait()
 		close(done)
@@ -69,10 +70,18 @@
 	}
 }
 
+// startTime is how long a process may take until it has read its settings and receives signals. Before that, it has to
+// refuse a file that is cut short, and a hangup ends it.
+const startTime = 2 * time.Second
+
 // changeSettings lists the seeds in another order, first in a file that is cut short, and tells the process of each.
+// A process that is still starting is left alone.
 func (p *process) changeSettings() error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if time.Since(p.startedAt) < startTime {
+		return nil
+	}
 	rotated := append(slices.Clone(p.seeds[1:]), p.seeds[0])
 	p.text = strings.Replace(p.text, seedsLine(p.seeds), seedsLine(rotated), 1)
 	p.seeds = rotated
