--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -56,21 +56,16 @@
 }
 
 // Withdraw takes one retry out of the budget. It returns false if none is left.
-func (b *Budget) Withdraw(now time.Duration) bool {
-	b.advance(now)
-	if b.balance < 1 {
-		b.refused++
-		return false
-	}
-	b.balance--
-	return true
-}
+func (b *Budget) Withdraw(now time.Duration) bool { return b.take(now, 0) }
 
 // Overdraw takes one retry out of the budget that has to be made even if none is left. The debt delays later
 // retries. It returns false if the debt would exceed the maximum balance.
-func (b *Budget) Overdraw(now time.Duration) bool {
+func (b *Budget) Overdraw(now time.Duration) bool { return b.take(now, -b.options.Maximum) }
+
+// take takes one retry out of the budget unless the balance would fall below least.
+func (b *Budget) take(now time.Duration, least float64) bool {
 	b.advance(now)
-	if b.balance-1 < -b.options.Maximum {
+	if b.balance-1 < least {
 		b.refused++
 		return false
 	}
