--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -107,11 +107,16 @@
 	}
 }
 
-// note calls state.note with the mutex held.
+// note records the newest response of a peer that asked for something.
 func (g *Gate) note(state *PeerState, now, backoff time.Duration, leaving bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state.note(now, backoff, leaving)
+	if backoff > 0 {
+		state.askedAt, state.askedUntil = now, now+backoff
+	}
+	if leaving {
+		state.leavingSaidAt = now
+	}
 }
 
 // Inherit records for the next incarnation of a peer what the former one is recorded to have asked for since the
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -54,16 +54,6 @@
 	return true
 }
 
-// note records the newest response that asked for something. The caller must hold the Gate's mutex.
-func (s *PeerState) note(now, backoff time.Duration, leaving bool) {
-	if backoff > 0 {
-		s.askedAt, s.askedUntil = now, now+backoff
-	}
-	if leaving {
-		s.leavingSaidAt = now
-	}
-}
-
 // markLeaving records that the peer is leaving, and reports whether that is new. It holds until the process ends.
 func (s *PeerState) markLeaving(now time.Duration) (first bool) {
 	return s.leavingSince.CompareAndSwap(0, int64(max(now, 1)))
