--- a/bench/manygateways/coordinators.go
+++ b/bench/manygateways/coordinators.go
@@ -27,18 +27,16 @@
 
 // coordinator models a coordinator that places requests for gateways.
 type coordinator struct {
-	world        *world
-	name         string
-	directory    *relay.Directory
-	server       *placement.Server
-	sequence     uint64
-	leases       uint64
-	silent       bool
-	lastReported uint64
+	placing
+	world    *world
+	server   *placement.Server
+	sequence uint64
+	leases   uint64
+	silent   bool
 }
 
 func newCoordinator(w *world, number int) *coordinator {
-	c := &coordinator{world: w, name: fmt.Sprint("coordinator-", number), directory: w.newDirectory()}
+	c := &coordinator{world: w, placing: w.newPlacing(fmt.Sprint("coordinator-", number))}
 	c.server = placement.NewServer(c.directory, func() time.Duration { return w.now }, 1, logr.Discard())
 	if number == 0 && w.options.Silence > 0 {
 		w.queue.Add(w.options.Silence, func() { c.silent = true })
@@ -80,6 +78,27 @@
 	}
 }
 
+// placing is what a process that places requests knows.
+type placing struct {
+	name      string
+	directory *relay.Directory
+	// lastReported is the sequence number of the last placement that was reported to peers.
+	lastReported uint64
+}
+
+func (w *world) newPlacing(name string) placing {
+	return placing{name: name, directory: w.newDirectory()}
+}
+
+// report returns the process's work, its placements since the last report, and the costs that it has learned.
+func (p *placing) report() ([]region.OutstandingWork, []region.PlacedPrompt, []region.EngineCost) {
+	work, placed := p.directory.Outstanding(), p.directory.Placed(p.lastReported)
+	if len(placed) > 0 {
+		p.lastReported = placed[len(placed)-1].Sequence
+	}
+	return work, placed, p.directory.Costs()
+}
+
 // exchangeReports makes the processes that place requests report their work to each other.
 func (w *world) exchangeReports() {
 	if w.now >= runTime {
@@ -97,10 +116,7 @@
 func (w *world) reportAmongCoordinators() {
 	for _, from := range w.coordinators {
 		from.server.Expire()
-		work, placed, costs := from.directory.Outstanding(), from.directory.Placed(from.lastReported), from.directory.Costs()
-		if len(placed) > 0 {
-			from.lastReported = placed[len(placed)-1].Sequence
-		}
+		work, placed, costs := from.report()
 		for _, to := range w.coordinators {
 			if to == from {
 				continue
@@ -116,10 +132,7 @@
 func (w *world) reportAmongGateways() {
 	count := len(w.gateways)
 	for index, from := range w.gateways {
-		work, placed, costs := from.directory.Outstanding(), from.directory.Placed(from.lastReported), from.directory.Costs()
-		if len(placed) > 0 {
-			from.lastReported = placed[len(placed)-1].Sequence
-		}
+		work, placed, costs := from.report()
 		for offset := 1; offset < min(count, promptPeers+1); offset++ {
 			to := w.gateways[(index+offset)%count]
 			to.directory.TakePlaced(placed)
--- a/bench/manygateways/world.go
+++ b/bench/manygateways/world.go
@@ -85,11 +85,8 @@
 
 // gateway models a gateway.
 type gateway struct {
-	name      string
-	directory *relay.Directory
-	placer    *relay.Placer
-	// lastReported is the sequence number of the last placement that was reported to peers.
-	lastReported uint64
+	placing
+	placer *relay.Placer
 }
 
 // Run simulates the load.
@@ -132,7 +129,7 @@
 		w.coordinators = append(w.coordinators, newCoordinator(w, number))
 	}
 	for number := range w.options.Gateways {
-		created := &gateway{name: fmt.Sprint("gateway-", number), directory: w.newDirectory()}
+		created := &gateway{placing: w.newPlacing(fmt.Sprint("gateway-", number))}
 		created.placer = &relay.Placer{Directory: created.directory}
 		if len(w.coordinators) > 0 {
 			created.placer.Remote = w.coordinators[number%len(w.coordinators)].remoteFor(created)
