bench/soak: one piece each for a violation, a random time and an engine that starts again

Rest and leaving are asked for by goroutines of their own, which a run now waits for. What is drawn, judged and said stays.

--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -62,17 +62,19 @@
 	}
 }
 
-// askAtRandom has engines rest and say that they leave until the context ends.
-func (s *soak) askAtRandom(ctx context.Context) {
-	go func() {
-		for ctx.Err() == nil {
-			pause(ctx, time.Duration((0.5+s.draw())*float64(leaveEvery)))
-			s.truth.leaves(engineName(int(s.draw() * engines)))
-		}
-	}()
+// askToLeave has engines say that they leave until the context ends.
+func (s *soak) askToLeave(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, s.around(leaveEvery))
+		s.truth.leaves(engineName(int(s.draw() * engines)))
+	}
+}
+
+// askForRest has engines rest until the context ends.
+func (s *soak) askForRest(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration((0.5+s.draw())*float64(restEvery)))
-		s.truth.rest(engineName(int(s.draw()*engines)), time.Duration((0.5+s.draw())*float64(restFor)))
+		pause(ctx, s.around(restEvery))
+		s.truth.rest(engineName(int(s.draw()*engines)), s.around(restFor))
 	}
 }
 
--- a/bench/soak/configurations.go
+++ b/bench/soak/configurations.go
@@ -99,8 +99,6 @@
 	defer cancel()
 	status, err := platformtest.Replace(bounded, s.client, s.coordinator(), document[:len(document)-1])
 	if err == nil && status == http.StatusOK {
-		s.truth.mutex.Lock()
-		s.truth.violate("a configuration without its end was acknowledged")
-		s.truth.mutex.Unlock()
+		s.truth.report("a configuration without its end was acknowledged")
 	}
 }
--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -42,7 +42,7 @@
 	key, owner := keyFor(0, 1)
 	for content := 0; ctx.Err() == nil; content++ {
 		for try := 0; try < endingTries && ctx.Err() == nil; try++ {
-			pause(ctx, time.Duration((0.5+s.draw())*float64(endingEvery)))
+			pause(ctx, s.around(endingEvery))
 			id := endingID(content, try)
 			s.truth.begin(id, false, "", owner)
 			gateway := s.gatewayFor(id, int(s.draw()*gateways))
@@ -65,6 +65,11 @@
 	return s.dice.Float64()
 }
 
+// around draws a time from half of a mean up to one and a half.
+func (s *soak) around(mean time.Duration) time.Duration {
+	return time.Duration((0.5 + s.draw()) * float64(mean))
+}
+
 // endReplica ends a replica under a request, and starts another incarnation after a while, unless
 // another request has ended the replica already.
 func (s *soak) endReplica(replica int, content string) {
@@ -75,11 +80,9 @@
 	if !ended {
 		return
 	}
-	time.AfterFunc(time.Duration((0.5+s.draw())*float64(downTime)), func() {
+	time.AfterFunc(s.around(downTime), func() {
 		if err := s.fleet.startReplica(replica); err != nil {
-			s.truth.mutex.Lock()
-			defer s.truth.mutex.Unlock()
-			s.truth.violate("replica %d does not start again: %v", replica, err)
+			s.truth.report("replica %d does not start again: %v", replica, err)
 		}
 	})
 }
--- a/bench/soak/harm.go
+++ b/bench/soak/harm.go
@@ -116,9 +116,7 @@
 
 func (s *soak) startAgain(harmed *process) {
 	if err := harmed.start(); err != nil {
-		s.truth.mutex.Lock()
-		s.truth.violate("%s does not start: %v", harmed.name, err)
-		s.truth.mutex.Unlock()
+		s.truth.report("%s does not start: %v", harmed.name, err)
 	}
 }
 
@@ -128,9 +126,7 @@
 	if err == nil && !process.hasEnded() {
 		return
 	}
-	s.truth.mutex.Lock()
-	s.truth.violate("%s has ended because its settings changed, or they can't be written: %v", process.name, err)
-	s.truth.mutex.Unlock()
+	s.truth.report("%s has ended because its settings changed, or they can't be written: %v", process.name, err)
 	s.startAgain(process)
 }
 
@@ -172,9 +168,7 @@
 	}
 	pause(ctx, time.Duration(300+s.random.IntN(3500))*time.Millisecond)
 	if harmed.hasEnded() {
-		s.truth.mutex.Lock()
-		s.truth.violate("%s has ended because its disk refused writes", harmed.name)
-		s.truth.mutex.Unlock()
+		s.truth.report("%s has ended because its disk refused writes", harmed.name)
 		s.startAgain(harmed)
 		return
 	}
--- a/bench/soak/limits.go
+++ b/bench/soak/limits.go
@@ -58,12 +58,12 @@
 // nameLimits has replicas name limits for some time until the context ends.
 func (s *soak) nameLimits(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration((0.5+s.draw())*float64(limitEvery)))
+		pause(ctx, s.around(limitEvery))
 		name := engineName(int(s.draw() * engines))
 		if s.draw() < 0.4 {
 			name = replicaName(int(s.draw() * replicas))
 		}
-		length := time.Duration((0.5 + s.draw()) * float64(limitFor))
+		length := s.around(limitFor)
 		s.truth.namesLimit(name, limitRates[int(s.draw()*float64(len(limitRates)))], s.draw() < changingLimit, length)
 	}
 }
--- a/bench/soak/lives.go
+++ b/bench/soak/lives.go
@@ -20,22 +20,28 @@
 // restartEngines has engines start again until the context ends.
 func (s *soak) restartEngines(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration((0.5+s.draw())*float64(restartEvery)))
+		pause(ctx, s.around(restartEvery))
 		number := int(s.draw() * engines)
 		if s.truth.namesNow(engineName(number)) {
 			// Its limit has to be judged for longer than lives last here.
 			continue
 		}
-		s.truth.interrupts(engineName(number))
-		if err := s.fleet.restartEngine(number); err != nil {
-			s.truth.mutex.Lock()
-			s.truth.violate("%s does not start again: %v", engineName(number), err)
-			s.truth.mutex.Unlock()
+		if !s.restartEngine(number) {
 			return
 		}
 	}
 }
 
+// restartEngine has an engine end, with what it runs, and start again. It reports whether it has started.
+func (s *soak) restartEngine(number int) bool {
+	s.truth.interrupts(engineName(number))
+	err := s.fleet.restartEngine(number)
+	if err != nil {
+		s.truth.report("%s does not start again: %v", engineName(number), err)
+	}
+	return err == nil
+}
+
 // miscounted notes an order that counts more orders than an engine has taken since its start.
 func (t *truth) miscounted(engine string, started time.Duration) {
 	t.mutex.Lock()
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -64,7 +64,7 @@
 // and comes back as another life.
 func (s *soak) releaseEngines(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration((0.5+s.draw())*float64(drainEvery)))
+		pause(ctx, s.around(drainEvery))
 		number := int(s.draw() * engines)
 		name := engineName(number)
 		s.fleet.setDraining(name, true)
@@ -72,12 +72,8 @@
 		for deadline := time.Now().Add(drainLimit - drainTime); s.fleet.engines.Running(name) > 0 && time.Now().Before(deadline); {
 			pause(ctx, 50*time.Millisecond)
 		}
-		s.truth.interrupts(name)
 		s.truth.lifeEnded(name)
-		if err := s.fleet.restartEngine(number); err != nil {
-			s.truth.mutex.Lock()
-			s.truth.violate("%s does not start again: %v", name, err)
-			s.truth.mutex.Unlock()
+		if !s.restartEngine(number) {
 			return
 		}
 		s.fleet.setDraining(name, false)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -171,7 +171,8 @@
 	running.Go(func() { s.operate(work) })
 	running.Go(func() { s.readBack(work) })
 	if options.Asks {
-		running.Go(func() { s.askAtRandom(work) })
+		running.Go(func() { s.askToLeave(work) })
+		running.Go(func() { s.askForRest(work) })
 	}
 	if !options.Calm {
 		running.Go(func() { s.callHalfClosed(work) })
@@ -397,10 +398,8 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			s.truth.mutex.Lock()
-			s.truth.violate("%s: %d requests served, version %d acknowledged and %d windows of usage reported in %s",
-				when, served-before, s.truth.acked, len(s.fleet.duties.Windows())-reported, patience)
-			s.truth.mutex.Unlock()
+			s.truth.report("%s: %d requests served, version %d acknowledged and %d windows of usage reported in %s",
+				when, served-before, s.truth.newest(), len(s.fleet.duties.Windows())-reported, patience)
 			return
 		}
 		pause(ctx, 20*time.Millisecond)
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// report adds a violation.
+func (t *truth) report(format string, arguments ...any) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.violate(format, arguments...)
+}
+
+// violate adds a violation. It is called with the mutex held.
 func (t *truth) violate(format string, arguments ...any) {
 	t.violations = append(t.violations, fmt.Sprintf(format, arguments...))
 }
