--- a/bench/faultproxy/proxy.go
+++ b/bench/faultproxy/proxy.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -49,7 +51,7 @@
 // ListenTCP relays connections that arrive at the listen address to the
 // target, under the destination's name. It returns the address that it bound.
 func (p *Proxy) ListenTCP(destination, listen, target string) (string, error) {
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenOnceFree(listen)
 	if err != nil {
 		return "", merry.Prependf(err, "fault proxy before %s", destination)
 	}
@@ -59,6 +61,24 @@
 	return listener.Addr().String(), nil
 }
 
+const (
+	// shareTime bounds how long a process that is being started holds copies of the descriptors of this one: a
+	// listener that was closed in that time goes on listening until the process runs its program.
+	shareTime = 5 * time.Second
+	// shareRetry is the interval at which an address is tried that is still in use.
+	shareRetry = time.Millisecond
+)
+
+// listenOnceFree listens at an address, which may be in use for some time after its listener was closed.
+func listenOnceFree(address string) (net.Listener, error) {
+	for deadline := time.Now().Add(shareTime); ; time.Sleep(shareRetry) {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
 // errClosed means that an endpoint was added after Close.
 var errClosed = errors.New("the fault proxy is closed")
 
