--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -146,7 +146,8 @@
 // platform serves the list of replicas and the calls of duties.
 func (f *fleet) platform() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/", platformtest.ListHandler(f.listed, func() []string { return f.broken }))
+	list := &platformtest.List{Entries: f.listed, Broken: func() []string { return f.broken }}
+	mux.Handle("/", list.Handler())
 	mux.Handle("POST /", f.duties.Handler())
 	return mux
 }
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -24,13 +24,17 @@
 func newTestGate(logger logr.Logger) *testGate {
 	t := &testGate{now: time.Hour}
 	t.Gate = NewGate(Options{
-		Clock:   func() time.Duration { return t.now },
-		Leaving: func(header http.Header) bool { return header.Get("Leaving") != "" },
-		Logger:  logger,
+		Clock:        func() time.Duration { return t.now },
+		Leaving:      func(header http.Header) bool { return header.Get("Leaving") != "" },
+		LeavingGrace: leavingGrace,
+		Logger:       logger,
 	})
 	return t
 }
 
+// leavingGrace is the testGate's.
+const leavingGrace = 3 * time.Second
+
 // reject makes a peer reject a call with a Retry-After in seconds.
 func (t *testGate) reject(peer Peer, seconds float64) {
 	t.Observe(peer, http.StatusServiceUnavailable, http.Header{"Retry-After": {strconv.FormatFloat(seconds, 'f', -1, 64)}})
@@ -162,3 +166,14 @@
 	g.Inherit(peerA, next, 2*time.Second)
 	assert.Equal(t, 2*time.Second, g.MarkListed(next).BackoffLeft(g.now), "the newest request counts, not the longest")
 }
+
+// A replica that said that it leaves was the last resort for the whole grace again with each list that showed its next incarnation.
+func TestLeavingGraceDoesNotBeginAnewWithTheNextIncarnation(t *testing.T) {
+	g := newTestGate(logr.Discard())
+	g.Observe(peerA, http.StatusOK, leaving)
+	g.now += leavingGrace
+	require.Error(t, g.Permits(peerA, true))
+	next := Peer{Address: peerA.Address, Instance: "a@9"}
+	g.Inherit(peerA, next, 2*leavingGrace)
+	assert.Error(t, g.Permits(next, true), "it has said so for as long under its former name")
+}
