Leaving counts from the first word that a process has heard

What callers saw: new requests at a replica that had told this gateway 5.1 s before that it leaves (drain_ms 2 s).

Cause: the grace in which a leaving replica is the last resort began anew with each listing. Gate.Inherit gave the next incarnation the word with the time of the listing, though the time of the word is known; what other processes report was kept in the directory's entry, which a drop and a new listing replace.

The gate now keeps both words by incarnation, each with its first time. An incarnation that inherits has said it when its former name was recorded to have, or at its start if the former process has said so too.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -93,7 +93,7 @@
 	state, first := g.getOrCreate(peer)
 	g.note(state, now, backoff, leaving)
 	longer := state.extendBackoff(now, backoff)
-	leaves := leaving && state.markLeaving(now)
+	leaves := leaving && noteFirst(&state.saidAt, now)
 	if first || leaves {
 		g.onChange(peer, state)
 	}
@@ -115,7 +115,7 @@
 		state.askedAt, state.askedUntil = now, now+backoff
 	}
 	if leaving {
-		state.leavingSaidAt = now
+		state.saidLastAt = now
 	}
 }
 
@@ -130,10 +130,10 @@
 	now := g.Now()
 	startedAt := now - age
 	g.mutex.Lock()
-	askedAt, askedUntil, leavingSaidAt := before.askedAt, before.askedUntil, before.leavingSaidAt
+	askedAt, askedUntil, saidLastAt := before.askedAt, before.askedUntil, before.saidLastAt
 	g.mutex.Unlock()
 	backoff := askedAt > 0 && askedAt >= startedAt && askedUntil > now
-	leaving := leavingSaidAt > 0 && leavingSaidAt >= startedAt
+	leaving := saidLastAt > 0 && saidLastAt >= startedAt
 	if !backoff && !leaving {
 		return
 	}
@@ -142,10 +142,19 @@
 		state.extendBackoff(now, askedUntil-now)
 	}
 	if leaving {
-		state.markLeaving(now)
+		// If the former one has said so too, the first word of the next one is not known, but it came after its start.
+		noteFirst(&state.saidAt, max(time.Duration(before.saidAt.Load()), startedAt))
 	}
 }
 
+// MarkToldLeaving records that another process has reported that a peer is leaving, and returns its state. It does not call
+// the function of OnChange.
+func (g *Gate) MarkToldLeaving(peer Peer) *PeerState {
+	state, _ := g.getOrCreate(peer)
+	noteFirst(&state.toldAt, g.Now())
+	return state
+}
+
 // BlockedError says that a request must not be sent to a peer now.
 type BlockedError struct{ reason string }
 
@@ -174,15 +183,16 @@
 	return nil
 }
 
-// AcceptsWork reports whether a peer may still be sent new work, considering only whether it is leaving.
+// AcceptsWork reports whether a peer may still be sent new work, considering only whether it, or another process, has said that
+// it is leaving.
 func (g *Gate) AcceptsWork(state *PeerState, now time.Duration) bool {
-	since := time.Duration(state.leavingSince.Load())
-	return since == 0 || g.WithinLeavingGrace(since, now)
+	return !isOver(&state.saidAt, g.options.LeavingGrace, now) && !isOver(&state.toldAt, g.options.LeavingGrace, now)
 }
 
-// WithinLeavingGrace reports whether a peer that has been leaving since a given time may still be sent new work.
-func (g *Gate) WithinLeavingGrace(since, now time.Duration) bool {
-	return g.options.LeavingGrace == 0 || now < since+g.options.LeavingGrace
+// isOver reports whether a grace that began at a time, 0 for never, is over. A grace of 0 has no end.
+func isOver(from *atomic.Int64, grace, now time.Duration) bool {
+	at := from.Load()
+	return at != 0 && grace != 0 && now >= time.Duration(at)+grace
 }
 
 // getOrCreate returns the state of a peer, and whether it was created.
@@ -230,7 +240,7 @@
 }
 
 // MarkListed notes that a peer is listed (again), so that its state does not expire, and returns the state; nil
-// if the peer has asked for nothing.
+// if there is none.
 func (g *Gate) MarkListed(peer Peer) *PeerState {
 	state := g.lookup(peer)
 	if state != nil {
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -5,16 +5,18 @@
 	"time"
 )
 
-// PeerState is what one peer asks of this process. It is safe for concurrent use; times are by the Gate's
-// clock.
+// PeerState is what one peer asks of this process, and what is known of its leaving. It is safe for concurrent use; times
+// are by the Gate's clock.
 type PeerState struct {
-	// backoffEnd is when the requested backoff ends, and leavingSince when the peer first said that it is
-	// leaving; 0 for never.
-	backoffEnd, leavingSince atomic.Int64
+	// backoffEnd is when the requested backoff ends; 0 for never.
+	backoffEnd atomic.Int64
+	// saidAt and toldAt are when this process first learned that the peer is leaving, from the peer itself and from another
+	// process; 0 for never.
+	saidAt, toldAt atomic.Int64
 
 	// The fields below are guarded by the Gate's mutex. askedAt is when the newest response came that asked for a
-	// backoff, askedUntil the end of that, and leavingSaidAt when the newest came that said that the peer is leaving.
-	askedAt, askedUntil, leavingSaidAt time.Duration
+	// backoff, askedUntil the end of that, and saidLastAt when the newest came that said that the peer is leaving.
+	askedAt, askedUntil, saidLastAt time.Duration
 	// nextLogAt is when the next line may be logged, and omitted the number of lines omitted since the last one.
 	nextLogAt time.Duration
 	omitted   int
@@ -27,8 +29,8 @@
 	return max(time.Duration(s.backoffEnd.Load())-now, 0)
 }
 
-// Leaving reports whether the peer has said that it is leaving.
-func (s *PeerState) Leaving() bool { return s.leavingSince.Load() != 0 }
+// Leaving reports whether the peer itself has said that it is leaving.
+func (s *PeerState) Leaving() bool { return s.saidAt.Load() != 0 }
 
 // retention is how long a state is kept after its backoff has ended, or after its peer was unlisted: the list that
 // lacks the peer may be outdated or wrong, and a later one may show it again.
@@ -40,7 +42,8 @@
 	if s.expireAt > 0 && now >= s.expireAt {
 		return true
 	}
-	return !s.Leaving() && now >= time.Duration(s.backoffEnd.Load())+retention
+	isLeaving := s.saidAt.Load() != 0 || s.toldAt.Load() != 0
+	return !isLeaving && now >= time.Duration(s.backoffEnd.Load())+retention
 }
 
 // extendBackoff records a requested backoff, and reports whether it ends later than before. The latest end
@@ -54,7 +57,16 @@
 	return true
 }
 
-// markLeaving records that the peer is leaving, and reports whether that is new. It holds until the process ends.
-func (s *PeerState) markLeaving(now time.Duration) (first bool) {
-	return s.leavingSince.CompareAndSwap(0, int64(max(now, 1)))
+// noteFirst records a time unless an earlier one is recorded, and reports whether none was. The first time counts: no later
+// word begins it anew.
+func noteFirst(recorded *atomic.Int64, at time.Duration) (first bool) {
+	for {
+		before := recorded.Load()
+		if before != 0 && before <= int64(at) {
+			return false
+		}
+		if recorded.CompareAndSwap(before, int64(max(at, 1))) {
+			return before == 0
+		}
+	}
 }
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -114,14 +114,7 @@
 // sent work if no other replica is left, which is until the gate's leaving grace is over, and always without a
 // gate. The caller must hold d.mutex.
 func (d *Directory) acceptsAsLast(replica *Replica) bool {
-	if d.gate == nil {
-		return true
-	}
-	now := d.gate.Now()
-	if replica.peerState != nil && !d.gate.AcceptsWork(replica.peerState, now) {
-		return false
-	}
-	return !replica.Leaving || d.gate.WithinLeavingGrace(replica.leavingSince, now)
+	return d.gate == nil || replica.peerState == nil || d.gate.AcceptsWork(replica.peerState, d.gate.Now())
 }
 
 // noteLeaving marks a replica that has told other processes that it is leaving. The caller must hold d.mutex.
@@ -131,7 +124,7 @@
 	}
 	replica.Leaving = true
 	if d.gate != nil {
-		replica.leavingSince = d.gate.Now()
+		replica.peerState = d.gate.MarkToldLeaving(replica.peer())
 	}
 }
 
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -86,9 +86,6 @@
 	// learnedLimit is the learned limit of its service and stage.
 	learnedLimit *learnedLimit
 	limit        declaredLimit
-	// leavingSince is when other processes were first known to have learned that it is leaving, by the
-	// gate's clock.
-	leavingSince time.Duration
 	// processEnded says that a process with the replica's name has ended: what other processes have learned may
 	// be about that one.
 	processEnded bool
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -194,6 +194,26 @@
 	require.True(t, w.runCall(newCall(traffic.KindOnce, 1)).ended)
 }
 
+// A replica was used as the last resort for the whole leave time again each time that it was listed anew.
+func TestLeaveTimeDoesNotBeginAnewWithAnotherListing(t *testing.T) {
+	w := newTestEnvironment(t)
+	w.addReplica("a", "", respondSealed(http.StatusOK, "ok"))
+	w.directory.MarkLeaving([]string{"a"})
+	require.True(t, w.runCall(newCall(traffic.KindOnce, 1)).ended)
+	w.advanceClock(leavingGrace)
+	for _, report := range []func(){
+		func() { w.directory.MarkLeaving([]string{"a"}) },
+		func() { w.replicaList[0].Leaving = true },
+	} {
+		w.directory.Replace(nil)
+		w.directory.Replace(w.replicaList)
+		report()
+		w.directory.Replace(w.replicaList)
+		require.Error(t, w.runCall(newCall(traffic.KindOnce, 1)).err)
+	}
+	assert.Equal(t, 1, w.requestCount("a"))
+}
+
 // A replica that has refused everything for as long as a stage change takes is reported as unreachable, so that
 // another one replaces it. A replica that accepts some requests, or accepts them again, is not reported.
 func TestReplicasThatRefuseEverythingAreReportedAsUnreachable(t *testing.T) {
