A request is not sent to a replica that the list began to show as leaving while it waited

What callers could meet: a request that waits between its replica's choice and its send (a permit, a connection, a prompt that another replica reads) went to that replica whatever the list had come to say of it: the client of replicas asks the gate before each send, and the gate knew only what replicas say themselves.

The gate is told of replicas that a list shows as leaving, or no longer, and refuses new work to them once a quarter of drain_ms has passed since (half of it is left for reading the list and passing it on). The check stays where it was, before the connection and after it. A generator that was reserved before its prompt was read is replaced at once if it has begun to leave, so that the prompt isn't read again.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -23,7 +23,10 @@
 	// LeavingGrace is how long a peer may be sent new work after it has first said that it is leaving; 0 for
 	// no limit.
 	LeavingGrace time.Duration
-	Logger       logr.Logger
+	// ListedGrace is how long a peer may be sent work that was meant for it before this process learned that a list shows it
+	// as leaving, or no longer; 0 for no limit. It is shorter than LeavingGrace, since the list was read some time before.
+	ListedGrace time.Duration
+	Logger      logr.Logger
 }
 
 // Gate tracks what peers ask of this process. It is safe for concurrent use.
@@ -155,6 +158,14 @@
 	return state
 }
 
+// MarkListedLeaving records that a list shows a peer as leaving, and returns its state. It does not call the function of
+// OnChange.
+func (g *Gate) MarkListedLeaving(peer Peer) *PeerState {
+	state, _ := g.getOrCreate(peer)
+	noteFirst(&state.listedAt, g.Now())
+	return state
+}
+
 // BlockedError says that a request must not be sent to a peer now.
 type BlockedError struct{ reason string }
 
@@ -162,8 +173,10 @@
 func (e *BlockedError) Error() string { return e.reason }
 
 var (
-	errBackoff = &BlockedError{reason: "it has asked for rest"}
-	errLeaving = &BlockedError{reason: "it has said that it leaves"}
+	errBackoff       = &BlockedError{reason: "it has asked for rest"}
+	errLeaving       = &BlockedError{reason: "it has said that it leaves"}
+	errListedLeaving = &BlockedError{reason: "the list shows that it leaves"}
+	errUnlisted      = &BlockedError{reason: "the list shows it no longer"}
 )
 
 // Permits returns a BlockedError if a request must not be sent to a peer now, else nil. work is set for new work:
@@ -174,11 +187,17 @@
 		return nil
 	}
 	now := g.Now()
-	if state.BackoffLeft(now) > 0 {
+	switch {
+	case state.BackoffLeft(now) > 0:
 		return errBackoff
-	}
-	if newWork && !g.AcceptsWork(state, now) {
+	case !newWork:
+		return nil
+	case !g.AcceptsWork(state, now):
 		return errLeaving
+	case isOver(&state.listedAt, g.options.ListedGrace, now):
+		return errListedLeaving
+	case isOver(&state.unlistedAt, g.options.ListedGrace, now):
+		return errUnlisted
 	}
 	return nil
 }
@@ -247,6 +266,7 @@
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		state.expireAt = 0
+		state.unlistedAt.Store(0)
 	}
 	return state
 }
@@ -264,15 +284,12 @@
 // MarkUnlisted notes that a peer is no longer listed: its state expires after the retention time, or at the end of
 // its backoff if that is later.
 func (g *Gate) MarkUnlisted(peer Peer) {
-	if g.Empty() {
-		return
-	}
+	dropped, _ := g.getOrCreate(peer)
+	now := g.Now()
+	noteFirst(&dropped.unlistedAt, now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if dropped, found := g.states[peer]; found {
-		now := g.Now()
-		dropped.expireAt = now + max(retention, dropped.BackoffLeft(now))
-	}
+	dropped.expireAt = now + max(retention, dropped.BackoffLeft(now))
 }
 
 // Forget deletes the state of a peer whose process has ended.
--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -10,9 +10,9 @@
 type PeerState struct {
 	// backoffEnd is when the requested backoff ends; 0 for never.
 	backoffEnd atomic.Int64
-	// saidAt and toldAt are when this process first learned that the peer is leaving, from the peer itself and from another
-	// process; 0 for never.
-	saidAt, toldAt atomic.Int64
+	// saidAt, toldAt and listedAt are when this process first learned that the peer is leaving: from the peer itself, from
+	// another process, and from a list. unlistedAt is when it learned that a list no longer shows the peer. Each is 0 for never.
+	saidAt, toldAt, listedAt, unlistedAt atomic.Int64
 
 	// The fields below are guarded by the Gate's mutex. askedAt is when the newest response came that asked for a
 	// backoff, askedUntil the end of that, and saidLastAt when the newest came that said that the peer is leaving.
@@ -42,8 +42,8 @@
 	if s.expireAt > 0 && now >= s.expireAt {
 		return true
 	}
-	isLeaving := s.saidAt.Load() != 0 || s.toldAt.Load() != 0
-	return !isLeaving && now >= time.Duration(s.backoffEnd.Load())+retention
+	isLeaving := s.saidAt.Load() != 0 || s.toldAt.Load() != 0 || s.listedAt.Load() != 0
+	return s.expireAt == 0 && !isLeaving && now >= time.Duration(s.backoffEnd.Load())+retention
 }
 
 // extendBackoff records a requested backoff, and reports whether it ends later than before. The latest end
--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -145,7 +145,7 @@
 
 func runRelay(process regionalProcess) error {
 	settings := process.settings
-	gate := platform.NewGate(settings.LeaveTime(), process.logger)
+	gate := platform.NewGate(settings.LeaveTime(), settings.ListedTime(), process.logger)
 	created, err := daemon.New(daemon.Settings{
 		Name: settings.Name,
 		Zone: settings.Zone,
@@ -217,7 +217,7 @@
 	if duties.Usage {
 		usage = coordinator.UsageOptions{Window: settings.UsageWindow(), Late: settings.UsageLate()}
 	}
-	gate := platform.NewGate(settings.LeaveTime(), process.logger)
+	gate := platform.NewGate(settings.LeaveTime(), settings.ListedTime(), process.logger)
 	engines := platform.NewEngines(gate)
 	created, err := coordinator.New(coordinator.Settings{
 		Name:              settings.Name,
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -306,6 +306,16 @@
 	return time.Duration(leaveShare * float64(s.DrainMillis) * float64(time.Millisecond))
 }
 
+// listedShare of the time within which a leaving replica may get requests is left for those that were meant for it when a process
+// learns that the list shows it as leaving: the list was read and passed on before.
+const listedShare = 0.25
+
+// ListedTime is for how long a replica may get requests that were meant for it before the list was known to show that it
+// leaves; 0 for no bound.
+func (s *Settings) ListedTime() time.Duration {
+	return time.Duration(listedShare * float64(s.DrainMillis) * float64(time.Millisecond))
+}
+
 // Hold is for how long a request is held under which replicas have ended, 0 for the default.
 func (s *Settings) Hold() time.Duration {
 	return time.Duration(s.HoldSeconds * float64(time.Second))
--- a/internal/relay/backpressure.go
+++ b/internal/relay/backpressure.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// noteDraining marks a replica that a list shows as draining. The caller must hold d.mutex.
+func (d *Directory) noteDraining(replica *Replica) {
+	if replica.Draining {
+		return
+	}
+	replica.Draining = true
+	if d.gate != nil {
+		replica.peerState = d.gate.MarkListedLeaving(replica.peer())
+	}
+}
+
 // peerStateOf returns the gate's state of a replica that was added to the list, nil if it has asked for nothing.
 func (d *Directory) peerStateOf(peer backpressure.Peer) *backpressure.PeerState {
 	if d.gate == nil {
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -175,6 +175,10 @@
 		declared = d.inherit(former, known)
 	}
 	known.update(listed)
+	if listed.Draining {
+		// It stays so: a list that arrives later by another path may be older.
+		d.noteDraining(known)
+	}
 	if listed.Leaving {
 		d.noteLeaving(known)
 	}
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -21,6 +21,8 @@
 	startedAt time.Duration
 	// concurrent is the number of other requests that the replica had when it was chosen.
 	concurrent int
+	// wasLeaving is set if the replica was known to be leaving when it was chosen, as there was no other.
+	wasLeaving bool
 	// prefill is the prompt that the replica has yet to prefill, nil if there is none.
 	prefill *placedPrefill
 	// fetchFrom is the replica from which this one should fetch the prompt's prefix, nil if it should
@@ -45,7 +47,22 @@
 func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
 	now := d.clock()
-	return &Lease{Replica: replica, Stage: replica.Stage, directory: d, startedAt: now, concurrent: d.concurrentRequests(replica, now), leaving: make(chan struct{})}
+	return &Lease{
+		Replica:    replica,
+		Stage:      replica.Stage,
+		directory:  d,
+		startedAt:  now,
+		concurrent: d.concurrentRequests(replica, now),
+		wasLeaving: replica.isLeavingForGood(),
+		leaving:    make(chan struct{}),
+	}
+}
+
+// beganToLeave reports whether the replica has begun to leave, or is no longer listed, since it was chosen.
+func (l *Lease) beganToLeave() bool {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	return !l.wasLeaving && (l.Replica.isLeavingForGood() || l.Replica.removed)
 }
 
 // stageUnchanged reports whether the replica has the stage that it had when it was chosen.
--- a/internal/relay/limited.go
+++ b/internal/relay/limited.go
@@ -90,9 +90,10 @@
 }
 
 // useReserved returns the lease that was reserved before the prompt was read, if there is one whose permit has not
-// expired, and otherwise a new one: after that time the request would arrive in a later window than it was counted in.
+// expired and whose replica has not begun to leave, and otherwise a new one: after that time the request would arrive in a
+// later window than it was counted in.
 func (r *callState) useReserved(ctx context.Context, reserved *Lease, zone string) (*Lease, error) {
-	if reserved != nil && time.Now().Before(reserved.permitEnds) {
+	if reserved != nil && time.Now().Before(reserved.permitEnds) && !reserved.beganToLeave() {
 		return reserved, nil
 	}
 	reserved.releaseIfAny()
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -102,11 +102,9 @@
 	cacheKnown bool
 }
 
-// update applies a listing of the replica. One that was once listed as draining stays so, because a list that
-// arrives later by another path may be older. The caller must hold Directory.mutex.
+// update applies a listing of the replica, except for whether it is leaving. The caller must hold Directory.mutex.
 func (r *Replica) update(listed *region.Replica) {
 	r.Slots, r.Stage, r.Preemptible = listed.Slots, listed.Stage, listed.Preemptible
-	r.Draining = r.Draining || listed.Draining
 }
 
 // listing returns the replica as a list shows it. The caller must hold Directory.mutex.
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -214,6 +214,63 @@
 	assert.Equal(t, 1, w.requestCount("a"))
 }
 
+// A request waits for its prompt while the list begins to show its generator as leaving, or no longer. It was sent there whatever
+// time had passed.
+func TestRequestThatWaitsIsNotSentToAReplicaThatTheListShowsAsLeaving(t *testing.T) {
+	leaves := map[string]func(w *testEnvironment){
+		"drains":       func(w *testEnvironment) { w.replicaList[1].Draining = true },
+		"is not shown": func(w *testEnvironment) { w.replicaList = slices.Delete(w.replicaList, 1, 2) },
+	}
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvironment(t)
+			w.addReplica("reader", region.StagePrefill, func(writer http.ResponseWriter, request *http.Request) {
+				leave(w)
+				w.addReplica("other", region.StageDecode, streamEvents(1, 3, false))
+				respondSealed(http.StatusOK, "handle")(writer, request)
+			})
+			w.addReplica("generator", region.StageDecode, streamEvents(1, 3, false))
+			w.declareLimit(10, "generator")
+			counter := w.useFakeCounter(map[string]int{"generator": 10})
+			require.True(t, w.runCall(modelCallOf(1)).ended)
+			assert.Equal(t, 1, counter.count(counter.asked, "generator"), "it is reserved")
+			assert.Zero(t, w.requestCount("generator"))
+			assert.Equal(t, 1, w.requestCount("other"))
+			assert.Equal(t, 1, w.requestCount("reader"), "the prompt is not read again")
+		})
+	}
+}
+
+// A request waits for a permit while the list begins to show its replica as leaving, or no longer. It was
+// sent there whatever time had passed.
+func TestRequestThatWaitsForAPermitIsNotSentToALeavingReplica(t *testing.T) {
+	leaves := map[string]func(w *testEnvironment){
+		"drains":       func(w *testEnvironment) { w.replicaList[0].Draining = true },
+		"is not shown": func(w *testEnvironment) { w.replicaList = w.replicaList[1:] },
+	}
+	for name, leave := range leaves {
+		for _, waited := range []time.Duration{listedGrace / 2, listedGrace} {
+			t.Run(fmt.Sprint(name, " for ", waited), func(t *testing.T) {
+				w := newTestEnvironment(t)
+				w.addReplica("a", "", respondSealed(http.StatusOK, "ok"))
+				w.declareLimit(10, "a")
+				w.runner.EnforceLimits(&relay.ReplicaLimits{
+					Ask: func(context.Context, relay.PermitRequest) relay.Permit {
+						leave(w)
+						w.addReplica("b", "", respondSealed(http.StatusOK, "ok"))
+						w.advanceClock(waited)
+						return relay.Permit{Granted: true, Return: func() {}}
+					},
+					Count: func(string) {},
+				})
+				require.True(t, w.runCall(newCall(traffic.KindOnce, 1)).ended)
+				assert.Equal(t, waited < listedGrace, w.requestCount("a") == 1)
+				assert.Equal(t, 1, w.requestCount("a")+w.requestCount("b"))
+			})
+		}
+	}
+}
+
 // A replica that has refused everything for as long as a stage change takes is reported as unreachable, so that
 // another one replaces it. A replica that accepts some requests, or accepts them again, is not reported.
 func TestReplicasThatRefuseEverythingAreReportedAsUnreachable(t *testing.T) {
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -134,9 +134,14 @@
 	began := time.Now()
 	w := &testEnvironment{t: t, requestCounts: map[string]int{}}
 	clock := func() time.Duration { return time.Since(began) + time.Duration(w.clockOffset.Load()) }
-	gate := backpressure.NewGate(backpressure.Options{Clock: clock, Leaving: testDialect{}.Leaving, LeavingGrace: leavingGrace, Logger: logger})
+	gate := backpressure.NewGate(backpressure.Options{
+		Clock: clock, Leaving: testDialect{}.Leaving, LeavingGrace: leavingGrace, ListedGrace: listedGrace, Logger: logger,
+	})
 	client := upstream.NewClient(upstream.Options{DialTimeout: time.Second, MaximumBodyBytes: 1 << 20, Gate: gate})
-	w.directory = relay.NewDirectory(clock, "zone", client.Forget, logger)
+	w.directory = relay.NewDirectory(clock, "zone", func(address, incarnation string) {
+		client.Forget(address, incarnation)
+		gate.MarkUnlisted(backpressure.Peer{Address: address, Instance: incarnation})
+	}, logger)
 	w.directory.UseGate(gate)
 	budgets := relay.NewRetryBudgets(clock, options, 1)
 	w.runner = relay.NewRunner(w.directory, client, testDialect{}, budgets, relay.NewMetrics(telemetry.NewMetrics("test")), logger)
@@ -146,6 +151,9 @@
 // leavingGrace is how long replicas that report that they are leaving may still get requests.
 const leavingGrace = 3 * time.Second
 
+// listedGrace is how long replicas that a list shows as leaving may still get requests that were meant for them.
+const listedGrace = time.Second
+
 // advanceClock advances the clock.
 func (w *testEnvironment) advanceClock(ahead time.Duration) { w.clockOffset.Add(int64(ahead)) }
 
