Reading the list: replicas that were leaving are gone at once, and pages of short lists are not spread over the interval

A replica that is known to leave gets no requests, so that nothing is lost if a round lacks it by mistake.

--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -313,7 +313,7 @@
 
 // listCallsShare of the calls for its list that the platform takes are made; the rest is for a leader that has just been replaced,
 // and for other users of the list.
-const listCallsShare = 0.8
+const listCallsShare = 0.9
 
 // ListRate is how many calls for the list are made a second, 0 for no bound.
 func (s *Settings) ListRate() float64 { return listCallsShare * s.ListCallsPerSecond }
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -142,16 +142,12 @@
 // missing returns the replicas that are gone according to a whole round.
 func (l *listSync) missing(round *replicalist.Round) []string {
 	state, _ := l.coordinator.machine.read()
-	known := make([]string, 0, len(state.Replicas))
-	for index := range state.Replicas {
-		known = append(known, state.Replicas[index].Replica.ID)
-	}
-	held, gone, doubted := l.presence.End(round.Pages, known)
+	held, gone, doubted := l.presence.End(round.Pages, state.Replicas)
 	for _, entry := range held {
 		l.pending[entry.ID] = entry
 	}
 	if doubted > 0 {
-		l.coordinator.logger.Info(event.ListDoubted, "replicas_before", len(known), "listed", l.presence.Shown(), "kept", doubted)
+		l.coordinator.logger.Info(event.ListDoubted, "replicas_before", len(state.Replicas), "listed", l.presence.Shown(), "kept", doubted)
 	}
 	return gone
 }
--- a/internal/replicalist/presence.go
+++ b/internal/replicalist/presence.go
@@ -12,8 +12,8 @@
 // Presence tracks which replicas the pages of a round show, and which ones are gone.
 //
 // An entry may move to a page that was read before while the list changes, so a replica that a round of several pages lacks
-// is gone only if the next one lacks it too. So is one whose entry could not be used, and are many that are missing at
-// once, which may be an error of the platform. That all replicas are gone and there is no other is not believed.
+// is gone only if the next one lacks it too, unless it was leaving. So is one whose entry could not be used, and are many that
+// are missing at once, which may be an error of the platform. That all replicas are gone and there is no other is not believed.
 type Presence struct {
 	// seen are the start times of the newest incarnations that the round has shown.
 	seen map[string]int64
@@ -61,28 +61,30 @@
 // Shown returns the number of replicas that the round has shown.
 func (p *Presence) Shown() int { return len(p.seen) }
 
-// End ends a whole round of a number of pages. It returns the entries that were left out at first and hold after all, and
-// which of the known replicas are gone. doubted is the number of those that are kept, if suspiciously many were missing.
-func (p *Presence) End(pages int, known []string) (held []region.Replica, gone []string, doubted int) {
+// End ends a whole round of a number of pages. It returns the entries that were left out at first and hold after all, and the
+// IDs of the known replicas that are gone. doubted is the number of those that are kept, if suspiciously many were missing.
+func (p *Presence) End(pages int, known []region.ListedReplica) (held []region.Replica, gone []string, doubted int) {
 	for _, entry := range p.former {
 		if p.seen[entry.ID] == entry.Born {
 			held = append(held, entry)
 		}
 	}
 	missing := map[string]bool{}
-	for _, id := range known {
+	for index := range known {
+		id := known[index].Replica.ID
 		if _, shown := p.seen[id]; !shown {
 			missing[id] = true
 		}
 	}
 	many := len(missing) >= minimumSuspect && float64(len(missing)) > suspectShare*float64(len(known))
 	none := len(p.seen) == 0 && (many || p.unusableCount > 0)
-	for _, id := range known {
-		if !missing[id] || none {
+	for index := range known {
+		replica := &known[index].Replica
+		if !missing[replica.ID] || none {
 			continue
 		}
-		if p.missing[id] || pages == 1 && !many && !p.unusable[id] {
-			gone = append(gone, id)
+		if p.missing[replica.ID] || !many && !p.unusable[replica.ID] && (pages == 1 || replica.IsLeaving()) {
+			gone = append(gone, replica.ID)
 		}
 	}
 	p.missing = missing
--- a/internal/replicalist/rounds.go
+++ b/internal/replicalist/rounds.go
@@ -84,7 +84,7 @@
 func (r *Rounds) SetPace(pace Pace) { r.pace = pace }
 
 // Next returns the token of the page to read next, empty for the first one, and the earliest time to do so. The pages of
-// a round are spread over the interval, except in the first round.
+// a round are spread, over the interval at most, except in the first round: whoever reads them has other work.
 func (r *Rounds) Next() (token string, at time.Duration) {
 	return r.token, max(r.callAt, r.round.StartedAt+r.offset(r.round.Pages+r.round.Skipped))
 }
@@ -94,9 +94,12 @@
 	if r.lastPages == 0 {
 		return 0
 	}
-	return r.pace.Interval * time.Duration(min(number, r.lastPages)) / time.Duration(r.lastPages)
+	return time.Duration(min(number, r.lastPages)) * min(r.pace.Interval/time.Duration(r.lastPages), pageTimes*r.pageTime)
 }
 
+// pageTimes is the number of times that a page takes which pass from one to the next if the interval allows it.
+const pageTimes = 3
+
 // Call records that the page is called for. It returns the time for which to await the answer.
 func (r *Rounds) Call(now time.Duration) (timeout time.Duration) {
 	spacing := r.spacing
