A send to a leaving replica is logged with what was known, and views tell how old the platform's list is

To tell a gateway that doesn't know of a leaving replica from one that sends in spite of it, the logs lacked what it knew and how old that was: `request sent to a leaving replica` has since when the replica itself, another process or the list has said so, the age of the view and of the coordinator's copy, of the last reading of the whole list and of the last page.

--- a/internal/backpressure/standing.go
+++ b/internal/backpressure/standing.go
@@ -32,6 +32,27 @@
 // Leaving reports whether the peer itself has said that it is leaving.
 func (s *PeerState) Leaving() bool { return s.saidAt.Load() != 0 }
 
+// LeavingTimes are the times since this process learned that a peer is leaving, by source, negative if it did not.
+type LeavingTimes struct{ Said, Told, Listed time.Duration }
+
+// LeavingTimes returns for how long the peer has been known to be leaving.
+func (s *PeerState) LeavingTimes(now time.Duration) LeavingTimes {
+	return LeavingTimes{Said: since(now, &s.saidAt), Told: since(now, &s.toldAt), Listed: since(now, &s.listedAt)}
+}
+
+// UnknownLeavingTimes are those of a peer that is not known to be leaving.
+var UnknownLeavingTimes = LeavingTimes{Said: unknownTime, Told: unknownTime, Listed: unknownTime}
+
+// unknownTime is the time since something that has not happened.
+const unknownTime = -time.Millisecond
+
+func since(now time.Duration, at *atomic.Int64) time.Duration {
+	if at.Load() == 0 {
+		return unknownTime
+	}
+	return now - time.Duration(at.Load())
+}
+
 // retention is how long a state is kept after its backoff has ended, or after its peer was unlisted: the list that
 // lacks the peer may be outdated or wrong, and a later one may show it again.
 const retention = time.Minute
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -47,6 +47,7 @@
 	limits            *limitService
 	leaving           *leavingReports
 	list              *listSync
+	listAges          listAges
 	// listChange serializes changes of the list at the leader: each is computed from the state that it changes.
 	listChange sync.Mutex
 	// elected is signalled when this coordinator becomes the leader.
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -97,6 +97,7 @@
 		c.gateways.setFromLeader(reply.Peers)
 	}
 	c.freshness.set(start)
+	c.listAges.set(c.now(), reply.ListMillis, reply.PageMillis)
 	return nil
 }
 
@@ -151,6 +152,7 @@
 		PeersHash:   peers.hash,
 		RegionNanos: c.usage.clock.Now().UnixNano(),
 	}
+	reply.ListMillis, reply.PageMillis = c.list.ages()
 	if reply.PeersHash != request.PeersHash {
 		reply.Peers = peers.addresses
 	}
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -339,3 +339,24 @@
 		})
 	}
 }
+
+// TestEachCoordinatorTellsHowOldTheListIs: those that are not the leader learn it from the leader.
+func TestEachCoordinatorTellsHowOldTheListIs(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 1)
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	for _, address := range g.addresses {
+		eventually(t, func(ctx context.Context) error {
+			var view region.View
+			if err := client.Call(ctx, address, region.PathView, &region.ViewRequest{Address: "127.0.0.1:2"}, &view); err != nil {
+				return err
+			}
+			if view.ListMillis <= 0 || view.PageMillis <= 0 || view.ListMillis > time.Minute.Milliseconds() {
+				return fmt.Errorf("ages %d and %d", view.ListMillis, view.PageMillis)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -62,6 +63,40 @@
 	})
 }
 
+// ages returns the ages of the last reading of the whole list and of the last page here, in milliseconds, 0 if there was none.
+func (l *listSync) ages() (list, page int64) {
+	listAge, pageAge := l.reader.Age()
+	return max(listAge.Milliseconds(), 0), max(pageAge.Milliseconds(), 0)
+}
+
+// listAges are the ages of the list that the leader has last reported.
+type listAges struct {
+	mutex      sync.Mutex
+	reportedAt time.Duration
+	// list and page are those of View.
+	list, page int64
+}
+
+func (a *listAges) set(now time.Duration, list, page int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.reportedAt, a.list, a.page = now, list, page
+}
+
+// at returns the ages at a time, 0 for those that are not known.
+func (a *listAges) at(now time.Duration) (list, page int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	since := (now - a.reportedAt).Milliseconds()
+	if a.list > 0 {
+		list = a.list + since
+	}
+	if a.page > 0 {
+		page = a.page + since
+	}
+	return list, page
+}
+
 // leadershipCheckInterval is the longest time until a coordinator reads the list whose election it was not told of.
 const leadershipCheckInterval = time.Second
 
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -71,6 +71,7 @@
 		Poison:       state.Poison.NewsSince(request.PoisonRevision),
 	}
 	view.LimitNames, view.Limits = c.limits.view(request.LimitNames)
+	view.ListMillis, view.PageMillis = c.listAges.at(c.now())
 	if age < 0 {
 		view.AgeMillis = -1
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,8 @@
 	RequestTaken Event = "request taken"
 	// RequestSent: a request was sent to a chosen replica.
 	RequestSent Event = "request sent"
+	// LeavingSent: a request is sent to a replica that is known to be leaving.
+	LeavingSent Event = "request sent to a leaving replica"
 	// PromptRead: a prompt was prefilled by a replica other than the one that generates the answer.
 	PromptRead Event = "prompt read apart"
 	// AttemptEnded: a send ended without an answer for the caller.
@@ -222,6 +224,7 @@
 		Stopped,
 		RequestTaken,
 		RequestSent,
+		LeavingSent,
 		PromptRead,
 		AttemptEnded,
 		ReplicaLost,
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -305,6 +305,10 @@
 	// replicas, that it knows; they are set only if the request's LimitNames differs.
 	LimitNames uint64             `msg:"limit_names,omitempty"`
 	Limits     []ratelimit.Report `msg:"limits,omitempty"`
+	// ListMillis is the time since the beginning of the last reading of the platform's whole list, and PageMillis that
+	// since a page of it was read; 0 if it is not known.
+	ListMillis int64 `msg:"list_age,omitempty"`
+	PageMillis int64 `msg:"page_age,omitempty"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership, and carries reports of a coordinator to it.
@@ -381,6 +385,9 @@
 	Members []CoordinatorZone `msg:"members,omitempty"`
 	// RegionNanos is the region's time in nanoseconds since 1970.
 	RegionNanos int64 `msg:"region"`
+	// ListMillis and PageMillis are those of View.
+	ListMillis int64 `msg:"list_age,omitempty"`
+	PageMillis int64 `msg:"page_age,omitempty"`
 }
 
 // CoordinatorZone is a coordinator, by its internal address, with its zone.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -3071,13 +3071,21 @@
 func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.ListMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.PageMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3112,6 +3120,16 @@
 		// string "region"
 		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendInt64(o, z.RegionNanos)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "list_age"
+			o = append(o, 0xa8, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.ListMillis)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "page_age"
+			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.PageMillis)
+		}
 	}
 	return
 }
@@ -3235,6 +3253,18 @@
 				err = msgp.WrapError(err, "RegionNanos")
 				return
 			}
+		case "list_age":
+			z.ListMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListMillis")
+				return
+			}
+		case "page_age":
+			z.PageMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PageMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3257,7 +3287,7 @@
 	for za0002 := range z.Members {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.Members[za0002].Address) + 5 + msgp.StringPrefixSize + len(z.Members[za0002].Zone)
 	}
-	s += 7 + msgp.Int64Size
+	s += 7 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.Int64Size
 	return
 }
 
@@ -5029,8 +5059,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(24)
+	var zb0001Mask uint32 /* 24 bits */
 	_ = zb0001Mask
 	if z.Standby == 0 {
 		zb0001Len--
@@ -5052,6 +5082,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200000
 	}
+	if z.ListMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.PageMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -5167,6 +5205,16 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "list_age"
+			o = append(o, 0xa8, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.ListMillis)
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "page_age"
+			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.PageMillis)
+		}
 	}
 	return
 }
@@ -5454,6 +5502,18 @@
 					return
 				}
 			}
+		case "list_age":
+			z.ListMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListMillis")
+				return
+			}
+		case "page_age":
+			z.PageMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PageMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5498,6 +5558,7 @@
 	for za0006 := range z.Limits {
 		s += z.Limits[za0006].Msgsize()
 	}
+	s += 9 + msgp.Int64Size + 9 + msgp.Int64Size
 	return
 }
 
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -107,6 +107,7 @@
 	runner.SetRemotePlacement(placements.Remote())
 	runner.OnRequestStart(usageReports.recordStart)
 	runner.SetConfigurationVersion(views.version)
+	runner.SetListKnowledge(views.listKnowledge)
 	runner.SetGuard(evidence.Guard)
 	runner.SetProbationPermits(evidence.requestPermit)
 	runner.SetSuspendedTime(suspended)
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -60,6 +60,9 @@
 	// is set.
 	freshAt   time.Duration
 	confirmed bool
+	// copyAge is the age of the coordinator's copy in the last view. listReadAt and pageReadAt are when the last reading of
+	// the platform's list began, and when a page of it was last read; 0 if that is not known.
+	copyAge, listReadAt, pageReadAt time.Duration
 	// members are the addresses of the coordinators; zones are the known zones of coordinators.
 	// failedAt is when a coordinator last failed to answer or had no fresh view; its next fresh
 	// answer deletes the entry.
@@ -241,6 +244,7 @@
 	if view.Gateways > 0 {
 		v.gateways.Store(int64(view.Gateways))
 	}
+	v.noteListAges(view)
 	if at := v.now() - time.Duration(view.AgeMillis)*time.Millisecond; !v.confirmed || at > v.freshAt {
 		v.confirmed = true
 		v.freshAt = at
@@ -248,6 +252,39 @@
 	return nil
 }
 
+// noteListAges notes how old what the coordinators know of the list is. The caller must hold v.mutex.
+func (v *viewClient) noteListAges(view *region.View) {
+	v.copyAge = time.Duration(view.AgeMillis) * time.Millisecond
+	v.listReadAt, v.pageReadAt = 0, 0
+	if view.ListMillis > 0 {
+		v.listReadAt = v.now() - time.Duration(view.ListMillis)*time.Millisecond
+	}
+	if view.PageMillis > 0 {
+		v.pageReadAt = v.now() - time.Duration(view.PageMillis)*time.Millisecond
+	}
+}
+
+// listKnowledge returns how old the list of replicas is.
+func (v *viewClient) listKnowledge() relay.ListKnowledge {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	known := relay.ListKnowledge{ViewAge: unknownAge, CopyAge: unknownAge, ListAge: unknownAge, PageAge: unknownAge}
+	now := v.now()
+	if v.confirmed {
+		known.ViewAge, known.CopyAge = now-v.freshAt, v.copyAge
+	}
+	if v.listReadAt != 0 {
+		known.ListAge = now - v.listReadAt
+	}
+	if v.pageReadAt != 0 {
+		known.PageAge = now - v.pageReadAt
+	}
+	return known
+}
+
+// unknownAge is the age of something that is not known.
+const unknownAge = -time.Millisecond
+
 // applyList applies the changes to the list. The caller must hold v.mutex.
 func (v *viewClient) applyList(view *region.View) {
 	if view.WholeList || v.list == nil {
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -184,6 +184,7 @@
 	fetch := lease.FetchFrom()
 	r.metrics.countTransfer(transferPrefill, r.directory.distanceTo(lease.Replica))
 	r.countFetch(lease)
+	r.logLeavingSend(lease)
 	response, err := r.client.Do(ctx, r.request(lease.Replica, Send{PrefillOnly: true, Fetch: fetch, Ranked: true, Rank: lease.Rank(r.call.Route)}))
 	if err == nil || upstream.HandedOver(err) {
 		lease.permitUsed()
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -271,6 +274,30 @@
 	}
 }
 
+// The log did not tell a send to a replica that was known to be leaving from one that was not, nor what it was known from.
+func TestSendToALeavingReplicaIsLoggedWithWhatIsKnown(t *testing.T) {
+	var lines []string
+	logger := funcr.NewJSON(func(line string) {
+		if strings.Contains(line, event.LeavingSent) {
+			lines = append(lines, line)
+		}
+	}, funcr.Options{})
+	w := newLoggedTestEnvironment(t, logger)
+	w.runner.SetListKnowledge(func() relay.ListKnowledge {
+		return relay.ListKnowledge{ViewAge: 7 * time.Millisecond, PageAge: -time.Millisecond}
+	})
+	w.addReplica("a", "", respondSealed(http.StatusOK, "ok"))
+	require.True(t, w.runCall(newCall(traffic.KindOnce, 1)).ended)
+	assert.Empty(t, lines)
+	w.directory.MarkLeaving([]string{"a"})
+	w.advanceClock(time.Second)
+	require.True(t, w.runCall(newCall(traffic.KindOnce, 2)).ended)
+	require.Len(t, lines, 1)
+	for _, field := range []string{`"replica":"a"`, `"said_ms":-1`, `"told_ms":10`, `"listed_ms":-1`, `"view_age_ms":7`, `"page_age_ms":-1`} {
+		assert.Contains(t, lines[0], field)
+	}
+}
+
 // A replica that has refused everything for as long as a stage change takes is reported as unreachable, so that
 // another one replaces it. A replica that accepts some requests, or accepts them again, is not reported.
 func TestReplicasThatRefuseEverythingAreReportedAsUnreachable(t *testing.T) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -29,6 +29,8 @@
 	onStart func(tenant string, at time.Time)
 	// configurationVersion returns the version of the configuration in effect, 0 if it is unknown.
 	configurationVersion func() uint64
+	// listKnowledge returns how old the list of replicas is, for the log.
+	listKnowledge func() ListKnowledge
 	// crashDetector finds out whether the process of a replica has ended after a connection to it was lost.
 	crashDetector *poison.CrashDetector
 	// suspended returns how long the machine has been suspended since a fixed point in time.
@@ -57,6 +59,7 @@
 		suspended: func() time.Duration { return 0 },
 
 		configurationVersion: func() uint64 { return 0 },
+		listKnowledge:        func() ListKnowledge { return ListKnowledge{} },
 	}
 	runner.crashDetector = poison.NewLoggingDetector(upstream.Refuses, logger)
 	return runner
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -136,6 +136,7 @@
 		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	}
+	r.logLeavingSend(lease)
 	r.earlierEvents = r.eventCount()
 	sentAt := time.Now()
 	response, err := r.client.Do(ctx, r.request(lease.Replica, send))
