bench/soak: the platform's list may come in many pages, of which some fail

`--long-list`: pages of one entry, 40 calls a second, a fifth of them failing once service has begun, a list that is 0.2 s old. In planned runs the soak judges that no engine gets a request that was sent later than drain_ms after the list showed it as draining.

--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -48,6 +48,8 @@
 	restUntil map[string]time.Time
 	leaving   map[engineLife]bool
 	rests     map[askedGateway][]*rest
+	// drainingAt is when the list showed an engine as draining.
+	drainingAt map[engineLife]time.Time
 	// leavingAnswers are the requests that run and whose answers say that their engine leaves.
 	leavingAnswers map[askedGateway][]string
 }
@@ -58,6 +60,7 @@
 		restUntil:      map[string]time.Time{},
 		leaving:        map[engineLife]bool{},
 		rests:          map[askedGateway][]*rest{},
+		drainingAt:     map[engineLife]time.Time{},
 		leavingAnswers: map[askedGateway][]string{},
 	}
 }
@@ -103,6 +106,7 @@
 	if ask.Leaving {
 		t.judgeArrival(gateway, request)
 	}
+	t.judgeDraining(gateway, request)
 	t.noteRest(gateway, request, ask.Rest, now)
 	return ask
 }
@@ -153,6 +157,24 @@
 	}
 }
 
+// drains notes that the list shows an engine as draining.
+func (t *truth) drains(engine string, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.asks.drainingAt[engineLife{engine, t.asks.lives[engine]}] = at
+	t.drained++
+}
+
+// judgeDraining checks that a gateway sends nothing new to an engine that the list shows as draining. It is called with the mutex
+// held.
+func (t *truth) judgeDraining(gateway askedGateway, request string) {
+	from, draining := t.asks.drainingAt[gateway.engineLife]
+	sent := t.sentAt[request]
+	if draining && sent.After(from.Add(leaveTime+leaveSlack)) && !t.isDisturbed(gateway.gateway, gateway.engine, sent) {
+		t.violate("the list shows that %s leaves, and it got %s from %s, which was sent %s later", gateway.engine, request, gateway.gateway, sent.Sub(from))
+	}
+}
+
 // countAsks counts the rests, and the engines that have told a gateway that they leave.
 func (t *truth) countAsks() {
 	t.mutex.Lock()
--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -37,6 +37,7 @@
 	command.Flags().BoolVar(&options.Planned, "planned", false, "only what is planned: processes are stopped and started, configurations change, replicas leave")
 	command.Flags().IntVar(&options.Callers, "callers", defaultCallers, "callers, each with one request at a time")
 	command.Flags().BoolVar(&options.Race, "race", false, "build the program with the race detector, whose reports are violations")
+	command.Flags().BoolVar(&options.LongList, "long-list", false, "the platform's list comes in pages, of which some fail, and takes few calls a second")
 	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
 	command.Flags().BoolVar(&options.LateThaw, "late-thaw", false, "with --calm: the process that is replaced last stands still until all others are new")
 	command.Flags().IntVar(&runs, "runs", 1, "soaks one after the other, each with the next seed")
@@ -98,9 +99,9 @@
 
 // print writes what a soak has found.
 func (r *Result) print(out io.Writer, options *Options) {
-	_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests and %d leaving engines judged, %d violations\n",
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests, %d leaving and %d draining engines judged, %d violations\n",
 		r.Seed, r.Served, r.Streams, r.Moves, r.Faults, r.Changes, r.Orders, r.Windows,
-		r.Ends, r.Held, r.Limited, r.Named, r.Replaced, r.Cuts, r.Excused, r.Rested, r.Left, len(r.Violations))
+		r.Ends, r.Held, r.Limited, r.Named, r.Replaced, r.Cuts, r.Excused, r.Rested, r.Left, r.Drained, len(r.Violations))
 	if options.Calm {
 		_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", r.ServedBefore, r.ServedDuring)
 	}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -43,6 +43,15 @@
 	lostCalls = 0.1
 	lateBy    = 2 * time.Second
 
+	// A long list has pages of so many entries, takes so many calls a second, of which a share fails once service has begun, and is
+	// so old.
+	longListEntries = 1
+	longListRate    = 40
+	longListFailed  = 0.2
+	longListLag     = 200 * time.Millisecond
+	// plantedFailed is the share that leaves hardly any reading of the list without a failure.
+	plantedFailed = 0.5
+
 	// engineService is the service of the model replicas.
 	engineService = "model"
 	// listName is the platform's list, for the proxy.
@@ -78,6 +87,8 @@
 	// half of the seeds.
 	keepsIDs bool
 	plants   Plants
+	// pages serves the list.
+	pages *platformtest.List
 	// draining are the engines that the list shows as draining.
 	draining map[string]bool
 	// farApart says that there are two regions with a delay between them, as with half of the seeds.
@@ -107,6 +118,10 @@
 
 		engineTargets: map[string]string{},
 	}
+	f.pages = &platformtest.List{Entries: f.listed, Broken: func() []string { return f.broken }, Seed: options.Seed}
+	if options.LongList {
+		f.pages.PageEntries, f.pages.RatePerS, f.pages.Lag = longListEntries, longListRate, longListLag
+	}
 	f.duties.Lose, f.duties.LateBy = lostCalls, lateBy
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
@@ -146,8 +161,7 @@
 // platform serves the list of replicas and the calls of duties.
 func (f *fleet) platform() http.Handler {
 	mux := http.NewServeMux()
-	list := &platformtest.List{Entries: f.listed, Broken: func() []string { return f.broken }}
-	mux.Handle("/", list.Handler())
+	mux.Handle("/", f.pages.Handler())
 	mux.Handle("POST /", f.duties.Handler())
 	return mux
 }
@@ -342,6 +356,9 @@
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary(), seeds: seeds}
 	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\n%s\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
 		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), list, ip, metricsPort, usageSeconds, quotaSettings())
+	if options.LongList {
+		common += fmt.Sprintf("list_calls_per_second: %d\n", longListRate)
+	}
 	if number < coordinators {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
@@ -352,13 +369,15 @@
 		common += "internal_listen: " + hidden + "\n"
 		common += fmt.Sprintf("bootstrap: true\noperator_listen: %s\ndata_folder: %s\ntolerated_losses: 1\nlease_ms: %d\nplaces_above: %d\nactive_replicas: %d\nduties: [usage_report]\nusage_late_seconds: %d\n",
 			laid.address, laid.folder, leaseMillis, f.placesAbove, f.activeReplicas, usageLateSeconds)
+		common += withoutLine(options.CoordinatorsWithout)
+		if options.LongList {
+			common += fmt.Sprintf("drain_ms: %d\n", leaveTime.Milliseconds())
+		}
 		f.coordinators = append(f.coordinators, laid)
 	} else {
 		laid.role = "relay"
 		laid.address = fmt.Sprintf("%s:%d", ip, callerPort)
-		if len(options.Without) > 0 {
-			common += fmt.Sprintf("without: [%s]\n", strings.Join(options.Without, ", "))
-		}
+		common += withoutLine(options.Without)
 		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\ndrain_ms: %d\n",
 			f.callerListen(number, options), ip, readyPort, leaveTime.Milliseconds())
 		if options.Plants.CutsAtVersions {
@@ -374,6 +393,14 @@
 	return err
 }
 
+// withoutLine is the line of the settings that switches mechanisms off.
+func withoutLine(mechanisms []string) string {
+	if len(mechanisms) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("without: [%s]\n", strings.Join(mechanisms, ", "))
+}
+
 func (f *fleet) all() []*process {
 	return append(append([]*process(nil), f.coordinators...), f.gateways...)
 }
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -60,6 +60,14 @@
 	s.faults++
 }
 
+// listLag is how old the platform's list is.
+func (s *soak) listLag() time.Duration {
+	if s.options.LongList {
+		return longListLag
+	}
+	return 0
+}
+
 // releaseEngines replaces engines by plan until the context ends: one is shown as draining, ends once it runs nothing,
 // and comes back as another life.
 func (s *soak) releaseEngines(ctx context.Context) {
@@ -68,6 +76,7 @@
 		number := int(s.draw() * engines)
 		name := engineName(number)
 		s.fleet.setDraining(name, true)
+		s.truth.drains(name, time.Now().Add(s.listLag()))
 		pause(ctx, drainTime)
 		for deadline := time.Now().Add(drainLimit - drainTime); s.fleet.engines.Running(name) > 0 && time.Now().Before(deadline); {
 			pause(ctx, 50*time.Millisecond)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -11,6 +11,7 @@
 //   - no window of usage is told with two counts, and holders of a duty don't take turns
 //   - no replica is worked with by what was known of its former life, and nothing is sent to an
 //     entry of the platform's list that names no usable one
+//   - what the platform's list shows of leaving replicas is in force in time, also if it is long and some of its pages fail
 //   - service comes back
 //
 // All of them hold too while processes are replaced by those of another build, one after the other.
@@ -46,6 +47,8 @@
 	Planned bool
 	// Asks has engines want to rest, and say that they leave, at random.
 	Asks bool
+	// LongList has the platform's list come in pages, of which some fail, and take few calls a second.
+	LongList bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
 	Callers int
 	// Race builds the program with the race detector; each of its reports is a violation.
@@ -57,7 +60,9 @@
 	Folder string
 	// Without are mechanisms of the gateways that are switched off, to see that the checker notices.
 	Without []string
-	Plants  Plants
+	// CoordinatorsWithout are those of the coordinators.
+	CoordinatorsWithout []string
+	Plants              Plants
 	// Recovery is how long service may take to come back, recoverTimeout if it is 0.
 	Recovery time.Duration
 	Log      io.Writer
@@ -77,6 +82,8 @@
 	UntoldStarts bool
 	// UsableEntry has the list name a replica at the address of the entries that name none.
 	UsableEntry bool
+	// FailingList has so many calls for pages of a long list fail that hardly any reading of it is whole at once.
+	FailingList bool
 	// CutsAtVersions resets the callers' connections with each version, as a gateway would that ends what runs.
 	CutsAtVersions bool
 	// NoLimits has no replica name a limit: where one of three does, few of the requests that end
@@ -110,6 +117,8 @@
 	// Cuts are the calls that ended without a whole answer and may, and Excused why.
 	Cuts    int
 	Excused map[string]int
+	// Drained are the engines that the list has shown as draining, which were judged.
+	Drained int
 	// Rested are the times for which a gateway was asked to leave an engine alone, and Left the engines that had told
 	// a gateway that they leave, which were judged.
 	Rested, Left int
@@ -193,6 +202,7 @@
 		running.Go(func() { s.sendLimited(work, number) })
 	}
 	s.awaitService(ctx, "at the start")
+	s.failPages()
 	switch {
 	case options.Calm:
 		s.replaceAll(ctx)
@@ -218,6 +228,16 @@
 	return result, nil
 }
 
+// failPages has calls for pages of a long list fail from now on.
+func (s *soak) failPages() {
+	switch {
+	case s.options.Plants.FailingList:
+		s.fleet.pages.Fail(plantedFailed)
+	case s.options.LongList:
+		s.fleet.pages.Fail(longListFailed)
+	}
+}
+
 // roll reports whether something of a probability happens.
 func (s *soak) roll(probability float64) bool {
 	s.mutex.Lock()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// The platform's list comes in many pages, some of which fail. Replicas that it showed as leaving got requests until they ended.
+func TestDrainingEnginesOfALongListGetNoRequests(t *testing.T) {
+	t.Parallel()
+	result, err := Run(t.Context(), Options{
+		Seed: 7003, Planned: true, LongList: true, Duration: 10 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+	require.Positive(t, result.Drained)
+}
+
+func TestASoakNoticesALeaderThatLosesAListWithOneOfItsPages(t *testing.T) {
+	t.Parallel()
+	result, err := Run(t.Context(), Options{
+		Seed: 7005, Planned: true, LongList: true, Duration: noticeTime, EndsWhenNoticed: true, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(),
+		Log: t.Output(), CoordinatorsWithout: []string{string(mechanism.ListPages)}, Plants: Plants{FailingList: true},
+	})
+	require.NoError(t, err)
+	require.Contains(t, strings.Join(result.Violations, "\n"), "the list shows that")
+}
+
 func TestASoakNoticesGatewaysThatHoldNothing(t *testing.T) {
 	t.Parallel()
 	result, err := Run(t.Context(), Options{
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -48,8 +48,8 @@
 	brokenOff     map[string]bool
 	interruptions []interruption
 	// asks are what engines ask of gateways; rested and left count the rests and the leaving engines that were judged.
-	asks         asks
-	rested, left int
+	asks                  asks
+	rested, left, drained int
 	// cuts are the calls that ended without a whole answer, and excused how many of them may, by reason.
 	cuts       []cutCall
 	excused    map[string]int
@@ -274,6 +274,7 @@
 		Excused:    t.excused,
 		Rested:     t.rested,
 		Left:       t.left,
+		Drained:    t.drained,
 	}
 }
 
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -10,6 +10,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replicalist"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
@@ -32,6 +33,7 @@
 		Read:   c.settings.ReadListPage,
 		Pace:   l.pace,
 		Take:   l.take,
+		GiveUp: c.settings.DisabledMechanisms[mechanism.ListPages],
 		End:    l.end,
 		Clock:  c.now,
 		Logger: c.logger,
@@ -155,6 +157,9 @@
 			urgent = urgent || active
 		}
 	}
+	if l.coordinator.settings.DisabledMechanisms[mechanism.ListPages] {
+		return nil
+	}
 	waited := l.coordinator.now() - l.pendingSince
 	if !urgent && waited < time.Duration(pendingShare*float64(l.coordinator.settings.ListInterval)) {
 		return nil
@@ -166,8 +171,11 @@
 func (l *listSync) end(ctx context.Context, round *replicalist.Round) {
 	defer l.presence.Begin()
 	var gone []string
-	if round.Whole() {
+	switch {
+	case round.Whole():
 		gone = l.missing(round)
+	case l.coordinator.settings.DisabledMechanisms[mechanism.ListPages]:
+		clear(l.pending)
 	}
 	if err := l.commit(ctx, gone); err != nil {
 		l.coordinator.logger.Info(event.ListNotCommitted, "pending", len(l.pending), "removed", len(gone), "error", failure.Text(err))
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -69,6 +69,9 @@
 	Forecast Mechanism = "forecast"
 	// EvenShortage shares a shortage of replicas between the stages.
 	EvenShortage Mechanism = "even_shortage"
+	// ListPages takes over what a page of the platform's list shows before the others are read, and reads a page again that
+	// fails. Without it the list is taken over as a whole, and a page that fails loses what was read.
+	ListPages Mechanism = "list_pages"
 )
 
 // All lists the mechanisms.
@@ -100,6 +103,7 @@
 		StageChanges,
 		Forecast,
 		EvenShortage,
+		ListPages,
 	}
 }
 
--- a/internal/replicalist/reader.go
+++ b/internal/replicalist/reader.go
@@ -20,6 +20,8 @@
 	Pace func() Pace
 	// Take is called with each page that was read. After an error the page is read again.
 	Take func(ctx context.Context, page Page) error
+	// GiveUp has a round given up with the first call that brings no page.
+	GiveUp bool
 	// End is called after the last page of a round, or when it was given up.
 	End func(ctx context.Context, round *Round)
 	// Clock returns the time.
@@ -89,10 +91,15 @@
 	case errors.Is(err, ErrRefused):
 		r.refused.Add(1)
 		rounds.Refuse(now)
-		return nil, err
 	case err != nil:
 		r.failed.Add(1)
-		return rounds.Fail(now), err
+		ended = rounds.Fail(now)
+	}
+	if err != nil && ended == nil && r.options.GiveUp {
+		ended = rounds.GiveUp(now)
+	}
+	if err != nil {
+		return ended, err
 	}
 	r.read.Add(1)
 	r.pageAt.Store(max(int64(now), 1))
--- a/internal/replicalist/rounds.go
+++ b/internal/replicalist/rounds.go
@@ -159,6 +159,11 @@
 	}
 	// The page may no longer exist.
 	clear(r.following)
+	return r.GiveUp(now)
+}
+
+// GiveUp gives the round up, and returns it. The next one begins with the next call.
+func (r *Rounds) GiveUp(now time.Duration) (ended *Round) {
 	r.round.Abandoned = true
 	return r.begin(now)
 }
