--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -121,21 +121,27 @@
 
 // newView returns a fresh view of one service with one replica.
 func newView(t *testing.T, version uint64, replica string) region.View {
+	t.Helper()
+	return region.View{
+		Zone: "zone", Version: version, Document: newDocument(t, version, traffic.KindStream), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
+		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
+	}
+}
+
+// newDocument returns a configuration with one route of a kind to one service.
+func newDocument(t *testing.T, version uint64, kind traffic.Kind) []byte {
 	t.Helper()
 	document, err := json.Marshal(&traffic.Configuration{
 		Version: version,
 		Routes: []traffic.Route{{
 			Name: "route", Host: "h.example", PathPrefix: fmt.Sprintf("/v%d/", version),
-			Kind: traffic.KindStream, MaximumAttempts: 1,
+			Kind: kind, MaximumAttempts: 1,
 			Split: []traffic.Part{{Service: "service", Weight: 1}},
 		}},
 		Services: []traffic.Service{{Name: "service"}},
 	})
 	require.NoError(t, err)
-	return region.View{
-		Zone: "zone", Version: version, Document: region.Deflate(document), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
-		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
-	}
+	return region.Deflate(document)
 }
 
 // gatewayMemory is the memory bound configured for a gateway.
@@ -157,6 +163,12 @@
 }
 
 func startLoggingGateway(t *testing.T, logger logr.Logger, coordinators ...*fakeCoordinator) *gateway {
+	t.Helper()
+	return startGatewayAt(t, testnet.Address(t), logger, coordinators...)
+}
+
+// startGatewayAt starts a gateway with an address for messages from other processes.
+func startGatewayAt(t *testing.T, peerAddress string, logger logr.Logger, coordinators ...*fakeCoordinator) *gateway {
 	t.Helper()
 	var seeds []string
 	for _, each := range coordinators {
@@ -165,7 +177,7 @@
 	g := &gateway{t: t, address: testnet.Address(t), readyAddress: testnet.Address(t), metrics: telemetry.NewMetrics("test"), done: make(chan error, 1)}
 	created, err := daemon.New(daemon.Settings{
 		Name: "gateway", Zone: "zone", Listen: g.address, ReadyListen: g.readyAddress, ReadyPath: "/ready",
-		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
+		PeerListen: peerAddress, Seeds: func() []string { return seeds },
 		Budget:      relay.RetryBudgetOptions{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTimeout: 10 * time.Second, CallerStallTimeout: time.Second, MemoryBytes: gatewayMemory, ReadListPage: readUnreachableList, Codec: jsonCodec{}, Dialect: testDialect{},
 		Metrics: g.metrics, Logger: logger,
