Gateways tell when they have lost their links to the replicas of a service, and probe them while in doubt

A failure to connect is now held against what the gateway has reached meanwhile; while it is unconfirmed, or requests are under way and nothing answers, a few replicas are connected to, whose connections are kept for use. Lines 'links to replicas lost' and 'back', gauge services_cut_off. No decision follows yet but one: a replica that can be connected to again is no longer avoided for having been unreachable.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -95,6 +95,9 @@
 	ReplicaAvoided Event = "replica avoided"
 	// ReplicaBack: a replica that could not be reached answers again.
 	ReplicaBack Event = "replica back"
+	// LinksLost: this process can connect to hardly any replica of a service, LinksBack: it can again.
+	LinksLost Event = "links to replicas lost"
+	LinksBack Event = "links to replicas back"
 	// LimitNamed: the rate limit that a replica declares has changed, or is no longer declared.
 	LimitNamed Event = "replica's limit"
 	// RestAsked: a replica or the platform has rejected a call and requested a backoff.
@@ -258,6 +261,8 @@
 		ReplicaActivityLost,
 		ReplicaAvoided,
 		ReplicaBack,
+		LinksLost,
+		LinksBack,
 		LimitNamed,
 		LimitUnreadable,
 		LimitDenied,
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
+	"github.com/pierhaven/pierhaven/internal/links"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/peers"
 	"github.com/pierhaven/pierhaven/internal/placement"
@@ -40,6 +41,7 @@
 	placement *placement.Client
 	warmup    *placement.Warmup
 	frontend  *frontend
+	upstreams *upstream.Client
 	client    *rpc.Client
 	ready     atomic.Bool
 	evidence  *evidenceReporter
@@ -71,8 +73,12 @@
 		})
 	}
 	settings.Gate.Disable(settings.DisabledMechanisms[mechanism.ReplicaRests], settings.DisabledMechanisms[mechanism.ReplicaLeaving])
-	upstreams := upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Gate: settings.Gate})
-	directory := relay.NewDirectory(clock, settings.Zone, func(address, incarnation string) {
+	var directory *relay.Directory
+	upstreams := upstream.NewClient(upstream.Options{
+		DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Gate: settings.Gate,
+		OnDial: func(instance string, took time.Duration, err error) { directory.ObserveDial(instance, took, err) },
+	})
+	directory = relay.NewDirectory(clock, settings.Zone, func(address, incarnation string) {
 		upstreams.Forget(address, incarnation)
 		settings.Gate.MarkUnlisted(backpressure.Peer{Address: address, Instance: incarnation})
 	}, settings.Logger)
@@ -80,6 +86,7 @@
 	directory.Disable(settings.DisabledMechanisms)
 	directory.SetRegions(settings.Topology)
 	directory.SetConnected(upstreams.Connected)
+	directory.TrackLinks(links.OptionsFor(settings.ContactTime))
 	budgets := relay.NewRetryBudgets(clock, settings.Budget, initialGateways)
 	socket := &datagram.Socket{Logger: settings.Logger}
 	incarnation := started.UnixNano()
@@ -122,6 +129,7 @@
 		placement: placements,
 		warmup:    &placement.Warmup{Source: settings.PrefixSource, Directory: directory, Logger: settings.Logger},
 		client:    client,
+		upstreams: upstreams,
 		frontend:  &frontend{settings: settings, views: views, runner: runner, quotas: quotas},
 		evidence:  evidence,
 		limits:    limits,
@@ -156,6 +164,9 @@
 		_, leaving := d.settings.Gate.Counts()
 		return float64(leaving)
 	})
+	registry.GaugeFunc("services_cut_off", "Services to which this process has lost its links.", func() float64 {
+		return float64(d.directory.CutOffCount())
+	})
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
 		return float64(d.directory.LimitsDropped())
 	})
@@ -232,6 +243,7 @@
 	go d.peers.Run(work)
 	go d.placement.Run(work)
 	go d.warmUp(work)
+	go d.probeLinks(work)
 	go d.evidence.Run(work)
 	go d.leaving.Run(work)
 	go func() { _ = d.newReadyServer(readiness).Run() }()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -11,6 +11,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/costmodel"
+	"github.com/pierhaven/pierhaven/internal/links"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -74,6 +75,9 @@
 	learnedLimits map[string]*learnedLimit
 	// placerCount returns the number of processes that choose replicas, including this one.
 	placerCount func() int
+	// links are the trackers of the links to each service; linkOptions is nil if links are not tracked.
+	links       map[string]*links.Tracker
+	linkOptions *links.Options
 	// disabled are the disabled mechanisms.
 	disabled mechanism.Set
 	// random returns a random number in [0, 1). It breaks ties between replicas with about the same score.
@@ -228,6 +232,9 @@
 		d.countLimited(false)
 	}
 	d.limits.Forget(replica.name)
+	if tracker := d.links[replica.Service]; tracker != nil {
+		tracker.Forget(replica.name)
+	}
 	d.onDropped(replica.Address, replica.name)
 }
 
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -47,6 +47,9 @@
 func (d *Directory) lease(replica *Replica) *Lease {
 	replica.inFlight++
 	now := d.clock()
+	if tracker := d.linksTo(replica.Service); tracker != nil {
+		tracker.Begin(now)
+	}
 	return &Lease{
 		Replica:    replica,
 		Stage:      replica.Stage,
@@ -149,6 +152,9 @@
 	}
 	l.released = true
 	l.Replica.inFlight--
+	if tracker := l.directory.linksTo(l.Replica.Service); tracker != nil {
+		tracker.End()
+	}
 	l.grantEnds()
 	if l.stream != nil {
 		l.stream.end(l.directory.clock())
@@ -317,6 +323,9 @@
 	defer l.directory.mutex.Unlock()
 	now := l.directory.clock()
 	l.Replica.unreachable(now, !handedOver)
+	if !handedOver {
+		l.directory.lostContact(l.Replica, l.startedAt)
+	}
 	l.report(region.LeaseEvent{Kind: region.LeaseUnreachable, HandedOver: handedOver})
 	l.directory.logger.Info(event.ReplicaAvoided, "replica", l.Replica.ID, "for_ms", (l.Replica.avoidUntil - now).Milliseconds(),
 		"failures", l.Replica.failures, "connected", handedOver)
@@ -327,6 +336,7 @@
 func (l *Lease) Refused(backoff time.Duration) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
+	l.directory.heard(l.Replica)
 	l.directory.recordRejection(l, backoff)
 	l.report(region.LeaseEvent{Kind: region.LeaseRejected, Micros: backoff.Microseconds()})
 }
@@ -348,6 +358,7 @@
 		l.directory.logger.Info(event.ReplicaBack, "replica", l.Replica.ID, "failures", l.Replica.failures)
 	}
 	l.Replica.answered(now, now-l.startedAt, failed)
+	l.directory.heard(l.Replica)
 	if !failed {
 		l.recordSuccess(now)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,6 +22,9 @@
 	// ResetAbandoned resets the connection of an exchange whose context ends, so that what is
 	// under way is dropped: a call that a cut link holds up would else arrive after newer ones.
 	ResetAbandoned bool
+	// OnDial is called with the result of each attempt to connect to an incarnation that was not given up, and how long it
+	// has taken; nil if nobody cares.
+	OnDial func(instance string, took time.Duration, err error)
 	// Gate hears what answers ask of this process, and is asked before each send; nil if nobody cares.
 	Gate *backpressure.Gate
 }
@@ -130,13 +133,33 @@
 	if kept := c.pool.take(request.key(), time.Now(), request.MaximumIdleTime); kept != nil {
 		return kept, nil
 	}
+	return c.dial(ctx, request)
+}
+
+// dial makes a connection.
+func (c *Client) dial(ctx context.Context, request *Request) (*connection, error) {
+	begun := time.Now()
 	opened, err := c.dialer.DialContext(ctx, "tcp", request.Address)
+	if c.options.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		c.options.OnDial(request.Instance, time.Since(begun), err)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
+// Connect makes a connection to an incarnation and keeps it for its next request, unless maximumIdle connections are kept.
+func (c *Client) Connect(ctx context.Context, address, instance string, maximumIdle int) error {
+	request := &Request{Address: address, Instance: instance}
+	conn, err := c.dial(ctx, request)
+	if err != nil {
+		return &Error{Cause: causeOf(ctx, err)}
+	}
+	c.pool.put(request.key(), conn, time.Now(), defaultIdleTime, maximumIdle)
+	return nil
+}
+
 // encodeHead returns the request's head. Its framing is by length.
 func encodeHead(request *Request) []byte {
 	head := make([]byte, 0, 1024)
