A gateway that has lost its own links tells nothing against replicas

Callers of gateways that had kept their links were refused during a cut of other gateways, and for long after it. Cause: each failure to connect was put down to the replica. Two gateways that reach nothing testified against all replicas; the planner of stages then took none of 18 decode replicas for usable and turned replicas round, peers avoided sound ones, and coordinators that place for gateways did so too. A refused cut also looked like the end of the process, which drops what is known of its cache and counts as evidence against requests.

Now a failure is told to others only once this gateway has connected to another replica since and is not cut off, a peer that names more than half of a service is not believed (it may run another build), and a closed port is the end of a process only if one of three or more other replicas takes a connection; with fewer others, as before (TestEachReplicaCrashOfResumedStreamCounts needs it).

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -28,7 +28,7 @@
 			staged = true
 			where := places.Group(replica.Zone)
 			generating[where] += float64(replica.generating)
-			if where == own.Region && (replica.unconnected && now < replica.avoidUntil || d.rejectsAll(replica, now)) {
+			if where == own.Region && (replica.isUnconnected(now) && d.reportable(replica) || d.rejectsAll(replica, now)) {
 				own.Unreachable = append(own.Unreachable, replica.name)
 			}
 			if where == own.Region && replica.rejections.consecutive > 1 && replica.refuses(now) {
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -322,11 +322,13 @@
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	now := l.directory.clock()
-	l.Replica.unreachable(now, !handedOver)
 	if !handedOver {
 		l.directory.lostContact(l.Replica, l.startedAt)
 	}
-	l.report(region.LeaseEvent{Kind: region.LeaseUnreachable, HandedOver: handedOver})
+	l.Replica.unreachable(now, !handedOver, l.directory.isCutOff(l.Replica.Service))
+	if l.directory.linksWork(l.Replica.Service) {
+		l.report(region.LeaseEvent{Kind: region.LeaseUnreachable, HandedOver: handedOver})
+	}
 	l.directory.logger.Info(event.ReplicaAvoided, "replica", l.Replica.ID, "for_ms", (l.Replica.avoidUntil - now).Milliseconds(),
 		"failures", l.Replica.failures, "connected", handedOver)
 }
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -102,6 +102,20 @@
 	return count
 }
 
+// reportable reports whether other processes may be told that a replica can't be reached: the fault isn't, as far as is
+// known, in this process's own links. The caller must hold d.mutex.
+func (d *Directory) reportable(replica *Replica) bool {
+	tracker := d.links[replica.Service]
+	return tracker == nil || tracker.Confirmed(replica.name)
+}
+
+// linksWork reports whether this process has recently connected to a replica of a service, or does not track its links.
+// The caller must hold d.mutex.
+func (d *Directory) linksWork(service string) bool {
+	tracker := d.links[service]
+	return tracker == nil || !tracker.CutOff() && tracker.ConnectedSince(d.clock()-probePause)
+}
+
 // concludeLinks draws a conclusion from the newest evidence. The caller must hold d.mutex.
 func (d *Directory) concludeLinks(service string, tracker *links.Tracker) {
 	now := d.clock()
@@ -175,6 +189,30 @@
 	return lost
 }
 
+// Numbers of replicas that are connected to in order to find out whether the fault is that of another replica.
+const (
+	witnessesOfService = 4
+	witnessesOfOthers  = 2
+)
+
+// witnesses returns replicas by which this process can tell whether its links work: some of the service whose replica has
+// an address, and some of others.
+func (d *Directory) witnesses(address string) []Identity {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var same, others []Identity
+	for service, listed := range d.services {
+		serves := slices.ContainsFunc(listed, func(r *Replica) bool { return r.Address == address })
+		if serves {
+			same = d.randomReplicas(service, witnessesOfService+1)
+		} else if len(others) < witnessesOfOthers {
+			others = append(others, d.randomReplicas(service, witnessesOfOthers)...)
+		}
+	}
+	same = slices.DeleteFunc(same, func(each Identity) bool { return each.Address == address })
+	return append(same, others...)
+}
+
 // drawsPerReplica bounds the random draws for one replica.
 const drawsPerReplica = 4
 
--- a/internal/relay/outstanding.go
+++ b/internal/relay/outstanding.go
@@ -29,14 +29,23 @@
 	return work
 }
 
-// Unreachable returns the names of the incarnations that this gateway can't connect to.
+// Unreachable returns the names of the incarnations that this gateway can't connect to, as far as others may be told.
 func (d *Directory) Unreachable() []string {
+	return d.unconnectedNames(d.reportable)
+}
+
+// unreachableHere returns the names of the incarnations that this gateway can't connect to.
+func (d *Directory) unreachableHere() []string {
+	return d.unconnectedNames(anyReplica)
+}
+
+func (d *Directory) unconnectedNames(wanted func(*Replica) bool) []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
 	var names []string
 	for name, replica := range d.replicas {
-		if replica.unconnected && now < replica.avoidUntil {
+		if replica.isUnconnected(now) && wanted(replica) {
 			names = append(names, name)
 		}
 	}
@@ -44,19 +53,31 @@
 	return names
 }
 
+// isUnconnected reports whether this gateway could not connect to the replica, and avoids it for that.
+func (r *Replica) isUnconnected(now time.Duration) bool { return r.unconnected && now < r.avoidUntil }
+
 // peerReportAvoidance is how long a replica is avoided that a peer can't reach. It is short because the
 // fault may be the peer's.
 const peerReportAvoidance = 700 * time.Millisecond
 
-// TakeUnreachable records the replicas that a peer can't reach.
+// TakeUnreachable records the replicas that a peer can't reach. A peer that names more than half of a service's replicas
+// has lost its own links, and nothing is recorded for that service.
 func (d *Directory) TakeUnreachable(names []string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	until := d.clock() + peerReportAvoidance
+	named := map[string]int{}
 	for _, name := range names {
 		if replica, known := d.replicas[name]; known {
-			replica.avoidUntil = max(replica.avoidUntil, until)
+			named[replica.Service]++
+		}
+	}
+	until := d.clock() + peerReportAvoidance
+	for _, name := range names {
+		replica, known := d.replicas[name]
+		if !known || len(d.services[replica.Service]) > 1 && 2*named[replica.Service] > len(d.services[replica.Service]) {
+			continue
 		}
+		replica.avoidUntil = max(replica.avoidUntil, until)
 	}
 }
 
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -112,7 +112,7 @@
 		GapMicros:       request.TargetTokenGap.Microseconds(),
 		AimLeftMicros:   request.ObjectiveLeft.Microseconds(),
 		LeftMicros:      request.Left.Microseconds(),
-		Excluded:        append(p.Directory.Unreachable(), p.Directory.inBackoffHere()...),
+		Excluded:        append(p.Directory.unreachableHere(), p.Directory.inBackoffHere()...),
 	}
 	for _, replica := range request.Excluded {
 		query.Excluded = append(query.Excluded, replica.name)
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -210,13 +210,16 @@
 	return r.rejections.consecutive >= rejectionsInARow && r.refuses(now)
 }
 
-// unreachable records that the replica could not be connected to, or did not answer.
-func (r *Replica) unreachable(now time.Duration, unconnected bool) {
+// unreachable records that the replica could not be connected to, or did not answer. cutOff says that this process has lost
+// its links to the service, which says nothing of the replica.
+func (r *Replica) unreachable(now time.Duration, unconnected, cutOff bool) {
 	r.failures++
 	r.unconnected = unconnected
 	pause := min(initialAvoidance<<min(r.failures-1, 8), maximumAvoidance)
 	r.avoidUntil = now + pause
-	r.observeError(1)
+	if !cutOff {
+		r.observeError(1)
+	}
 }
 
 func (r *Replica) observeError(failed float64) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -61,7 +61,7 @@
 		configurationVersion: func() uint64 { return 0 },
 		listKnowledge:        func() ListKnowledge { return ListKnowledge{} },
 	}
-	runner.crashDetector = poison.NewLoggingDetector(upstream.Refuses, logger)
+	runner.crashDetector = poison.NewLoggingDetector(runner.hasEnded, logger)
 	return runner
 }
 
@@ -73,7 +73,7 @@
 // held. It must be called before the Runner is used.
 func (r *Runner) SetGuard(guard *poison.Guard) {
 	r.guard = guard
-	r.crashDetector = poison.NewGuardedDetector(guard, upstream.Refuses, r.logger)
+	r.crashDetector = poison.NewGuardedDetector(guard, r.hasEnded, r.logger)
 	r.crashDetector.OnCrash = func(incarnation string, under []poison.Digest) {
 		r.directory.ProcessEnded(incarnation)
 		guard.ReplicaCrashed(incarnation, under)
