upstream: a replica that is silent for a second or so keeps its connections

TCP_USER_TIMEOUT was 600 ms: sent bytes that stayed unacknowledged for so long ended the connection, and so did keep-alive probes, whose count the system ignores once that option is set: the first probe after 2 s (the interval of 500 ms is rounded up to a second) and the end a second later. A sound replica that falls silent for a second lost all that it was running for the gateway. Now 2.5 s, with probes after one second and each second, so that a silence of 1.5 s is borne wherever it begins. The options are set in this one place, for all connections to replicas and peers.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -12,13 +12,14 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged
-	// before the connection is given up: a machine that has lost its power or
-	// its network says nothing.
-	unacknowledgedTimeout = 600 * time.Millisecond
-	keepAliveIdle         = 2 * time.Second
-	keepAliveInterval     = 500 * time.Millisecond
-	keepAliveCount        = 3
+	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged before the connection is given up: a machine
+	// that has lost its power or its network says nothing. It also decides when unanswered keep-alive probes end the
+	// connection (tcp(7), TCP_USER_TIMEOUT), at the first multiple of keepAliveInterval from keepAliveIdle on that reaches
+	// it; their count does not matter. A sound machine may be silent for a second or so.
+	unacknowledgedTimeout = 2500 * time.Millisecond
+	// keepAliveIdle and keepAliveInterval are whole seconds, as the system counts them.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
 )
 
 // connection is one connection to a replica.
@@ -39,7 +40,6 @@
 			Enable:   true,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(descriptor uintptr) {
