Calls that may be repeated and are under way when a gateway loses its links go to a peer at once

A call that waits for an answer when the links go would learn of it only when its connection is given up, 2.5 s later. Once the links to a service are lost, and nothing is heard on older connections for a sixth of the contact time either, sends of repeatable calls and prompts end, and the call is forwarded with its attempts counted. What may not be repeated waits on: its connection may live. No evidence against a replica or a request follows from it.

--- a/internal/links/tracker.go
+++ b/internal/links/tracker.go
@@ -173,12 +173,17 @@
 			return Unconfirmed
 		}
 	}
-	if t.underWay > 0 && now-max(t.quietSince, t.connectedAt) >= t.options.Silence {
+	if t.IsSilent(now) {
 		return Silent
 	}
 	return NoDoubt
 }
 
+// IsSilent reports whether requests are under way and nothing has been heard for some time.
+func (t *Tracker) IsSilent(now time.Duration) bool {
+	return t.underWay > 0 && now-max(t.quietSince, t.connectedAt) >= t.options.Silence
+}
+
 // BeginProbes reports whether a round of probes may begin, a pause after the last one.
 func (t *Tracker) BeginProbes(now, pause time.Duration) bool {
 	if t.probedAt > 0 && now-t.probedAt < pause {
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -76,8 +76,9 @@
 	// placerCount returns the number of processes that choose replicas, including this one.
 	placerCount func() int
 	// links are the trackers of the links to each service; linkOptions is nil if links are not tracked.
-	links       map[string]*links.Tracker
-	linkOptions *links.Options
+	links        map[string]*links.Tracker
+	linkContexts map[string]linkContext
+	linkOptions  *links.Options
 	// disabled are the disabled mechanisms.
 	disabled mechanism.Set
 	// random returns a random number in [0, 1). It breaks ties between replicas with about the same score.
@@ -122,6 +123,7 @@
 		streams:       map[string]streamMeters{},
 		pathDelays:    pathDelays{},
 		limits:        ratelimit.NewTable(),
+		linkContexts:  map[string]linkContext{},
 		retryAt:       map[string]time.Duration{},
 		onDropped:     onDropped,
 		onLeaving:     func(string) {},
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -13,7 +13,7 @@
 // gateway closed it, the replica's machine stopped acknowledging data, a deadline passed, or the replica was
 // known to be leaving: these are no sign that the request has crashed the replica.
 func (r *callState) recordConnectionLoss(ctx context.Context, lease *Lease, cause error) {
-	if ctx.Err() != nil || upstream.Silent(cause) || errors.Is(cause, context.DeadlineExceeded) || lease.expectedToLeave() {
+	if ctx.Err() != nil || lostWithLinks(cause) || errors.Is(cause, context.DeadlineExceeded) || lease.expectedToLeave() {
 		return
 	}
 	r.connectionLost = true
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -13,6 +15,7 @@
 func (d *Directory) TrackLinks(options links.Options) {
 	d.linkOptions = &options
 	d.links = map[string]*links.Tracker{}
+	d.linkContexts = map[string]linkContext{}
 }
 
 // linksTo returns the tracker of the links to a service, nil if they are not tracked. The caller must hold d.mutex.
@@ -125,6 +128,39 @@
 	return tracker == nil || !tracker.CutOff() && tracker.ConnectedSince(d.clock()-probePause)
 }
 
+// linksContext returns a context that ends once this process has lost its links to a service and nothing is heard on
+// connections that were made before, either.
+func (d *Directory) linksContext(service string) context.Context {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known, found := d.linkContexts[service]
+	if !found {
+		known.ctx, known.end = context.WithCancelCause(context.Background())
+		d.linkContexts[service] = known
+	}
+	return known.ctx
+}
+
+// linkContext is the context of the links to a service, and the function that ends it.
+type linkContext struct {
+	ctx context.Context
+	end context.CancelCauseFunc
+}
+
+// errLinksSilent means that nothing is heard of a service's replicas, and none can be connected to.
+var errLinksSilent = errors.New("this gateway has lost its links to the service")
+
+// endSilentLinks ends the context of the links to a service if they are lost and silent. The caller must hold d.mutex.
+func (d *Directory) endSilentLinks(service string, tracker *links.Tracker, now time.Duration) {
+	if !tracker.CutOff() || !tracker.IsSilent(now) {
+		return
+	}
+	if known, found := d.linkContexts[service]; found {
+		known.end(errLinksSilent)
+		delete(d.linkContexts, service)
+	}
+}
+
 // concludeLinks draws a conclusion from the newest evidence. The caller must hold d.mutex.
 func (d *Directory) concludeLinks(service string, tracker *links.Tracker) {
 	now := d.clock()
@@ -163,6 +199,7 @@
 	var probes []Identity
 	for service, tracker := range d.links {
 		d.concludeLinks(service, tracker)
+		d.endSilentLinks(service, tracker, now)
 		probes = append(probes, d.probesOf(service, tracker, now)...)
 	}
 	return probes
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -65,6 +65,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if r.mayForward() {
+		return nil, nil, errForward
+	}
 	lease, err := r.permittedDirect(ctx)
 	return lease, nil, err
 }
@@ -125,6 +128,7 @@
 	backoffBefore, leavingBefore := lease.BackoffLeft(), lease.declaresLeaving()
 	prefillCtx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
+	defer context.AfterFunc(r.directory.linksContext(service), func() { abandon(errLinksSilent) })()
 	var budgetTaken atomic.Bool
 	idle := func() time.Duration { return r.placer.idleTime(prefillCtx, lease) }
 	stall := newStallWatch(idle, r.stallTimeout(&placedPrompt), func() {
@@ -196,8 +200,8 @@
 		lease.permitUsed()
 	}
 	if err != nil {
-		if !upstream.HeldBack(err) && (ctx.Err() == nil || context.Cause(ctx) == errSlowPrefill) {
-			lease.Unreachable(upstream.HandedOver(err) && !upstream.Silent(err))
+		if !upstream.HeldBack(err) && (ctx.Err() == nil || context.Cause(ctx) == errSlowPrefill || context.Cause(ctx) == errLinksSilent) {
+			lease.Unreachable(upstream.HandedOver(err) && !lostWithLinks(err))
 			if upstream.HandedOver(err) {
 				r.recordConnectionLoss(ctx, lease, err)
 			}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -139,6 +139,8 @@
 	r.logLeavingSend(lease)
 	r.earlierEvents = r.eventCount()
 	sentAt := time.Now()
+	ctx, stopWatch := r.watchLinks(ctx)
+	defer stopWatch()
 	response, err := r.client.Do(ctx, r.request(lease.Replica, send))
 	if err == nil || upstream.HandedOver(err) {
 		lease.permitUsed()
@@ -174,6 +176,24 @@
 	return r.relayResponse(ctx, lease, response, metadata)
 }
 
+// watchLinks returns a context for a send that also ends once the links to the service are lost and silent, if the call
+// may be repeated: a peer can serve it meanwhile. The returned function ends the watch.
+func (r *callState) watchLinks(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.forwarder == nil || !r.call.Route.Repeatable() {
+		return ctx, func() {}
+	}
+	watched, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(r.directory.linksContext(r.call.Service.Name), func() { end(errLinksSilent) })
+	return watched, func() {
+		stop()
+		end(nil)
+	}
+}
+
+// lostWithLinks reports whether a send has failed because nothing was acknowledged by the replica's machine, or because
+// the links to the whole service are lost.
+func lostWithLinks(err error) bool { return upstream.Silent(err) || errors.Is(err, errLinksSilent) }
+
 // classifyFailure returns the verdict on an exchange that failed without an answer.
 func (r *callState) classifyFailure(ctx context.Context, lease *Lease, send Send, err error) (verdict, error) {
 	if upstream.HeldBack(err) {
@@ -181,8 +201,9 @@
 		return verdictNotRun, err
 	}
 	handedOver := upstream.HandedOver(err)
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadline) {
-		lease.Unreachable(handedOver && !upstream.Silent(err))
+	cause := context.Cause(ctx)
+	if cause == nil || errors.Is(cause, errDeadline) || errors.Is(cause, errLinksSilent) {
+		lease.Unreachable(handedOver && !lostWithLinks(err))
 		if handedOver {
 			r.recordConnectionLoss(ctx, lease, err)
 		}
