--- a/internal/coordinator/gatewaylist_test.go
+++ b/internal/coordinator/gatewaylist_test.go
@@ -1,8 +1,8 @@
 package coordinator
 
 import (
-	"github.com/pierhaven/pierhaven/internal/region"
 	"fmt"
+	"github.com/pierhaven/pierhaven/internal/region"
 	"testing"
 	"time"
 
--- a/internal/region/neighbors.go
+++ b/internal/region/neighbors.go
@@ -31,4 +31,6 @@
 }
 
 // HashAddresses returns a hash of a list of addresses.
-func HashAddresses(addresses []string) uint64 { return xxhash.Sum64String(strings.Join(addresses, ",")) }
+func HashAddresses(addresses []string) uint64 {
+	return xxhash.Sum64String(strings.Join(addresses, ","))
+}
