--- a/internal/coordinator/gatewaylist_test.go
+++ b/internal/coordinator/gatewaylist_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"github.com/pierhaven/pierhaven/internal/region"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/region"
 )
 
 // TestPollCostDoesNotGrowWithGateways: each poll sorted and hashed all known gateways, and the coordinators of 985 gateways
