--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +40,14 @@
 type testDialect struct{}
 
 func (testDialect) ReadRequestMetadata(get func(string) string) relay.RequestMetadata {
-	return relay.RequestMetadata{ID: get("Request"), Wait: 20 * time.Second, Key: tenant.BearerKey(get("Authorization"))}
+	metadata := relay.RequestMetadata{ID: get("Request"), Wait: 20 * time.Second, Key: tenant.BearerKey(get("Authorization"))}
+	if parts := get("Parts"); parts != "" {
+		metadata.Prompt = &relay.Prompt{}
+		for _, id := range strings.Split(parts, ",") {
+			metadata.Prompt.Parts = append(metadata.Prompt.Parts, relay.PromptPart{ID: id, Tokens: 100})
+		}
+	}
+	return metadata
 }
 func (testDialect) SetsField(name string) bool                         { return name == "Instance" || name == "Tenant" }
 func (testDialect) IsKey(name string) bool                             { return name == "Authorization" }
--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	contactTime = 3 * time.Second
 	// leavingGrace is how long replicas that announce that they leave may get requests.
 	leavingGrace = 2 * time.Second
+	// crashingPart is the part of prompts that crashes replicas.
+	crashingPart = "part-that-ends-replicas"
 	// crashingBody is the body of the request that crashes replicas.
 	crashingBody = "ends what runs it"
 	// restartDelay is how long a crashed replica is down.
@@ -114,7 +117,7 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	crashing := string(body) == crashingBody
+	crashing := string(body) == crashingBody || slices.Contains(strings.Split(request.Header.Get("Parts"), ","), crashingPart)
 	if crashing {
 		s.mutex.Lock()
 		s.arrivals = append(s.arrivals, time.Now())
@@ -173,13 +176,19 @@
 // lateArrivals returns how often the crashing request arrived later than wait after the third crash,
 // and the total number of crashes.
 func (s *replicaSet) lateArrivals(wait time.Duration) (late, crashes int) {
+	return s.arrivalsAfter(3, wait)
+}
+
+// arrivalsAfter returns how often crashing requests arrived later than wait after a number of crashes, and the total
+// number of crashes.
+func (s *replicaSet) arrivalsAfter(counted int, wait time.Duration) (late, crashes int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.crashes) < 3 {
+	if len(s.crashes) < counted {
 		return 0, len(s.crashes)
 	}
 	for _, arrival := range s.arrivals {
-		if arrival.After(s.crashes[2].Add(wait)) {
+		if arrival.After(s.crashes[counted-1].Add(wait)) {
 			late++
 		}
 	}
@@ -290,6 +299,11 @@
 
 // ask sends a request to a gateway and returns its status, or 0 if the answer is incomplete.
 func (r *testRegion) ask(gateway int, id, body string) (status int, answer string) {
+	return r.askWithParts(gateway, id, body, "")
+}
+
+// askWithParts sends a request whose prompt has parts, separated by commas.
+func (r *testRegion) askWithParts(gateway int, id, body, parts string) (status int, answer string) {
 	address := net.IPv4(127, 0, 0, byte(2+r.requestCount.Add(1)%callerIPs))
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address}}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}, Timeout: 10 * time.Second}
@@ -300,6 +314,7 @@
 	}
 	request.Host = "h.example"
 	request.Header.Set("Request", id)
+	request.Header.Set("Parts", parts)
 	if len(r.tenants) > 0 {
 		request.Header.Set("Authorization", "Bearer "+limitedKey)
 	}
