Requests that share a part which ends replicas are held by that part

Evidence was kept by a digest of the whole content, a name that no two of them share, so that each had one crash and nothing was ever held.

Now each part of a prompt that others may share has a digest of its own and gathers evidence beside the content's, in the same records, by the same rule. What tells a deadly part from those that are in all requests: parts of requests that have run to their ends at a gateway within two contact times are left out of its evidence, a good end anywhere clears a watched part, a gateway that has just started testifies against none. A repeated content is held before its parts; parts that can't be told apart are held together, and requests with some of them tried one by one.

--- a/bench/simulation/poison.go
+++ b/bench/simulation/poison.go
@@ -40,6 +40,9 @@
 	return poison.Content{Target: r.tenant, Body: []byte(r.prompt)}.Digest()
 }
 
+// Parts implements poison.Request.
+func (r *modelRequest) Parts() []poison.Digest { return nil }
+
 // newGuard returns what a gateway knows of prompts that end engines.
 func (g *gateway) newGuard() *poison.Guard {
 	return poison.NewGuard(poison.Options{
--- a/internal/gateway/application/held.go
+++ b/internal/gateway/application/held.go
@@ -16,6 +16,9 @@
 // TargetHash implements poison.Request.
 func (c *Call) TargetHash() uint32 { return poison.HashTarget(c.Application, c.Operation) }
 
+// Parts implements poison.Request. A call has no prompt.
+func (c *Call) Parts() []poison.Digest { return nil }
+
 // isHeld reports whether a call must be sent to no back end, since it ends those that run it.
 func (r *Runner) isHeld(call *Call) bool {
 	return r.guard != nil && r.guard.Holds(call)
--- a/internal/gateway/completion/held.go
+++ b/internal/gateway/completion/held.go
@@ -29,6 +29,9 @@
 	return poison.HashTarget(c.Adapter, strconv.Itoa(c.MaximumTokens))
 }
 
+// Parts implements poison.Request. A prompt that is a text names no parts.
+func (c *Call) Parts() []poison.Digest { return nil }
+
 // refusalIfHeld refuses a call that must be sent to no engine, since it ends those that run it.
 // It is asked before each attempt: the others may have learned so while one was under way.
 func (r *run) refusalIfHeld() *scheduler.Refusal {
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -45,7 +45,7 @@
 		writeField(sum, []byte(field))
 	}
 	writeField(sum, c.Body)
-	binary.BigEndian.PutUint32(digest[:targetBytes], HashTarget(c.Host, c.Target))
+	digest.setTarget(HashTarget(c.Host, c.Target))
 	copy(digest[targetBytes:], sum.Sum(nil))
 	return digest
 }
@@ -67,6 +67,8 @@
 	return uint32(sum.Sum64())
 }
 
+func (d *Digest) setTarget(target uint32) { binary.BigEndian.PutUint32(d[:targetBytes], target) }
+
 // TargetHash returns the part of the digest that follows from the request's host and target alone.
 func (d Digest) TargetHash() uint32 { return binary.BigEndian.Uint32(d[:targetBytes]) }
 
--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -8,7 +8,7 @@
 
 // Due returns the requests that are to be held at a time: those under which HoldAfter replicas or more
 // have crashed, twice as many if they crashed in bursts, where no other request that ran at these
-// replicas has as many crashes. A poison request ran at all replicas that it crashed, while each of the
+// replicas has as many crashes. The parts of prompts count as such requests. A poison request ran at all replicas that it crashed, while each of the
 // requests beside it ran at some of them. Where two requests can't be told apart, both continue to be
 // sent until one of them has run to completion or crashed another replica.
 //
@@ -23,7 +23,7 @@
 	attributed := map[uint64]bool{}
 	var due []Digest
 	for _, candidate := range candidates {
-		if isCause(candidate, recordsByCrash, attributed, bursts) {
+		if !s.isExplained(candidate) && isCause(candidate, recordsByCrash, attributed, bursts) {
 			due = append(due, candidate.Digest)
 			for _, crash := range candidate.Crashes {
 				attributed[crash] = true
@@ -122,7 +122,7 @@
 	dominated := bursts.dominatedBy(candidate)
 	for _, crash := range candidate.Crashes {
 		outweighed := slices.ContainsFunc(recordsByCrash[crash], func(other *Record) bool {
-			return other != candidate && countUnattributed(other, attributed) >= count
+			return other != candidate && outweighs(countUnattributed(other, attributed), other, count, candidate)
 		})
 		switch {
 		case attributed[crash] || outweighed:
@@ -135,6 +135,51 @@
 	return weight >= HoldAfter*crashWeight
 }
 
+// outweighs reports whether a number of crashes under another request or part makes that one more likely the cause than the
+// candidate. A content that is always in the same crashes as one of its parts is held before the part: whether the part
+// is the cause is found out by a request with other content.
+func outweighs(others int, other *Record, count int, candidate *Record) bool {
+	if other.Digest.IsPart() && !candidate.Digest.IsPart() {
+		return others > count
+	}
+	return others >= count
+}
+
+// isExplained reports whether the candidate is a part, and all replicas that crashed under it did so under held contents.
+func (s *State) isExplained(candidate *Record) bool {
+	if !candidate.Digest.IsPart() {
+		return false
+	}
+	return !slices.ContainsFunc(candidate.Crashes, func(crash uint64) bool {
+		return !slices.ContainsFunc(s.Records, func(record Record) bool {
+			return record.HeldAt != 0 && !record.Digest.IsPart() && slices.Contains(record.Crashes, crash)
+		})
+	})
+}
+
+// jointAfter is the number of crashes from which on a request is held that has all parts of a set that can't be told apart.
+// Requests with some of the parts are on probation.
+const jointAfter = HoldAfter + 2
+
+// jointSuspects returns the sets of parts that are not held and have the same crashes, jointAfter or more.
+func (s *State) jointSuspects() []JointSuspects {
+	var sets []JointSuspects
+	var crashes [][]uint64
+	for _, record := range s.Records {
+		if !record.Digest.IsPart() || record.HeldAt != 0 || len(record.Crashes) < jointAfter {
+			continue
+		}
+		at := slices.IndexFunc(crashes, func(each []uint64) bool { return slices.Equal(each, record.Crashes) })
+		if at < 0 {
+			crashes = append(crashes, record.Crashes)
+			sets = append(sets, JointSuspects{Parts: []Digest{record.Digest}})
+			continue
+		}
+		sets[at].Parts = append(sets[at].Parts, record.Digest)
+	}
+	return slices.DeleteFunc(sets, func(set JointSuspects) bool { return len(set.Parts) < 2 })
+}
+
 // countUnattributed counts the replicas that have crashed under a request and under none that Due has
 // already found to be a cause.
 func countUnattributed(record *Record, attributed map[uint64]bool) int {
--- a/internal/poison/endwatch.go
+++ b/internal/poison/endwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 type ConnectionLoss struct {
 	Request string
 	Digest  Digest
+	// Parts are the digests of the parts of its prompt that other requests may share.
+	Parts []Digest
 	// Elapsed is how long the request had been at the replica.
 	Elapsed time.Duration
 	// Events is the number of event batches that the replica had sent.
@@ -62,13 +65,22 @@
 	return &CrashDetector{
 		Refuses: refuses,
 		OnConnectionLost: func(replica string, loss ConnectionLoss, ended bool) {
-			logger.Info(event.ReplicaLost, "request", loss.Request, "digest", loss.Digest.String(), "replica", replica,
+			logger.Info(event.ReplicaLost, "request", loss.Request, "digest", loss.Digest.String(), "parts", textsOf(loss.Parts), "replica", replica,
 				"ended", ended, "events", loss.Events, "there_ms", loss.Elapsed.Milliseconds())
 		},
 		OnCrash: func(string, []Digest) {},
 	}
 }
 
+// textsOf returns the texts of digests, for a log line.
+func textsOf(digests []Digest) []string {
+	texts := make([]string, 0, len(digests))
+	for _, digest := range digests {
+		texts = append(texts, digest.String())
+	}
+	return texts
+}
+
 // ConnectionLost records that the connection to a replica was lost during a request, and schedules a
 // check of the replica.
 func (d *CrashDetector) ConnectionLost(replica, address string, loss ConnectionLoss) {
@@ -85,6 +97,16 @@
 	}
 }
 
+// appendNew appends the digests that are not among those before.
+func appendNew(digests []Digest, added ...Digest) []Digest {
+	for _, digest := range added {
+		if !slices.Contains(digests, digest) {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
 // check finds out whether the replica's process has ended, and calls OnConnectionLost and OnCrash.
 func (d *CrashDetector) check(key replicaKey) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
@@ -97,7 +119,8 @@
 	requests := make([]Digest, 0, len(losses))
 	for _, loss := range losses {
 		d.OnConnectionLost(key.id, loss, crashed)
-		requests = append(requests, loss.Digest)
+		requests = appendNew(requests, loss.Digest)
+		requests = appendNew(requests, loss.Parts...)
 	}
 	if crashed {
 		d.OnCrash(key.id, requests)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -52,6 +52,8 @@
 
 	mutex    sync.Mutex
 	revision uint64
+	// joint are the sets of parts that the coordinators can't tell apart.
+	joint []JointSuspects
 	// entries are the watched requests that the coordinators have reported.
 	entries map[Digest]NewsEntry
 	// local is the evidence of this gateway alone, by which it holds requests while it reaches no
@@ -59,6 +61,9 @@
 	local          State
 	localPosition  uint64
 	localHeldUntil map[Digest]time.Duration
+	// exonerated are the parts of prompts that are taken for harmless; startedAt is when the Guard was created.
+	exonerated *exoneratedParts
+	startedAt  time.Duration
 	// unreportedCrashes and unreportedCompletions wait to be reported.
 	unreportedCrashes     []Crash
 	unreportedCompletions []Digest
@@ -73,6 +78,8 @@
 	watched map[Digest]struct{}
 	// onProbation are the requests that may be held soon.
 	onProbation map[Digest]struct{}
+	// joint are sets of parts; a request with all parts of one is held.
+	joint []JointSuspects
 }
 
 // NewGuard returns a Guard without evidence.
@@ -83,29 +90,68 @@
 		localEvidence:  make(chan struct{}, 1),
 		entries:        map[Digest]NewsEntry{},
 		localHeldUntil: map[Digest]time.Duration{},
+		exonerated:     newExoneratedParts(exonerationTimes * options.ContactTime),
+		startedAt:      options.Now(),
 	}
 }
 
-// Request is a request that is identified by its content.
+// Request is a request that is identified by its content, and by the parts of its prompt.
 type Request interface {
 	// TargetHash is HashTarget of the request's host and target.
 	TargetHash() uint32
 	// Digest is the digest of the request's content.
 	Digest() Digest
+	// Parts are the digests of the parts of its prompt that other requests may share.
+	Parts() []Digest
 }
 
-// Holds reports whether a request is held and must be sent to no replica. The content is hashed only if
-// a request with the same target is watched: a call then takes 17 us for a body of 17 KB, and otherwise
-// 0.15 us (BenchmarkGuardedCall, one processor).
-func (g *Guard) Holds(request Request) bool {
+// HeldBy returns the digest by which a request is held, so that it must be sent to no replica: that of its content or of a
+// part of its prompt. The content is hashed only if a request with the same target is watched, and parts only if
+// any part is: a call then takes 17 us for a body of 17 KB, and otherwise 0.15 us (BenchmarkGuardedCall, one processor).
+func (g *Guard) HeldBy(request Request) (digest Digest, held bool) {
 	view := g.view.Load()
-	if !view.watches(request) {
-		return false
+	digest, held = view.first(request, func(digest Digest) bool {
+		_, held := view.held[digest]
+		return held
+	})
+	if held || !view.watchesParts() {
+		return digest, held
 	}
-	_, held := view.held[request.Digest()]
+	for _, suspects := range view.joint {
+		if containsAll(request.Parts(), suspects.Parts) {
+			return suspects.Parts[0], true
+		}
+	}
+	return Digest{}, false
+}
+
+// containsAll reports whether a set contains all of the others.
+func containsAll(set, others []Digest) bool {
+	return !slices.ContainsFunc(others, func(each Digest) bool { return !slices.Contains(set, each) })
+}
+
+// Holds reports whether a request is held.
+func (g *Guard) Holds(request Request) bool {
+	_, held := g.HeldBy(request)
 	return held
 }
 
+// first returns the first digest of a request, of its content or of a part, that is watched and satisfies a condition.
+func (v *guardView) first(request Request, satisfies func(Digest) bool) (digest Digest, found bool) {
+	if v.watches(request) && satisfies(request.Digest()) {
+		return request.Digest(), true
+	}
+	if !v.watchesParts() {
+		return Digest{}, false
+	}
+	for _, part := range request.Parts() {
+		if satisfies(part) {
+			return part, true
+		}
+	}
+	return Digest{}, false
+}
+
 // MayRetry reports whether a request that has lost its connection to a replica may be retried on
 // another one within the same call. A request on probation is sent only once a call: within one call it
 // might crash several more replicas before the evidence of the first crash has arrived.
@@ -114,14 +160,19 @@
 // OnProbation reports whether a request is on probation: as many replicas have crashed under it as
 // under a held request, but other requests that ran there might be the cause.
 func (g *Guard) OnProbation(request Request) bool {
-	view := g.view.Load()
-	if !view.watches(request) {
-		return false
-	}
-	_, onProbation := view.onProbation[request.Digest()]
+	_, onProbation := g.Suspect(request)
 	return onProbation
 }
 
+// Suspect returns the digest by which a request is on probation.
+func (g *Guard) Suspect(request Request) (digest Digest, onProbation bool) {
+	view := g.view.Load()
+	return view.first(request, func(digest Digest) bool {
+		_, onProbation := view.onProbation[digest]
+		return onProbation
+	})
+}
+
 // MayForward reports whether a request may be forwarded to processes that do not have the evidence known
 // here. It may not once two or more replicas have crashed under it.
 func (g *Guard) MayForward(request Request) bool {
@@ -137,6 +188,15 @@
 	return !reported && !local.watched()
 }
 
+// watchesParts reports whether any part of prompts is watched.
+func (v *guardView) watchesParts() bool {
+	if v == nil || len(v.targets) == 0 {
+		return false
+	}
+	_, watched := v.targets[partTarget]
+	return watched
+}
+
 // watches reports whether a request with the same target is watched.
 func (v *guardView) watches(request Request) bool {
 	if v == nil || len(v.targets) == 0 {
@@ -148,6 +208,7 @@
 
 // ReplicaCrashed records that a replica has crashed under requests of this gateway.
 func (g *Guard) ReplicaCrashed(replica string, requests []Digest) {
+	requests = slices.DeleteFunc(slices.Clone(requests), g.exonerates)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.applyLocal(&Command{Crashes: []Crash{{Replica: replica, Requests: requests}}})
@@ -157,30 +218,60 @@
 	g.signal()
 }
 
+// exonerates reports whether a digest is that of a part which is no cause of a crash, as far as this gateway knows: requests
+// with it have recently run to their ends. Shortly after its start it has seen too few of them to tell.
+func (g *Guard) exonerates(digest Digest) bool {
+	now := g.options.Now()
+	return digest.IsPart() && (now-g.startedAt < g.options.ContactTime || g.exonerated.covers(now, digest))
+}
+
 // Completed records that a replica has run a request to completion. lostReplica says that the call had
 // lost its connection to a replica before; otherwise the completion is reported only if the request is
 // watched.
 func (g *Guard) Completed(request Request, lostReplica bool) {
-	if !lostReplica {
-		view := g.view.Load()
-		if !view.watches(request) {
-			return
-		}
-		if _, watched := view.watched[request.Digest()]; !watched {
-			return
-		}
+	parts := request.Parts()
+	if len(parts) > 0 {
+		g.exonerated.add(g.options.Now(), parts)
+	}
+	completed := g.watchedDigests(request, parts)
+	if lostReplica && !slices.Contains(completed, request.Digest()) {
+		completed = append(completed, request.Digest())
+	}
+	if len(completed) == 0 {
+		return
 	}
-	digest := request.Digest()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.applyLocal(&Command{Completions: []Digest{digest}})
-	delete(g.localHeldUntil, digest)
-	g.unreportedCompletions = append(g.unreportedCompletions, digest)
+	g.applyLocal(&Command{Completions: completed})
+	for _, digest := range completed {
+		delete(g.localHeldUntil, digest)
+	}
+	g.unreportedCompletions = append(g.unreportedCompletions, completed...)
 	g.dropExcess()
 	g.rebuildView()
 	g.signal()
 }
 
+// watchedDigests returns the digests of a request and its parts that are watched.
+func (g *Guard) watchedDigests(request Request, parts []Digest) []Digest {
+	view := g.view.Load()
+	var watched []Digest
+	note := func(digest Digest) {
+		if _, found := view.watched[digest]; found {
+			watched = append(watched, digest)
+		}
+	}
+	if view.watches(request) {
+		note(request.Digest())
+	}
+	if view.watchesParts() {
+		for _, part := range parts {
+			note(part)
+		}
+	}
+	return watched
+}
+
 // applyLocal applies a command to the local evidence. The caller must hold g.mutex.
 func (g *Guard) applyLocal(command *Command) {
 	g.localPosition++
@@ -261,6 +352,7 @@
 		g.applyLocal(&Command{Release: []Digest{digest}})
 		delete(g.localHeldUntil, digest)
 	}
+	g.joint = update.Joint
 	g.revision = update.Revision
 	g.rebuildView()
 }
@@ -344,6 +436,7 @@
 			view.onProbation[record.Digest] = struct{}{}
 		}
 	}
+	view.joint = append(slices.Clone(g.joint), g.local.jointSuspects()...)
 	for digest := range g.localHeldUntil {
 		watch(digest)
 		view.held[digest] = struct{}{}
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -114,6 +114,14 @@
 	Complete  bool        `msg:"whole"`
 	Entries   []NewsEntry `msg:"entries"`
 	Unwatched []Digest    `msg:"freed"`
+	// Joint are the sets of parts of prompts that can't be told apart; the newest News has all of them. A request with
+	// all parts of one is held.
+	Joint []JointSuspects `msg:"joint,omitempty"`
+}
+
+// JointSuspects are parts of prompts under which the same replicas have crashed.
+type JointSuspects struct {
+	Parts []Digest `msg:"parts"`
 }
 
 // NewsEntry is a request that gateways watch: its completion has to be reported.
--- a/internal/poison/messages_gen.go
+++ b/internal/poison/messages_gen.go
@@ -430,38 +430,152 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *JointSuspects) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "revision"
-	o = append(o, 0x84, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "whole"
-	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendBool(o, z.Complete)
-	// string "entries"
-	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Entries[za0001].Digest.MarshalMsg(o)
+	// map header, size 1
+	// string "parts"
+	o = append(o, 0x81, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		o, err = z.Parts[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001, "Digest")
+			err = msgp.WrapError(err, "Parts", za0001)
 			return
 		}
-		o = msgp.AppendBool(o, z.Entries[za0001].Held)
-		o = msgp.AppendBool(o, z.Entries[za0001].OnProbation)
 	}
-	// string "freed"
-	o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Unwatched)))
-	for za0002 := range z.Unwatched {
-		o, err = z.Unwatched[za0002].MarshalMsg(o)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JointSuspects) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Unwatched", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "parts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]Digest, zb0002)
+			}
+			for za0001 := range z.Parts {
+				bts, err = z.Parts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JointSuspects) Msgsize() (s int) {
+	s = 1 + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += z.Parts[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Joint == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		// string "whole"
+		o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+		o = msgp.AppendBool(o, z.Complete)
+		// string "entries"
+		o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		for za0001 := range z.Entries {
+			// array header, size 3
+			o = append(o, 0x93)
+			o, err = z.Entries[za0001].Digest.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001, "Digest")
+				return
+			}
+			o = msgp.AppendBool(o, z.Entries[za0001].Held)
+			o = msgp.AppendBool(o, z.Entries[za0001].OnProbation)
+		}
+		// string "freed"
+		o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Unwatched)))
+		for za0002 := range z.Unwatched {
+			o, err = z.Unwatched[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Unwatched", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "joint"
+			o = append(o, 0xa5, 0x6a, 0x6f, 0x69, 0x6e, 0x74)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Joint)))
+			for za0003 := range z.Joint {
+				// map header, size 1
+				// string "parts"
+				o = append(o, 0x81, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+				o = msgp.AppendArrayHeader(o, uint32(len(z.Joint[za0003].Parts)))
+				for za0004 := range z.Joint[za0003].Parts {
+					o, err = z.Joint[za0003].Parts[za0004].MarshalMsg(o)
+					if err != nil {
+						err = msgp.WrapError(err, "Joint", za0003, "Parts", za0004)
+						return
+					}
+				}
+			}
+		}
 	}
 	return
 }
@@ -566,6 +680,73 @@
 					return
 				}
 			}
+		case "joint":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Joint")
+				return
+			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Joint) >= int(zb0005) {
+				z.Joint = (z.Joint)[:zb0005]
+			} else {
+				z.Joint = make([]JointSuspects, zb0005)
+			}
+			for za0003 := range z.Joint {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Joint", za0003)
+					return
+				}
+				if zb0006 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Joint", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "parts":
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Joint", za0003, "Parts")
+							return
+						}
+						if zb0007 > z2c18a699limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Joint[za0003].Parts) >= int(zb0007) {
+							z.Joint[za0003].Parts = (z.Joint[za0003].Parts)[:zb0007]
+						} else {
+							z.Joint[za0003].Parts = make([]Digest, zb0007)
+						}
+						for za0004 := range z.Joint[za0003].Parts {
+							bts, err = z.Joint[za0003].Parts[za0004].UnmarshalMsg(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Joint", za0003, "Parts", za0004)
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Joint", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -588,6 +769,13 @@
 	for za0002 := range z.Unwatched {
 		s += z.Unwatched[za0002].Msgsize()
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0003 := range z.Joint {
+		s += 1 + 6 + msgp.ArrayHeaderSize
+		for za0004 := range z.Joint[za0003].Parts {
+			s += z.Joint[za0003].Parts[za0004].Msgsize()
+		}
+	}
 	return
 }
 
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -51,7 +51,7 @@
 		replica := xxhash.Sum64String(crash.Replica)
 		change.recordRecentCrash(replica)
 		for _, digest := range crash.Requests {
-			change.addCrash(digest, replica, attributed)
+			change.addCrash(digest, replica, attributed.covers(digest, replica))
 		}
 	}
 	for _, digest := range command.Completions {
@@ -138,27 +138,41 @@
 	c.BurstCrashes = bursts[max(0, len(bursts)-maximumBurstCrashes):]
 }
 
-// attributedCrashes returns the replicas that have crashed under held requests.
-func (c *stateChange) attributedCrashes() map[uint64]bool {
-	attributed := map[uint64]bool{}
+// attributedCrashes are the replicas that have crashed under held requests, and those that have crashed under held parts.
+type attributedCrashes struct{ underAny, underParts map[uint64]bool }
+
+func (c *stateChange) attributedCrashes() attributedCrashes {
+	attributed := attributedCrashes{underAny: map[uint64]bool{}, underParts: map[uint64]bool{}}
 	for _, record := range c.records {
 		if record.HeldAt == 0 {
 			continue
 		}
 		for _, crash := range record.Crashes {
-			attributed[crash] = true
+			attributed.underAny[crash] = true
+			if record.Digest.IsPart() {
+				attributed.underParts[crash] = true
+			}
 		}
 	}
 	return attributed
 }
 
-// addCrash records that a replica has crashed under a request.
-func (c *stateChange) addCrash(digest Digest, replica uint64, attributed map[uint64]bool) {
+// covers reports whether a crash is put down to what is held, so that it is no evidence against a digest. A crash under a held
+// content may still be due to one of its parts.
+func (a attributedCrashes) covers(digest Digest, replica uint64) bool {
+	if digest.IsPart() {
+		return a.underParts[replica]
+	}
+	return a.underAny[replica]
+}
+
+// addCrash records that a replica has crashed under a request. attributed says that the crash is put down to another one.
+func (c *stateChange) addCrash(digest Digest, replica uint64, attributed bool) {
 	at, found := find(c.records, digest)
 	if found && slices.Contains(c.records[at].Crashes, replica) {
 		return
 	}
-	if attributed[replica] && (!found || c.records[at].HeldAt == 0) {
+	if attributed && (!found || c.records[at].HeldAt == 0) {
 		// The held request has crashed the replica; this one only ran beside it.
 		return
 	}
@@ -177,7 +191,8 @@
 	if len(record.Crashes) >= HoldAfter && record.SufficientAt == 0 {
 		record.SufficientAt = c.at
 	}
-	if len(record.Crashes) == watchAfter || len(record.Crashes) == HoldAfter {
+	switch len(record.Crashes) {
+	case watchAfter, HoldAfter, jointAfter:
 		c.markChanged(record)
 	}
 }
@@ -203,7 +218,7 @@
 	crashes := c.records[at].Crashes
 	remaining := c.records[:0]
 	for _, record := range c.records {
-		if record.HeldAt == 0 {
+		if record.HeldAt == 0 && (digest.IsPart() || !record.Digest.IsPart()) {
 			record = c.withoutCrashes(record, crashes)
 		}
 		if record.HeldAt != 0 || len(record.Crashes) > 0 {
@@ -333,6 +348,7 @@
 			update.Entries = append(update.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: record.onProbation()})
 		}
 	}
+	update.Joint = s.jointSuspects()
 	if update.Complete {
 		return update
 	}
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -27,6 +27,7 @@
 
 func (r fixedRequest) TargetHash() uint32 { return Digest(r).TargetHash() }
 func (r fixedRequest) Digest() Digest     { return Digest(r) }
+func (r fixedRequest) Parts() []Digest    { return nil }
 
 // evidence is a State to which commands are applied in sequence, 1 ms apart.
 type evidence struct {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -37,6 +37,8 @@
 
 	digestOnce sync.Once
 	digest     poison.Digest
+	partsOnce  sync.Once
+	parts      []poison.Digest
 }
 
 // TargetHash implements poison.Request.
@@ -54,6 +56,35 @@
 	return c.digest
 }
 
+// Parts implements poison.Request.
+func (c *Call) Parts() []poison.Digest {
+	if c.Prompt == nil || len(c.Prompt.Parts) < 2 {
+		return nil
+	}
+	c.partsOnce.Do(func() {
+		shared := c.Prompt.Parts[:len(c.Prompt.Parts)-1]
+		ids := make([]string, 0, min(len(shared), poison.MaximumParts))
+		for _, part := range shared[:cap(ids)] {
+			ids = append(ids, part.ID)
+		}
+		c.parts = poison.PartDigests(c.Service.Name, ids)
+	})
+	return c.parts
+}
+
+// partOf returns the ID of the part of the prompt with a digest, empty if there is none.
+func (c *Call) partOf(digest poison.Digest) string {
+	if c.Prompt == nil || !digest.IsPart() {
+		return ""
+	}
+	for _, part := range c.Prompt.Parts {
+		if found := poison.PartDigests(c.Service.Name, []string{part.ID}); len(found) > 0 && found[0] == digest {
+			return part.ID
+		}
+	}
+	return ""
+}
+
 // Responder takes the answer to a call. Exactly one of Answer, Refuse and Stream is called, once.
 type Responder interface {
 	// Answer writes a whole response.
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -21,7 +21,7 @@
 	if r.stream != nil {
 		events = r.stream.events - r.earlierEvents
 	}
-	loss := poison.ConnectionLoss{Request: r.call.ID, Digest: r.call.Digest(), Elapsed: lease.age(), Events: events}
+	loss := poison.ConnectionLoss{Request: r.call.ID, Digest: r.call.Digest(), Parts: r.call.Parts(), Elapsed: lease.age(), Events: events}
 	r.crashDetector.ConnectionLost(lease.Replica.name, lease.Replica.Address, loss)
 }
 
--- a/internal/relay/held.go
+++ b/internal/relay/held.go
@@ -26,21 +26,27 @@
 // checkProbation returns an error if the request is on probation and another gateway is trying it now. A
 // stream that is being moved is not a new try.
 func (r *callState) checkProbation(ctx context.Context) error {
-	if r.probationPermit == nil || r.guard == nil || r.moved != nil || r.directory.disabled[mechanism.RequestHolds] || !r.guard.OnProbation(r.call) {
+	if r.probationPermit == nil || r.guard == nil || r.moved != nil || r.directory.disabled[mechanism.RequestHolds] {
 		return nil
 	}
-	if wait := r.probationPermit(ctx, r.call.Digest()); wait > 0 {
+	suspect, onProbation := r.guard.Suspect(r.call)
+	if !onProbation {
+		return nil
+	}
+	if wait := r.probationPermit(ctx, suspect); wait > 0 {
 		return &probationError{wait: wait}
 	}
 	return nil
 }
 
-// heldDigestForLog returns the digest of a held request, empty for others.
-func (r *callState) heldDigestForLog() string {
+// heldDigestForLog returns the digest by which a request is held, and the ID of the part if it is that of a part of its
+// prompt; both are empty for others.
+func (r *callState) heldDigestForLog() (digest, part string) {
 	if !r.isHeld() {
-		return ""
+		return "", ""
 	}
-	return r.call.Digest().String()
+	held, _ := r.guard.HeldBy(r.call)
+	return held.String(), r.call.partOf(held)
 }
 
 // reportSuccess reports to the guard a request that a replica has run to its end: it does not crash
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -445,9 +445,10 @@
 		err = failure.Wrap(err, failure.OutcomeUnknown)
 	}
 	response := failure.AnswerFor(err)
+	heldDigest, heldPart := r.heldDigestForLog()
 	r.logger.Info(event.RequestRefused, "request", r.call.ID, "route", r.call.Route.Name, "tenant", r.call.Tenant,
 		"rank", r.call.Route.Priority, "kind", string(response.Kind), "status", response.Status, "retry_after_ms", response.RetryAfter.Milliseconds(),
-		"cause", err.Error(), "sends", r.sends, "digest", r.heldDigestForLog(), "after_ms", time.Since(r.call.Arrived).Milliseconds())
+		"cause", err.Error(), "sends", r.sends, "digest", heldDigest, "part", heldPart, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	r.metrics.countRequest(r.call, string(response.Kind))
 	r.responder.Refuse(err)
 }
