--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -52,6 +52,7 @@
 	}
 	options.Log = out
 	options.Asks = true
+	options.EndingParts = true
 	folder, err := os.MkdirTemp("", "pierhaven-soak")
 	if err != nil {
 		return err
--- a/bench/soak/ending.go
+++ b/bench/soak/ending.go
@@ -47,9 +47,7 @@
 			s.truth.begin(id, false, "", owner)
 			gateway := s.gatewayFor(id, int(s.draw()*gateways))
 			bounded, cancel := context.WithTimeout(ctx, callWait)
-			answer, err := platformtest.CallWith(bounded, s.client, gateway, platformtest.Caller{
-				Host: host, Path: repeatRoute + "ending", ID: id, Wait: callWait, Key: key, Body: "ending " + fmt.Sprint(content),
-			})
+			answer, err := platformtest.CallWith(bounded, s.client, gateway, s.endingCall(content, id, key))
 			cancel()
 			if err == nil {
 				s.truth.endingAnswered(id, answer)
@@ -58,6 +56,16 @@
 	}
 }
 
+// endingCall is a try. With EndingParts, the tries of every other content differ, and share a part of their prompts.
+func (s *soak) endingCall(content int, id, key string) platformtest.Caller {
+	call := platformtest.Caller{Host: host, Path: repeatRoute + "ending", ID: id, Wait: callWait, Key: key, Body: "ending " + fmt.Sprint(content)}
+	if s.options.EndingParts && content%2 == 0 {
+		call.Body = "ending " + id
+		call.Prompt = &platformtest.Prompt{Tokens: 100, Shared: fmt.Sprint("ending-part-", content), Own: id}
+	}
+	return call
+}
+
 // draw returns a number from 0 up to 1.
 func (s *soak) draw() float64 {
 	s.mutex.Lock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -47,6 +47,8 @@
 	Planned bool
 	// Asks has engines want to rest, and say that they leave, at random.
 	Asks bool
+	// EndingParts has every other kind of request that ends replicas differ in all but a part of their prompts.
+	EndingParts bool
 	// LongList has the platform's list come in pages, of which some fail, and take few calls a second.
 	LongList bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -121,6 +121,16 @@
 	require.Contains(t, strings.Join(result.Violations, "\n"), "later than 3s after the third")
 }
 
+func TestRequestsWithAPartThatEndsReplicasAreHeld(t *testing.T) {
+	t.Parallel()
+	result, err := Run(t.Context(), Options{
+		Seed: 21, EndingParts: true, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+	require.Positive(t, result.Held)
+}
+
 func TestASoakNoticesListsThatHideLivesAndNameWhatIsNoReplica(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 16, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
