--- a/internal/relay/daemon/cutoff_test.go
+++ b/internal/relay/daemon/cutoff_test.go
@@ -61,6 +61,29 @@
 	return view
 }
 
+// startPeers starts two gateways of a region, of which each knows the replicas at other addresses.
+func startPeers(t *testing.T, kind traffic.Kind, first, second []string) (*gateway, *gateway) {
+	t.Helper()
+	peers := []string{testnet.Address(t), testnet.Address(t)}
+	var started []*gateway
+	for number, replicas := range [][]string{first, second} {
+		coordinator := startCoordinator(t, viewOfReplicas(t, kind, replicas, slices.Clone(peers)))
+		started = append(started, startGatewayAt(t, peers[number], logr.Discard(), coordinator))
+	}
+	for _, each := range started {
+		each.awaitReadiness(http.StatusOK)
+	}
+	return started[0], started[1]
+}
+
+// addresses returns as many addresses.
+func addresses(t *testing.T, create func(*testing.T) string) (created []string) {
+	for range replicasOfCutOff {
+		created = append(created, create(t))
+	}
+	return created
+}
+
 // Guards against callers that are not served because their gateway alone has lost its links to the replicas.
 func TestCallersOfAGatewayThatReachesNoReplicaAreServed(t *testing.T) {
 	for name, unreachable := range map[string]func(*testing.T) string{"refused": refusingAddress, "silent": silentAddress} {
@@ -76,11 +99,7 @@
 					}))
 					cut = append(cut, unreachable(t))
 				}
-				peers := []string{testnet.Address(t), testnet.Address(t)}
-				isolated := startGatewayAt(t, peers[0], logr.Discard(), startCoordinator(t, viewOfReplicas(t, kind, cut, slices.Clone(peers))))
-				healthy := startGatewayAt(t, peers[1], logr.Discard(), startCoordinator(t, viewOfReplicas(t, kind, sound, slices.Clone(peers))))
-				isolated.awaitReadiness(http.StatusOK)
-				healthy.awaitReadiness(http.StatusOK)
+				isolated, _ := startPeers(t, kind, cut, sound)
 
 				const calls = 12
 				served := 0
@@ -102,3 +121,65 @@
 		}
 	}
 }
+
+// Guards against requests that are passed round, or wait for their deadline, while no gateway reaches a replica.
+func TestARequestThatNoGatewayCanPassOnIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	first, _ := startPeers(t, traffic.KindOnce, addresses(t, refusingAddress), addresses(t, refusingAddress))
+	for range 6 {
+		begun := time.Now()
+		answer, err := first.post("/v3/x")
+		require.NoError(t, err)
+		_ = answer.Body.Close()
+		assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+		assert.NotEmpty(t, answer.Header.Get("Retry-After"))
+		assert.Less(t, time.Since(begun), 5*time.Second, "its caller waits for 20 s")
+	}
+}
+
+// A forwarded request whose replica breaks off has run, and is not repeated by either gateway.
+func TestAForwardedRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int32
+	dropping := func(t *testing.T) string {
+		return startReplica(t, func(_ http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	isolated, _ := startPeers(t, traffic.KindOnce, addresses(t, refusingAddress), addresses(t, dropping))
+	answer, err := isolated.post("/v3/x")
+	require.NoError(t, err)
+	_ = answer.Body.Close()
+	assert.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	assert.EqualValues(t, 1, runs.Load())
+}
+
+// A caller that leaves ends the work of the replica, also behind a peer gateway.
+func TestTheCallerOfAForwardedRequestMayLeave(t *testing.T) {
+	t.Parallel()
+	begun, ended := make(chan struct{}, 1), make(chan struct{})
+	endless := func(t *testing.T) string {
+		return startReplica(t, func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			writer.Header().Set("Sealed", "yes")
+			writer.Header().Set("Content-Type", "text/event-stream")
+			_, _ = writer.Write([]byte("id: 1\ndata: x\n\n"))
+			writer.(http.Flusher).Flush()
+			begun <- struct{}{}
+			<-request.Context().Done()
+			close(ended)
+		})
+	}
+	isolated, _ := startPeers(t, traffic.KindStream, addresses(t, refusingAddress), addresses(t, endless))
+	answer, err := isolated.post("/v3/x")
+	require.NoError(t, err)
+	<-begun
+	_ = answer.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the replica works on")
+	}
+}
