A part that ran to its end at any gateway is cleared once it is watched, and crowds of crashes weigh less against parts

Now each gateway that learns that a part is watched tells at once if a request with it has recently run to its end there, a crowd of crashes counts once against a part that most of it was not under, and a part is on probation from five crashes on, not three.

--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -23,7 +23,10 @@
 	attributed := map[uint64]bool{}
 	var due []Digest
 	for _, candidate := range candidates {
-		if !s.isExplained(candidate) && isCause(candidate, recordsByCrash, attributed, bursts) {
+		if candidate.Digest.IsPart() && (s.isExplained(candidate) || bursts.countApart(candidate) < HoldAfter) {
+			continue
+		}
+		if isCause(candidate, recordsByCrash, attributed, bursts) {
 			due = append(due, candidate.Digest)
 			for _, crash := range candidate.Crashes {
 				attributed[crash] = true
@@ -77,6 +80,21 @@
 	return dominated
 }
 
+// countApart counts the crashes under a part, those of a burst as one unless most of the burst are under the part: a part may
+// be at many of the replicas that crash together.
+func (b bursts) countApart(record *Record) int {
+	dominated := b.dominatedBy(record)
+	count, counted := 0, map[uint64]bool{}
+	for _, crash := range record.Crashes {
+		burst := b.byCrash[crash]
+		if dominated[burst] || !counted[burst] {
+			count++
+		}
+		counted[burst] = true
+	}
+	return count
+}
+
 // candidates returns the records that have had enough evidence for long enough, those with the most
 // crashes first.
 func (s *State) candidates(now int64, settle time.Duration) []*Record {
@@ -166,7 +184,7 @@
 	var sets []JointSuspects
 	var crashes [][]uint64
 	for _, record := range s.Records {
-		if !record.Digest.IsPart() || record.HeldAt != 0 || len(record.Crashes) < jointAfter {
+		if !record.Digest.IsPart() || !s.onProbation(&record) {
 			continue
 		}
 		at := slices.IndexFunc(crashes, func(each []uint64) bool { return slices.Equal(each, record.Crashes) })
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -340,6 +340,7 @@
 		clear(g.entries)
 	}
 	for _, entry := range update.Entries {
+		g.reportIfExonerated(entry.Digest)
 		g.entries[entry.Digest] = entry
 		if entry.Held {
 			// The replicas that it has crashed are no evidence against requests that ran beside it.
@@ -357,6 +358,18 @@
 	g.rebuildView()
 }
 
+// reportIfExonerated reports a part that the coordinators have begun to watch as one of a request that has run to its end, if
+// one has here. The caller must hold g.mutex.
+func (g *Guard) reportIfExonerated(digest Digest) {
+	if _, known := g.entries[digest]; known || !digest.IsPart() || !g.exonerated.covers(g.options.Now(), digest) {
+		return
+	}
+	g.applyLocal(&Command{Completions: []Digest{digest}})
+	g.unreportedCompletions = append(g.unreportedCompletions, digest)
+	g.dropExcess()
+	g.signal()
+}
+
 // HasLocalEvidence reports whether there is local evidence to check.
 func (g *Guard) HasLocalEvidence() bool {
 	g.mutex.Lock()
@@ -432,7 +445,7 @@
 	for index := range g.local.Records {
 		record := &g.local.Records[index]
 		watch(record.Digest)
-		if record.onProbation() {
+		if g.local.onProbation(record) {
 			view.onProbation[record.Digest] = struct{}{}
 		}
 	}
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -191,8 +191,8 @@
 	if len(record.Crashes) >= HoldAfter && record.SufficientAt == 0 {
 		record.SufficientAt = c.at
 	}
-	switch len(record.Crashes) {
-	case watchAfter, HoldAfter, jointAfter:
+	count := len(record.Crashes)
+	if count == watchAfter || count == HoldAfter || digest.IsPart() && count >= jointAfter {
 		c.markChanged(record)
 	}
 }
@@ -268,7 +268,26 @@
 
 // onProbation reports whether as many replicas have crashed under the request as are needed to hold it,
 // though other requests may be the cause.
-func (r *Record) onProbation() bool { return r.HeldAt == 0 && len(r.Crashes) >= HoldAfter }
+func (r *Record) onProbation() bool { return r.HeldAt == 0 && len(r.Crashes) >= r.probationAfter() }
+
+// probationAfter returns the number of crashes from which on a request is on probation. It is higher for a part, which is in
+// many requests.
+func (r *Record) probationAfter() int {
+	if r.Digest.IsPart() {
+		return jointAfter
+	}
+	return HoldAfter
+}
+
+// onProbation reports whether a request or a part is on probation. The crashes of a part are weighed: most parts that were at
+// replicas which crashed together are not the cause.
+func (s *State) onProbation(record *Record) bool {
+	if !record.onProbation() || !record.Digest.IsPart() {
+		return record.onProbation()
+	}
+	bursts := s.bursts()
+	return bursts.countApart(record) >= jointAfter
+}
 
 // makeRoom drops a record if there are MaximumRecords: of those that are not held, the oldest with the
 // fewest crashes; a held one only if all are held.
@@ -345,7 +364,7 @@
 	update := &News{Revision: s.Revision, Complete: revision == 0 || revision < s.UnwatchedSince}
 	for _, record := range s.Records {
 		if record.watched() && (update.Complete || record.Revision > revision) {
-			update.Entries = append(update.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: record.onProbation()})
+			update.Entries = append(update.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: s.onProbation(&record)})
 		}
 	}
 	update.Joint = s.jointSuspects()
