A forwarded stream counts as run for its tenant, and a cut-off peer's refusal lets the next peer be asked

Two faults found by reading the change. A stream tells no number of runs with its head, so that the first gateway took it for a call that had run nowhere and gave the tenant's charge back. And a peer that is cut off as well answered a call which may have run elsewhere before with an unknown outcome, which ended it though it may be repeated. TestAForwardedStreamCountsAsRun failed before (0 runs).

--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -30,7 +30,8 @@
 	Exchange *upstream.Exchange
 	// Refusal is the peer's own refusal, nil if it passes on the answer of a replica.
 	Refusal error
-	// Runs counts the replicas that may have run the call, those of Progress included; 0 if the peer does not say.
+	// Runs counts the replicas that may have run the call, those of Progress included; 0 if the peer does not say, as with a
+	// stream.
 	Runs int
 }
 
@@ -113,7 +114,7 @@
 		r.countLostForward()
 		return verdictUnknown, failure.New(failure.AnswerBroken, "the answer bears no mark of a replica")
 	}
-	r.attempts = max(r.attempts, answer.Runs)
+	r.attempts = max(r.attempts+1, answer.Runs)
 	if r.call.Route.Kind == traffic.KindStream && answer.Exchange.Status < 300 {
 		return r.relayPeerStream(answer.Exchange)
 	}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -441,7 +441,7 @@
 	} else if failure.KindOf(err) != failure.CutOff && !r.mayHaveRun {
 		// Whatever ended the call, no replica has run it or will run it later.
 		err = failure.Wrap(err, failure.BackEndRefused, failure.WithRetryAfter(r.retryAfter(err)))
-	} else if r.mayHaveRun && failure.KindOf(err) != failure.DeadlineExceeded {
+	} else if r.mayHaveRun && failure.KindOf(err) != failure.DeadlineExceeded && !(r.call.Forwarded && failure.KindOf(err) == failure.CutOff) {
 		err = failure.Wrap(err, failure.OutcomeUnknown)
 	}
 	response := failure.AnswerFor(err)
