--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -159,6 +161,19 @@
 	}
 }
 
+// A gateway whose view had just become fresh again sent three requests to an engine that had asked for rest a quarter of a
+// second before.
+func TestAGatewayWithAViewThatWasNotFreshKeepsToRest(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "pierhaven")
+	output, err := exec.Command("go", "build", "-race", "-o", binary, "../../cmd/pierhaven").CombinedOutput()
+	require.NoError(t, err, string(output))
+	result, err := Run(t.Context(), Options{
+		Seed: 11303, Asks: true, Race: true, Duration: 30 * time.Second, Binary: binary, Folder: t.TempDir(), Log: t.Output(),
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+}
+
 func TestASoakNoticesGatewaysThatDoNotCountLimits(t *testing.T) {
 	result, err := Run(t.Context(), Options{
 		Seed: 14, Duration: 8 * time.Second, Binary: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
