--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -52,7 +52,8 @@
 	}
 	options.Log = out
 	options.Asks = true
-	options.EndingParts = true
+	// An earlier build may not know parts.
+	options.EndingParts = options.Production == ""
 	folder, err := os.MkdirTemp("", "pierhaven-soak")
 	if err != nil {
 		return err
