rpc: a server that is stopped at its start gives its address back

Played again here 300 times, 100 at once: once, after 24.3 s, "listen tcp 127.128.80.55:10007: bind: address already in use" at the restart of a coordinator that had been stopped three seconds before.

Cause: that coordinator was stopped right after its start. Hertz's Shutdown does nothing before the engine runs, so the listener stayed open; the next connection ended the accept loop (the ClosingListener was closed by then), and Run returned with the socket still listening. Without a next connection stop waits for ever: a coordinator or controller that gets SIGTERM in its first moments doesn't end.

Ruled out: two holders of one address (testnet numbers ports by process and in turn), a late close (three seconds passed), TIME_WAIT (reuse is set).

Now stop closes the listener itself. The same elsewhere: the gateway's doors close their listener first already; the relay serves with its own loop.

--- a/internal/rpc/serve.go
+++ b/internal/rpc/serve.go
@@ -42,9 +42,10 @@
 	return tracked, nil
 }
 
-// closeAll closes the accepted connections, and has those accepted later closed
-// at once.
+// closeAll closes the listener and the accepted connections, and has those that
+// are still being accepted closed at once.
 func (l *ClosingListener) closeAll() {
+	_ = l.Listener.Close()
 	l.mutex.Lock()
 	l.closed = true
 	open := l.connections
@@ -69,7 +70,8 @@
 }
 
 // RunServer serves until stop is called, which gives calls in flight up to
-// serverCloseTime to complete.
+// serverCloseTime to complete. The HTTP library's shutdown does nothing before
+// the engine runs, so that stop closes the listener in any case.
 func RunServer(engine *server.Hertz, listener *ClosingListener) (stop func()) {
 	done := make(chan struct{})
 	go func() {
