--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -35,10 +35,11 @@
 	gateway string
 }
 
-// rest is a time for which a gateway was asked to send nothing, and what came nevertheless.
+// rest is a time for which a gateway was asked to send nothing, in the answer to a request, and what came nevertheless.
 type rest struct {
-	at, until time.Time
-	came      []string
+	asked arrival
+	until time.Time
+	came  []arrival
 }
 
 // asks is what engines ask of gateways, and what they got after that. It is guarded by the truth's mutex.
@@ -129,22 +130,23 @@
 	known := t.asks.rests[gateway]
 	if len(known) > 0 {
 		if last := known[len(known)-1]; now.Before(last.until) {
-			if now.After(last.at.Add(restDelay)) && !t.isDisturbed(gateway.gateway, gateway.engine, now) {
-				t.judgeRest(gateway, last, request)
+			if now.After(last.asked.at.Add(restDelay)) && !t.isDisturbed(gateway.gateway, gateway.engine, now) {
+				t.judgeRest(gateway, last, arrival{at: now, request: request})
 			}
 			return
 		}
 	}
 	if wanted > 0 {
-		t.asks.rests[gateway] = append(known, &rest{at: now, until: now.Add(wanted)})
+		t.asks.rests[gateway] = append(known, &rest{asked: arrival{at: now, request: request}, until: now.Add(wanted)})
 	}
 }
 
 // judgeRest checks that a gateway leaves an engine alone that wants to rest. It is called with the mutex held.
-func (t *truth) judgeRest(gateway askedGateway, asked *rest, request string) {
-	asked.came = append(asked.came, request)
-	if len(asked.came) > restSlack {
-		t.violate("%s has asked %s for %s of rest, and got %v", gateway.engine, gateway.gateway, asked.until.Sub(asked.at), asked.came)
+func (t *truth) judgeRest(gateway askedGateway, kept *rest, came arrival) {
+	kept.came = append(kept.came, came)
+	if len(kept.came) > restSlack {
+		t.violate("%s has asked %s for %s of rest, and got %s; asked by the answer to %s", gateway.engine, gateway.gateway,
+			kept.until.Sub(kept.asked.at), listed(kept.came), listed([]arrival{kept.asked}))
 	}
 }
 
