--- a/internal/poison/due.go
+++ b/internal/poison/due.go
@@ -8,9 +8,10 @@
 
 // Due returns the requests that are to be held at a time: those under which HoldAfter replicas or more
 // have crashed, twice as many if they crashed in bursts, where no other request that ran at these
-// replicas has as many crashes. The parts of prompts count as such requests. A poison request ran at all replicas that it crashed, while each of the
-// requests beside it ran at some of them. Where two requests can't be told apart, both continue to be
-// sent until one of them has run to completion or crashed another replica.
+// replicas has as many crashes. The parts of prompts count as such requests. A poison request ran at all
+// replicas that it crashed, while each of the requests beside it ran at some of them. Where two requests
+// can't be told apart, both continue to be sent until one of them has run to completion or crashed another
+// replica.
 //
 // settle is how long the evidence has to exist, so that all gateways have reported theirs.
 func (s *State) Due(now int64, settle time.Duration) []Digest {
@@ -95,6 +96,15 @@
 	return count
 }
 
+// onProbation reports whether a request or a part is on probation. The crashes of a part are weighed: most parts that were at
+// replicas which crashed together are not the cause.
+func (b bursts) onProbation(record *Record) bool {
+	if !record.onProbation() || !record.Digest.IsPart() {
+		return record.onProbation()
+	}
+	return b.countApart(record) >= jointAfter
+}
+
 // candidates returns the records that have had enough evidence for long enough, those with the most
 // crashes first.
 func (s *State) candidates(now int64, settle time.Duration) []*Record {
@@ -163,12 +173,9 @@
 	return others >= count
 }
 
-// isExplained reports whether the candidate is a part, and all replicas that crashed under it did so under held contents.
-func (s *State) isExplained(candidate *Record) bool {
-	if !candidate.Digest.IsPart() {
-		return false
-	}
-	return !slices.ContainsFunc(candidate.Crashes, func(crash uint64) bool {
+// isExplained reports whether all replicas that crashed under a part did so under held contents.
+func (s *State) isExplained(part *Record) bool {
+	return !slices.ContainsFunc(part.Crashes, func(crash uint64) bool {
 		return !slices.ContainsFunc(s.Records, func(record Record) bool {
 			return record.HeldAt != 0 && !record.Digest.IsPart() && slices.Contains(record.Crashes, crash)
 		})
@@ -179,12 +186,13 @@
 // Requests with some of the parts are on probation.
 const jointAfter = HoldAfter + 2
 
-// jointSuspects returns the sets of parts that are not held and have the same crashes, jointAfter or more.
-func (s *State) jointSuspects() []JointSuspects {
+// jointSuspects returns the sets of parts that are not held and have the same crashes, jointAfter or more. bursts are those
+// of the State.
+func (s *State) jointSuspects(bursts bursts) []JointSuspects {
 	var sets []JointSuspects
 	var crashes [][]uint64
 	for _, record := range s.Records {
-		if !record.Digest.IsPart() || !s.onProbation(&record) {
+		if !record.Digest.IsPart() || !bursts.onProbation(&record) {
 			continue
 		}
 		at := slices.IndexFunc(crashes, func(each []uint64) bool { return slices.Equal(each, record.Crashes) })
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -442,14 +442,15 @@
 			view.onProbation[digest] = struct{}{}
 		}
 	}
+	bursts := g.local.bursts()
 	for index := range g.local.Records {
 		record := &g.local.Records[index]
 		watch(record.Digest)
-		if g.local.onProbation(record) {
+		if bursts.onProbation(record) {
 			view.onProbation[record.Digest] = struct{}{}
 		}
 	}
-	view.joint = append(slices.Clone(g.joint), g.local.jointSuspects()...)
+	view.joint = append(slices.Clone(g.joint), g.local.jointSuspects(bursts)...)
 	for digest := range g.localHeldUntil {
 		watch(digest)
 		view.held[digest] = struct{}{}
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -279,16 +279,6 @@
 	return HoldAfter
 }
 
-// onProbation reports whether a request or a part is on probation. The crashes of a part are weighed: most parts that were at
-// replicas which crashed together are not the cause.
-func (s *State) onProbation(record *Record) bool {
-	if !record.onProbation() || !record.Digest.IsPart() {
-		return record.onProbation()
-	}
-	bursts := s.bursts()
-	return bursts.countApart(record) >= jointAfter
-}
-
 // makeRoom drops a record if there are MaximumRecords: of those that are not held, the oldest with the
 // fewest crashes; a held one only if all are held.
 func (c *stateChange) makeRoom() {
@@ -361,13 +351,14 @@
 	if revision >= s.Revision {
 		return nil
 	}
+	bursts := s.bursts()
 	update := &News{Revision: s.Revision, Complete: revision == 0 || revision < s.UnwatchedSince}
 	for _, record := range s.Records {
 		if record.watched() && (update.Complete || record.Revision > revision) {
-			update.Entries = append(update.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: s.onProbation(&record)})
+			update.Entries = append(update.Entries, NewsEntry{Digest: record.Digest, Held: record.HeldAt != 0, OnProbation: bursts.onProbation(&record)})
 		}
 	}
-	update.Joint = s.jointSuspects()
+	update.Joint = s.jointSuspects(bursts)
 	if update.Complete {
 		return update
 	}
