--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -33,14 +33,6 @@
 	return time.Duration(SettleShare * float64(contact))
 }
 
-const (
-	// maximumUnreported bounds the digests that wait to be reported to a coordinator: 64 KB.
-	maximumUnreported = 4096
-	// maximumReportDigests bounds the digests of one report: 4 KB. A crash is not split, so a report
-	// with only one may have more.
-	maximumReportDigests = 256
-)
-
 // Guard is a gateway's knowledge of requests that crash replicas. It may be used concurrently.
 type Guard struct {
 	options Options
@@ -64,9 +56,7 @@
 	// exonerated are the parts of prompts that are taken for harmless; startedAt is when the Guard was created.
 	exonerated *exoneratedParts
 	startedAt  time.Duration
-	// unreportedCrashes and unreportedCompletions wait to be reported.
-	unreportedCrashes     []Crash
-	unreportedCompletions []Digest
+	unreported reportQueue
 }
 
 // guardView is an immutable snapshot of what a Guard knows.
@@ -92,6 +82,7 @@
 		localHeldUntil: map[Digest]time.Duration{},
 		exonerated:     newExoneratedParts(exonerationTimes * options.ContactTime),
 		startedAt:      options.Now(),
+		unreported:     reportQueue{onDropped: options.OnDropped},
 	}
 }
 
@@ -211,9 +202,9 @@
 	requests = slices.DeleteFunc(slices.Clone(requests), g.exonerates)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.applyLocal(&Command{Crashes: []Crash{{Replica: replica, Requests: requests}}})
-	g.unreportedCrashes = append(g.unreportedCrashes, Crash{Replica: replica, Requests: requests})
-	g.dropExcess()
+	crash := Crash{Replica: replica, Requests: requests}
+	g.applyLocal(&Command{Crashes: []Crash{crash}})
+	g.unreported.addCrash(crash)
 	g.rebuildView()
 	g.signal()
 }
@@ -246,8 +237,7 @@
 	for _, digest := range completed {
 		delete(g.localHeldUntil, digest)
 	}
-	g.unreportedCompletions = append(g.unreportedCompletions, completed...)
-	g.dropExcess()
+	g.unreported.addCompletions(completed...)
 	g.rebuildView()
 	g.signal()
 }
@@ -279,32 +269,6 @@
 	g.local.Apply(g.localPosition, command)
 }
 
-// dropExcess drops the oldest unreported evidence, crashes before completions, while there is more than
-// maximumUnreported. The caller must hold g.mutex.
-func (g *Guard) dropExcess() {
-	dropped := 0
-	for countDigests(g.unreportedCrashes)+len(g.unreportedCompletions) > maximumUnreported {
-		if len(g.unreportedCrashes) == 0 {
-			g.unreportedCompletions = g.unreportedCompletions[1:]
-			dropped++
-			continue
-		}
-		dropped += len(g.unreportedCrashes[0].Requests)
-		g.unreportedCrashes = g.unreportedCrashes[1:]
-	}
-	if dropped > 0 && g.options.OnDropped != nil {
-		g.options.OnDropped(dropped)
-	}
-}
-
-func countDigests(crashes []Crash) int {
-	sum := 0
-	for _, crash := range crashes {
-		sum += len(crash.Requests)
-	}
-	return sum
-}
-
 func (g *Guard) signal() {
 	select {
 	case g.localEvidence <- struct{}{}:
@@ -365,8 +329,7 @@
 		return
 	}
 	g.applyLocal(&Command{Completions: []Digest{digest}})
-	g.unreportedCompletions = append(g.unreportedCompletions, digest)
-	g.dropExcess()
+	g.unreported.addCompletions(digest)
 	g.signal()
 }
 
@@ -462,26 +425,8 @@
 func (g *Guard) Report(gateway string) *Report {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if len(g.unreportedCrashes) == 0 && len(g.unreportedCompletions) == 0 {
-		return nil
-	}
-	report := &Report{Gateway: gateway}
-	remaining := maximumReportDigests
-	for _, crash := range g.unreportedCrashes {
-		if len(report.Crashes) > 0 && len(crash.Requests) > remaining {
-			break
-		}
-		remaining -= len(crash.Requests)
-		report.Crashes = append(report.Crashes, crash)
-	}
-	g.unreportedCrashes = g.unreportedCrashes[len(report.Crashes):]
-	if len(g.unreportedCrashes) == 0 {
-		// A completion must not overtake an earlier crash.
-		count := min(len(g.unreportedCompletions), max(remaining, 1))
-		report.Completions = g.unreportedCompletions[:count:count]
-		g.unreportedCompletions = g.unreportedCompletions[count:]
-	}
-	if len(g.unreportedCrashes)+len(g.unreportedCompletions) > 0 {
+	report := g.unreported.take(gateway)
+	if !g.unreported.isEmpty() {
 		g.signal()
 	}
 	return report
@@ -491,9 +436,7 @@
 func (g *Guard) Requeue(report *Report) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.unreportedCrashes = append(slices.Clip(report.Crashes), g.unreportedCrashes...)
-	g.unreportedCompletions = append(slices.Clip(report.Completions), g.unreportedCompletions...)
-	g.dropExcess()
+	g.unreported.putBack(report)
 	g.signal()
 }
 
