A long list of replicas comes to gateways in parts

Now a list of more than 2,000 replicas comes in parts in the order of the ids, each in force as it arrives. The next request names the id up to which the gateway has the list and the revision of that; its answer holds the next part and what has changed before that id. Coordinators hold nothing for it, and any one may go on. Builds on both sides that don't know parts get and send the whole list, as before.

Failed before: TestNoViewOfALongListIsLarge (views have no parts: 10,000 replicas at once). Planted: a part without the changes before it, a part that drops what came before, and an outdated list taken in the middle are caught by TestPartsOfAList...; the last of them only since the test names it.

--- a/internal/coordinator/activity_test.go
+++ b/internal/coordinator/activity_test.go
@@ -139,6 +139,26 @@
 	}
 }
 
+// Where nearly all replicas are active, a gateway's first view took longer than its poll: 1.5 MB for 10,000.
+func TestNoViewOfALongListIsLarge(t *testing.T) {
+	const bound = 2_000
+	m := newTestStateMachine()
+	apply(t, m, 1, listed(bigList(10_000)...))
+	state, _ := m.read()
+	var gateway region.ListCopy
+	views := 0
+	for complete := false; !complete; complete = !gateway.IsPartial() {
+		view, request := &region.View{ListRevision: state.ListRevision}, &region.ViewRequest{}
+		gateway.Request(request, bound)
+		addList(state, request, view)
+		require.True(t, gateway.Take(view))
+		assert.Less(t, view.Msgsize(), 400_000)
+		views++
+	}
+	assert.Equal(t, 5, views)
+	assert.Len(t, gateway.Replicas(), 10_000)
+}
+
 // Each replica was inserted on its own into a sorted list, which moved all entries behind it: 10,000 took 100 times as long
 // as 1,000.
 func TestInitialListIsMergedInOnePass(t *testing.T) {
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -90,6 +90,97 @@
 	assert.Greater(t, rarely.whole, 1, "a follower that is far behind is sent the whole list")
 }
 
+// partBound is the number of replicas in one part of a list.
+const partBound = 7
+
+// receive takes one view of the list, as a gateway does that takes it in parts, and returns the view.
+func receive(copied *region.ListCopy, m *stateMachine) *region.View {
+	state, _ := m.read()
+	view := &region.View{ListRevision: state.ListRevision}
+	request := &region.ViewRequest{}
+	copied.Request(request, partBound)
+	if request.LacksList(state.ListRevision) {
+		addList(state, request, view)
+		copied.Take(view)
+	}
+	return view
+}
+
+func byID(replicas []region.Replica) map[string]region.Replica {
+	found := map[string]region.Replica{}
+	for _, each := range replicas {
+		found[each.ID] = each
+	}
+	return found
+}
+
+// A view of a long list was sent at once, and had to arrive within the time of one poll.
+func TestPartsOfAListAddUpToTheWholeListWhileItChanges(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 1))
+	m := newTestStateMachine()
+	current := map[string]region.Replica{}
+	var gateway region.ListCopy
+	complete, parts := 0, 0
+	for index := uint64(1); index < 5000; index++ {
+		for range random.IntN(4) {
+			id := fmt.Sprint("i-", random.IntN(60))
+			if random.IntN(3) == 0 {
+				delete(current, id)
+				continue
+			}
+			current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
+		}
+		state, _ := m.read()
+		if change := diffLists(state.Replicas, slices.Collect(maps.Values(current))); change != nil {
+			apply(t, m, index, region.Command{List: change})
+		}
+		if index%500 < 300 {
+			// It polls seldom, and falls behind.
+			continue
+		}
+		view := receive(&gateway, m)
+		if gateway.IsPartial() {
+			parts++
+			if view.WholeList {
+				assert.Len(t, view.Replicas, partBound)
+			}
+			continue
+		}
+		complete++
+		require.Equal(t, current, byID(gateway.Replicas()), "at %d", index)
+	}
+	assert.Greater(t, complete, 1000)
+	assert.Greater(t, parts, 20)
+}
+
+// A coordinator that is behind another one, and one that doesn't know parts, answer a gateway in the middle of a list.
+func TestPartsOfAListAreNotMixedWithAnOlderOne(t *testing.T) {
+	older, newer := newTestStateMachine(), newTestStateMachine()
+	list := bigList(3 * partBound)
+	apply(t, older, 1, region.Command{List: &region.ListCommand{Changed: list}})
+	apply(t, newer, 1, region.Command{List: &region.ListCommand{Changed: list}})
+	apply(t, newer, 2, region.Command{List: &region.ListCommand{Changed: list[:1], Removed: []string{list[1].ID}}})
+	var gateway region.ListCopy
+	receive(&gateway, newer)
+	require.True(t, gateway.IsPartial())
+	before := byID(gateway.Replicas())
+	receive(&gateway, older)
+	assert.Equal(t, before, byID(gateway.Replicas()))
+	state, _ := older.read()
+	outdated := &region.View{ListRevision: state.ListRevision}
+	addListChanges(state, 0, outdated)
+	assert.False(t, gateway.Take(outdated), "of a coordinator that doesn't know parts")
+
+	request := &region.ViewRequest{}
+	gateway.Request(request, partBound)
+	state, _ = newer.read()
+	whole := &region.View{ListRevision: state.ListRevision}
+	addListChanges(state, request.ListRevision, whole)
+	assert.True(t, gateway.Take(whole))
+	assert.False(t, gateway.IsPartial())
+	assert.Len(t, gateway.Replicas(), len(list)-1)
+}
+
 func TestHighestConfigurationVersionWins(t *testing.T) {
 	m := newTestStateMachine()
 	apply(t, m, 1, configuration(5, "five"))
--- a/internal/coordinator/replicalist.go
+++ b/internal/coordinator/replicalist.go
@@ -236,31 +236,87 @@
 	return !found || replica.Incarnation() != change.Incarnation() || replica.Stage == change.Stage
 }
 
-// addListChanges adds to a view what has changed since a revision of the list, which the
-// gateway has. Replicas that are changing their stage are shown with
-// region.StageChanging, and take no work.
+// addList adds to a view what the gateway that requests it lacks of the list, in parts if it is long.
+func addList(state region.State, request *region.ViewRequest, view *region.View) {
+	if request.PartEnd != "" && request.PartRevision >= state.RemovedSince {
+		addNextPart(state, request, view)
+		return
+	}
+	addListChanges(state, request.ListRevision, view)
+	if bound := request.ListBound; bound > 0 && len(view.Replicas) > bound {
+		addFirstPart(state, bound, view)
+	}
+}
+
+// addFirstPart replaces the changes of the list in a view by the first part of the whole list.
+func addFirstPart(state region.State, bound int, view *region.View) {
+	view.Replicas, view.Removed = nil, nil
+	addListChanges(state, 0, view)
+	endPart(view, bound)
+}
+
+// addNextPart adds to a view what has changed in the parts of the list that the gateway has, and the next part.
+func addNextPart(state region.State, request *region.ViewRequest, view *region.View) {
+	view.HasList = true
+	view.Replicas = activeReplicas(state, func(listed *region.ListedReplica) bool {
+		return listed.Replica.ID > request.PartEnd || listed.Revision > request.PartRevision
+	})
+	view.Removed = removedSince(state, request.PartRevision)
+	known := slices.IndexFunc(view.Replicas, func(each region.Replica) bool { return each.ID > request.PartEnd })
+	if known >= 0 && request.ListBound > 0 {
+		endPart(view, known+request.ListBound)
+	}
+}
+
+// endPart ends a view's part of the list after a number of replicas, if it has more.
+func endPart(view *region.View, count int) {
+	if len(view.Replicas) <= count {
+		return
+	}
+	view.Replicas = view.Replicas[:count:count]
+	view.PartEnd = view.Replicas[count-1].ID
+}
+
+// addListChanges adds to a view what has changed since a revision of the list, which the gateway has.
 func addListChanges(state region.State, revision uint64, view *region.View) {
 	view.HasList = true
 	view.WholeList = revision == 0 || revision < state.RemovedSince
+	view.Replicas = activeReplicas(state, func(listed *region.ListedReplica) bool {
+		return view.WholeList || listed.Revision > revision
+	})
+	if !view.WholeList {
+		view.Removed = removedSince(state, revision)
+	}
+}
+
+// activeReplicas returns the replicas that are not on standby and wanted, sorted by id. Replicas that are changing their
+// stage are shown with region.StageChanging, and take no work.
+func activeReplicas(state region.State, wanted func(*region.ListedReplica) bool) []region.Replica {
+	var active []region.Replica
 	changing := changingReplicas(state)
-	for _, listed := range state.Replicas {
-		if listed.Standby || !view.WholeList && listed.Revision <= revision {
+	for index := range state.Replicas {
+		listed := &state.Replicas[index]
+		if listed.Standby || !wanted(listed) {
 			continue
 		}
 		replica := listed.Replica
 		if changing[replica.ID] {
 			replica.Stage = region.StageChanging
 		}
-		view.Replicas = append(view.Replicas, replica)
-	}
-	if view.WholeList {
-		return
+		active = append(active, replica)
 	}
+	return active
+}
+
+// removedSince returns the ids of the replicas that were removed or put on standby since a revision of the list.
+func removedSince(state region.State, revision uint64) []string {
+	var ids []string
 	for _, removed := range state.Removed {
 		at, listed := slices.BinarySearchFunc(state.Replicas, removed.ID, compareReplica)
 		activeAgain := listed && !state.Replicas[at].Standby
 		if removed.Revision > revision && !activeAgain {
-			view.Removed = append(view.Removed, removed.ID)
+			ids = append(ids, removed.ID)
 		}
 	}
+	return ids
 }
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -24,7 +24,7 @@
 	limits := c.limits.changed()
 	for {
 		state, changed := c.machine.read()
-		if state.Version > request.Version || state.ListRevision > request.ListRevision || state.Poison.Revision > request.PoisonRevision {
+		if state.Version > request.Version || request.LacksList(state.ListRevision) || state.Poison.Revision > request.PoisonRevision {
 			return c.buildView(state, request), nil
 		}
 		select {
@@ -96,8 +96,8 @@
 	if state.Version > request.Version {
 		view.Document = state.Document
 	}
-	if state.ListRevision > request.ListRevision {
-		addListChanges(state, request.ListRevision, view)
+	if request.LacksList(state.ListRevision) {
+		addList(state, request, view)
 	}
 	return view
 }
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -206,6 +206,12 @@
 	// Version and ListRevision are those that the gateway has.
 	Version      uint64 `msg:"version"`
 	ListRevision uint64 `msg:"list_revision"`
+	// ListBound is the number of replicas above which the list is to come in parts, 0 if the gateway takes no parts. PartEnd
+	// is the id up to which it has received the parts of a list, empty if it awaits none, and PartRevision the revision of
+	// what it has received; ListRevision is then 0.
+	ListBound    int    `msg:"list_bound,omitempty"`
+	PartEnd      string `msg:"part_end,omitempty"`
+	PartRevision uint64 `msg:"part_revision,omitempty"`
 	// Demand is the demand that the gateway measures, by service of model engines.
 	Demand []ServiceDemand `msg:"demand"`
 	// WaitMillis bounds the wait for newer data.
@@ -297,12 +303,14 @@
 	// ListRevision is the revision of the list of replicas. HasList says that the list has
 	// changed since the request's revision: Replicas are those that were added or changed
 	// and Removed the ids of those that were removed or put on standby. If WholeList is set,
-	// Replicas are all that are not on standby.
+	// Replicas are all that are not on standby. PartEnd is set if another part of the list follows: Replicas are
+	// then complete up to this id only.
 	ListRevision uint64    `msg:"list_revision"`
 	HasList      bool      `msg:"has_list"`
 	WholeList    bool      `msg:"whole_list"`
 	Replicas     []Replica `msg:"replicas"`
 	Removed      []string  `msg:"removed"`
+	PartEnd      string    `msg:"part_end,omitempty"`
 	// Standby is the number of standby replicas, which the view omits.
 	Standby int `msg:"standby,omitempty"`
 	// NeighborsHash is the hash of the peers to which the gateway may forward calls where coordinators choose replicas.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -5235,44 +5235,48 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(26)
-	var zb0001Mask uint32 /* 26 bits */
+	zb0001Len := uint32(27)
+	var zb0001Mask uint32 /* 27 bits */
 	_ = zb0001Mask
-	if z.Standby == 0 {
+	if z.PartEnd == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.NeighborsHash == 0 {
+	if z.Standby == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Neighbors == nil {
+	if z.NeighborsHash == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Neighbors == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	if z.MembersHash == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x10000
+		zb0001Mask |= 0x20000
 	}
 	if z.CoordinatorZones == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40000
+		zb0001Mask |= 0x80000
 	}
 	if z.LimitNames == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x400000
+		zb0001Mask |= 0x800000
 	}
 	if z.Limits == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800000
+		zb0001Mask |= 0x1000000
 	}
 	if z.ListMillis == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x1000000
+		zb0001Mask |= 0x2000000
 	}
 	if z.PageMillis == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x2000000
+		zb0001Mask |= 0x4000000
 	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
@@ -5317,16 +5321,21 @@
 			o = msgp.AppendString(o, z.Removed[za0002])
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "part_end"
+			o = append(o, 0xa8, 0x70, 0x61, 0x72, 0x74, 0x5f, 0x65, 0x6e, 0x64)
+			o = msgp.AppendString(o, z.PartEnd)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "standby"
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendInt(o, z.Standby)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "neighbors_hash"
 			o = append(o, 0xae, 0x6e, 0x65, 0x69, 0x67, 0x68, 0x62, 0x6f, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 			o = msgp.AppendUint64(o, z.NeighborsHash)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "neighbors"
 			o = append(o, 0xa9, 0x6e, 0x65, 0x69, 0x67, 0x68, 0x62, 0x6f, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Neighbors)))
@@ -5349,7 +5358,7 @@
 		for za0004 := range z.Peers {
 			o = msgp.AppendString(o, z.Peers[za0004])
 		}
-		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "members_hash"
 			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 			o = msgp.AppendUint64(o, z.MembersHash)
@@ -5360,7 +5369,7 @@
 		for za0005 := range z.Coordinators {
 			o = msgp.AppendString(o, z.Coordinators[za0005])
 		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "coordinator_zones"
 			o = append(o, 0xb1, 0x63, 0x6f, 0x6f, 0x72, 0x64, 0x69, 0x6e, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.CoordinatorZones)))
@@ -5385,12 +5394,12 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
 			// string "limit_names"
 			o = append(o, 0xab, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65, 0x73)
 			o = msgp.AppendUint64(o, z.LimitNames)
 		}
-		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
 			// string "limits"
 			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
@@ -5402,12 +5411,12 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
 			// string "list_age"
 			o = append(o, 0xa8, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65)
 			o = msgp.AppendInt64(o, z.ListMillis)
 		}
-		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
 			// string "page_age"
 			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
 			o = msgp.AppendInt64(o, z.PageMillis)
@@ -5542,6 +5551,12 @@
 					return
 				}
 			}
+		case "part_end":
+			z.PartEnd, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartEnd")
+				return
+			}
 		case "standby":
 			z.Standby, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5762,7 +5777,7 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 8 + msgp.IntSize + 15 + msgp.Uint64Size + 10 + msgp.ArrayHeaderSize
+	s += 9 + msgp.StringPrefixSize + len(z.PartEnd) + 8 + msgp.IntSize + 15 + msgp.Uint64Size + 10 + msgp.ArrayHeaderSize
 	for za0003 := range z.Neighbors {
 		s += msgp.StringPrefixSize + len(z.Neighbors[za0003])
 	}
@@ -5796,31 +5811,43 @@
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.MembersHash == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.ListBound == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.PartEnd == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.PartRevision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	if z.LimitNames == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x4000
 	}
 	if z.NeighborsHash == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x8000
 	}
 	if z.Protocol == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x10000
 	}
 	if z.Revision == "" {
 		zb0001Len--
-		zb0001Mask |= 0x4000
+		zb0001Mask |= 0x20000
 	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -5844,6 +5871,21 @@
 		// string "list_revision"
 		o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendUint64(o, z.ListRevision)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "list_bound"
+			o = append(o, 0xaa, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x62, 0x6f, 0x75, 0x6e, 0x64)
+			o = msgp.AppendInt(o, z.ListBound)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "part_end"
+			o = append(o, 0xa8, 0x70, 0x61, 0x72, 0x74, 0x5f, 0x65, 0x6e, 0x64)
+			o = msgp.AppendString(o, z.PartEnd)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "part_revision"
+			o = append(o, 0xad, 0x70, 0x61, 0x72, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.PartRevision)
+		}
 		// string "demand"
 		o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
@@ -5874,22 +5916,22 @@
 		// string "poison_revision"
 		o = append(o, 0xaf, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendUint64(o, z.PoisonRevision)
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "limit_names"
 			o = append(o, 0xab, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65, 0x73)
 			o = msgp.AppendUint64(o, z.LimitNames)
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "neighbors_hash"
 			o = append(o, 0xae, 0x6e, 0x65, 0x69, 0x67, 0x68, 0x62, 0x6f, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 			o = msgp.AppendUint64(o, z.NeighborsHash)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "protocol"
 			o = append(o, 0xa8, 0x70, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
 			o = msgp.AppendInt(o, z.Protocol)
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
 			// string "revision"
 			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendString(o, z.Revision)
@@ -5956,6 +5998,24 @@
 				err = msgp.WrapError(err, "ListRevision")
 				return
 			}
+		case "list_bound":
+			z.ListBound, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListBound")
+				return
+			}
+		case "part_end":
+			z.PartEnd, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartEnd")
+				return
+			}
+		case "part_revision":
+			z.PartRevision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartRevision")
+				return
+			}
 		case "demand":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -6052,7 +6112,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ViewRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 13 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 11 + msgp.Uint64Size + 13 + msgp.Uint64Size + 8 + msgp.Uint64Size + 14 + msgp.Uint64Size + 11 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.PartEnd) + 14 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Demand {
 		s += z.Demand[za0001].Msgsize()
 	}
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -128,4 +128,7 @@
 	// gateway without a fresh view.
 	directListInterval = 2 * time.Second
 	pollRetryDelay     = 50 * time.Millisecond
+	// maximumListPart is the number of replicas above which the list is received in parts. Each takes some 120 bytes, so
+	// that a part arrives well within viewTimeout over a link of 10 Mbit/s.
+	maximumListPart = 2000
 )
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,10 +47,8 @@
 	// configured is closed when the first configuration has been applied.
 	configured chan struct{}
 
-	mutex        sync.Mutex
-	listRevision uint64
-	// list holds the replicas at listRevision by ID.
-	list map[string]region.Replica
+	mutex sync.Mutex
+	list  region.ListCopy
 	// partialList is set if the coordinators leave out some replicas (standby ones) from this
 	// gateway's list.
 	partialList bool
@@ -200,7 +196,8 @@
 	}
 	request.Version = v.version()
 	v.mutex.Lock()
-	request.ListRevision, request.MembersHash = v.listRevision, v.membersHash
+	v.list.Request(request, maximumListPart)
+	request.MembersHash = v.membersHash
 	v.mutex.Unlock()
 	var view region.View
 	if err := v.client.Call(ctx, coordinator, region.PathView, request, &view); err != nil {
@@ -231,12 +228,10 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if view.HasList && view.ListRevision > v.listRevision {
-		v.applyList(view)
-	}
+	v.applyList(view)
 	v.zones[coordinator] = view.Zone
 	v.updateMembers(view)
-	v.partialList = view.Standby > 0
+	v.partialList = view.Standby > 0 || v.list.IsPartial()
 	v.placementMode.update(v.now(), coordinator, view)
 	if view.AgeMillis < 0 {
 		return nil
@@ -288,19 +283,13 @@
 
 // applyList applies the changes to the list. The caller must hold v.mutex.
 func (v *viewClient) applyList(view *region.View) {
-	if view.WholeList || v.list == nil {
-		v.list = make(map[string]region.Replica, len(view.Replicas))
-	}
-	for _, replica := range view.Replicas {
-		v.list[replica.ID] = replica
+	if !v.list.Take(view) {
+		return
 	}
-	for _, id := range view.Removed {
-		delete(v.list, id)
-	}
-	v.listRevision = view.ListRevision
-	v.directory.Replace(slices.Collect(maps.Values(v.list)))
-	v.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(v.list),
-		"changed", len(view.Replicas), "removed", len(view.Removed), "age_ms", view.AgeMillis)
+	replicas := v.list.Replicas()
+	v.directory.Replace(replicas)
+	v.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(replicas),
+		"changed", len(view.Replicas), "removed", len(view.Removed), "part_end", view.PartEnd, "age_ms", view.AgeMillis)
 }
 
 func (v *viewClient) applyConfiguration(view *region.View) error {
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -65,6 +65,17 @@
 	assert.GreaterOrEqual(t, age, 5*time.Second)
 }
 
+// A gateway that waited for all parts of a long list would serve nothing meanwhile.
+func TestAPartOfTheListIsInForceAtOnce(t *testing.T) {
+	views := newTestViewClient()
+	views.applyList(&region.View{HasList: true, WholeList: true, ListRevision: 4, Replicas: []region.Replica{{ID: "a"}, {ID: "b"}}, PartEnd: "b"})
+	assert.Equal(t, 2, views.directory.Count())
+	assert.True(t, views.list.IsPartial())
+	views.applyList(&region.View{HasList: true, ListRevision: 5, Replicas: []region.Replica{{ID: "c"}}, Removed: []string{"a"}})
+	assert.Equal(t, 2, views.directory.Count())
+	assert.False(t, views.list.IsPartial())
+}
+
 // Guards against overloading the platform's list: when the coordinators were cut off or all
 // processes started, no view was fresh, and each of 985 gateways requested 50 pages of 10,000
 // replicas from a list that serves 360 pages per second. A gateway may read the list itself only if
