--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -14,118 +14,6 @@
 	z2c18a699limitMaps   = 65536
 )
 
-// MarshalMsg implements msgp.Marshaler
-func (z *ActivityCommand) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "activate"
-	o = append(o, 0x82, 0xa8, 0x61, 0x63, 0x74, 0x69, 0x76, 0x61, 0x74, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Activate)))
-	for za0001 := range z.Activate {
-		o = msgp.AppendString(o, z.Activate[za0001])
-	}
-	// string "rest"
-	o = append(o, 0xa4, 0x72, 0x65, 0x73, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Rest)))
-	for za0002 := range z.Rest {
-		o = msgp.AppendString(o, z.Rest[za0002])
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ActivityCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "activate":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Activate")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Activate) >= int(zb0002) {
-				z.Activate = (z.Activate)[:zb0002]
-			} else {
-				z.Activate = make([]string, zb0002)
-			}
-			for za0001 := range z.Activate {
-				z.Activate[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Activate", za0001)
-					return
-				}
-			}
-		case "rest":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rest")
-				return
-			}
-			if zb0003 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Rest) >= int(zb0003) {
-				z.Rest = (z.Rest)[:zb0003]
-			} else {
-				z.Rest = make([]string, zb0003)
-			}
-			for za0002 := range z.Rest {
-				z.Rest[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Rest", za0002)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ActivityCommand) Msgsize() (s int) {
-	s = 1 + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Activate {
-		s += msgp.StringPrefixSize + len(z.Activate[za0001])
-	}
-	s += 5 + msgp.ArrayHeaderSize
-	for za0002 := range z.Rest {
-		s += msgp.StringPrefixSize + len(z.Rest[za0002])
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z BackoffReplica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -926,23 +814,20 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ChangeCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z CoordinatorZone) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "replica"
-	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o = msgp.AppendString(o, z.Replica)
-	// string "born"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Born)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendString(o, z.Stage)
+	// map header, size 2
+	// string "address"
+	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ChangeCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CoordinatorZone) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -963,22 +848,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "replica":
-			z.Replica, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		case "born":
-			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Born")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "stage":
-			z.Stage, bts, err = msgp.ReadStringBytes(bts)
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stage")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -994,214 +873,275 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ChangeCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 5 + msgp.Int64Size + 6 + msgp.StringPrefixSize + len(z.Stage)
+func (z CoordinatorZone) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ChangeEndCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *EngineCost) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "replica"
-	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o = msgp.AppendString(o, z.Replica)
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt(o, z.Samples)
+	o = msgp.AppendFloat64(o, z.Fixed)
+	o = msgp.AppendFloat64(o, z.Token)
+	o = msgp.AppendFloat64(o, z.Pair)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ChangeEndCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *EngineCost) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "replica":
-			z.Replica, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Samples, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Samples")
+		return
+	}
+	z.Fixed, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fixed")
+		return
+	}
+	z.Token, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	z.Pair, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pair")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ChangeEndCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica)
+func (z *EngineCost) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ForwardedCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
-	if z.Activity == nil {
+	if z.Tenant == "" {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x10
+	}
+	if z.LastEvent == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "configuration"
-		o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-		if z.Configuration == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 2
-			// string "version"
-			o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendUint64(o, z.Configuration.Version)
-			// string "document"
-			o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-			o = msgp.AppendBytes(o, z.Configuration.Document)
-		}
-		// string "list"
-		o = append(o, 0xa4, 0x6c, 0x69, 0x73, 0x74)
-		if z.List == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			o, err = z.List.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "List")
-				return
-			}
-		}
-		// string "change"
-		o = append(o, 0xa6, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65)
-		if z.Change == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 3
-			// string "replica"
-			o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-			o = msgp.AppendString(o, z.Change.Replica)
-			// string "born"
-			o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-			o = msgp.AppendInt64(o, z.Change.Born)
-			// string "stage"
-			o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-			o = msgp.AppendString(o, z.Change.Stage)
-		}
-		// string "change_end"
-		o = append(o, 0xaa, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
-		if z.ChangeEnd == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 1
-			// string "replica"
-			o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-			o = msgp.AppendString(o, z.ChangeEnd.Replica)
-		}
-		// string "usage"
-		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-		if z.Usage == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 2
-			// string "window"
-			o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-			o = msgp.AppendUint64(o, z.Usage.Window)
-			// string "counts"
-			o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Counts)))
-			for za0001 := range z.Usage.Counts {
-				// array header, size 3
-				o = append(o, 0x93)
-				o = msgp.AppendUint64(o, z.Usage.Counts[za0001].Window)
-				o = msgp.AppendString(o, z.Usage.Counts[za0001].Tenant)
-				o = msgp.AppendUint32(o, z.Usage.Counts[za0001].Count)
-			}
-		}
-		// string "usage_call"
-		o = append(o, 0xaa, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x63, 0x61, 0x6c, 0x6c)
-		if z.UsageCall == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 1
-			// string "window"
-			o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-			o = msgp.AppendUint64(o, z.UsageCall.Window)
-		}
-		// string "usage_end"
-		o = append(o, 0xa9, 0x75, 0x73, 0x61, 0x67, 0x65, 0x5f, 0x65, 0x6e, 0x64)
-		if z.UsageEnd == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			// map header, size 1
-			// string "window"
-			o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-			o = msgp.AppendUint64(o, z.UsageEnd.Window)
+		// string "gateway"
+		o = append(o, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+		o = msgp.AppendString(o, z.Gateway)
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "tenant"
+			o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Tenant)
 		}
-		// string "fleet"
-		o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
-		if z.Fleet == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			o, err = z.Fleet.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
-				return
-			}
+		// string "rank"
+		o = append(o, 0xa4, 0x72, 0x61, 0x6e, 0x6b)
+		o = msgp.AppendInt(o, z.Rank)
+		// string "elapsed"
+		o = append(o, 0xa7, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64)
+		o = msgp.AppendInt64(o, z.ElapsedMicros)
+		// string "wait"
+		o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
+		o = msgp.AppendInt64(o, z.WaitMicros)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "last_event"
+			o = append(o, 0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.LastEvent)
 		}
-		// string "poison"
-		o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
-		if z.Poison == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			o, err = z.Poison.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Poison")
+		// string "attempts"
+		o = append(o, 0xa8, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+		o = msgp.AppendInt(o, z.Attempts)
+		// string "arrivals"
+		o = append(o, 0xa8, 0x61, 0x72, 0x72, 0x69, 0x76, 0x61, 0x6c, 0x73)
+		o = msgp.AppendInt(o, z.Arrivals)
+		// string "may_have_run"
+		o = append(o, 0xac, 0x6d, 0x61, 0x79, 0x5f, 0x68, 0x61, 0x76, 0x65, 0x5f, 0x72, 0x75, 0x6e)
+		o = msgp.AppendBool(o, z.MayHaveRun)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ForwardedCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "gateway":
+			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateway")
 				return
 			}
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "activity"
-			o = append(o, 0xa8, 0x61, 0x63, 0x74, 0x69, 0x76, 0x69, 0x74, 0x79)
-			if z.Activity == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Activity.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Activity")
-					return
-				}
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "tenant":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		case "rank":
+			z.Rank, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rank")
+				return
+			}
+		case "elapsed":
+			z.ElapsedMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ElapsedMicros")
+				return
+			}
+		case "wait":
+			z.WaitMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMicros")
+				return
+			}
+		case "last_event":
+			z.LastEvent, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastEvent")
+				return
+			}
+		case "attempts":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "arrivals":
+			z.Arrivals, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Arrivals")
+				return
+			}
+		case "may_have_run":
+			z.MayHaveRun, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveRun")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
 		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ForwardedCall) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 5 + msgp.IntSize + 8 + msgp.Int64Size + 5 + msgp.Int64Size + 11 + msgp.StringPrefixSize + len(z.LastEvent) + 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GatewayUsage) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "gateway"
+	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
+	o = msgp.AppendString(o, z.Gateway)
+	// string "life"
+	o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
+	o = msgp.AppendInt64(o, z.Life)
+	// string "told_at"
+	o = append(o, 0xa7, 0x74, 0x6f, 0x6c, 0x64, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt64(o, z.ToldAt)
+	// string "counts"
+	o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		o, err = z.Counts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Counts", za0001)
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Command) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *GatewayUsage) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1222,412 +1162,44 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "configuration":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Configuration = nil
-			} else {
-				if z.Configuration == nil {
-					z.Configuration = new(ConfigurationCommand)
-				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Configuration")
-					return
-				}
-				if zb0002 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "version":
-						z.Configuration.Version, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration", "Version")
-							return
-						}
-					case "document":
-						var zb0003 uint32
-						zb0003, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration", "Document")
-							return
-						}
-						if zb0003 > 67108864 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Configuration.Document == nil || uint32(cap(z.Configuration.Document)) < zb0003 {
-							z.Configuration.Document = make([]byte, zb0003)
-						} else {
-							z.Configuration.Document = z.Configuration.Document[:zb0003]
-						}
-						if uint32(len(bts)) < zb0003 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Configuration.Document, bts[:zb0003])
-						bts = bts[zb0003:]
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration")
-							return
-						}
-					}
-				}
+		case "gateway":
+			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateway")
+				return
 			}
-		case "list":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.List = nil
-			} else {
-				if z.List == nil {
-					z.List = new(ListCommand)
-				}
-				bts, err = z.List.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "List")
-					return
-				}
+		case "life":
+			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Life")
+				return
 			}
-		case "change":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Change = nil
+		case "told_at":
+			z.ToldAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ToldAt")
+				return
+			}
+		case "counts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
 			} else {
-				if z.Change == nil {
-					z.Change = new(ChangeCommand)
-				}
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				z.Counts = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Change")
-					return
-				}
-				if zb0004 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Change")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "replica":
-						z.Change.Replica, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Replica")
-							return
-						}
-					case "born":
-						z.Change.Born, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Born")
-							return
-						}
-					case "stage":
-						z.Change.Stage, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change", "Stage")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Change")
-							return
-						}
-					}
-				}
-			}
-		case "change_end":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.ChangeEnd = nil
-			} else {
-				if z.ChangeEnd == nil {
-					z.ChangeEnd = new(ChangeEndCommand)
-				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "ChangeEnd")
-					return
-				}
-				if zb0005 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "ChangeEnd")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "replica":
-						z.ChangeEnd.Replica, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ChangeEnd", "Replica")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "ChangeEnd")
-							return
-						}
-					}
-				}
-			}
-		case "usage":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Usage = nil
-			} else {
-				if z.Usage == nil {
-					z.Usage = new(UsageWindow)
-				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Usage")
-					return
-				}
-				if zb0006 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Usage")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "window":
-						z.Usage.Window, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage", "Window")
-							return
-						}
-					case "counts":
-						var zb0007 uint32
-						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage", "Counts")
-							return
-						}
-						if zb0007 > z2c18a699limitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Usage.Counts) >= int(zb0007) {
-							z.Usage.Counts = (z.Usage.Counts)[:zb0007]
-						} else {
-							z.Usage.Counts = make([]UsageCount, zb0007)
-						}
-						for za0001 := range z.Usage.Counts {
-							var zb0008 uint32
-							zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Counts", za0001)
-								return
-							}
-							if zb0008 != 3 {
-								err = msgp.ArrayError{Wanted: 3, Got: zb0008}
-								return
-							}
-							z.Usage.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Window")
-								return
-							}
-							z.Usage.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Tenant")
-								return
-							}
-							z.Usage.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Counts", za0001, "Count")
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage")
-							return
-						}
-					}
-				}
-			}
-		case "usage_call":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.UsageCall = nil
-			} else {
-				if z.UsageCall == nil {
-					z.UsageCall = new(UsageCallCommand)
-				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "UsageCall")
-					return
-				}
-				if zb0009 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0009 > 0 {
-					zb0009--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "UsageCall")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "window":
-						z.UsageCall.Window, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "UsageCall", "Window")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "UsageCall")
-							return
-						}
-					}
-				}
-			}
-		case "usage_end":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.UsageEnd = nil
-			} else {
-				if z.UsageEnd == nil {
-					z.UsageEnd = new(UsageEndCommand)
-				}
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "UsageEnd")
-					return
-				}
-				if zb0010 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0010 > 0 {
-					zb0010--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "UsageEnd")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "window":
-						z.UsageEnd.Window, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "UsageEnd", "Window")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "UsageEnd")
-							return
-						}
-					}
-				}
-			}
-		case "fleet":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Fleet = nil
-			} else {
-				if z.Fleet == nil {
-					z.Fleet = new(FleetOrder)
-				}
-				bts, err = z.Fleet.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Fleet")
-					return
-				}
-			}
-		case "poison":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Poison = nil
-			} else {
-				if z.Poison == nil {
-					z.Poison = new(poison.Command)
-				}
-				bts, err = z.Poison.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Poison")
-					return
-				}
-			}
-		case "activity":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Activity = nil
-			} else {
-				if z.Activity == nil {
-					z.Activity = new(ActivityCommand)
-				}
-				bts, err = z.Activity.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Activity")
+					err = msgp.WrapError(err, "Counts", za0001)
 					return
 				}
 			}
@@ -1644,88 +1216,29 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Command) Msgsize() (s int) {
-	s = 1 + 14
-	if z.Configuration == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Configuration.Document)
-	}
-	s += 5
-	if z.List == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.List.Msgsize()
-	}
-	s += 7
-	if z.Change == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Change.Replica) + 5 + msgp.Int64Size + 6 + msgp.StringPrefixSize + len(z.Change.Stage)
-	}
-	s += 11
-	if z.ChangeEnd == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.ChangeEnd.Replica)
-	}
-	s += 6
-	if z.Usage == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-		for za0001 := range z.Usage.Counts {
-			s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Usage.Counts[za0001].Tenant) + msgp.Uint32Size
-		}
-	}
-	s += 11
-	if z.UsageCall == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 7 + msgp.Uint64Size
-	}
-	s += 10
-	if z.UsageEnd == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 7 + msgp.Uint64Size
-	}
-	s += 6
-	if z.Fleet == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Fleet.Msgsize()
-	}
-	s += 7
-	if z.Poison == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Poison.Msgsize()
-	}
-	s += 9
-	if z.Activity == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Activity.Msgsize()
+func (z *GatewayUsage) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.Int64Size + 8 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += z.Counts[za0001].Msgsize()
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ConfigurationCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "version"
-	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
+	// string "address"
+	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "replica"
+	o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+	o = msgp.AppendUint64(o, z.Replica)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigurationCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1746,34 +1259,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "document":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "replica":
+			z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
-			if zb0002 > 67108864 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Document == nil || uint32(cap(z.Document)) < zb0002 {
-				z.Document = make([]byte, zb0002)
-			} else {
-				z.Document = z.Document[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Document, bts[:zb0002])
-			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1787,26 +1284,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigurationCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document)
+func (z JoinRequest) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z CoordinatorZone) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeavingReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "address"
-	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
+	// map header, size 1
+	// string "replicas"
+	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0001 := range z.Replicas {
+		o = msgp.AppendString(o, z.Replicas[za0001])
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *CoordinatorZone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeavingReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1827,18 +1324,29 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
+		case "replicas":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "Replicas")
 				return
 			}
-		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Replicas) >= int(zb0002) {
+				z.Replicas = (z.Replicas)[:zb0002]
+			} else {
+				z.Replicas = make([]string, zb0002)
+			}
+			for za0001 := range z.Replicas {
+				z.Replicas[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1852,2078 +1360,416 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z CoordinatorZone) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone)
+func (z *LeavingReport) Msgsize() (s int) {
+	s = 1 + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += msgp.StringPrefixSize + len(z.Replicas[za0001])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EngineCost) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
-	o = msgp.AppendString(o, z.Service)
-	o = msgp.AppendInt(o, z.Samples)
-	o = msgp.AppendFloat64(o, z.Fixed)
-	o = msgp.AppendFloat64(o, z.Token)
-	o = msgp.AppendFloat64(o, z.Pair)
+	// array header, size 10
+	o = append(o, 0x9a)
+	o = msgp.AppendString(o, z.Gateway)
+	o = msgp.AppendInt64(o, z.Life)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+	for za0001 := range z.Replicas {
+		o, err = z.Replicas[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
+	for za0002 := range z.Prompts {
+		o, err = z.Prompts[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Prompts", za0002)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+	for za0003 := range z.Unreachable {
+		o = msgp.AppendString(o, z.Unreachable[za0003])
+	}
+	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
+	for za0004 := range z.Costs {
+		o, err = z.Costs[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Costs", za0004)
+			return
+		}
+	}
+	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendInt64(o, z.WallNanos)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *EngineCost) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Outstanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "Gateway")
 		return
 	}
-	z.Samples, bts, err = msgp.ReadIntBytes(bts)
+	z.Life, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Samples")
+		err = msgp.WrapError(err, "Life")
 		return
 	}
-	z.Fixed, bts, err = msgp.ReadFloat64Bytes(bts)
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Fixed")
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	z.Token, bts, err = msgp.ReadFloat64Bytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Token")
+		err = msgp.WrapError(err, "Replicas")
 		return
 	}
-	z.Pair, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Pair")
+	if zb0002 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *EngineCost) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *FleetOrder) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "service"
-	o = append(o, 0x85, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "preemptible"
-	o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
-	o = msgp.AppendBool(o, z.Preemptible)
-	// string "count"
-	o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.Count)
-	// string "base"
-	o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
-	o = msgp.AppendInt(o, z.Base)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *FleetOrder) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if cap(z.Replicas) >= int(zb0002) {
+		z.Replicas = (z.Replicas)[:zb0002]
+	} else {
+		z.Replicas = make([]OutstandingWork, zb0002)
+	}
+	for za0001 := range z.Replicas {
+		bts, err = z.Replicas[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Replicas", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Prompts")
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
+	if zb0003 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if cap(z.Prompts) >= int(zb0003) {
+		z.Prompts = (z.Prompts)[:zb0003]
+	} else {
+		z.Prompts = make([]PlacedPrompt, zb0003)
+	}
+	for za0002 := range z.Prompts {
+		bts, err = z.Prompts[za0002].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Prompts", za0002)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "preemptible":
-			z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Preemptible")
-				return
-			}
-		case "count":
-			z.Count, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		case "base":
-			z.Base, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Base")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *FleetOrder) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 12 + msgp.BoolSize + 6 + msgp.IntSize + 5 + msgp.IntSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ForwardedCall) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
-	_ = zb0001Mask
-	if z.Tenant == "" {
-		zb0001Len--
-		zb0001Mask |= 0x10
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unreachable")
+		return
 	}
-	if z.LastEvent == "" {
-		zb0001Len--
-		zb0001Mask |= 0x100
+	if zb0004 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
 	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "gateway"
-		o = append(o, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
-		o = msgp.AppendString(o, z.Gateway)
-		// string "address"
-		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-		o = msgp.AppendString(o, z.Address)
-		// string "version"
-		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Version)
-		// string "service"
-		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Service)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "tenant"
-			o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
-			o = msgp.AppendString(o, z.Tenant)
-		}
-		// string "rank"
-		o = append(o, 0xa4, 0x72, 0x61, 0x6e, 0x6b)
-		o = msgp.AppendInt(o, z.Rank)
-		// string "elapsed"
-		o = append(o, 0xa7, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64)
-		o = msgp.AppendInt64(o, z.ElapsedMicros)
-		// string "wait"
-		o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
-		o = msgp.AppendInt64(o, z.WaitMicros)
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "last_event"
-			o = append(o, 0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
-			o = msgp.AppendString(o, z.LastEvent)
-		}
-		// string "attempts"
-		o = append(o, 0xa8, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
-		o = msgp.AppendInt(o, z.Attempts)
-		// string "arrivals"
-		o = append(o, 0xa8, 0x61, 0x72, 0x72, 0x69, 0x76, 0x61, 0x6c, 0x73)
-		o = msgp.AppendInt(o, z.Arrivals)
-		// string "may_have_run"
-		o = append(o, 0xac, 0x6d, 0x61, 0x79, 0x5f, 0x68, 0x61, 0x76, 0x65, 0x5f, 0x72, 0x75, 0x6e)
-		o = msgp.AppendBool(o, z.MayHaveRun)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ForwardedCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
+	if cap(z.Unreachable) >= int(zb0004) {
+		z.Unreachable = (z.Unreachable)[:zb0004]
+	} else {
+		z.Unreachable = make([]string, zb0004)
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	for za0003 := range z.Unreachable {
+		z.Unreachable[za0003], bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Unreachable", za0003)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "gateway":
-			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gateway")
-				return
-			}
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "tenant":
-			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tenant")
-				return
-			}
-		case "rank":
-			z.Rank, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rank")
-				return
-			}
-		case "elapsed":
-			z.ElapsedMicros, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ElapsedMicros")
-				return
-			}
-		case "wait":
-			z.WaitMicros, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "WaitMicros")
-				return
-			}
-		case "last_event":
-			z.LastEvent, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LastEvent")
-				return
-			}
-		case "attempts":
-			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Attempts")
-				return
-			}
-		case "arrivals":
-			z.Arrivals, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Arrivals")
-				return
-			}
-		case "may_have_run":
-			z.MayHaveRun, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MayHaveRun")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ForwardedCall) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 5 + msgp.IntSize + 8 + msgp.Int64Size + 5 + msgp.Int64Size + 11 + msgp.StringPrefixSize + len(z.LastEvent) + 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *GatewayUsage) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "gateway"
-	o = append(o, 0x84, 0xa7, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79)
-	o = msgp.AppendString(o, z.Gateway)
-	// string "life"
-	o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
-	o = msgp.AppendInt64(o, z.Life)
-	// string "told_at"
-	o = append(o, 0xa7, 0x74, 0x6f, 0x6c, 0x64, 0x5f, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.ToldAt)
-	// string "counts"
-	o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
-	for za0001 := range z.Counts {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Counts[za0001].Window)
-		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
-		o = msgp.AppendUint32(o, z.Counts[za0001].Count)
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
 	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *GatewayUsage) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Costs")
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
+	if zb0005 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if cap(z.Costs) >= int(zb0005) {
+		z.Costs = (z.Costs)[:zb0005]
+	} else {
+		z.Costs = make([]EngineCost, zb0005)
+	}
+	for za0004 := range z.Costs {
+		bts, err = z.Costs[za0004].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Costs", za0004)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "gateway":
-			z.Gateway, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gateway")
-				return
-			}
-		case "life":
-			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Life")
-				return
-			}
-		case "told_at":
-			z.ToldAt, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ToldAt")
-				return
-			}
-		case "counts":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Counts")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Counts) >= int(zb0002) {
-				z.Counts = (z.Counts)[:zb0002]
-			} else {
-				z.Counts = make([]UsageCount, zb0002)
-			}
-			for za0001 := range z.Counts {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001)
-					return
-				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Window")
-					return
-				}
-				z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Tenant")
-					return
-				}
-				z.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Count")
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *GatewayUsage) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 5 + msgp.Int64Size + 8 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Counts {
-		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant) + msgp.Uint32Size
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "address"
-	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "replica"
-	o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o = msgp.AppendUint64(o, z.Replica)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "replica":
-			z.Replica, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z JoinRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LeavingReport) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "replicas"
-	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		o = msgp.AppendString(o, z.Replicas[za0001])
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeavingReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "replicas":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replicas")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Replicas) >= int(zb0002) {
-				z.Replicas = (z.Replicas)[:zb0002]
-			} else {
-				z.Replicas = make([]string, zb0002)
-			}
-			for za0001 := range z.Replicas {
-				z.Replicas[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0001)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LeavingReport) Msgsize() (s int) {
-	s = 1 + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Replicas {
-		s += msgp.StringPrefixSize + len(z.Replicas[za0001])
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Standby == false {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "changed"
-		o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
-		for za0001 := range z.Changed {
-			o, err = z.Changed[za0001].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Changed", za0001)
-				return
-			}
-		}
-		// string "removed"
-		o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-		for za0002 := range z.Removed {
-			o = msgp.AppendString(o, z.Removed[za0002])
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "standby"
-			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
-			o = msgp.AppendBool(o, z.Standby)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ListCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "changed":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Changed")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Changed) >= int(zb0002) {
-				z.Changed = (z.Changed)[:zb0002]
-			} else {
-				z.Changed = make([]Replica, zb0002)
-			}
-			for za0001 := range z.Changed {
-				bts, err = z.Changed[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Changed", za0001)
-					return
-				}
-			}
-		case "removed":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Removed")
-				return
-			}
-			if zb0003 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Removed) >= int(zb0003) {
-				z.Removed = (z.Removed)[:zb0003]
-			} else {
-				z.Removed = make([]string, zb0003)
-			}
-			for za0002 := range z.Removed {
-				z.Removed[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Removed", za0002)
-					return
-				}
-			}
-		case "standby":
-			z.Standby, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Standby")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ListCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Changed {
-		s += z.Changed[za0001].Msgsize()
-	}
-	s += 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Removed {
-		s += msgp.StringPrefixSize + len(z.Removed[za0002])
-	}
-	s += 8 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ListedReplica) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Standby == false {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "replica"
-		o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-		o, err = z.Replica.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Replica")
-			return
-		}
-		// string "revision"
-		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Revision)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "standby"
-			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
-			o = msgp.AppendBool(o, z.Standby)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ListedReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "replica":
-			bts, err = z.Replica.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		case "revision":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "standby":
-			z.Standby, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Standby")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ListedReplica) Msgsize() (s int) {
-	s = 1 + 8 + z.Replica.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Outstanding) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
-	o = msgp.AppendString(o, z.Gateway)
-	o = msgp.AppendInt64(o, z.Life)
-	o = msgp.AppendUint64(o, z.Sequence)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		o, err = z.Replicas[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001)
-			return
-		}
-	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
-	for za0002 := range z.Prompts {
-		o, err = z.Prompts[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Prompts", za0002)
-			return
-		}
-	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
-	for za0003 := range z.Unreachable {
-		o = msgp.AppendString(o, z.Unreachable[za0003])
-	}
-	o = msgp.AppendBool(o, z.Whole)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
-	for za0004 := range z.Costs {
-		o, err = z.Costs[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0004)
-			return
-		}
-	}
-	o = msgp.AppendString(o, z.Zone)
-	o = msgp.AppendInt64(o, z.WallNanos)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Outstanding) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
-		return
-	}
-	z.Gateway, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Gateway")
-		return
-	}
-	z.Life, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Life")
-		return
-	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Replicas")
-		return
-	}
-	if zb0002 > z2c18a699limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Replicas) >= int(zb0002) {
-		z.Replicas = (z.Replicas)[:zb0002]
-	} else {
-		z.Replicas = make([]OutstandingWork, zb0002)
-	}
-	for za0001 := range z.Replicas {
-		bts, err = z.Replicas[za0001].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Replicas", za0001)
-			return
-		}
-	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Prompts")
-		return
-	}
-	if zb0003 > z2c18a699limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Prompts) >= int(zb0003) {
-		z.Prompts = (z.Prompts)[:zb0003]
-	} else {
-		z.Prompts = make([]PlacedPrompt, zb0003)
-	}
-	for za0002 := range z.Prompts {
-		bts, err = z.Prompts[za0002].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Prompts", za0002)
-			return
-		}
-	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Unreachable")
-		return
-	}
-	if zb0004 > z2c18a699limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Unreachable) >= int(zb0004) {
-		z.Unreachable = (z.Unreachable)[:zb0004]
-	} else {
-		z.Unreachable = make([]string, zb0004)
-	}
-	for za0003 := range z.Unreachable {
-		z.Unreachable[za0003], bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Unreachable", za0003)
-			return
-		}
-	}
-	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Whole")
-		return
-	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Costs")
-		return
-	}
-	if zb0005 > z2c18a699limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Costs) >= int(zb0005) {
-		z.Costs = (z.Costs)[:zb0005]
-	} else {
-		z.Costs = make([]EngineCost, zb0005)
-	}
-	for za0004 := range z.Costs {
-		bts, err = z.Costs[za0004].UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Costs", za0004)
-			return
-		}
-	}
-	z.Zone, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	z.WallNanos, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "WallNanos")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Outstanding) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Gateway) + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Replicas {
-		s += z.Replicas[za0001].Msgsize()
-	}
-	s += msgp.ArrayHeaderSize
-	for za0002 := range z.Prompts {
-		s += z.Prompts[za0002].Msgsize()
-	}
-	s += msgp.ArrayHeaderSize
-	for za0003 := range z.Unreachable {
-		s += msgp.StringPrefixSize + len(z.Unreachable[za0003])
-	}
-	s += msgp.BoolSize + msgp.ArrayHeaderSize
-	for za0004 := range z.Costs {
-		s += z.Costs[za0004].Msgsize()
-	}
-	s += msgp.StringPrefixSize + len(z.Zone) + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendString(o, z.Replica)
-	o = msgp.AppendInt(o, z.Requests)
-	o = msgp.AppendInt64(o, z.InTimeMicros)
-	o = msgp.AppendInt64(o, z.LateMicros)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *OutstandingWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Replica, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Replica")
-		return
-	}
-	z.Requests, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Requests")
-		return
-	}
-	z.InTimeMicros, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "InTimeMicros")
-		return
-	}
-	z.LateMicros, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "LateMicros")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *OutstandingWork) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z PlacedPart) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.ID)
-	o = msgp.AppendInt(o, z.Tokens)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PlacedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z PlacedPart) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.IntSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *PlacedPrompt) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint64(o, z.Sequence)
-	o = msgp.AppendString(o, z.Replica)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Parts[za0001].ID)
-		o = msgp.AppendInt(o, z.Parts[za0001].Tokens)
-	}
-	o = msgp.AppendInt(o, z.ReadyMillis)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PlacedPrompt) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	z.Replica, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Replica")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Parts")
-		return
-	}
-	if zb0002 > z2c18a699limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Parts) >= int(zb0002) {
-		z.Parts = (z.Parts)[:zb0002]
-	} else {
-		z.Parts = make([]PlacedPart, zb0002)
-	}
-	for za0001 := range z.Parts {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Parts", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.Parts[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Parts", za0001, "ID")
-			return
-		}
-		z.Parts[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Parts", za0001, "Tokens")
-			return
-		}
-	}
-	z.ReadyMillis, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ReadyMillis")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PlacedPrompt) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Replica) + msgp.ArrayHeaderSize
-	for za0001 := range z.Parts {
-		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].ID) + msgp.IntSize
-	}
-	s += msgp.IntSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z PoisonReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "known"
-	o = append(o, 0x81, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
-	o = msgp.AppendBool(o, z.Known)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PoisonReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "known":
-			z.Known, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Known")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z PoisonReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ProcessBuild) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "address"
-	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, z.Address)
-	// string "build"
-	o = append(o, 0xa5, 0x62, 0x75, 0x69, 0x6c, 0x64)
-	// map header, size 2
-	// string "protocol"
-	o = append(o, 0x82, 0xa8, 0x70, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
-	o = msgp.AppendInt(o, z.Build.Protocol)
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Build.Revision)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ProcessBuild) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "address":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "build":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Build")
-				return
-			}
-			if zb0002 > z2c18a699limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Build")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "protocol":
-					z.Build.Protocol, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Build", "Protocol")
-						return
-					}
-				case "revision":
-					z.Build.Revision, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Build", "Revision")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Build")
-						return
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ProcessBuild) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + 1 + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Build.Revision)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
-	_ = zb0001Mask
-	if z.Members == nil {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.ListMillis == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.PageMillis == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "index"
-		o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
-		o = msgp.AppendUint64(o, z.Index)
-		// string "peers_hash"
-		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-		o = msgp.AppendUint64(o, z.PeersHash)
-		// string "peers"
-		o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-		for za0001 := range z.Peers {
-			o = msgp.AppendString(o, z.Peers[za0001])
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "members"
-			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-			for za0002 := range z.Members {
-				// map header, size 2
-				// string "address"
-				o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-				o = msgp.AppendString(o, z.Members[za0002].Address)
-				// string "zone"
-				o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-				o = msgp.AppendString(o, z.Members[za0002].Zone)
-			}
-		}
-		// string "region"
-		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendInt64(o, z.RegionNanos)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "list_age"
-			o = append(o, 0xa8, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65)
-			o = msgp.AppendInt64(o, z.ListMillis)
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "page_age"
-			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
-			o = msgp.AppendInt64(o, z.PageMillis)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReadIndexReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "index":
-			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Index")
-				return
-			}
-		case "peers_hash":
-			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PeersHash")
-				return
-			}
-		case "peers":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Peers")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Peers) >= int(zb0002) {
-				z.Peers = (z.Peers)[:zb0002]
-			} else {
-				z.Peers = make([]string, zb0002)
-			}
-			for za0001 := range z.Peers {
-				z.Peers[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0001)
-					return
-				}
-			}
-		case "members":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if zb0003 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Members) >= int(zb0003) {
-				z.Members = (z.Members)[:zb0003]
-			} else {
-				z.Members = make([]CoordinatorZone, zb0003)
-			}
-			for za0002 := range z.Members {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0002)
-					return
-				}
-				if zb0004 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "address":
-						z.Members[za0002].Address, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0002, "Address")
-							return
-						}
-					case "zone":
-						z.Members[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0002, "Zone")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0002)
-							return
-						}
-					}
-				}
-			}
-		case "region":
-			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "RegionNanos")
-				return
-			}
-		case "list_age":
-			z.ListMillis, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ListMillis")
-				return
-			}
-		case "page_age":
-			z.PageMillis, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PageMillis")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReadIndexReply) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Peers {
-		s += msgp.StringPrefixSize + len(z.Peers[za0001])
-	}
-	s += 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Members {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Members[za0002].Address) + 5 + msgp.StringPrefixSize + len(z.Members[za0002].Zone)
-	}
-	s += 7 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
-	_ = zb0001Mask
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.MembersHash == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Protocol == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	if z.Revision == "" {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.OtherBuilds == nil {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "from"
-		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-		o = msgp.AppendString(o, z.From)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "zone"
-			o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-			o = msgp.AppendString(o, z.Zone)
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "members_hash"
-			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-			o = msgp.AppendUint64(o, z.MembersHash)
-		}
-		// string "gateways"
-		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
-		for za0001 := range z.Gateways {
-			o = msgp.AppendString(o, z.Gateways[za0001])
-		}
-		// string "peers_hash"
-		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
-		o = msgp.AppendUint64(o, z.PeersHash)
-		// string "demand"
-		o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
-		for za0002 := range z.Demand {
-			o, err = z.Demand[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Demand", za0002)
-				return
-			}
-		}
-		// string "clocks"
-		o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x63, 0x6b, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Clocks)))
-		for za0003 := range z.Clocks {
-			o = msgp.AppendInt64(o, z.Clocks[za0003])
-		}
-		// string "usage"
-		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
-		for za0004 := range z.Usage {
-			o, err = z.Usage[za0004].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Usage", za0004)
-				return
-			}
-		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "protocol"
-			o = append(o, 0xa8, 0x70, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
-			o = msgp.AppendInt(o, z.Protocol)
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "revision"
-			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendString(o, z.Revision)
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// string "other_builds"
-			o = append(o, 0xac, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x62, 0x75, 0x69, 0x6c, 0x64, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.OtherBuilds)))
-			for za0005 := range z.OtherBuilds {
-				o, err = z.OtherBuilds[za0005].MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "OtherBuilds", za0005)
-					return
-				}
-			}
-		}
 	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReadIndexRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.WallNanos, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WallNanos")
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "from":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "members_hash":
-			z.MembersHash, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MembersHash")
-				return
-			}
-		case "gateways":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gateways")
-				return
-			}
-			if zb0002 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Gateways) >= int(zb0002) {
-				z.Gateways = (z.Gateways)[:zb0002]
-			} else {
-				z.Gateways = make([]string, zb0002)
-			}
-			for za0001 := range z.Gateways {
-				z.Gateways[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Gateways", za0001)
-					return
-				}
-			}
-		case "peers_hash":
-			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PeersHash")
-				return
-			}
-		case "demand":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Demand")
-				return
-			}
-			if zb0003 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Demand) >= int(zb0003) {
-				z.Demand = (z.Demand)[:zb0003]
-			} else {
-				z.Demand = make([]ServiceDemand, zb0003)
-			}
-			for za0002 := range z.Demand {
-				bts, err = z.Demand[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Demand", za0002)
-					return
-				}
-			}
-		case "clocks":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Clocks")
-				return
-			}
-			if zb0004 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Clocks) >= int(zb0004) {
-				z.Clocks = (z.Clocks)[:zb0004]
-			} else {
-				z.Clocks = make([]int64, zb0004)
-			}
-			for za0003 := range z.Clocks {
-				z.Clocks[za0003], bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Clocks", za0003)
-					return
-				}
-			}
-		case "usage":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Usage")
-				return
-			}
-			if zb0005 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Usage) >= int(zb0005) {
-				z.Usage = (z.Usage)[:zb0005]
-			} else {
-				z.Usage = make([]GatewayUsage, zb0005)
-			}
-			for za0004 := range z.Usage {
-				bts, err = z.Usage[za0004].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Usage", za0004)
-					return
-				}
-			}
-		case "protocol":
-			z.Protocol, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Protocol")
-				return
-			}
-		case "revision":
-			z.Revision, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "other_builds":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OtherBuilds")
-				return
-			}
-			if zb0006 > z2c18a699limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.OtherBuilds) >= int(zb0006) {
-				z.OtherBuilds = (z.OtherBuilds)[:zb0006]
-			} else {
-				z.OtherBuilds = make([]ProcessBuild, zb0006)
-			}
-			for za0005 := range z.OtherBuilds {
-				bts, err = z.OtherBuilds[za0005].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "OtherBuilds", za0005)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReadIndexRequest) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.From) + 5 + msgp.StringPrefixSize + len(z.Zone) + 13 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Gateways {
-		s += msgp.StringPrefixSize + len(z.Gateways[za0001])
+func (z *Outstanding) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Gateway) + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += z.Replicas[za0001].Msgsize()
 	}
-	s += 11 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Demand {
-		s += z.Demand[za0002].Msgsize()
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Prompts {
+		s += z.Prompts[za0002].Msgsize()
 	}
-	s += 7 + msgp.ArrayHeaderSize + (len(z.Clocks) * (msgp.Int64Size)) + 6 + msgp.ArrayHeaderSize
-	for za0004 := range z.Usage {
-		s += z.Usage[za0004].Msgsize()
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Unreachable {
+		s += msgp.StringPrefixSize + len(z.Unreachable[za0003])
 	}
-	s += 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision) + 13 + msgp.ArrayHeaderSize
-	for za0005 := range z.OtherBuilds {
-		s += z.OtherBuilds[za0005].Msgsize()
+	s += msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0004 := range z.Costs {
+		s += z.Costs[za0004].Msgsize()
 	}
+	s += msgp.StringPrefixSize + len(z.Zone) + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RemovedReplica) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OutstandingWork) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "id"
-	o = append(o, 0x82, 0xa2, 0x69, 0x64)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Replica)
+	o = msgp.AppendInt(o, z.Requests)
+	o = msgp.AppendInt64(o, z.InTimeMicros)
+	o = msgp.AppendInt64(o, z.LateMicros)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OutstandingWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Replica, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	z.Requests, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.InTimeMicros, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InTimeMicros")
+		return
+	}
+	z.LateMicros, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LateMicros")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OutstandingWork) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Replica) + msgp.IntSize + msgp.Int64Size + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PlacedPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.ID)
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendInt(o, z.Tokens)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RemovedReplica) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *PlacedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "id":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "revision":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RemovedReplica) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 9 + msgp.Uint64Size
+func (z PlacedPart) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ReplaceReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PlacedPrompt) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "version"
-	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "index"
-	o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
-	o = msgp.AppendUint64(o, z.Index)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendString(o, z.Replica)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Parts[za0001].ID)
+		o = msgp.AppendInt(o, z.Parts[za0001].Tokens)
+	}
+	o = msgp.AppendInt(o, z.ReadyMillis)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReplaceReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *PlacedPrompt) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > z2c18a699limitMaps {
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.Replica, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0002 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]PlacedPart, zb0002)
+	}
+	for za0001 := range z.Parts {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Parts", za0001)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "index":
-			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Index")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Parts[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "ID")
+			return
+		}
+		z.Parts[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+			return
 		}
 	}
+	z.ReadyMillis, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadyMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ReplaceReply) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 6 + msgp.Uint64Size
+func (z *PlacedPrompt) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Replica) + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].ID) + msgp.IntSize
+	}
+	s += msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ReplaceRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "version"
-	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
+func (z PoisonReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "known"
+	o = append(o, 0x81, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.Known)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReplaceRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PoisonReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3944,34 +1790,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "document":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
-				return
-			}
-			if zb0002 > 67108864 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Document == nil || uint32(cap(z.Document)) < zb0002 {
-				z.Document = make([]byte, zb0002)
-			} else {
-				z.Document = z.Document[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
+				err = msgp.WrapError(err, "Known")
 				return
 			}
-			copy(z.Document, bts[:zb0002])
-			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3985,65 +1809,32 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReplaceRequest) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document)
+func (z PoisonReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ProcessBuild) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
-	_ = zb0001Mask
-	if z.Leaving == false {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "id"
-		o = append(o, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.ID)
-		// string "born"
-		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-		o = msgp.AppendInt64(o, z.Born)
-		// string "service"
-		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Service)
-		// string "address"
-		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
-		o = msgp.AppendString(o, z.Address)
-		// string "zone"
-		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-		o = msgp.AppendString(o, z.Zone)
-		// string "slots"
-		o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-		o = msgp.AppendInt(o, z.Slots)
-		// string "draining"
-		o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
-		o = msgp.AppendBool(o, z.Draining)
-		// string "stage"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-		o = msgp.AppendString(o, z.Stage)
-		// string "preemptible"
-		o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
-		o = msgp.AppendBool(o, z.Preemptible)
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "leaving"
-			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-			o = msgp.AppendBool(o, z.Leaving)
-		}
-	}
+	// map header, size 2
+	// string "address"
+	o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "build"
+	o = append(o, 0xa5, 0x62, 0x75, 0x69, 0x6c, 0x64)
+	// map header, size 2
+	// string "protocol"
+	o = append(o, 0x82, 0xa8, 0x70, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
+	o = msgp.AppendInt(o, z.Build.Protocol)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Build.Revision)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ProcessBuild) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4064,65 +1855,50 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "id":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "born":
-			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Born")
-				return
-			}
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
 		case "address":
 			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Address")
 				return
 			}
-		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "slots":
-			z.Slots, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slots")
-				return
-			}
-		case "draining":
-			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Draining")
-				return
-			}
-		case "stage":
-			z.Stage, bts, err = msgp.ReadStringBytes(bts)
+		case "build":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stage")
+				err = msgp.WrapError(err, "Build")
 				return
 			}
-		case "preemptible":
-			z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Preemptible")
+			if zb0002 > z2c18a699limitMaps {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "leaving":
-			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
-				return
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Build")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "protocol":
+					z.Build.Protocol, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Build", "Protocol")
+						return
+					}
+				case "revision":
+					z.Build.Revision, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Build", "Revision")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Build")
+						return
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -4137,95 +1913,80 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Replica) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize + 8 + msgp.BoolSize
+func (z *ProcessBuild) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + 1 + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Build.Revision)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ReadIndexReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
-	if z.Region == "" {
+	if z.Members == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2
+		zb0001Mask |= 0x8
 	}
-	if z.Refusing == nil {
+	if z.ListMillis == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x20
 	}
-	if z.Running == 0 {
+	if z.PageMillis == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "service"
-		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Service)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "region"
-			o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendString(o, z.Region)
-		}
-		// string "generating"
-		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Generating)
-		// string "expected"
-		o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
-		o = msgp.AppendFloat64(o, z.Expected)
-		// string "reading"
-		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
-		o = msgp.AppendFloat64(o, z.Reading)
-		// string "kept"
-		o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
-		o = msgp.AppendFloat64(o, z.Kept)
-		// string "prompts"
-		o = append(o, 0xa7, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x73)
-		o = msgp.AppendFloat64(o, z.Prompts)
-		// string "slack"
-		o = append(o, 0xa5, 0x73, 0x6c, 0x61, 0x63, 0x6b)
-		o = msgp.AppendFloat64(o, z.Slack)
-		// string "squares"
-		o = append(o, 0xa7, 0x73, 0x71, 0x75, 0x61, 0x72, 0x65, 0x73)
-		o = msgp.AppendFloat64(o, z.Squares)
-		// string "delayed"
-		o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x65, 0x64)
-		o = msgp.AppendFloat64(o, z.Delayed)
-		// string "unreachable"
-		o = append(o, 0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
-		for za0001 := range z.Unreachable {
-			o = msgp.AppendString(o, z.Unreachable[za0001])
-		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
-			// string "refusing"
-			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
-			for za0002 := range z.Refusing {
-				o = msgp.AppendString(o, z.Refusing[za0002])
+		// string "index"
+		o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+		o = msgp.AppendUint64(o, z.Index)
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		// string "peers"
+		o = append(o, 0xa5, 0x70, 0x65, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+		for za0001 := range z.Peers {
+			o = msgp.AppendString(o, z.Peers[za0001])
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "members"
+			o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+			for za0002 := range z.Members {
+				// map header, size 2
+				// string "address"
+				o = append(o, 0x82, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+				o = msgp.AppendString(o, z.Members[za0002].Address)
+				// string "zone"
+				o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+				o = msgp.AppendString(o, z.Members[za0002].Zone)
 			}
 		}
-		// string "gateways"
-		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
-		o = msgp.AppendInt(o, z.Gateways)
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
-			// string "running"
-			o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
-			o = msgp.AppendFloat64(o, z.Running)
+		// string "region"
+		o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendInt64(o, z.RegionNanos)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "list_age"
+			o = append(o, 0xa8, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.ListMillis)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "page_age"
+			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
+			o = msgp.AppendInt64(o, z.PageMillis)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ServiceDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ReadIndexReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4246,122 +2007,113 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "region":
-			z.Region, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Region")
-				return
-			}
-		case "generating":
-			z.Generating, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Generating")
-				return
-			}
-		case "expected":
-			z.Expected, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Expected")
-				return
-			}
-		case "reading":
-			z.Reading, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Reading")
-				return
-			}
-		case "kept":
-			z.Kept, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kept")
-				return
-			}
-		case "prompts":
-			z.Prompts, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Prompts")
-				return
-			}
-		case "slack":
-			z.Slack, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slack")
-				return
-			}
-		case "squares":
-			z.Squares, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "index":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Squares")
+				err = msgp.WrapError(err, "Index")
 				return
 			}
-		case "delayed":
-			z.Delayed, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Delayed")
+				err = msgp.WrapError(err, "PeersHash")
 				return
 			}
-		case "unreachable":
+		case "peers":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Unreachable")
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
 			if zb0002 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Unreachable) >= int(zb0002) {
-				z.Unreachable = (z.Unreachable)[:zb0002]
+			if cap(z.Peers) >= int(zb0002) {
+				z.Peers = (z.Peers)[:zb0002]
 			} else {
-				z.Unreachable = make([]string, zb0002)
+				z.Peers = make([]string, zb0002)
 			}
-			for za0001 := range z.Unreachable {
-				z.Unreachable[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Peers {
+				z.Peers[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0001)
+					err = msgp.WrapError(err, "Peers", za0001)
 					return
 				}
 			}
-		case "refusing":
+		case "members":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Refusing")
+				err = msgp.WrapError(err, "Members")
 				return
 			}
 			if zb0003 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0003) {
-				z.Refusing = (z.Refusing)[:zb0003]
+			if cap(z.Members) >= int(zb0003) {
+				z.Members = (z.Members)[:zb0003]
 			} else {
-				z.Refusing = make([]string, zb0003)
+				z.Members = make([]CoordinatorZone, zb0003)
 			}
-			for za0002 := range z.Refusing {
-				z.Refusing[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Members {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0002)
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+				if zb0004 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Members", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "address":
+						z.Members[za0002].Address, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002, "Address")
+							return
+						}
+					case "zone":
+						z.Members[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002, "Zone")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002)
+							return
+						}
+					}
+				}
 			}
-		case "gateways":
-			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
+		case "region":
+			z.RegionNanos, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Gateways")
+				err = msgp.WrapError(err, "RegionNanos")
 				return
 			}
-		case "running":
-			z.Running, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "list_age":
+			z.ListMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Running")
+				err = msgp.WrapError(err, "ListMillis")
+				return
+			}
+		case "page_age":
+			z.PageMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PageMillis")
 				return
 			}
 		default:
@@ -4377,218 +2129,127 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ServiceDemand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Region) + 11 + msgp.Float64Size + 9 + msgp.Float64Size + 8 + msgp.Float64Size + 5 + msgp.Float64Size + 8 + msgp.Float64Size + 6 + msgp.Float64Size + 8 + msgp.Float64Size + 8 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
-	for za0001 := range z.Unreachable {
-		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
+func (z *ReadIndexReply) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 11 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Peers {
+		s += msgp.StringPrefixSize + len(z.Peers[za0001])
 	}
-	s += 9 + msgp.ArrayHeaderSize
-	for za0002 := range z.Refusing {
-		s += msgp.StringPrefixSize + len(z.Refusing[za0002])
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Members[za0002].Address) + 5 + msgp.StringPrefixSize + len(z.Members[za0002].Zone)
 	}
-	s += 9 + msgp.IntSize + 8 + msgp.Float64Size
+	s += 7 + msgp.Int64Size + 9 + msgp.Int64Size + 9 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StageChange) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "replica"
-	o = append(o, 0x84, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-	o = msgp.AppendString(o, z.Replica)
-	// string "born"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Born)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendString(o, z.Stage)
-	// string "fence"
-	o = append(o, 0xa5, 0x66, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Fence)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StageChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	if zb0001 > z2c18a699limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
+	if z.MembersHash == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
+	if z.Protocol == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Revision == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.OtherBuilds == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o = msgp.AppendString(o, z.From)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "zone"
+			o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, z.Zone)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "members_hash"
+			o = append(o, 0xac, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+			o = msgp.AppendUint64(o, z.MembersHash)
 		}
-		switch msgp.UnsafeString(field) {
-		case "replica":
-			z.Replica, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Replica")
-				return
-			}
-		case "born":
-			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Born")
-				return
-			}
-		case "stage":
-			z.Stage, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stage")
-				return
-			}
-		case "fence":
-			z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Fence")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
+		// string "gateways"
+		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Gateways)))
+		for za0001 := range z.Gateways {
+			o = msgp.AppendString(o, z.Gateways[za0001])
+		}
+		// string "peers_hash"
+		o = append(o, 0xaa, 0x70, 0x65, 0x65, 0x72, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+		o = msgp.AppendUint64(o, z.PeersHash)
+		// string "demand"
+		o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Demand)))
+		for za0002 := range z.Demand {
+			o, err = z.Demand[za0002].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Demand", za0002)
 				return
 			}
 		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StageChange) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Replica) + 5 + msgp.Int64Size + 6 + msgp.StringPrefixSize + len(z.Stage) + 6 + msgp.Uint64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "version"
-	o = append(o, 0x8b, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "list_revision"
-	o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ListRevision)
-	// string "replicas"
-	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		// check for omitted fields
-		zb0002Len := uint32(3)
-		var zb0002Mask uint8 /* 3 bits */
-		_ = zb0002Mask
-		if z.Replicas[za0001].Standby == false {
-			zb0002Len--
-			zb0002Mask |= 0x4
+		// string "clocks"
+		o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x63, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Clocks)))
+		for za0003 := range z.Clocks {
+			o = msgp.AppendInt64(o, z.Clocks[za0003])
 		}
-		// variable map header, size zb0002Len
-		o = append(o, 0x80|uint8(zb0002Len))
-
-		// skip if no fields are to be emitted
-		if zb0002Len != 0 {
-			// string "replica"
-			o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-			o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
+		for za0004 := range z.Usage {
+			o, err = z.Usage[za0004].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+				err = msgp.WrapError(err, "Usage", za0004)
 				return
 			}
-			// string "revision"
-			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
-			if (zb0002Mask & 0x4) == 0 { // if not omitted
-				// string "standby"
-				o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
-				o = msgp.AppendBool(o, z.Replicas[za0001].Standby)
-			}
 		}
-	}
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		// map header, size 2
-		// string "id"
-		o = append(o, 0x82, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.Removed[za0002].ID)
-		// string "revision"
-		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Removed[za0002].Revision)
-	}
-	// string "removed_since"
-	o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.RemovedSince)
-	// string "changes"
-	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
-	for za0003 := range z.Changes {
-		o, err = z.Changes[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Changes", za0003)
-			return
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "protocol"
+			o = append(o, 0xa8, 0x70, 0x72, 0x6f, 0x74, 0x6f, 0x63, 0x6f, 0x6c)
+			o = msgp.AppendInt(o, z.Protocol)
 		}
-	}
-	// string "next_window"
-	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.NextWindow)
-	// string "usage"
-	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
-	for za0004 := range z.Usage {
-		// map header, size 2
-		// string "window"
-		o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-		o = msgp.AppendUint64(o, z.Usage[za0004].Window)
-		// string "counts"
-		o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage[za0004].Counts)))
-		for za0005 := range z.Usage[za0004].Counts {
-			// array header, size 3
-			o = append(o, 0x93)
-			o = msgp.AppendUint64(o, z.Usage[za0004].Counts[za0005].Window)
-			o = msgp.AppendString(o, z.Usage[za0004].Counts[za0005].Tenant)
-			o = msgp.AppendUint32(o, z.Usage[za0004].Counts[za0005].Count)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "revision"
+			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Revision)
 		}
-	}
-	// string "fleet"
-	o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Fleet)))
-	for za0006 := range z.Fleet {
-		o, err = z.Fleet[za0006].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Fleet", za0006)
-			return
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "other_builds"
+			o = append(o, 0xac, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x62, 0x75, 0x69, 0x6c, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.OtherBuilds)))
+			for za0005 := range z.OtherBuilds {
+				o, err = z.OtherBuilds[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "OtherBuilds", za0005)
+					return
+				}
+			}
 		}
 	}
-	// string "poison"
-	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
-	o, err = z.Poison.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Poison")
-		return
-	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *State) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ReadIndexRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4609,315 +2270,157 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+		case "from":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "document":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Document")
-				return
-			}
-			if zb0002 > 67108864 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Document == nil || uint32(cap(z.Document)) < zb0002 {
-				z.Document = make([]byte, zb0002)
-			} else {
-				z.Document = z.Document[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-			copy(z.Document, bts[:zb0002])
-			bts = bts[zb0002:]
-		case "list_revision":
-			z.ListRevision, bts, err = msgp.ReadUint64Bytes(bts)
+		case "members_hash":
+			z.MembersHash, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ListRevision")
+				err = msgp.WrapError(err, "MembersHash")
 				return
 			}
-		case "replicas":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "gateways":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Replicas")
+				err = msgp.WrapError(err, "Gateways")
 				return
 			}
-			if zb0003 > z2c18a699limitArrays {
+			if zb0002 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Replicas) >= int(zb0003) {
-				z.Replicas = (z.Replicas)[:zb0003]
+			if cap(z.Gateways) >= int(zb0002) {
+				z.Gateways = (z.Gateways)[:zb0002]
 			} else {
-				z.Replicas = make([]ListedReplica, zb0003)
+				z.Gateways = make([]string, zb0002)
 			}
-			for za0001 := range z.Replicas {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Gateways {
+				z.Gateways[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Replicas", za0001)
-					return
-				}
-				if zb0004 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
+					err = msgp.WrapError(err, "Gateways", za0001)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Replicas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "replica":
-						bts, err = z.Replicas[za0001].Replica.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Replica")
-							return
-						}
-					case "revision":
-						z.Replicas[za0001].Revision, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Revision")
-							return
-						}
-					case "standby":
-						z.Replicas[za0001].Standby, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001, "Standby")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Replicas", za0001)
-							return
-						}
-					}
-				}
 			}
-		case "removed":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "peers_hash":
+			z.PeersHash, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Removed")
+				err = msgp.WrapError(err, "PeersHash")
 				return
 			}
-			if zb0005 > z2c18a699limitArrays {
+		case "demand":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Removed) >= int(zb0005) {
-				z.Removed = (z.Removed)[:zb0005]
+			if cap(z.Demand) >= int(zb0003) {
+				z.Demand = (z.Demand)[:zb0003]
 			} else {
-				z.Removed = make([]RemovedReplica, zb0005)
+				z.Demand = make([]ServiceDemand, zb0003)
 			}
-			for za0002 := range z.Removed {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Demand {
+				bts, err = z.Demand[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Removed", za0002)
-					return
-				}
-				if zb0006 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
+					err = msgp.WrapError(err, "Demand", za0002)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Removed", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "id":
-						z.Removed[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Removed", za0002, "ID")
-							return
-						}
-					case "revision":
-						z.Removed[za0002].Revision, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Removed", za0002, "Revision")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Removed", za0002)
-							return
-						}
-					}
-				}
-			}
-		case "removed_since":
-			z.RemovedSince, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "RemovedSince")
-				return
 			}
-		case "changes":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "clocks":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Changes")
+				err = msgp.WrapError(err, "Clocks")
 				return
 			}
-			if zb0007 > z2c18a699limitArrays {
+			if zb0004 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Changes) >= int(zb0007) {
-				z.Changes = (z.Changes)[:zb0007]
+			if cap(z.Clocks) >= int(zb0004) {
+				z.Clocks = (z.Clocks)[:zb0004]
 			} else {
-				z.Changes = make([]StageChange, zb0007)
+				z.Clocks = make([]int64, zb0004)
 			}
-			for za0003 := range z.Changes {
-				bts, err = z.Changes[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Clocks {
+				z.Clocks[za0003], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Changes", za0003)
+					err = msgp.WrapError(err, "Clocks", za0003)
 					return
 				}
 			}
-		case "next_window":
-			z.NextWindow, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "NextWindow")
-				return
-			}
 		case "usage":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Usage")
 				return
 			}
-			if zb0008 > z2c18a699limitArrays {
+			if zb0005 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Usage) >= int(zb0008) {
-				z.Usage = (z.Usage)[:zb0008]
+			if cap(z.Usage) >= int(zb0005) {
+				z.Usage = (z.Usage)[:zb0005]
 			} else {
-				z.Usage = make([]UsageWindow, zb0008)
+				z.Usage = make([]GatewayUsage, zb0005)
 			}
 			for za0004 := range z.Usage {
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Usage[za0004].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Usage", za0004)
 					return
 				}
-				if zb0009 > z2c18a699limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0009 > 0 {
-					zb0009--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Usage", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "window":
-						z.Usage[za0004].Window, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage", za0004, "Window")
-							return
-						}
-					case "counts":
-						var zb0010 uint32
-						zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage", za0004, "Counts")
-							return
-						}
-						if zb0010 > z2c18a699limitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Usage[za0004].Counts) >= int(zb0010) {
-							z.Usage[za0004].Counts = (z.Usage[za0004].Counts)[:zb0010]
-						} else {
-							z.Usage[za0004].Counts = make([]UsageCount, zb0010)
-						}
-						for za0005 := range z.Usage[za0004].Counts {
-							var zb0011 uint32
-							zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005)
-								return
-							}
-							if zb0011 != 3 {
-								err = msgp.ArrayError{Wanted: 3, Got: zb0011}
-								return
-							}
-							z.Usage[za0004].Counts[za0005].Window, bts, err = msgp.ReadUint64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Window")
-								return
-							}
-							z.Usage[za0004].Counts[za0005].Tenant, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Tenant")
-								return
-							}
-							z.Usage[za0004].Counts[za0005].Count, bts, err = msgp.ReadUint32Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Usage", za0004, "Counts", za0005, "Count")
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Usage", za0004)
-							return
-						}
-					}
-				}
 			}
-		case "fleet":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "protocol":
+			z.Protocol, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Protocol")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "other_builds":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherBuilds")
 				return
 			}
-			if zb0012 > z2c18a699limitArrays {
+			if zb0006 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Fleet) >= int(zb0012) {
-				z.Fleet = (z.Fleet)[:zb0012]
+			if cap(z.OtherBuilds) >= int(zb0006) {
+				z.OtherBuilds = (z.OtherBuilds)[:zb0006]
 			} else {
-				z.Fleet = make([]FleetOrder, zb0012)
+				z.OtherBuilds = make([]ProcessBuild, zb0006)
 			}
-			for za0006 := range z.Fleet {
-				bts, err = z.Fleet[za0006].UnmarshalMsg(bts)
+			for za0005 := range z.OtherBuilds {
+				bts, err = z.OtherBuilds[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Fleet", za0006)
+					err = msgp.WrapError(err, "OtherBuilds", za0005)
 					return
 				}
 			}
-		case "poison":
-			bts, err = z.Poison.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Poison")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4931,46 +2434,41 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *State) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Replicas {
-		s += 1 + 8 + z.Replicas[za0001].Replica.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
-	}
-	s += 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Removed {
-		s += 1 + 3 + msgp.StringPrefixSize + len(z.Removed[za0002].ID) + 9 + msgp.Uint64Size
+func (z *ReadIndexRequest) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.From) + 5 + msgp.StringPrefixSize + len(z.Zone) + 13 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Gateways {
+		s += msgp.StringPrefixSize + len(z.Gateways[za0001])
 	}
-	s += 14 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
-	for za0003 := range z.Changes {
-		s += z.Changes[za0003].Msgsize()
+	s += 11 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Demand {
+		s += z.Demand[za0002].Msgsize()
 	}
-	s += 12 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	s += 7 + msgp.ArrayHeaderSize + (len(z.Clocks) * (msgp.Int64Size)) + 6 + msgp.ArrayHeaderSize
 	for za0004 := range z.Usage {
-		s += 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-		for za0005 := range z.Usage[za0004].Counts {
-			s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Usage[za0004].Counts[za0005].Tenant) + msgp.Uint32Size
-		}
+		s += z.Usage[za0004].Msgsize()
 	}
-	s += 6 + msgp.ArrayHeaderSize
-	for za0006 := range z.Fleet {
-		s += z.Fleet[za0006].Msgsize()
+	s += 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision) + 13 + msgp.ArrayHeaderSize
+	for za0005 := range z.OtherBuilds {
+		s += z.OtherBuilds[za0005].Msgsize()
 	}
-	s += 7 + z.Poison.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z UsageCallCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z ReplaceReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "window"
-	o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.Window)
+	// map header, size 2
+	// string "version"
+	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "index"
+	o = append(o, 0xa5, 0x69, 0x6e, 0x64, 0x65, 0x78)
+	o = msgp.AppendUint64(o, z.Index)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *UsageCallCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ReplaceReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4991,10 +2489,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "window":
-			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "index":
+			z.Index, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Window")
+				err = msgp.WrapError(err, "Index")
 				return
 			}
 		default:
@@ -5010,71 +2514,146 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z UsageCallCommand) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size
+func (z ReplaceReply) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Uint64Size + 6 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z UsageCount) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ReplaceRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint64(o, z.Window)
-	o = msgp.AppendString(o, z.Tenant)
-	o = msgp.AppendUint32(o, z.Count)
+	// map header, size 2
+	// string "version"
+	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "document"
+	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBytes(o, z.Document)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *UsageCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ReplaceRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Window, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Window")
-		return
-	}
-	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Count, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Count")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "document":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Document")
+				return
+			}
+			if zb0002 > 67108864 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Document == nil || uint32(cap(z.Document)) < zb0002 {
+				z.Document = make([]byte, zb0002)
+			} else {
+				z.Document = z.Document[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Document, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z UsageCount) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Tenant) + msgp.Uint32Size
+func (z *ReplaceRequest) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z UsageEndCommand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "window"
-	o = append(o, 0x81, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.Window)
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.ID)
+		// string "born"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
+		o = msgp.AppendInt64(o, z.Born)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "address"
+		o = append(o, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, z.Address)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.Zone)
+		// string "slots"
+		o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+		o = msgp.AppendInt(o, z.Slots)
+		// string "draining"
+		o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Draining)
+		// string "stage"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+		o = msgp.AppendString(o, z.Stage)
+		// string "preemptible"
+		o = append(o, 0xab, 0x70, 0x72, 0x65, 0x65, 0x6d, 0x70, 0x74, 0x69, 0x62, 0x6c, 0x65)
+		o = msgp.AppendBool(o, z.Preemptible)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "leaving"
+			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *UsageEndCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5095,10 +2674,64 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "window":
-			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "born":
+			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "slots":
+			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slots")
+				return
+			}
+		case "draining":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "preemptible":
+			z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Preemptible")
+				return
+			}
+		case "leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Window")
+				err = msgp.WrapError(err, "Leaving")
 				return
 			}
 		default:
@@ -5114,33 +2747,95 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z UsageEndCommand) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size
+func (z *Replica) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize + 8 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *UsageWindow) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ServiceDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "window"
-	o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.Window)
-	// string "counts"
-	o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
-	for za0001 := range z.Counts {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Counts[za0001].Window)
-		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
-		o = msgp.AppendUint32(o, z.Counts[za0001].Count)
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Region == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "region"
+			o = append(o, 0xa6, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Region)
+		}
+		// string "generating"
+		o = append(o, 0xaa, 0x67, 0x65, 0x6e, 0x65, 0x72, 0x61, 0x74, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Generating)
+		// string "expected"
+		o = append(o, 0xa8, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64)
+		o = msgp.AppendFloat64(o, z.Expected)
+		// string "reading"
+		o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendFloat64(o, z.Reading)
+		// string "kept"
+		o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
+		o = msgp.AppendFloat64(o, z.Kept)
+		// string "prompts"
+		o = append(o, 0xa7, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x73)
+		o = msgp.AppendFloat64(o, z.Prompts)
+		// string "slack"
+		o = append(o, 0xa5, 0x73, 0x6c, 0x61, 0x63, 0x6b)
+		o = msgp.AppendFloat64(o, z.Slack)
+		// string "squares"
+		o = append(o, 0xa7, 0x73, 0x71, 0x75, 0x61, 0x72, 0x65, 0x73)
+		o = msgp.AppendFloat64(o, z.Squares)
+		// string "delayed"
+		o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x65, 0x64)
+		o = msgp.AppendFloat64(o, z.Delayed)
+		// string "unreachable"
+		o = append(o, 0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+		for za0001 := range z.Unreachable {
+			o = msgp.AppendString(o, z.Unreachable[za0001])
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "refusing"
+			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
+			for za0002 := range z.Refusing {
+				o = msgp.AppendString(o, z.Refusing[za0002])
+			}
+		}
+		// string "gateways"
+		o = append(o, 0xa8, 0x67, 0x61, 0x74, 0x65, 0x77, 0x61, 0x79, 0x73)
+		o = msgp.AppendInt(o, z.Gateways)
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "running"
+			o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+			o = msgp.AppendFloat64(o, z.Running)
+		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *UsageWindow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ServiceDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5161,55 +2856,124 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "window":
-			z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Window")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "counts":
+		case "region":
+			z.Region, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Region")
+				return
+			}
+		case "generating":
+			z.Generating, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Generating")
+				return
+			}
+		case "expected":
+			z.Expected, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expected")
+				return
+			}
+		case "reading":
+			z.Reading, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reading")
+				return
+			}
+		case "kept":
+			z.Kept, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+		case "prompts":
+			z.Prompts, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prompts")
+				return
+			}
+		case "slack":
+			z.Slack, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slack")
+				return
+			}
+		case "squares":
+			z.Squares, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Squares")
+				return
+			}
+		case "delayed":
+			z.Delayed, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Delayed")
+				return
+			}
+		case "unreachable":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Counts")
+				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
 			if zb0002 > z2c18a699limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Counts) >= int(zb0002) {
-				z.Counts = (z.Counts)[:zb0002]
+			if cap(z.Unreachable) >= int(zb0002) {
+				z.Unreachable = (z.Unreachable)[:zb0002]
 			} else {
-				z.Counts = make([]UsageCount, zb0002)
+				z.Unreachable = make([]string, zb0002)
 			}
-			for za0001 := range z.Counts {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001)
-					return
-				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Window")
-					return
-				}
-				z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Unreachable {
+				z.Unreachable[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Tenant")
+					err = msgp.WrapError(err, "Unreachable", za0001)
 					return
 				}
-				z.Counts[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
+			}
+		case "refusing":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusing")
+				return
+			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Refusing) >= int(zb0003) {
+				z.Refusing = (z.Refusing)[:zb0003]
+			} else {
+				z.Refusing = make([]string, zb0003)
+			}
+			for za0002 := range z.Refusing {
+				z.Refusing[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Counts", za0001, "Count")
+					err = msgp.WrapError(err, "Refusing", za0002)
 					return
 				}
 			}
+		case "gateways":
+			z.Gateways, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gateways")
+				return
+			}
+		case "running":
+			z.Running, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5223,11 +2987,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *UsageWindow) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Counts {
-		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant) + msgp.Uint32Size
+func (z *ServiceDemand) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Region) + 11 + msgp.Float64Size + 9 + msgp.Float64Size + 8 + msgp.Float64Size + 5 + msgp.Float64Size + 8 + msgp.Float64Size + 6 + msgp.Float64Size + 8 + msgp.Float64Size + 8 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
+	for za0001 := range z.Unreachable {
+		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Refusing {
+		s += msgp.StringPrefixSize + len(z.Refusing[za0002])
 	}
+	s += 9 + msgp.IntSize + 8 + msgp.Float64Size
 	return
 }
 
--- /dev/null
+++ b/internal/region/state.go
@@ -0,0 +1,145 @@
+package region
+
+import "github.com/pierhaven/pierhaven/internal/poison"
+
+//go:generate go tool msgp -file state.go -tests=false -io=false
+//msgp:limit arrays:65536 maps:65536
+//msgp:tuple UsageCount
+
+// State is the state that the coordinators replicate.
+type State struct {
+	// Version is the configuration's version, 0 while there is none.
+	Version uint64 `msg:"version"`
+	// Document is the configuration as the operator sent it.
+	Document []byte `msg:"document,limit=67108864"`
+	// ListRevision is the log index of the last change of those Replicas that are not on standby.
+	ListRevision uint64 `msg:"list_revision"`
+	// Replicas is sorted by id and contains the newest incarnation of each.
+	Replicas []ListedReplica `msg:"replicas"`
+	// StandbyCount is the number of Replicas that are on standby. Each coordinator counts them itself.
+	StandbyCount int `msg:"-"`
+	// Removed are the replicas that were removed or put on standby after RemovedSince, oldest first.
+	Removed      []RemovedReplica `msg:"removed"`
+	RemovedSince uint64           `msg:"removed_since"`
+	// Changes are the stage changes in progress.
+	Changes []StageChange `msg:"changes"`
+	// NextWindow is the first usage window whose counts are not final, 0 while no window has final counts.
+	// Usage are the windows whose counts are final and have not been reported yet, oldest first.
+	NextWindow uint64        `msg:"next_window"`
+	Usage      []UsageWindow `msg:"usage"`
+	// Fleet are the ordered numbers of replicas.
+	Fleet []FleetOrder `msg:"fleet"`
+	// Poison is what is known about requests that were running when replicas crashed.
+	Poison poison.State `msg:"poison"`
+}
+
+// UsageWindow is the tenants' usage in a time window.
+type UsageWindow struct {
+	Window uint64       `msg:"window"`
+	Counts []UsageCount `msg:"counts"`
+}
+
+// UsageCount is the number of a tenant's requests that started to run in a window.
+type UsageCount struct {
+	Window uint64
+	Tenant string
+	Count  uint32
+}
+
+// FleetOrder is the number of replicas of one kind, preemptible or not preemptible, that was ordered for a
+// service in a zone.
+type FleetOrder struct {
+	Service     string `msg:"service"`
+	Zone        string `msg:"zone"`
+	Preemptible bool   `msg:"preemptible"`
+	Count       int    `msg:"count"`
+	// Base is the number of replicas that the service had before any were ordered.
+	Base int `msg:"base"`
+}
+
+// ListedReplica is a replica with the log index of its last change.
+type ListedReplica struct {
+	Replica  Replica `msg:"replica"`
+	Revision uint64  `msg:"revision"`
+	// Standby replicas take no work, and views do not show them to gateways.
+	Standby bool `msg:"standby,omitempty"`
+}
+
+// RemovedReplica is a replica that was removed or put on standby, with the log index of that change.
+type RemovedReplica struct {
+	ID       string `msg:"id"`
+	Revision uint64 `msg:"revision"`
+}
+
+// StageChange is an order to a replica to change to another stage.
+type StageChange struct {
+	Replica string `msg:"replica"`
+	// Born is the start time of the incarnation that received the order.
+	Born  int64  `msg:"born"`
+	Stage string `msg:"stage"`
+	// Fence is the order's fencing token: its log index, which grows across leaders.
+	Fence uint64 `msg:"fence"`
+}
+
+// Command is a change of State. Either one of its fields is set, or both List and Activity are.
+type Command struct {
+	Configuration *ConfigurationCommand `msg:"configuration"`
+	List          *ListCommand          `msg:"list"`
+	Change        *ChangeCommand        `msg:"change"`
+	ChangeEnd     *ChangeEndCommand     `msg:"change_end"`
+	Usage         *UsageWindow          `msg:"usage"`
+	UsageCall     *UsageCallCommand     `msg:"usage_call"`
+	UsageEnd      *UsageEndCommand      `msg:"usage_end"`
+	Fleet         *FleetOrder           `msg:"fleet"`
+	Poison        *poison.Command       `msg:"poison"`
+	Activity      *ActivityCommand      `msg:"activity,omitempty"`
+}
+
+// UsageCallCommand precedes each report of a window's usage to the platform. Its log index is the fencing
+// token of the report.
+type UsageCallCommand struct {
+	Window uint64 `msg:"window"`
+}
+
+// UsageEndCommand records that the platform has accepted a window's usage.
+type UsageEndCommand struct {
+	Window uint64 `msg:"window"`
+}
+
+// ChangeCommand starts a stage change. Its log index is the fencing token of the order.
+type ChangeCommand struct {
+	Replica string `msg:"replica"`
+	// Born is the start time of the incarnation that receives the order, 0 if it is not reported. The
+	// command has no effect if the list does not contain this incarnation.
+	Born  int64  `msg:"born"`
+	Stage string `msg:"stage"`
+}
+
+// ChangeEndCommand ends the stage change of a replica.
+type ChangeEndCommand struct {
+	Replica string `msg:"replica"`
+}
+
+// ConfigurationCommand puts a configuration into effect if its version is above
+// that of the one in effect.
+type ConfigurationCommand struct {
+	Version  uint64 `msg:"version"`
+	Document []byte `msg:"document,limit=67108864"`
+}
+
+// ListCommand changes the list of replicas.
+type ListCommand struct {
+	// Changed are the replicas that were added or changed, Removed the ids of those that
+	// were removed.
+	Changed []Replica `msg:"changed"`
+	Removed []string  `msg:"removed"`
+	// Standby puts added replicas on standby until they are activated. Leaders of earlier builds, which
+	// know no standby replicas, do not set it: then all replicas are active.
+	Standby bool `msg:"standby,omitempty"`
+}
+
+// ActivityCommand activates replicas and puts others on standby, by their ids.
+type ActivityCommand struct {
+	Activate []string `msg:"activate"`
+	Rest     []string `msg:"rest"`
+}
