relay: callers' connections leave file descriptors for those to replicas

Now both limits follow from the descriptors that the settings state: nine tenths are for requests, two each, a fifth of them for calls of peers (4,100: 1,476 and 369). A connection more is closed at once, unread, and its caller goes to another gateway. Without the setting it is 3,000 each, as before.

--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -174,6 +174,7 @@
 		EvidenceHoldTime: settings.Hold(),
 
 		MemoryBytes:        int64(settings.MemoryMegabytes) << 20,
+		FileDescriptors:    settings.FileDescriptors,
 		StopTimeout:        settings.StopTime() - stopReserve,
 		DisabledMechanisms: settings.SwitchedOff(),
 		ReadListPage:       newLister(process).Page,
--- a/internal/config/regional/settings.go
+++ b/internal/config/regional/settings.go
@@ -108,6 +108,8 @@
 	OtherRegionsRate float64 `yaml:"other_regions_bytes_per_second"`
 	// MemoryMegabytes is what the process may use, 0 for no bound.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
+	// FileDescriptors is the number of file descriptors that the process may use, 0 if it is not known.
+	FileDescriptors int `yaml:"file_descriptors"`
 	LogVerbosity    int `yaml:"log_verbosity"`
 	// Without names mechanisms that are switched off, to measure what they are worth; see
 	// package mechanism.
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -227,14 +227,15 @@
 // Run serves until a planned stop has begun and either all requests are answered or StopTimeout has
 // passed.
 func (d *Daemon) Run(stopping context.Context) error {
-	callers, err := listener.Listen(d.settings.Listen, maximumConnections, func(failure.Kind) {})
+	callerConnections, peerConnections := d.settings.connectionLimits()
+	callers, err := listener.Listen(d.settings.Listen, callerConnections, func(failure.Kind) {})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
 	callers.StallTime = d.settings.effectiveCallerStall()
 	callers.MaximumUnread = int64(unreadMemoryFraction * float64(d.settings.MemoryBytes))
 	d.callers.Store(callers)
-	forwarding, err := d.listenForPeers()
+	forwarding, err := d.listenForPeers(peerConnections)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
@@ -263,8 +264,8 @@
 }
 
 // listenForPeers listens for the calls that peer gateways forward, at the address of the messages of other processes.
-func (d *Daemon) listenForPeers() (*listener.Listener, error) {
-	forwarding, err := listener.Listen(d.settings.PeerListen, maximumConnections, func(failure.Kind) {})
+func (d *Daemon) listenForPeers(connections int) (*listener.Listener, error) {
+	forwarding, err := listener.Listen(d.settings.PeerListen, connections, func(failure.Kind) {})
 	if err != nil {
 		return nil, err
 	}
@@ -297,10 +298,6 @@
 	}
 }
 
-// maximumConnections limits the callers' connections. It is below the file descriptor limit of the
-// process.
-const maximumConnections = 3000
-
 const (
 	// drainAcceptTime is how long a gateway that has begun to stop still accepts new requests, as
 	// senders need time to notice. Later requests might not finish in the remaining time and are
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -177,19 +177,27 @@
 
 // startGatewayAt starts a gateway with an address for messages from other processes.
 func startGatewayAt(t *testing.T, peerAddress string, logger logr.Logger, coordinators ...*fakeCoordinator) *gateway {
+	t.Helper()
+	return startGatewayWith(t, func(settings *daemon.Settings) { settings.PeerListen, settings.Logger = peerAddress, logger }, coordinators...)
+}
+
+// startGatewayWith starts a gateway whose settings are adapted.
+func startGatewayWith(t *testing.T, adapt func(*daemon.Settings), coordinators ...*fakeCoordinator) *gateway {
 	t.Helper()
 	var seeds []string
 	for _, each := range coordinators {
 		seeds = append(seeds, each.address)
 	}
 	g := &gateway{t: t, address: testnet.Address(t), readyAddress: testnet.Address(t), metrics: telemetry.NewMetrics("test"), done: make(chan error, 1)}
-	created, err := daemon.New(daemon.Settings{
+	settings := daemon.Settings{
 		Name: "gateway", Zone: "zone", Listen: g.address, ReadyListen: g.readyAddress, ReadyPath: "/ready",
-		PeerListen: peerAddress, Seeds: func() []string { return seeds },
+		PeerListen: testnet.Address(t), Seeds: func() []string { return seeds },
 		Budget:      relay.RetryBudgetOptions{Ratio: 1, Window: time.Second, Slack: 10},
 		StopTimeout: 10 * time.Second, CallerStallTimeout: time.Second, MemoryBytes: gatewayMemory, ReadListPage: readUnreachableList, Codec: jsonCodec{}, Dialect: testDialect{},
-		Metrics: g.metrics, Logger: logger,
-	})
+		Metrics: g.metrics, Logger: logr.Discard(),
+	}
+	adapt(&settings)
+	created, err := daemon.New(settings)
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -59,6 +59,8 @@
 	StopTimeout time.Duration
 	// MemoryBytes is the memory that the process may use, 0 for no bound.
 	MemoryBytes int64
+	// FileDescriptors is the number of file descriptors that the process may use, 0 if it is not known.
+	FileDescriptors int
 	// CallerStallTimeout is the maximum time for which a caller may read nothing of its answer; 0
 	// selects the default.
 	CallerStallTimeout time.Duration
@@ -106,6 +108,29 @@
 	return defaultCallerStall
 }
 
+// unknownDescriptorsConnections limits the connections of callers, and those of peers, if the number of file descriptors is not
+// known.
+const unknownDescriptorsConnections = 3000
+
+const (
+	// requestDescriptors is the share of the file descriptors that requests may take: the rest is for files, listeners and
+	// connections to other processes. forwardedDescriptors is the share of these for calls that peers forward.
+	requestDescriptors   = 0.9
+	forwardedDescriptors = 0.2
+	// descriptorsPerRequest counts the connection of the caller and that to the replica.
+	descriptorsPerRequest = 2
+)
+
+// connectionLimits returns how many connections callers may have, and how many peers that forward calls.
+func (s *Settings) connectionLimits() (callers, peers int) {
+	if s.FileDescriptors <= 0 {
+		return unknownDescriptorsConnections, unknownDescriptorsConnections
+	}
+	requests := requestDescriptors * float64(s.FileDescriptors) / descriptorsPerRequest
+	peers = int(forwardedDescriptors * requests)
+	return int(requests) - peers, peers
+}
+
 const (
 	// initialGateways is assumed until a coordinator reports the number of gateways.
 	initialGateways = 16
