bench/soak: a rest counts as asked for only by an answer that is waited for

The check is narrowed to what the trace shows: a call that has ended at its caller, answered or cut, asks nobody. The next request of that gateway does. TestARestIsAskedForOnlyInAnAnswerThatIsWaitedFor failed before.

--- a/bench/soak/asks.go
+++ b/bench/soak/asks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pierhaven/pierhaven/platform/platformtest"
@@ -124,8 +125,8 @@
 	}
 }
 
-// noteRest notes a request that comes in a rest that its gateway was asked for, or asks for one. It is called with
-// the mutex held.
+// noteRest notes a request that comes in a rest that its gateway was asked for, or asks for one, unless the call has ended:
+// then its gateway no longer waits for an answer. It is called with the mutex held.
 func (t *truth) noteRest(gateway askedGateway, request string, wanted time.Duration, now time.Time) {
 	known := t.asks.rests[gateway]
 	if len(known) > 0 {
@@ -136,11 +137,17 @@
 			return
 		}
 	}
-	if wanted > 0 {
+	if wanted > 0 && !t.hasEnded(request) {
 		t.asks.rests[gateway] = append(known, &rest{asked: arrival{at: now, request: request}, until: now.Add(wanted)})
 	}
 }
 
+// hasEnded reports whether a call has ended at its caller. It is called with the mutex held.
+func (t *truth) hasEnded(request string) bool {
+	_, answered := t.answeredAt[request]
+	return answered || slices.ContainsFunc(t.cuts, func(each cutCall) bool { return each.id == request })
+}
+
 // judgeRest checks that a gateway leaves an engine alone that wants to rest. It is called with the mutex held.
 func (t *truth) judgeRest(gateway askedGateway, kept *rest, came arrival) {
 	kept.came = append(kept.came, came)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -164,6 +164,7 @@
 // A gateway whose view had just become fresh again sent three requests to an engine that had asked for rest a quarter of a
 // second before.
 func TestAGatewayWithAViewThatWasNotFreshKeepsToRest(t *testing.T) {
+	t.Parallel()
 	binary := filepath.Join(t.TempDir(), "pierhaven")
 	output, err := exec.Command("go", "build", "-race", "-o", binary, "../../cmd/pierhaven").CombinedOutput()
 	require.NoError(t, err, string(output))
--- a/bench/soak/truth_test.go
+++ b/bench/soak/truth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -180,6 +181,20 @@
 	}
 }
 
+// A request reached an engine after its gateway had given it up, and the engine's wish for rest was taken for heard.
+func TestARestIsAskedForOnlyInAnAnswerThatIsWaitedFor(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		seen := newTruth()
+		seen.sendsTo("a", "g")
+		if ended {
+			seen.cut("a", time.Now(), io.ErrUnexpectedEOF)
+		}
+		seen.rest("e", time.Hour)
+		seen.ask("e", "a")
+		assert.Len(t, seen.asks.rests, map[bool]int{false: 1, true: 0}[ended])
+	}
+}
+
 // limitedBy has a replica name a limit, which gets a request whose answer is handed on at once, and a number of
 // requests within a second, so many seconds later.
 func limitedBy(t *truth, rate float64, after, arrivals int) {
