--- a/bench/soak/upgrade_test.go
+++ b/bench/soak/upgrade_test.go
@@ -69,7 +69,7 @@
 // A build that reads the counts of usage under another name than the build before has written them fixes the windows
 // that are fixed already once more, with other counts.
 func TestASoakNoticesABuildThatRenamesAField(t *testing.T) {
-	planted := buildPlanted(t, "internal/region/messages_gen.go", `case "usage":`, `case "renamed":`)
+	planted := buildPlanted(t, "internal/region/state_gen.go", `case "usage":`, `case "renamed":`)
 	result, err := Run(t.Context(), Options{
 		Seed: 5001, Duration: 14 * time.Second, Binary: planted, Production: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
 		Recovery: 10 * time.Second,
