--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -237,6 +237,37 @@
 	g.expectEverywhere(3)
 }
 
+// Each part may come from another coordinator.
+func TestALongListIsPolledInParts(t *testing.T) {
+	const replicas, bound = 30, 7
+	g := newGroup(t)
+	var list []region.Replica
+	for number := range replicas {
+		list = append(list, region.Replica{ID: fmt.Sprintf("i-%02d", number), Service: "s", Address: fmt.Sprint("127.0.0.1:", number+1)})
+	}
+	g.list.set(list...)
+	client, err := rpc.NewClient(rpc.ClientOptions{})
+	require.NoError(t, err)
+	defer client.Close()
+	var gateway region.ListCopy
+	polls := 0
+	eventually(t, func(ctx context.Context) error {
+		request := &region.ViewRequest{Address: "127.0.0.1:2", WaitMillis: 20}
+		gateway.Request(request, bound)
+		var view region.View
+		polls++
+		if err := client.Call(ctx, g.addresses[polls%len(g.addresses)], region.PathView, request, &view); err != nil {
+			return err
+		}
+		gateway.Take(&view)
+		if gateway.IsPartial() || len(gateway.Replicas()) != replicas {
+			return fmt.Errorf("%d replicas so far", len(gateway.Replicas()))
+		}
+		return nil
+	})
+	assert.GreaterOrEqual(t, polls, replicas/bound)
+}
+
 func TestViewHasTheListAndItsAge(t *testing.T) {
 	g := newGroup(t)
 	g.list.set(region.Replica{ID: "a", Service: "s", Address: "127.0.0.1:1"})
