--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -228,14 +228,13 @@
 // passed.
 func (d *Daemon) Run(stopping context.Context) error {
 	callerConnections, peerConnections := d.settings.connectionLimits()
-	callers, err := listener.Listen(d.settings.Listen, callerConnections, func(failure.Kind) {})
+	callers, err := d.listen(d.settings.Listen, callerConnections)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
-	callers.StallTime = d.settings.effectiveCallerStall()
-	callers.MaximumUnread = int64(unreadMemoryFraction * float64(d.settings.MemoryBytes))
 	d.callers.Store(callers)
-	forwarding, err := d.listenForPeers(peerConnections)
+	// Peers forward calls to the address of the messages of other processes.
+	forwarding, err := d.listen(d.settings.PeerListen, peerConnections)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
@@ -263,15 +262,15 @@
 	return nil
 }
 
-// listenForPeers listens for the calls that peer gateways forward, at the address of the messages of other processes.
-func (d *Daemon) listenForPeers(connections int) (*listener.Listener, error) {
-	forwarding, err := listener.Listen(d.settings.PeerListen, connections, func(failure.Kind) {})
+// listen listens for calls, of callers or of peers that forward them, on a number of connections at most.
+func (d *Daemon) listen(address string, connections int) (*listener.Listener, error) {
+	calls, err := listener.Listen(address, connections, func(failure.Kind) {})
 	if err != nil {
 		return nil, err
 	}
-	forwarding.StallTime = d.settings.effectiveCallerStall()
-	forwarding.MaximumUnread = int64(unreadMemoryFraction * float64(d.settings.MemoryBytes))
-	return forwarding, nil
+	calls.StallTime = d.settings.effectiveCallerStall()
+	calls.MaximumUnread = int64(unreadMemoryFraction * float64(d.settings.MemoryBytes))
+	return calls, nil
 }
 
 // receiveMessages handles the messages of other gateways and of coordinators.
