coordinator: the first part of a list doesn't build the whole list twice

Behaviour unchanged. A starting gateway asks for the whole list, which was built, thrown away and built again before it was cut to its first part. Three tests that change a list at random share the function that does; their draws are the same.

--- a/internal/coordinator/activity_test.go
+++ b/internal/coordinator/activity_test.go
@@ -32,14 +32,7 @@
 		often, rarely := newFollower(), newFollower()
 		for index := uint64(1); index < 3000; index++ {
 			command := region.Command{Activity: &region.ActivityCommand{}}
-			for range random.IntN(4) {
-				id := fmt.Sprint("i-", random.IntN(60))
-				if random.IntN(3) == 0 {
-					delete(current, id)
-					continue
-				}
-				current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
-			}
+			changeRandomly(random, current)
 			for id := range active {
 				if replica, listed := current[id]; listed {
 					active[id] = replica
--- a/internal/coordinator/machine_test.go
+++ b/internal/coordinator/machine_test.go
@@ -60,20 +60,25 @@
 	f.revision = state.ListRevision
 }
 
+// changeRandomly adds, changes and removes up to three replicas.
+func changeRandomly(random *rand.Rand, replicas map[string]region.Replica) {
+	for range random.IntN(4) {
+		id := fmt.Sprint("i-", random.IntN(60))
+		if random.IntN(3) == 0 {
+			delete(replicas, id)
+			continue
+		}
+		replicas[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
+	}
+}
+
 func TestListChangesAddUpToTheWholeList(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 1))
 	m := newTestStateMachine()
 	current := map[string]region.Replica{}
 	often, rarely := newFollower(), newFollower()
 	for index := uint64(1); index < 5000; index++ {
-		for range random.IntN(4) {
-			id := fmt.Sprint("i-", random.IntN(60))
-			if random.IntN(3) == 0 {
-				delete(current, id)
-				continue
-			}
-			current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
-		}
+		changeRandomly(random, current)
 		after := slices.Collect(maps.Values(current))
 		state, _ := m.read()
 		if change := diffLists(state.Replicas, after); change != nil {
@@ -122,14 +127,7 @@
 	var gateway region.ListCopy
 	complete, parts := 0, 0
 	for index := uint64(1); index < 5000; index++ {
-		for range random.IntN(4) {
-			id := fmt.Sprint("i-", random.IntN(60))
-			if random.IntN(3) == 0 {
-				delete(current, id)
-				continue
-			}
-			current[id] = region.Replica{ID: id, Slots: random.IntN(3), Stage: region.StageDecode}
-		}
+		changeRandomly(random, current)
 		state, _ := m.read()
 		if change := diffLists(state.Replicas, slices.Collect(maps.Values(current))); change != nil {
 			apply(t, m, index, region.Command{List: change})
--- a/internal/coordinator/replicalist.go
+++ b/internal/coordinator/replicalist.go
@@ -250,8 +250,10 @@
 
 // addFirstPart replaces the changes of the list in a view by the first part of the whole list.
 func addFirstPart(state region.State, bound int, view *region.View) {
-	view.Replicas, view.Removed = nil, nil
-	addListChanges(state, 0, view)
+	if !view.WholeList {
+		view.Removed = nil
+		addListChanges(state, 0, view)
+	}
 	endPart(view, bound)
 }
 
