--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// support returns whether all members have reported a build of a protocol or a later one, and whether any has reported
+// an earlier one.
+func (b *buildTable) support(members []string, protocol int) (all, earlier bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	all = true
+	for _, address := range members {
+		report, reported := b.reports[address]
+		all = all && reported && report.build.Protocol >= protocol
+		earlier = earlier || reported && report.build.Protocol < protocol
+	}
+	return all, earlier
+}
+
 // all returns the last reported builds of the group's members and of their gateways, sorted by address.
 // Reports of coordinators that are no longer members are deleted.
 func (b *buildTable) all(members []string) (coordinators, gateways []region.ProcessBuild) {
@@ -175,6 +189,7 @@
 		Gates: []Gate{
 			newGate("replicas that stand by", reply.Earlier),
 			newGate("limits that replicas name", withoutBuild(reply.Gateways)),
+			newGate("versions of the replicas' software", before(reply.Coordinators, build.SoftwareProtocol)),
 		},
 	}, nil
 }
@@ -192,10 +207,13 @@
 }
 
 // withoutBuild returns the addresses of the processes that report no build.
-func withoutBuild(builds []region.ProcessBuild) []string {
+func withoutBuild(builds []region.ProcessBuild) []string { return before(builds, 1) }
+
+// before returns the addresses of the processes whose builds are of a protocol before another one.
+func before(builds []region.ProcessBuild, protocol int) []string {
 	var addresses []string
 	for _, each := range builds {
-		if each.Build.Protocol == 0 {
+		if each.Build.Protocol < protocol {
 			addresses = append(addresses, each.Address)
 		}
 	}
--- a/internal/coordinator/builds_test.go
+++ b/internal/coordinator/builds_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/pierhaven/pierhaven/internal/build"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -39,3 +40,28 @@
 	}, gateways)
 	assert.Equal(t, []string{"g3", "g4"}, withoutBuild(gateways))
 }
+
+// The versions of the replicas' software are stored once all coordinators store them, and no longer once one does not.
+func TestAFeatureWaitsForTheBuildsOfAllCoordinators(t *testing.T) {
+	table := newBuildTable()
+	members := []string{"a", "b"}
+	report := func(from string, protocol int) {
+		table.recordReport(&region.ReadIndexRequest{From: from, Protocol: protocol})
+	}
+	expect := func(all, earlier bool) {
+		t.Helper()
+		hasAll, hasEarlier := table.support(members, build.SoftwareProtocol)
+		assert.Equal(t, []bool{all, earlier}, []bool{hasAll, hasEarlier})
+	}
+	expect(false, false)
+	report("a", build.SoftwareProtocol)
+	expect(false, false)
+	report("b", build.SoftwareProtocol-1)
+	expect(false, true)
+	report("b", build.SoftwareProtocol+1)
+	expect(true, false)
+	report("gone", build.SoftwareProtocol-1)
+	expect(true, false)
+	report("a", 0)
+	expect(false, true)
+}
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/build"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
@@ -146,7 +147,7 @@
 // take commits what a page changes. Additions may wait for those of the pages that follow.
 func (l *listSync) take(ctx context.Context, page replicalist.Page) error {
 	state, _ := l.coordinator.machine.read()
-	held := l.presence.Show(page, incarnationIn(state.Replicas))
+	held := l.storable(l.presence.Show(page, incarnationIn(state.Replicas)), state.Replicas)
 	if len(l.pending) == 0 {
 		l.pendingSince = l.coordinator.now()
 	}
@@ -167,6 +168,30 @@
 	return l.commit(ctx, nil)
 }
 
+// storesSoftware reports whether the versions of the replicas' software are stored. They are not while the group has
+// coordinators of an earlier build, which would store the replicas without them, so that the copies differ; until all
+// have reported their builds, it goes on as before.
+func (l *listSync) storesSoftware(replicas []region.ListedReplica) bool {
+	c := l.coordinator
+	all, earlier := c.builds.support(c.sortedMembers(), build.SoftwareProtocol)
+	if all || earlier {
+		return all
+	}
+	return slices.ContainsFunc(replicas, func(each region.ListedReplica) bool { return each.Replica.Software != "" })
+}
+
+// storable returns listed entries as they are stored beside the known replicas.
+func (l *listSync) storable(entries []region.Replica, known []region.ListedReplica) []region.Replica {
+	if l.storesSoftware(known) {
+		return entries
+	}
+	stripped := slices.Clone(entries)
+	for index := range stripped {
+		stripped[index].Software = ""
+	}
+	return stripped
+}
+
 // end commits what a whole round says of replicas that it lacks.
 func (l *listSync) end(ctx context.Context, round *replicalist.Round) {
 	defer l.presence.Begin()
@@ -186,7 +211,7 @@
 func (l *listSync) missing(round *replicalist.Round) []string {
 	state, _ := l.coordinator.machine.read()
 	held, gone, doubted := l.presence.End(round.Pages, state.Replicas)
-	for _, entry := range held {
+	for _, entry := range l.storable(held, state.Replicas) {
 		l.pending[entry.ID] = entry
 	}
 	if doubted > 0 {
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -52,6 +52,8 @@
 	Preemptible bool `msg:"preemptible"`
 	// Leaving replicas have declared in a response that they take no new work, which the list may not show.
 	Leaving bool `msg:"leaving,omitempty"`
+	// Software is the version of its software, empty if it is not known.
+	Software string `msg:"software,omitempty"`
 }
 
 // IsLeaving reports whether the replica takes no new work until its incarnation ends.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -2604,13 +2604,17 @@
 func (z *Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Software == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2648,6 +2652,11 @@
 			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 			o = msgp.AppendBool(o, z.Leaving)
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "software"
+			o = append(o, 0xa8, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendString(o, z.Software)
+		}
 	}
 	return
 }
@@ -2734,6 +2743,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "software":
+			z.Software, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Software")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2748,7 +2763,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Replica) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize + 8 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Int64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Address) + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.IntSize + 9 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Stage) + 12 + msgp.BoolSize + 8 + msgp.BoolSize + 9 + msgp.StringPrefixSize + len(z.Software)
 	return
 }
 
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -150,7 +150,8 @@
 		call.Tenant = owner.Name
 	}
 	f.settings.Logger.V(1).Info(event.RequestTaken, "request", metadata.ID, "route", route.Name, "service", service,
-		"tenant", call.Tenant, "version", table.Configuration.Version, "wait_ms", metadata.Wait.Milliseconds())
+		"tenant", call.Tenant, "version", table.Configuration.Version, "wait_ms", metadata.Wait.Milliseconds(), "resumes", metadata.Resumes,
+		"after_event", metadata.LastEvent)
 	return &authorizedCall{Call: call, owner: owner, tenantRank: route.Priority}, nil
 }
 
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -47,6 +47,8 @@
 	// LastEvent is the ID of the last event that the caller has of an interrupted stream, empty for a
 	// new stream.
 	LastEvent string
+	// Resumes is the ID of the caller's request that brought the first event of an interrupted stream, empty if it names none.
+	Resumes string
 	// Key is the caller's API key, empty if it sent none. It is never logged.
 	Key string
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -174,7 +174,7 @@
 func (d *Directory) updateOrAdd(listed *region.Replica, former *Replica) (known *Replica, declared []ratelimit.Report) {
 	identity := identityOf(listed)
 	known, found := d.replicas[identity.name]
-	if !found || known.Identity != identity {
+	if !found || known.Identity != identity || known.otherVersion(listed.Software) {
 		// Except in the first list, a new replica has just started and has nothing cached.
 		known = &Replica{Identity: identity, prefixes: newPrefixCache(), cacheKnown: len(d.replicas) > 0}
 		known.peerState = d.peerStateOf(known.peer())
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -15,6 +15,8 @@
 	Replica *Replica
 	// Stage is the replica's stage when it was chosen.
 	Stage string
+	// Software is what the replica ran when it was chosen.
+	Software Software
 	// Choice is what was known when the replica was chosen.
 	Choice    Choice
 	directory *Directory
@@ -53,6 +55,7 @@
 	return &Lease{
 		Replica:    replica,
 		Stage:      replica.Stage,
+		Software:   replica.software(),
 		directory:  d,
 		startedAt:  now,
 		concurrent: d.concurrentRequests(replica, now),
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -57,6 +57,8 @@
 	Preemptible bool
 	Draining    bool
 	Leaving     bool
+	// Version is that of its software, empty while no list has told it.
+	Version string
 	// inFlight is the number of this gateway's requests there, and prefillWork the part of their prefill work
 	// that is not yet complete.
 	inFlight    int
@@ -105,6 +107,9 @@
 // update applies a listing of the replica, except for whether it is leaving. The caller must hold Directory.mutex.
 func (r *Replica) update(listed *region.Replica) {
 	r.Slots, r.Stage, r.Preemptible = listed.Slots, listed.Stage, listed.Preemptible
+	if listed.Software != "" {
+		r.Version = listed.Software
+	}
 }
 
 // listing returns the replica as a list shows it. The caller must hold Directory.mutex.
@@ -120,6 +125,7 @@
 		Stage:       r.Stage,
 		Preemptible: r.Preemptible,
 		Leaving:     r.Leaving,
+		Software:    r.Version,
 	}
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -127,13 +127,14 @@
 	distance := r.directory.distanceTo(lease.Replica)
 	r.metrics.countTransfer(transferSend, distance)
 	r.logger.V(1).Info(event.RequestSent, "request", r.call.ID, "route", r.call.Route.Name, "replica", lease.Replica.ID,
-		"address", lease.Replica.Address, "distance", distance.String(), "source", send.PrefillSource, "fetch", send.Fetch, "send", r.sends,
+		"address", lease.Replica.Address, "software", lease.Software.String(), "distance", distance.String(), "source", send.PrefillSource, "fetch", send.Fetch, "send", r.sends,
 		"candidates", choice.Candidates, "in_flight", choice.InFlight, "peers_age_ms", choice.PeersAge.Milliseconds(),
 		"occupancy", math.Round(choice.Occupancy*100)/100, "load_age_ms", choice.LoadAge.Milliseconds(),
 		"missing", lease.missing(), "wait_ms", lease.expectedWait().Milliseconds(), "placed_by", lease.chosenBy(), "limit", lease.Limit(),
 		"rest_ms", lease.BackoffLeft().Milliseconds(), "leaving", lease.declaresLeaving())
 	if send.LastEvent != "" {
-		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "after_event", send.LastEvent,
+		r.logger.Info(event.StreamContinued, "request", r.call.ID, "replica", lease.Replica.ID, "software", lease.Software.String(),
+			"resumes", r.call.Resumes, "after_event", send.LastEvent,
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	}
 	r.logLeavingSend(lease)
