--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -41,6 +41,7 @@
 
 func (testDialect) ReadRequestMetadata(get func(string) string) relay.RequestMetadata {
 	metadata := relay.RequestMetadata{ID: get("Request"), Wait: 20 * time.Second, Key: tenant.BearerKey(get("Authorization"))}
+	metadata.LastEvent, metadata.Resumes = get("Last-Event"), get("Resumes")
 	if parts := get("Parts"); parts != "" {
 		metadata.Prompt = &relay.Prompt{}
 		for _, id := range strings.Split(parts, ",") {
--- /dev/null
+++ b/internal/relay/daemon/origins_test.go
@@ -0,0 +1,163 @@
+package daemon_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/testnet"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// takeUps is a region of two gateways with replicas of several versions, and callers that begin streams at one gateway
+// and take them up at the other.
+type takeUps struct {
+	t             *testing.T
+	first, second *gateway
+	coordinator   *fakeCoordinator
+	mutex         sync.Mutex
+	// begunAt and wentOnAt are the replicas that have begun and continued streams, by the request that began them.
+	begunAt, wentOnAt map[string]string
+}
+
+// version is that of the replicas' software, of a service.
+type version struct{ service, software string }
+
+const replicasOfAVersion = 3
+
+// startTakeUps starts a region whose route is split between services.
+func startTakeUps(t *testing.T, split []traffic.Part, versions ...version) *takeUps {
+	t.Helper()
+	r := &takeUps{t: t, begunAt: map[string]string{}, wentOnAt: map[string]string{}}
+	view := newView(t, 3, "")
+	view.Document = resumableDocument(t, view.Version, split)
+	view.Replicas = nil
+	for _, each := range versions {
+		for number := range replicasOfAVersion {
+			id := fmt.Sprintf("%s-%s-%d", each.service, each.software, number)
+			view.Replicas = append(view.Replicas, region.Replica{
+				ID: id, Service: each.service, Address: startReplica(t, r.replica(each)), Zone: "zone", Slots: 64, Software: each.software,
+			})
+		}
+	}
+	peers := []string{testnet.Address(t), testnet.Address(t)}
+	view.Peers, view.PeersHash, view.Gateways = slices.Sorted(slices.Values(peers)), 7, len(peers)
+	r.coordinator = startCoordinator(t, view)
+	r.first = startGatewayAt(t, peers[0], logr.Discard(), r.coordinator)
+	r.second = startGatewayAt(t, peers[1], logr.Discard(), r.coordinator)
+	r.first.awaitReadiness(http.StatusOK)
+	r.second.awaitReadiness(http.StatusOK)
+	return r
+}
+
+// resumableDocument returns a configuration with one route for streams that may be taken up.
+func resumableDocument(t *testing.T, version uint64, split []traffic.Part) []byte {
+	t.Helper()
+	configuration := &traffic.Configuration{
+		Version: version,
+		Routes: []traffic.Route{{
+			Name: "route", Host: "h.example", PathPrefix: "/v3/", Kind: traffic.KindStream, MaximumAttempts: 1, Resumable: true, Split: split,
+		}},
+	}
+	for _, service := range []string{"service", "other"} {
+		configuration.Services = append(configuration.Services, traffic.Service{Name: service})
+	}
+	document, err := json.Marshal(configuration)
+	require.NoError(t, err)
+	return region.Deflate(document)
+}
+
+// replica breaks new streams off after their first events, and ends those that go on.
+func (r *takeUps) replica(running version) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		name := running.service + " " + running.software
+		r.mutex.Lock()
+		begun, resumes := request.Header.Get("Begun"), request.Header.Get("Resumed")
+		if resumes != "" {
+			r.wentOnAt[resumes] = name
+		} else {
+			r.begunAt[begun] = name
+		}
+		r.mutex.Unlock()
+		streaming(2, resumes == "")(writer, request)
+	}
+}
+
+// call sends a request and returns the status and whether the answer is whole.
+func (r *takeUps) call(g *gateway, fields map[string]string) (status int, whole bool) {
+	r.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.address+"/v3/x", bytes.NewBufferString("body"))
+	require.NoError(r.t, err)
+	request.Host = "h.example"
+	for name, value := range fields {
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(r.t, err)
+	_, err = io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode, err == nil
+}
+
+// begin begins a stream, which breaks off.
+func (r *takeUps) begin(id string) {
+	r.t.Helper()
+	status, whole := r.call(r.first, map[string]string{"Request": id, "Begun": id})
+	require.Equal(r.t, http.StatusOK, status)
+	require.False(r.t, whole)
+}
+
+// takeUp takes up a stream at the second gateway, and returns the status.
+func (r *takeUps) takeUp(id string) int {
+	r.t.Helper()
+	status, _ := r.call(r.second, map[string]string{"Request": "again-" + id, "Resumed": id, "Last-Event": "1", "Resumes": id})
+	return status
+}
+
+// assertPairs asserts that streams went on where they have begun, all of a number.
+func (r *takeUps) assertPairs(streams int) {
+	r.t.Helper()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	assert.Len(r.t, r.wentOnAt, streams)
+	for id, replica := range r.wentOnAt {
+		assert.Equal(r.t, r.begunAt[id], replica, id)
+	}
+}
+
+const takenUpStreams = 24
+
+// Guards against streams that callers take up at another gateway, and that go on at another version of the software, or at
+// another service of a route that splits its traffic.
+func TestAStreamThatIsTakenUpGoesOnWhereItBegan(t *testing.T) {
+	t.Parallel()
+	one := []traffic.Part{{Service: "service", Weight: 1}}
+	for name, test := range map[string]struct {
+		split    []traffic.Part
+		versions []version
+	}{
+		"versions of one service": {one, []version{{"service", "v1"}, {"service", "v1.1"}, {"service", "v1.2"}}},
+		"services of one version": {append(one, traffic.Part{Service: "other", Weight: 2}), []version{{"service", "v1"}, {"other", "v1"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := startTakeUps(t, test.split, test.versions...)
+			for number := range takenUpStreams {
+				id := fmt.Sprint("r-", number)
+				r.begin(id)
+				assert.Equal(t, http.StatusOK, r.takeUp(id))
+			}
+			r.assertPairs(takenUpStreams)
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/software_test.go
@@ -0,0 +1,93 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// addReplicaOf adds a replica in a zone that runs a version of the software, empty if the list does not tell it.
+func (w *testEnvironment) addReplicaOf(id, zone, version, stage string, handler http.HandlerFunc) {
+	w.t.Helper()
+	w.addReplica(id, stage, handler)
+	listed := &w.replicaList[len(w.replicaList)-1]
+	listed.Zone, listed.Software = zone, version
+	w.directory.Replace(w.replicaList)
+}
+
+// Guards against streams with events of two versions of the replicas' software.
+func TestABrokenStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		began  string
+		others []string
+		// goesOn is the replica at which the stream is to go on, -1 if it is to be broken off.
+		goesOn int
+	}{
+		"another replica has the version": {"v1", []string{"v2", "v2", "v1"}, 2},
+		"no other replica has it":         {"v1", []string{"v2", "v3"}, -1},
+		"the version is not known":        {"", []string{"", "v1"}, -1},
+		"those of others are not known":   {"v1", []string{"", ""}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvironment(t)
+			w.addReplicaOf("first", "zone", test.began, "", func(writer http.ResponseWriter, request *http.Request) {
+				for number, version := range test.others {
+					zone := "zone"
+					if number == test.goesOn {
+						// It is chosen only if it has to be.
+						zone = "far"
+					}
+					w.addReplicaOf(string(rune('a'+number)), zone, version, "", streamEvents(3, 4, false))
+				}
+				streamEvents(1, 2, true)(writer, request)
+			})
+			call := newCall(traffic.KindStream, 2)
+			call.Route.Resumable = true
+			answer := w.runCall(call)
+			for number := range test.others {
+				runs := 0
+				if number == test.goesOn {
+					runs = 1
+				}
+				assert.Equal(t, runs, w.requestCount(string(rune('a'+number))), "replica %d", number)
+			}
+			assert.Equal(t, test.goesOn >= 0, answer.ended)
+			assert.Equal(t, test.goesOn < 0, answer.aborted)
+		})
+	}
+}
+
+// Before its first event a stream has no version.
+func TestAnAttemptWithoutEventsPinsNoVersion(t *testing.T) {
+	w := newTestEnvironment(t)
+	w.addReplicaOf("first", "zone", "v1", "", func(writer http.ResponseWriter, request *http.Request) {
+		w.addReplicaOf("second", "zone", "v2", "", streamEvents(1, 2, false))
+		dropConnection(writer, request)
+	})
+	call := newCall(traffic.KindStream, 2)
+	call.Route.Resumable = true
+	answer := w.runCall(call)
+	assert.Equal(t, eventText(1, 2), answer.body.String())
+	assert.True(t, answer.ended)
+}
+
+// Guards against a stream that is moved, with its memory, to a replica of another version.
+func TestAStreamIsMovedOnlyToTheVersionThatBeganIt(t *testing.T) {
+	w := newTestEnvironment(t)
+	leaving := newPausedStream()
+	w.addReplicaOf("leaving", "zone", "v1", region.StageDecode, leaving.serveHTTP)
+	go func() {
+		<-leaving.firstEventsSent
+		w.addReplicaOf("newer", "zone", "v2", region.StageDecode, streamEvents(4, 6, false))
+		w.addReplicaOf("same", "far", "v1", region.StageDecode, streamEvents(4, 6, false))
+		w.changeFirstReplica(func(replica *region.Replica) { replica.Draining = true })
+	}()
+	answer := w.runCall(newUnsplitCall())
+	assert.Equal(t, eventText(1, 6), answer.body.String())
+	assert.Equal(t, 0, w.requestCount("newer"))
+	assert.Equal(t, 1, w.requestCount("same"))
+}
