relay: a stream goes on only at the software that has begun it

Callers got streams with events of two versions of a back end (ORDER): after a replica had broken off, a stream went on at whichever replica of its service was best, and so did a move and a call that a peer gateway had begun.

Cause: nothing below the list knew a version. Now a lease has the software of its replica, the first event pins it on the call, and every choice of a replica for that call is bound to it: a retry, a move (also from memory), a wait for room, a forwarded call in both directions. A version belongs to one listed life; a replica whose version is not known equals no other. A prompt may still be prefilled by other software. Where no listed replica runs the software, the call ends at once (stream_not_resumed). Such calls are placed by the gateway itself: the coordinators' query is a tuple of a fixed length. Peers of an earlier build don't read the field of a forwarded call that continues a stream, and so refuse it.

Lists of older tests told no version, with which no stream can go on elsewhere any more: they tell one now.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -54,6 +54,8 @@
 
 	// engineService is the service of the model replicas.
 	engineService = "model"
+	// firstVersion is that of the engines' software.
+	firstVersion = "v1"
 	// listName is the platform's list, for the proxy.
 	listName = "list"
 	// subnets is the number of different loopback subnets for fleets.
@@ -198,7 +200,7 @@
 		f.engines.Reach(id, address)
 		f.engineTargets[id] = server.Listener.Addr().String()
 		f.list = append(f.list, platformtest.Listed{
-			ID: id, Service: engineService, Address: address, Zone: f.engineZone(number), Slots: 16, State: "ready", Stage: stage,
+			ID: id, Service: engineService, Address: address, Zone: f.engineZone(number), Slots: 16, State: "ready", Stage: stage, Version: firstVersion,
 		})
 	}
 	return nil
--- a/internal/failure/kind.go
+++ b/internal/failure/kind.go
@@ -56,6 +56,7 @@
 	InProgress            Kind = "in_progress"
 	OutcomeUnknown        Kind = "outcome_unknown"
 	RequestHeld           Kind = "request_held"
+	StreamNotResumed      Kind = "stream_not_resumed"
 	HomeZoneUnreachable   Kind = "home_zone_unreachable"
 	CutOff                Kind = "cut_off"
 	NoQuorum              Kind = "no_quorum"
@@ -147,6 +148,7 @@
 	{IdempotencyKeyExpired, http.StatusGone, RanUnknown, false, 0, SeverityExpected, "the Idempotency-Key is older than the retention window"},
 	{InProgress, http.StatusConflict, RanUnknown, true, retrySoon, SeverityExpected, "a request with this key is being run"},
 	{OutcomeUnknown, http.StatusBadGateway, RanUnknown, false, 0, SeverityNotable, "the request may have run; it will not be run again"},
+	{StreamNotResumed, http.StatusServiceUnavailable, RanNo, true, retrySoon, SeverityNotable, "a stream can't be taken up: where it began is not known, or serves no more"},
 	{RequestHeld, http.StatusBadGateway, RanNo, false, 0, SeverityNotable, "replicas have ended under this request; it is sent to none until operators release it"},
 	{HomeZoneUnreachable, http.StatusServiceUnavailable, RanNo, true, retryLater, SeverityNotable, "the key's home zone can't be reached"},
 	{CutOff, http.StatusServiceUnavailable, RanNo, true, retrySoon, SeverityNotable, "no replica of the service can be reached from here"},
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
 )
@@ -110,8 +111,10 @@
 	// does not say.
 	ElapsedMicros int64 `msg:"elapsed"`
 	WaitMicros    int64 `msg:"wait"`
-	// LastEvent is the ID of the last event that the caller has of an interrupted stream.
-	LastEvent string `msg:"last_event,omitempty"`
+	// LastEvent is the ID of the last event that the caller has of an interrupted stream, and Software that of the replica that
+	// has begun it. It is nil for a call without events.
+	LastEvent string           `msg:"last_event,omitempty"`
+	Software  *origin.Software `msg:"software,omitempty"`
 	// Attempts counts the replicas that may have run the call, Arrivals those that it may have reached.
 	Attempts   int  `msg:"attempts"`
 	Arrivals   int  `msg:"arrivals"`
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -3,6 +3,7 @@
 package region
 
 import (
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/tinylib/msgp/msgp"
@@ -942,8 +943,8 @@
 func (z *ForwardedCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Tenant == "" {
 		zb0001Len--
@@ -953,6 +954,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Software == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -989,6 +994,19 @@
 			o = append(o, 0xaa, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x65, 0x76, 0x65, 0x6e, 0x74)
 			o = msgp.AppendString(o, z.LastEvent)
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "software"
+			o = append(o, 0xa8, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			if z.Software == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Software.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Software")
+					return
+				}
+			}
+		}
 		// string "attempts"
 		o = append(o, 0xa8, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
 		o = msgp.AppendInt(o, z.Attempts)
@@ -1078,6 +1096,23 @@
 				err = msgp.WrapError(err, "LastEvent")
 				return
 			}
+		case "software":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Software = nil
+			} else {
+				if z.Software == nil {
+					z.Software = new(origin.Software)
+				}
+				bts, err = z.Software.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Software")
+					return
+				}
+			}
 		case "attempts":
 			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1110,7 +1145,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ForwardedCall) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 5 + msgp.IntSize + 8 + msgp.Int64Size + 5 + msgp.Int64Size + 11 + msgp.StringPrefixSize + len(z.LastEvent) + 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Gateway) + 8 + msgp.StringPrefixSize + len(z.Address) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Tenant) + 5 + msgp.IntSize + 8 + msgp.Int64Size + 5 + msgp.Int64Size + 11 + msgp.StringPrefixSize + len(z.LastEvent) + 9
+	if z.Software == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Software.Msgsize()
+	}
+	s += 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize
 	return
 }
 
--- a/internal/relay/border.go
+++ b/internal/relay/border.go
@@ -6,6 +6,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/crossing"
 	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/topology"
 )
@@ -32,8 +33,11 @@
 // replicasByStage returns the replicas that may prefill a request's prompt, and those that may decode its
 // answer. The caller must hold d.mutex.
 func (d *Directory) replicasByStage(service string, request PrefillRequest, now time.Duration) stageReplicas {
+	// A prompt may be prefilled by other software than that which runs the request.
+	prefill := request.wanted()
+	prefill.Software = origin.Software{}
 	return stageReplicas{
-		prefill: d.healthyCandidates(service, request.wanted(), ofStage(region.StagePrefill), now),
+		prefill: d.healthyCandidates(service, prefill, ofStage(region.StagePrefill), now),
 		decode:  d.healthyCandidates(service, request.wanted(), ofStage(region.StageDecode), now),
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -26,6 +27,9 @@
 	Version uint64
 	Route   *traffic.Route
 	Service *traffic.Service
+	// Software is that of the replica that has begun the stream: all others that continue it run the same. It is set for a
+	// call that takes up a stream, and once the first event of another one has come.
+	Software origin.Software
 	// Tenant is the name of the caller's tenant, empty if no API key was required.
 	Tenant string
 	// Forwarded is set for a call that a peer gateway has forwarded, with what has become of it there.
@@ -85,6 +89,13 @@
 	return ""
 }
 
+// beginAt records the software that has begun the stream, unless the call takes up one that has begun before.
+func (c *Call) beginAt(software origin.Software) {
+	if !c.Software.IsSet() {
+		c.Software = software
+	}
+}
+
 // Responder takes the answer to a call. Exactly one of Answer, Refuse and Stream is called, once.
 type Responder interface {
 	// Answer writes a whole response.
--- a/internal/relay/daemon/cutoff_test.go
+++ b/internal/relay/daemon/cutoff_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -54,7 +55,7 @@
 	view.Document = newDocument(t, view.Version, kind)
 	view.Replicas = nil
 	for number, address := range addresses {
-		view.Replicas = append(view.Replicas, region.Replica{ID: "i-" + string(rune('a'+number)), Service: "service", Address: address, Zone: "zone", Slots: 4})
+		view.Replicas = append(view.Replicas, region.Replica{ID: "i-" + string(rune('a'+number)), Service: "service", Address: address, Zone: "zone", Slots: 4, Software: "v1"})
 	}
 	slices.Sort(gateways)
 	view.Peers, view.PeersHash, view.Gateways = gateways, 7, len(gateways)
@@ -183,3 +184,47 @@
 		t.Error("the replica works on")
 	}
 }
+
+// Guards against a stream that a peer has begun and that goes on, here or at another peer, at other software.
+func TestAStreamThatAPeerHasBegunGoesOnAtItsSoftware(t *testing.T) {
+	var begun, wentOn sync.Map
+	replicaOf := func(software string) string {
+		return startReplica(t, func(writer http.ResponseWriter, request *http.Request) {
+			if request.Header.Get("Last-Event") != "" {
+				wentOn.Store(software, true)
+				streaming(3, false)(writer, request)
+				return
+			}
+			begun.Store(software, true)
+			streaming(2, true)(writer, request)
+		})
+	}
+	peers := []string{testnet.Address(t), testnet.Address(t)}
+	start := func(number int, addresses []string, software func(int) string) *gateway {
+		view := viewOfReplicas(t, traffic.KindStream, addresses, slices.Clone(peers))
+		view.Document = resumableDocument(t, view.Version, 4, []traffic.Part{{Service: "service", Weight: 1}})
+		for index := range view.Replicas {
+			view.Replicas[index].Software = software(index)
+		}
+		return startGatewayAt(t, peers[number], logr.Discard(), startCoordinator(t, view))
+	}
+	versions := []string{"v1", "v2", "v3", "v4", "v5", "v6"}
+	var sound []string
+	for _, version := range versions {
+		sound = append(sound, replicaOf(version))
+	}
+	isolated := start(0, addresses(t, refusingAddress), func(index int) string { return versions[index] })
+	start(1, sound, func(index int) string { return versions[index] }).awaitReadiness(http.StatusOK)
+	isolated.awaitReadiness(http.StatusOK)
+	answer, err := isolated.post("/v3/x")
+	require.NoError(t, err)
+	_, err = io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	assert.Error(t, err, "no other replica has the version")
+	wentOn.Range(func(software, _ any) bool {
+		_, same := begun.Load(software)
+		assert.True(t, same, "went on at %s", software)
+		return true
+	})
+	assert.Empty(t, answer.Header.Get("Peer-Software"), "it is not passed on to callers")
+}
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -50,7 +50,9 @@
 	}
 	return metadata
 }
-func (testDialect) SetsField(name string) bool                         { return name == "Instance" || name == "Tenant" }
+func (testDialect) SetsField(name string) bool {
+	return name == "Instance" || name == "Tenant" || name == "Last-Event"
+}
 func (testDialect) IsKey(name string) bool                             { return name == "Authorization" }
 func (testDialect) Leaving(header http.Header) bool                    { return header.Get("Leaving") != "" }
 func (testDialect) ReadHandle([]byte) (string, error)                  { return "", nil }
@@ -65,6 +67,9 @@
 	if send.Tenant != "" {
 		fields = append(fields, upstream.Field{Name: "Tenant", Value: send.Tenant})
 	}
+	if send.LastEvent != "" {
+		fields = append(fields, upstream.Field{Name: "Last-Event", Value: send.LastEvent})
+	}
 	return fields
 }
 func (testDialect) ReadResponseMetadata(header http.Header) relay.ResponseMetadata {
@@ -133,7 +138,7 @@
 	t.Helper()
 	return region.View{
 		Zone: "zone", Version: version, Document: newDocument(t, version, traffic.KindStream), HasList: true, WholeList: true, ListRevision: version, Gateways: 1,
-		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4}},
+		Replicas: []region.Replica{{ID: "i-1", Service: "service", Address: replica, Zone: "zone", Slots: 4, Software: "v1"}},
 	}
 }
 
--- a/internal/relay/daemon/endingrequests_test.go
+++ b/internal/relay/daemon/endingrequests_test.go
@@ -168,7 +168,7 @@
 	defer s.mutex.Unlock()
 	var listed []region.Replica
 	for _, replica := range s.running {
-		listed = append(listed, region.Replica{ID: replica.id, Service: "service", Address: replica.address, Zone: "zone", Slots: 16})
+		listed = append(listed, region.Replica{ID: replica.id, Service: "service", Address: replica.address, Zone: "zone", Slots: 16, Software: "v1"})
 	}
 	return replicalist.Page{Replicas: listed}, nil
 }
--- a/internal/relay/daemon/forwardclient.go
+++ b/internal/relay/daemon/forwardclient.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -18,18 +19,24 @@
 
 // Header fields of forwarded calls. They pass between gateways only.
 const (
-	// headerPeerCall holds a region.ForwardedCall, encoded in base64.
-	headerPeerCall = "Peer-Call"
+	// headerPeerCall holds a region.ForwardedCall, encoded in base64. headerPeerStream holds one that continues a stream: peers
+	// of earlier builds, which would continue it with any software, don't read it.
+	headerPeerCall   = "Peer-Call"
+	headerPeerStream = "Peer-Stream"
 	// headerPeerRefusal marks a peer's own refusal, whose body is a failure.Body. headerPeerRuns is the number of replicas
 	// that may have run the call.
 	headerPeerRefusal = "Peer-Refusal"
 	headerPeerRuns    = "Peer-Runs"
+	// headerPeerSoftware is the version of the software that has begun a stream, headerPeerIncarnation the incarnation if the
+	// version is not known.
+	headerPeerSoftware    = "Peer-Software"
+	headerPeerIncarnation = "Peer-Incarnation"
 )
 
 // isPeerField reports whether a header field passes between gateways only.
 func isPeerField(name string) bool {
 	switch http.CanonicalHeaderKey(name) {
-	case headerPeerCall, headerPeerRefusal, headerPeerRuns:
+	case headerPeerCall, headerPeerStream, headerPeerRefusal, headerPeerRuns, headerPeerSoftware, headerPeerIncarnation:
 		return true
 	}
 	return false
@@ -145,7 +152,7 @@
 		}
 		return nil, err
 	}
-	answer := &relay.PeerAnswer{Peer: peer, Exchange: exchange}
+	answer := &relay.PeerAnswer{Peer: peer, Exchange: exchange, Software: readSoftware(exchange.Header)}
 	answer.Runs, _ = strconv.Atoi(exchange.Header.Get(headerPeerRuns))
 	if exchange.Header.Get(headerPeerRefusal) != "" {
 		answer.Refusal = readRefusal(exchange)
@@ -178,6 +185,10 @@
 		Arrivals:      progress.Arrivals,
 		MayHaveRun:    progress.MayHaveRun,
 	}
+	field := headerPeerCall
+	if call.Software.IsSet() {
+		field, forwarded.Software = headerPeerStream, &call.Software
+	}
 	encoded, err := forwarded.MarshalMsg(nil)
 	if err != nil {
 		return nil, err
@@ -187,7 +198,7 @@
 		Method:      call.Method,
 		Target:      call.Target,
 		Host:        call.Host,
-		Header:      append(slices.Clone(call.Header), upstream.Field{Name: headerPeerCall, Value: base64.StdEncoding.EncodeToString(encoded)}),
+		Header:      append(slices.Clone(call.Header), upstream.Field{Name: field, Value: base64.StdEncoding.EncodeToString(encoded)}),
 		Body:        call.Body,
 		MaximumIdle: idlePeerConnections,
 	}
@@ -201,6 +212,15 @@
 // be repeated.
 const maximumPeerConnectionIdle = time.Second
 
+// readSoftware returns the software that has begun the stream of a peer's answer.
+func readSoftware(header http.Header) origin.Software {
+	software := origin.Software{Version: header.Get(headerPeerSoftware), Incarnation: header.Get(headerPeerIncarnation)}
+	if !software.IsSet() {
+		return origin.Unknown
+	}
+	return software
+}
+
 // readRefusal reads a peer's own refusal. One that can't be read leaves unknown whether the call has run.
 func readRefusal(exchange *upstream.Exchange) error {
 	body, err := exchange.ReadAll()
--- a/internal/relay/daemon/forwardserver.go
+++ b/internal/relay/daemon/forwardserver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -26,6 +27,7 @@
 		responder.Refuse(err)
 		return
 	}
+	responder.call = call
 	f.runner.Run(ctx, call, responder)
 	if responder.stream == nil {
 		request.Response.Header.Set(headerPeerRuns, strconv.Itoa(call.Runs))
@@ -35,7 +37,7 @@
 // newForwardedCall returns the call that a peer forwards, by the configuration in effect here.
 func (f *frontend) newForwardedCall(request *app.RequestContext) (*relay.Call, error) {
 	now := time.Now()
-	forwarded, err := readForwardedCall(request.Request.Header.Peek(headerPeerCall))
+	forwarded, err := readForwardedCall(&request.Request.Header)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.MalformedRequest)
 	}
@@ -57,6 +59,9 @@
 	}
 	service := forwarded.Service
 	if !route.Route.SplitsTo(service) {
+		if forwarded.Software != nil {
+			return nil, errServiceLeft
+		}
 		service = route.Splitter.Next()
 	}
 	metadata.Wait = time.Duration(forwarded.WaitMicros) * time.Microsecond
@@ -66,13 +71,23 @@
 	call.Route = withPriority(route.Route, forwarded.Rank)
 	call.Tenant = forwarded.Tenant
 	call.Forwarded = true
+	if forwarded.Software != nil {
+		call.Software = *forwarded.Software
+	}
 	call.Progress = relay.Progress{Attempts: forwarded.Attempts, Arrivals: forwarded.Arrivals, MayHaveRun: forwarded.MayHaveRun}
 	f.settings.Logger.V(1).Info(event.RequestTaken, "request", metadata.ID, "route", route.Name, "service", service,
 		"tenant", call.Tenant, "version", table.Configuration.Version, "wait_ms", metadata.Wait.Milliseconds(), "from", forwarded.Gateway)
 	return call, nil
 }
 
-func readForwardedCall(field []byte) (*region.ForwardedCall, error) {
+// errServiceLeft refuses a call that continues a stream of a service that its route no longer has.
+var errServiceLeft = failure.New(failure.StreamNotResumed, "the route no longer has the service that has begun the stream")
+
+func readForwardedCall(header *protocol.RequestHeader) (*region.ForwardedCall, error) {
+	field := header.Peek(headerPeerStream)
+	if len(field) == 0 {
+		field = header.Peek(headerPeerCall)
+	}
 	encoded, err := base64.StdEncoding.DecodeString(string(field))
 	if err != nil {
 		return nil, err
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -41,7 +41,7 @@
 	t.Helper()
 	r := &takeUps{t: t, begunAt: map[string]string{}, wentOnAt: map[string]string{}}
 	view := newView(t, 3, "")
-	view.Document = resumableDocument(t, view.Version, split)
+	view.Document = resumableDocument(t, view.Version, 1, split)
 	view.Replicas = nil
 	for _, each := range versions {
 		for number := range replicasOfAVersion {
@@ -62,12 +62,12 @@
 }
 
 // resumableDocument returns a configuration with one route for streams that may be taken up.
-func resumableDocument(t *testing.T, version uint64, split []traffic.Part) []byte {
+func resumableDocument(t *testing.T, version uint64, attempts int, split []traffic.Part) []byte {
 	t.Helper()
 	configuration := &traffic.Configuration{
 		Version: version,
 		Routes: []traffic.Route{{
-			Name: "route", Host: "h.example", PathPrefix: "/v3/", Kind: traffic.KindStream, MaximumAttempts: 1, Resumable: true, Split: split,
+			Name: "route", Host: "h.example", PathPrefix: "/v3/", Kind: traffic.KindStream, MaximumAttempts: attempts, Resumable: true, Split: split,
 		}},
 	}
 	for _, service := range []string{"service", "other"} {
--- a/internal/relay/daemon/responder.go
+++ b/internal/relay/daemon/responder.go
@@ -18,8 +18,9 @@
 	request  *app.RequestContext
 	stream   *streamWriter
 	answered bool
-	// forwarded is set if the request comes from a peer gateway.
+	// forwarded is set if the request comes from a peer gateway, and call is its call.
 	forwarded bool
+	call      *relay.Call
 }
 
 // Answer implements relay.Responder.
@@ -48,6 +49,9 @@
 func (r *responder) Stream(status int, header http.Header) relay.StreamWriter {
 	r.answered = true
 	r.copyHeader(header)
+	if r.forwarded {
+		r.nameSoftware()
+	}
 	r.request.Response.SetStatusCode(status)
 	r.closeIfDraining()
 	inner := resp.NewChunkedBodyWriter(&r.request.Response, r.request.GetWriter())
@@ -56,6 +60,17 @@
 	return r.stream
 }
 
+// nameSoftware tells the peer which software has begun the stream.
+func (r *responder) nameSoftware() {
+	header, software := &r.request.Response.Header, r.call.Software
+	if software.Version != "" {
+		header.Set(headerPeerSoftware, software.Version)
+	}
+	if software.Incarnation != "" {
+		header.Set(headerPeerIncarnation, software.Incarnation)
+	}
+}
+
 // writeErrorKey is the key of the function that OnWriteError sets in the context of a request.
 const writeErrorKey = "write error"
 
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -13,6 +13,7 @@
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/links"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/ratelimit"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/topology"
@@ -211,6 +212,27 @@
 	return []ratelimit.Report{report}
 }
 
+// runs reports whether a listed replica of a service that takes work runs the given software.
+func (d *Directory) runs(service string, software origin.Software) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.ContainsFunc(d.services[service], func(r *Replica) bool { return !r.removed && !r.Draining && r.software() == software })
+}
+
+// RunningSoftware returns what the listed replicas of each service run.
+func (d *Directory) RunningSoftware() map[string]map[origin.Software]bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	running := make(map[string]map[origin.Software]bool, len(d.services))
+	for service, replicas := range d.services {
+		running[service] = map[origin.Software]bool{}
+		for _, replica := range replicas {
+			running[service][replica.software()] = true
+		}
+	}
+	return running
+}
+
 // successor returns the listed incarnation that has replaced a replica at its address, nil if there is none. The caller
 // must hold d.mutex.
 func (d *Directory) successor(former *Replica) *Replica {
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -8,6 +8,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -33,6 +34,8 @@
 	// Runs counts the replicas that may have run the call, those of Progress included; 0 if the peer does not say, as with a
 	// stream.
 	Runs int
+	// Software is that of the replica that has begun the stream, origin.Unknown if the peer does not say.
+	Software origin.Software
 }
 
 // Forwarder hands a call to a peer gateway. It returns ErrNoPeer if there is none to hand it to, and otherwise an error of
@@ -104,7 +107,7 @@
 	}
 	defer answer.Exchange.Close()
 	if answer.Refusal != nil {
-		if passesOver(answer.Refusal) {
+		if r.passesOver(answer.Refusal) {
 			return verdictNotRun, answer.Refusal
 		}
 		r.peerRefusal = answer.Refusal
@@ -116,19 +119,22 @@
 	}
 	r.attempts = max(r.attempts+1, answer.Runs)
 	if r.call.Route.Kind == traffic.KindStream && answer.Exchange.Status < 300 {
-		return r.relayPeerStream(answer.Exchange)
+		return r.relayPeerStream(answer.Exchange, answer.Software)
 	}
 	return r.relayPeerResponse(answer.Exchange)
 }
 
 // passesOver reports whether another peer may take a call that one has refused.
-func passesOver(refusal error) bool {
+func (r *callState) passesOver(refusal error) bool {
 	if failure.AnswerFor(refusal).Ran != failure.RanNo {
 		return false
 	}
 	switch failure.KindOf(refusal) {
-	case failure.CutOff, failure.Leaving, failure.NotReady:
+	case failure.CutOff, failure.Leaving, failure.NotReady, failure.StreamNotResumed:
 		return true
+	case failure.MalformedRequest:
+		// A peer of an earlier build can't read a call that continues a stream.
+		return r.call.Software.IsSet()
 	}
 	return false
 }
@@ -154,14 +160,19 @@
 	return verdictAnswered, nil
 }
 
-// relayPeerStream passes events on as they arrive, each one complete.
-func (r *callState) relayPeerStream(exchange *upstream.Exchange) (verdict, error) {
+// relayPeerStream passes events on as they arrive, each one complete, of replicas that run the given software.
+func (r *callState) relayPeerStream(exchange *upstream.Exchange, software origin.Software) (verdict, error) {
+	if r.call.Software.IsSet() && r.call.Software != software {
+		r.countLostForward()
+		return verdictUnknown, failure.New(failure.AnswerBroken, "the peer has continued the stream with other software")
+	}
 	events := &eventSplitter{}
 	buffer := make([]byte, streamReadBytes)
 	for {
 		count, err := exchange.Read(buffer)
 		if complete := events.add(buffer[:count]); len(complete) > 0 {
 			r.streamBreak = nil
+			r.call.beginAt(software)
 			if err := r.forward(exchange, complete, events.lastID); err != nil {
 				r.writeError = err
 				return verdictAnswered, nil
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -6,6 +6,7 @@
 	"github.com/pierhaven/pierhaven/internal/costmodel"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -16,7 +17,7 @@
 	// Stage is the replica's stage when it was chosen.
 	Stage string
 	// Software is what the replica ran when it was chosen.
-	Software Software
+	Software origin.Software
 	// Choice is what was known when the replica was chosen.
 	Choice    Choice
 	directory *Directory
--- a/internal/relay/limited.go
+++ b/internal/relay/limited.go
@@ -110,6 +110,9 @@
 
 // noReplicaError returns the error that says why no replica is available for the request.
 func (r *callState) noReplicaError() error {
+	if r.call.Software.IsSet() && !r.directory.runs(r.call.Service.Name, r.call.Software) {
+		return errSoftwareGone
+	}
 	if wait := r.directory.backoffRetryAfter(r.call.Service.Name, rankOf(r.call.Route.Priority)); wait > 0 {
 		return &backoffError{wait: wait}
 	}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	switch failure.KindOf(err) {
-	case failure.RequestHeld, failure.OutcomeUnknown, failure.DeadlineExceeded:
+	case failure.RequestHeld, failure.OutcomeUnknown, failure.DeadlineExceeded, failure.StreamNotResumed:
 		return false
 	}
 	return r.pauseStopped(ctx)
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -8,6 +8,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/crossing"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/topology"
 )
@@ -20,10 +21,15 @@
 	Excluded []*Replica
 	// Unlimited excludes all replicas that declare a rate limit.
 	Unlimited bool
+	// Software excludes all replicas that run something else, if it is set.
+	Software origin.Software
 }
 
 // excludes reports whether a replica may not get the request now.
 func (w *Wanted) excludes(replica *Replica, now time.Duration) bool {
+	if w.Software.IsSet() && replica.software() != w.Software {
+		return true
+	}
 	if limit := &replica.limit; limit.declared && (w.Unlimited || limit.denied(w.Rank, now)) {
 		return true
 	}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -117,6 +117,9 @@
 // Error implements error.
 func (*noCapacityError) Error() string { return "no replica has room for the prompt" }
 
+// errSoftwareGone says that a stream can't go on, wherever it is taken up.
+var errSoftwareGone = failure.New(failure.StreamNotResumed, "no replica runs the software that has begun the stream")
+
 var errNoReplica = failure.New(failure.NoBackEnd, "no replica of the service is left to try")
 
 const (
--- a/internal/relay/placer.go
+++ b/internal/relay/placer.go
@@ -71,8 +71,8 @@
 // ask queries a coordinator. It returns neither a lease nor an error if the gateway has to choose by
 // itself, and an error if no replica has capacity.
 func (p *Placer) ask(ctx context.Context, kind region.PlacementKind, service string, request PrefillRequest, near string, stages ...string) (*Lease, error) {
-	if p.Remote == nil || request.Unlimited {
-		// A coordinator is not told which replicas have a rate limit.
+	if p.Remote == nil || request.Unlimited || request.Software.IsSet() {
+		// A coordinator is told neither which replicas have a rate limit nor which software is wanted.
 		return nil, nil
 	}
 	query := p.query(kind, service, request, near)
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -99,6 +99,7 @@
 		Zone:           r.directory.zone,
 		Excluded:       r.excluded(),
 		Unlimited:      r.onlyUnlimitedReplicas(),
+		Software:       r.call.Software,
 	}
 }
 
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/origin"
 )
 
 // PrefillRequest is a prompt to be prefilled, with the limits of its request.
@@ -25,11 +26,13 @@
 	// Excluded are replicas that must not be chosen; Unlimited excludes all that declare a rate limit.
 	Excluded  []*Replica
 	Unlimited bool
+	// Software is that of the replicas which may run the request, if it is set.
+	Software origin.Software
 }
 
 // wanted returns the restrictions on which replicas may get the request.
 func (r *PrefillRequest) wanted() Wanted {
-	return Wanted{Rank: r.Rank, Excluded: r.Excluded, Unlimited: r.Unlimited}
+	return Wanted{Rank: r.Rank, Excluded: r.Excluded, Unlimited: r.Unlimited, Software: r.Software}
 }
 
 // Urgency is the scheduling class of a prefill. Replicas process the prompts of an earlier class first.
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
 
@@ -275,6 +276,14 @@
 // The caller must hold Directory.mutex.
 func (r *Replica) isListedLeaving() bool { return r.Draining || r.Leaving }
 
+// software returns what the replica runs. The caller must hold Directory.mutex.
+func (r *Replica) software() origin.Software { return origin.SoftwareOf(r.Version, r.name) }
+
+// otherVersion reports whether a listing is of a process with another version of the software.
+func (r *Replica) otherVersion(listed string) bool {
+	return r.Version != "" && listed != "" && r.Version != listed
+}
+
 // notifyStreams notifies the streams on the replica that it is leaving. The caller must hold Directory.mutex.
 func (r *Replica) notifyStreams() {
 	for lease := range r.streams {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -409,7 +409,7 @@
 	r.denied = nil
 	if !r.isModelCall() {
 		lease, err := r.permitted(ctx, func() (*Lease, error) {
-			wanted := Wanted{Rank: rankOf(r.call.Route.Priority), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas()}
+			wanted := Wanted{Rank: rankOf(r.call.Route.Priority), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas(), Software: r.call.Software}
 			return r.directory.PickAny(r.call.Service.Name, wanted), nil
 		})
 		return lease, nil, err
@@ -438,6 +438,8 @@
 		if r.mayHaveRun {
 			err = failure.Wrap(err, failure.RequestHeld, failure.WithRan(failure.RanUnknown))
 		}
+	} else if failure.KindOf(err) == failure.StreamNotResumed && !r.mayHaveRun {
+		err = failure.Wrap(err, failure.StreamNotResumed, failure.WithRetryAfter(defaultRetryAfter))
 	} else if failure.KindOf(err) != failure.CutOff && !r.mayHaveRun {
 		// Whatever ended the call, no replica has run it or will run it later.
 		err = failure.Wrap(err, failure.BackEndRefused, failure.WithRetryAfter(r.retryAfter(err)))
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -159,6 +159,11 @@
 
 func (w *testEnvironment) addReplica(id, stage string, handler http.HandlerFunc) {
 	w.t.Helper()
+	w.listReplica(id, stage, w.startReplica(id, handler))
+}
+
+// startReplica starts a replica that is not listed, and returns its address.
+func (w *testEnvironment) startReplica(id string, handler http.HandlerFunc) string {
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		w.mutex.Lock()
 		w.requestCounts[id]++
@@ -167,13 +172,16 @@
 		handler(writer, request)
 	}))
 	w.t.Cleanup(server.Close)
-	w.listReplica(id, stage, server.Listener.Addr().String())
+	return server.Listener.Addr().String()
 }
 
 func (w *testEnvironment) listReplica(id, stage, address string) {
-	w.replicaList = append(w.replicaList, region.Replica{
-		ID: id, Service: "service", Address: address, Zone: "zone", Slots: 4, Stage: stage,
-	})
+	w.list(region.Replica{ID: id, Service: "service", Address: address, Zone: "zone", Slots: 4, Stage: stage, Software: "v1"})
+}
+
+// list adds a replica to the list.
+func (w *testEnvironment) list(replica region.Replica) {
+	w.replicaList = append(w.replicaList, replica)
 	w.directory.Replace(w.replicaList)
 }
 
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -13,10 +13,7 @@
 // addReplicaOf adds a replica in a zone that runs a version of the software, empty if the list does not tell it.
 func (w *testEnvironment) addReplicaOf(id, zone, version, stage string, handler http.HandlerFunc) {
 	w.t.Helper()
-	w.addReplica(id, stage, handler)
-	listed := &w.replicaList[len(w.replicaList)-1]
-	listed.Zone, listed.Software = zone, version
-	w.directory.Replace(w.replicaList)
+	w.list(region.Replica{ID: id, Service: "service", Address: w.startReplica(id, handler), Zone: zone, Slots: 4, Stage: stage, Software: version})
 }
 
 // Guards against streams with events of two versions of the replicas' software.
@@ -91,3 +88,18 @@
 	assert.Equal(t, 0, w.requestCount("newer"))
 	assert.Equal(t, 1, w.requestCount("same"))
 }
+
+// A process that starts again under its id, with another version, is another replica, and one whose version an older list
+// does not tell is the same.
+func TestAListedVersionBelongsToOneLife(t *testing.T) {
+	w := newTestEnvironment(t)
+	address := w.startReplica("a", streamEvents(1, 2, false))
+	for _, step := range []struct{ listed, runs string }{{"", "(a)"}, {"v1", "v1"}, {"", "v1"}, {"v2", "v2"}, {"v1", "v1"}} {
+		w.directory.Replace([]region.Replica{{ID: "a", Service: "service", Address: address, Zone: "zone", Slots: 4, Software: step.listed}})
+		var running []string
+		for software := range w.directory.RunningSoftware()["service"] {
+			running = append(running, software.String())
+		}
+		assert.Equal(t, []string{step.runs}, running, step.listed)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,6 +58,7 @@
 			if first {
 				first = false
 				r.streamBreak, r.stopped = nil, false
+				r.call.beginAt(lease.Software)
 				r.countStart(time.Now())
 				lease.Answered(false, metadata.Load)
 				r.recordStreamStart(lease, send)
