--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/replication"
@@ -45,9 +46,11 @@
 	usage             *usageState
 	quotas            *quotaService
 	limits            *limitService
-	leaving           *leavingReports
-	list              *listSync
-	listAges          listAges
+	// origins keeps where streams have begun.
+	origins  *origin.Keeper
+	leaving  *leavingReports
+	list     *listSync
+	listAges listAges
 	// listChange serializes changes of the list at the leader: each is computed from the state that it changes.
 	listChange sync.Mutex
 	// elected is signalled when this coordinator becomes the leader.
@@ -125,6 +128,7 @@
 	c.placement = newPlacementService(settings, c.now)
 	c.quotas = newQuotaService(c, c.placement.socket)
 	c.limits = newLimitService(c, c.placement.socket)
+	c.serveOrigins(c.placement.socket)
 	c.list = newListSync(c)
 	c.registerMetrics(settings.Metrics)
 	if reason := c.group.Runner.Status().Quarantined; reason != nil {
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -177,7 +177,7 @@
 	if all || earlier {
 		return all
 	}
-	return slices.ContainsFunc(replicas, func(each region.ListedReplica) bool { return each.Replica.Software != "" })
+	return len(replicas) == 0 || slices.ContainsFunc(replicas, func(each region.ListedReplica) bool { return each.Replica.Software != "" })
 }
 
 // storable returns listed entries as they are stored beside the known replicas.
@@ -233,6 +233,7 @@
 		return nil
 	}
 	change.Standby = true
+	change.At = c.usage.clock.Now().UnixNano()
 	c.logListChange(state.Replicas, change)
 	// The activity is planned in the same command, so that gateways are never shown all replicas, and lose
 	// no replica that leaves without being shown another one.
--- a/internal/coordinator/replicalist.go
+++ b/internal/coordinator/replicalist.go
@@ -69,8 +69,10 @@
 
 // applyList applies a list change, and ends the stage changes that are finished by it.
 func (m *stateMachine) applyList(index uint64, change *region.ListCommand) {
+	before := m.state
 	applyListChange(&m.state, index, change)
 	replicas := m.state.Replicas
+	noteFormerSoftware(&m.state, &before, change.At)
 	m.dropChanges(index, func(each region.StageChange) bool { return isFinished(each, replicas) })
 }
 
--- /dev/null
+++ b/internal/coordinator/software.go
@@ -0,0 +1,123 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/origin"
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+const (
+	// maximumFormerSoftware bounds the software that is remembered after the last replica that ran it.
+	maximumFormerSoftware = 256
+	// clockSlack is by how much the clocks of two coordinators may differ.
+	clockSlack = 5 * time.Second
+	// sinceEver is the SoftwareSince of a group whose first list is known: replicas have run nothing before it.
+	sinceEver = 1
+)
+
+// serviceSoftware is a version of the software of a service's replicas.
+type serviceSoftware struct{ service, version string }
+
+// noteFormerSoftware records in a state what no listed replica runs any more after a change of the list at a time, 0 if
+// that is not known.
+func noteFormerSoftware(state, before *region.State, at int64) {
+	switch {
+	case at == 0:
+		state.FormerSoftware, state.SoftwareSince = nil, 0
+		return
+	case before.SoftwareSince == 0 && before.ListRevision == 0 && len(before.Replicas) == 0:
+		state.SoftwareSince = sinceEver
+	case before.SoftwareSince == sinceEver && before.Version == 0:
+		// Without a configuration no stream has begun.
+	case before.SoftwareSince == 0 || lostUnknownSoftware(before.Replicas, state.Replicas):
+		state.SoftwareSince = at
+	}
+	listed := listedSoftware(state.Replicas)
+	former := slices.DeleteFunc(slices.Clone(state.FormerSoftware), func(each region.FormerSoftware) bool {
+		return listed[serviceSoftware{each.Service, each.Version}] || at-each.Until >= int64(origin.Window+clockSlack)
+	})
+	for gone := range listedSoftware(before.Replicas) {
+		if !listed[gone] {
+			former = append(former, region.FormerSoftware{Service: gone.service, Version: gone.version, Until: at})
+		}
+	}
+	if len(former) > maximumFormerSoftware {
+		former, state.SoftwareSince = nil, at
+	}
+	slices.SortFunc(former, compareFormer)
+	state.FormerSoftware = former
+}
+
+// listedSoftware returns the known versions that replicas run.
+func listedSoftware(replicas []region.ListedReplica) map[serviceSoftware]bool {
+	listed := map[serviceSoftware]bool{}
+	for index := range replicas {
+		if replica := &replicas[index].Replica; replica.Software != "" {
+			listed[serviceSoftware{replica.Service, replica.Software}] = true
+		}
+	}
+	return listed
+}
+
+// lostUnknownSoftware reports whether a replica whose version is not known is gone, or has another one.
+func lostUnknownSoftware(before, after []region.ListedReplica) bool {
+	return slices.ContainsFunc(before, func(each region.ListedReplica) bool {
+		if each.Replica.Software != "" {
+			return false
+		}
+		now, found := findListed(after, each.Replica.ID)
+		return !found || now.Incarnation() != each.Replica.Incarnation() || now.Software != ""
+	})
+}
+
+// formerSoftware returns the software that replicas have run within origin.Window and no listed one runs, and whether that
+// is all.
+func (c *Coordinator) formerSoftware(state region.State) (former []region.FormerSoftware, complete bool) {
+	now := c.usage.clock.Now().UnixNano()
+	for _, each := range state.FormerSoftware {
+		if now-each.Until < int64(origin.Window+clockSlack) {
+			former = append(former, each)
+		}
+	}
+	age := c.freshness.age(c.now())
+	fresh := age >= 0 && age < c.settings.ContactTime
+	return former, fresh && state.SoftwareSince != 0 && now-state.SoftwareSince >= int64(origin.Window+clockSlack)
+}
+
+// recentSoftware returns what the replicas of services run and have run within origin.Window.
+func (c *Coordinator) recentSoftware(services []string) []origin.ServiceVersions {
+	state, _ := c.machine.read()
+	former, complete := c.formerSoftware(state)
+	recent := make([]origin.ServiceVersions, 0, len(services))
+	for _, service := range services {
+		each := origin.ServiceVersions{Service: service, Complete: complete}
+		known := map[origin.Software]bool{}
+		for index := range state.Replicas {
+			if replica := &state.Replicas[index].Replica; replica.Service == service {
+				known[origin.SoftwareOf(replica.Software, replica.Incarnation().Name())] = true
+			}
+		}
+		for _, gone := range former {
+			if gone.Service == service {
+				known[origin.Software{Version: gone.Version}] = true
+			}
+		}
+		for software := range known {
+			each.Software = append(each.Software, software)
+		}
+		if len(each.Software) > origin.MaximumSoftware {
+			each.Software, each.Complete = each.Software[:origin.MaximumSoftware], false
+		}
+		recent = append(recent, each)
+	}
+	return recent
+}
+
+// compareFormer orders former software by service and version.
+func compareFormer(a, b region.FormerSoftware) int {
+	return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version))
+}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -79,6 +79,7 @@
 		NextWindow:   state.NextWindow,
 		Poison:       state.Poison.NewsSince(request.PoisonRevision),
 	}
+	view.FormerSoftware, view.SoftwareComplete = c.formerSoftware(state)
 	view.LimitNames, view.Limits = c.limits.view(request.LimitNames)
 	view.ListMillis, view.PageMillis = c.listAges.at(c.now())
 	if age < 0 {
--- a/internal/datagram/socket.go
+++ b/internal/datagram/socket.go
@@ -38,6 +38,9 @@
 	KindLimitReport
 	// KindBackoffReport carries a region.BackoffReport.
 	KindBackoffReport
+	// KindOrigin carries an origin.Message, KindOriginReply an origin.Reply.
+	KindOrigin
+	KindOriginReply
 	kindEnd
 )
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -43,6 +43,8 @@
 	FailureHandedOn Event = "replica's failure handed on"
 	// StreamContinued: a stream is continued after its last complete event.
 	StreamContinued Event = "stream continued"
+	// StreamTakenUp: a caller takes up a stream that has begun in an earlier request.
+	StreamTakenUp Event = "stream taken up"
 	// StreamMoved: a leaving replica was asked to stop a stream, which is continued by another one.
 	StreamMoved Event = "stream moved"
 	// MoveFailed: a stream's memory could not be copied to another replica.
@@ -237,6 +239,7 @@
 		RequestRefused,
 		FailureHandedOn,
 		StreamContinued,
+		StreamTakenUp,
 		StreamMoved,
 		MoveFailed,
 		StreamBrokenOff,
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -68,14 +68,6 @@
 	return records
 }
 
-// Delete deletes the record of a call: its stream has ended as complete.
-func (t *Table) Delete(key Key, call uint64) {
-	if kept, found := t.records[key]; found && kept.Call == call && !kept.Ambiguous {
-		kept.until = kept.at
-		t.records[key] = kept
-	}
-}
-
 // Count returns the number of records, and of those that gave way before their time.
 func (t *Table) Count() (kept int, dropped uint64) { return len(t.records), t.dropped }
 
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -6,8 +6,8 @@
 // a service has run more than one software within it.
 const Window = 30 * time.Second
 
-// maximumSoftware bounds what is remembered of a service that runs something new all the time.
-const maximumSoftware = 64
+// MaximumSoftware bounds what is remembered of a service that runs something new all the time.
+const MaximumSoftware = 64
 
 // Versions remembers what the replicas of services run and have run within Window. It is not safe for concurrent use.
 type Versions struct {
@@ -26,6 +26,23 @@
 	forgottenUntil time.Duration
 }
 
+// Confirm records that nothing else has run within Window but what is listed and what has run until the given times.
+func (v *Versions) Confirm(now time.Duration, former map[string]map[Software]time.Duration) {
+	v.observed, v.knownSince = true, min(v.knownSince, now-Window)
+	if v.services == nil {
+		v.services = map[string]*recentSoftware{}
+	}
+	for service, gone := range former {
+		if v.services[service] == nil {
+			v.services[service] = &recentSoftware{seenAt: map[Software]time.Duration{}}
+		}
+		recent := v.services[service]
+		for software, until := range gone {
+			recent.seenAt[software] = max(recent.seenAt[software], until)
+		}
+	}
+}
+
 // Observe records a list: what the replicas of each service run. whole is false while parts of the list are missing.
 func (v *Versions) Observe(now time.Duration, list map[string]map[Software]bool, whole bool) {
 	if !whole {
@@ -63,7 +80,7 @@
 		}
 	}
 	for software := range r.seenAt {
-		if len(r.seenAt) <= maximumSoftware {
+		if len(r.seenAt) <= MaximumSoftware {
 			return
 		}
 		delete(r.seenAt, software)
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -119,6 +119,9 @@
 	Attempts   int  `msg:"attempts"`
 	Arrivals   int  `msg:"arrivals"`
 	MayHaveRun bool `msg:"may_have_run"`
+	// Number distinguishes calls with the same ID, and Sends counts the sends of this one.
+	Number uint64 `msg:"number,omitempty"`
+	Sends  int    `msg:"sends,omitempty"`
 }
 
 // Build identifies the build that a process runs.
@@ -213,6 +216,10 @@
 	// since a page of it was read; 0 if it is not known.
 	ListMillis int64 `msg:"list_age,omitempty"`
 	PageMillis int64 `msg:"page_age,omitempty"`
+	// FormerSoftware is that of State. It is complete if SoftwareComplete is set: then the services have run nothing else
+	// within origin.Window but what their replicas run now.
+	FormerSoftware   []FormerSoftware `msg:"former_software,omitempty"`
+	SoftwareComplete bool             `msg:"software_complete,omitempty"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership, and carries reports of a coordinator to it.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -943,8 +943,8 @@
 func (z *ForwardedCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Tenant == "" {
 		zb0001Len--
@@ -958,6 +958,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Number == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.Sends == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1016,6 +1024,16 @@
 		// string "may_have_run"
 		o = append(o, 0xac, 0x6d, 0x61, 0x79, 0x5f, 0x68, 0x61, 0x76, 0x65, 0x5f, 0x72, 0x75, 0x6e)
 		o = msgp.AppendBool(o, z.MayHaveRun)
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "number"
+			o = append(o, 0xa6, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+			o = msgp.AppendUint64(o, z.Number)
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "sends"
+			o = append(o, 0xa5, 0x73, 0x65, 0x6e, 0x64, 0x73)
+			o = msgp.AppendInt(o, z.Sends)
+		}
 	}
 	return
 }
@@ -1131,6 +1149,18 @@
 				err = msgp.WrapError(err, "MayHaveRun")
 				return
 			}
+		case "number":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "sends":
+			z.Sends, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sends")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1151,7 +1181,7 @@
 	} else {
 		s += z.Software.Msgsize()
 	}
-	s += 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize
+	s += 9 + msgp.IntSize + 9 + msgp.IntSize + 13 + msgp.BoolSize + 7 + msgp.Uint64Size + 6 + msgp.IntSize
 	return
 }
 
@@ -3060,8 +3090,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(27)
-	var zb0001Mask uint32 /* 27 bits */
+	zb0001Len := uint32(29)
+	var zb0001Mask uint32 /* 29 bits */
 	_ = zb0001Mask
 	if z.PartEnd == "" {
 		zb0001Len--
@@ -3103,6 +3133,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000000
 	}
+	if z.FormerSoftware == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000000
+	}
+	if z.SoftwareComplete == false {
+		zb0001Len--
+		zb0001Mask |= 0x10000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -3246,6 +3284,23 @@
 			o = append(o, 0xa8, 0x70, 0x61, 0x67, 0x65, 0x5f, 0x61, 0x67, 0x65)
 			o = msgp.AppendInt64(o, z.PageMillis)
 		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// string "former_software"
+			o = append(o, 0xaf, 0x66, 0x6f, 0x72, 0x6d, 0x65, 0x72, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FormerSoftware)))
+			for za0008 := range z.FormerSoftware {
+				o, err = z.FormerSoftware[za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerSoftware", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+			// string "software_complete"
+			o = append(o, 0xb1, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+			o = msgp.AppendBool(o, z.SoftwareComplete)
+		}
 	}
 	return
 }
@@ -3580,6 +3635,35 @@
 				err = msgp.WrapError(err, "PageMillis")
 				return
 			}
+		case "former_software":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FormerSoftware")
+				return
+			}
+			if zb0010 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FormerSoftware) >= int(zb0010) {
+				z.FormerSoftware = (z.FormerSoftware)[:zb0010]
+			} else {
+				z.FormerSoftware = make([]FormerSoftware, zb0010)
+			}
+			for za0008 := range z.FormerSoftware {
+				bts, err = z.FormerSoftware[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerSoftware", za0008)
+					return
+				}
+			}
+		case "software_complete":
+			z.SoftwareComplete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SoftwareComplete")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3628,7 +3712,11 @@
 	for za0007 := range z.Limits {
 		s += z.Limits[za0007].Msgsize()
 	}
-	s += 9 + msgp.Int64Size + 9 + msgp.Int64Size
+	s += 9 + msgp.Int64Size + 9 + msgp.Int64Size + 16 + msgp.ArrayHeaderSize
+	for za0008 := range z.FormerSoftware {
+		s += z.FormerSoftware[za0008].Msgsize()
+	}
+	s += 18 + msgp.BoolSize
 	return
 }
 
--- a/internal/region/state.go
+++ b/internal/region/state.go
@@ -31,6 +31,17 @@
 	Fleet []FleetOrder `msg:"fleet"`
 	// Poison is what is known about requests that were running when replicas crashed.
 	Poison poison.State `msg:"poison"`
+	// FormerSoftware is what replicas of services have run within origin.Window and no listed one runs. It is complete for
+	// what was listed since SoftwareSince, in nanoseconds since 1970; 0 if it is not kept.
+	FormerSoftware []FormerSoftware `msg:"former_software,omitempty"`
+	SoftwareSince  int64            `msg:"software_since,omitempty"`
+}
+
+// FormerSoftware is a version of the software that a service's replicas ran until a time in nanoseconds since 1970.
+type FormerSoftware struct {
+	Service string `msg:"service"`
+	Version string `msg:"version"`
+	Until   int64  `msg:"until"`
 }
 
 // UsageWindow is the tenants' usage in a time window.
@@ -136,6 +147,8 @@
 	// Standby puts added replicas on standby until they are activated. Leaders of earlier builds, which
 	// know no standby replicas, do not set it: then all replicas are active.
 	Standby bool `msg:"standby,omitempty"`
+	// At is the time of the change in nanoseconds since 1970, 0 from leaders of earlier builds.
+	At int64 `msg:"at,omitempty"`
 }
 
 // ActivityCommand activates replicas and puts others on standby, by their ids.
--- a/internal/region/state_gen.go
+++ b/internal/region/state_gen.go
@@ -1084,17 +1084,95 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z FormerSoftware) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "service"
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Version)
+	// string "until"
+	o = append(o, 0xa5, 0x75, 0x6e, 0x74, 0x69, 0x6c)
+	o = msgp.AppendInt64(o, z.Until)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FormerSoftware) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "until":
+			z.Until, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Until")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FormerSoftware) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 6 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Standby == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.At == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1121,6 +1199,11 @@
 			o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
 			o = msgp.AppendBool(o, z.Standby)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "at"
+			o = append(o, 0xa2, 0x61, 0x74)
+			o = msgp.AppendInt64(o, z.At)
+		}
 	}
 	return
 }
@@ -1199,6 +1282,12 @@
 				err = msgp.WrapError(err, "Standby")
 				return
 			}
+		case "at":
+			z.At, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1221,7 +1310,7 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 8 + msgp.BoolSize
+	s += 8 + msgp.BoolSize + 3 + msgp.Int64Size
 	return
 }
 
@@ -1469,113 +1558,152 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "version"
-	o = append(o, 0x8b, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "list_revision"
-	o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ListRevision)
-	// string "replicas"
-	o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
-	for za0001 := range z.Replicas {
-		// check for omitted fields
-		zb0002Len := uint32(3)
-		var zb0002Mask uint8 /* 3 bits */
-		_ = zb0002Mask
-		if z.Replicas[za0001].Standby == false {
-			zb0002Len--
-			zb0002Mask |= 0x4
-		}
-		// variable map header, size zb0002Len
-		o = append(o, 0x80|uint8(zb0002Len))
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.FormerSoftware == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.SoftwareSince == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
 
-		// skip if no fields are to be emitted
-		if zb0002Len != 0 {
-			// string "replica"
-			o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
-			o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Replicas", za0001, "Replica")
-				return
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "document"
+		o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+		o = msgp.AppendBytes(o, z.Document)
+		// string "list_revision"
+		o = append(o, 0xad, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.ListRevision)
+		// string "replicas"
+		o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+		for za0001 := range z.Replicas {
+			// check for omitted fields
+			zb0002Len := uint32(3)
+			var zb0002Mask uint8 /* 3 bits */
+			_ = zb0002Mask
+			if z.Replicas[za0001].Standby == false {
+				zb0002Len--
+				zb0002Mask |= 0x4
+			}
+			// variable map header, size zb0002Len
+			o = append(o, 0x80|uint8(zb0002Len))
+
+			// skip if no fields are to be emitted
+			if zb0002Len != 0 {
+				// string "replica"
+				o = append(o, 0xa7, 0x72, 0x65, 0x70, 0x6c, 0x69, 0x63, 0x61)
+				o, err = z.Replicas[za0001].Replica.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001, "Replica")
+					return
+				}
+				// string "revision"
+				o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+				o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
+				if (zb0002Mask & 0x4) == 0 { // if not omitted
+					// string "standby"
+					o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
+					o = msgp.AppendBool(o, z.Replicas[za0001].Standby)
+				}
 			}
+		}
+		// string "removed"
+		o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
+		for za0002 := range z.Removed {
+			// map header, size 2
+			// string "id"
+			o = append(o, 0x82, 0xa2, 0x69, 0x64)
+			o = msgp.AppendString(o, z.Removed[za0002].ID)
 			// string "revision"
 			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendUint64(o, z.Replicas[za0001].Revision)
-			if (zb0002Mask & 0x4) == 0 { // if not omitted
-				// string "standby"
-				o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x6e, 0x64, 0x62, 0x79)
-				o = msgp.AppendBool(o, z.Replicas[za0001].Standby)
+			o = msgp.AppendUint64(o, z.Removed[za0002].Revision)
+		}
+		// string "removed_since"
+		o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.RemovedSince)
+		// string "changes"
+		o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
+		for za0003 := range z.Changes {
+			o, err = z.Changes[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes", za0003)
+				return
 			}
 		}
-	}
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
-	for za0002 := range z.Removed {
-		// map header, size 2
-		// string "id"
-		o = append(o, 0x82, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.Removed[za0002].ID)
-		// string "revision"
-		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Removed[za0002].Revision)
-	}
-	// string "removed_since"
-	o = append(o, 0xad, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.RemovedSince)
-	// string "changes"
-	o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
-	for za0003 := range z.Changes {
-		o, err = z.Changes[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Changes", za0003)
-			return
+		// string "next_window"
+		o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+		o = msgp.AppendUint64(o, z.NextWindow)
+		// string "usage"
+		o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
+		for za0004 := range z.Usage {
+			// map header, size 2
+			// string "window"
+			o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+			o = msgp.AppendUint64(o, z.Usage[za0004].Window)
+			// string "counts"
+			o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Usage[za0004].Counts)))
+			for za0005 := range z.Usage[za0004].Counts {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendUint64(o, z.Usage[za0004].Counts[za0005].Window)
+				o = msgp.AppendString(o, z.Usage[za0004].Counts[za0005].Tenant)
+				o = msgp.AppendUint32(o, z.Usage[za0004].Counts[za0005].Count)
+			}
 		}
-	}
-	// string "next_window"
-	o = append(o, 0xab, 0x6e, 0x65, 0x78, 0x74, 0x5f, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-	o = msgp.AppendUint64(o, z.NextWindow)
-	// string "usage"
-	o = append(o, 0xa5, 0x75, 0x73, 0x61, 0x67, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage)))
-	for za0004 := range z.Usage {
-		// map header, size 2
-		// string "window"
-		o = append(o, 0x82, 0xa6, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77)
-		o = msgp.AppendUint64(o, z.Usage[za0004].Window)
-		// string "counts"
-		o = append(o, 0xa6, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage[za0004].Counts)))
-		for za0005 := range z.Usage[za0004].Counts {
-			// array header, size 3
-			o = append(o, 0x93)
-			o = msgp.AppendUint64(o, z.Usage[za0004].Counts[za0005].Window)
-			o = msgp.AppendString(o, z.Usage[za0004].Counts[za0005].Tenant)
-			o = msgp.AppendUint32(o, z.Usage[za0004].Counts[za0005].Count)
+		// string "fleet"
+		o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Fleet)))
+		for za0006 := range z.Fleet {
+			o, err = z.Fleet[za0006].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Fleet", za0006)
+				return
+			}
 		}
-	}
-	// string "fleet"
-	o = append(o, 0xa5, 0x66, 0x6c, 0x65, 0x65, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Fleet)))
-	for za0006 := range z.Fleet {
-		o, err = z.Fleet[za0006].MarshalMsg(o)
+		// string "poison"
+		o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
+		o, err = z.Poison.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Fleet", za0006)
+			err = msgp.WrapError(err, "Poison")
 			return
 		}
-	}
-	// string "poison"
-	o = append(o, 0xa6, 0x70, 0x6f, 0x69, 0x73, 0x6f, 0x6e)
-	o, err = z.Poison.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Poison")
-		return
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "former_software"
+			o = append(o, 0xaf, 0x66, 0x6f, 0x72, 0x6d, 0x65, 0x72, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FormerSoftware)))
+			for za0007 := range z.FormerSoftware {
+				// map header, size 3
+				// string "service"
+				o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+				o = msgp.AppendString(o, z.FormerSoftware[za0007].Service)
+				// string "version"
+				o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+				o = msgp.AppendString(o, z.FormerSoftware[za0007].Version)
+				// string "until"
+				o = append(o, 0xa5, 0x75, 0x6e, 0x74, 0x69, 0x6c)
+				o = msgp.AppendInt64(o, z.FormerSoftware[za0007].Until)
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "software_since"
+			o = append(o, 0xae, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
+			o = msgp.AppendInt64(o, z.SoftwareSince)
+		}
 	}
 	return
 }
@@ -1911,6 +2039,74 @@
 				err = msgp.WrapError(err, "Poison")
 				return
 			}
+		case "former_software":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FormerSoftware")
+				return
+			}
+			if zb0013 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FormerSoftware) >= int(zb0013) {
+				z.FormerSoftware = (z.FormerSoftware)[:zb0013]
+			} else {
+				z.FormerSoftware = make([]FormerSoftware, zb0013)
+			}
+			for za0007 := range z.FormerSoftware {
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerSoftware", za0007)
+					return
+				}
+				if zb0014 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0014 > 0 {
+					zb0014--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FormerSoftware", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "service":
+						z.FormerSoftware[za0007].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerSoftware", za0007, "Service")
+							return
+						}
+					case "version":
+						z.FormerSoftware[za0007].Version, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerSoftware", za0007, "Version")
+							return
+						}
+					case "until":
+						z.FormerSoftware[za0007].Until, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerSoftware", za0007, "Until")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerSoftware", za0007)
+							return
+						}
+					}
+				}
+			}
+		case "software_since":
+			z.SoftwareSince, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SoftwareSince")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1948,7 +2144,11 @@
 	for za0006 := range z.Fleet {
 		s += z.Fleet[za0006].Msgsize()
 	}
-	s += 7 + z.Poison.Msgsize()
+	s += 7 + z.Poison.Msgsize() + 16 + msgp.ArrayHeaderSize
+	for za0007 := range z.FormerSoftware {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.FormerSoftware[za0007].Service) + 8 + msgp.StringPrefixSize + len(z.FormerSoftware[za0007].Version) + 6 + msgp.Int64Size
+	}
+	s += 15 + msgp.Int64Size
 	return
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -32,6 +32,8 @@
 	Software origin.Software
 	// Tenant is the name of the caller's tenant, empty if no API key was required.
 	Tenant string
+	// Number distinguishes calls with the same ID. A call that is forwarded keeps it.
+	Number uint64
 	// Forwarded is set for a call that a peer gateway has forwarded, with what has become of it there.
 	Forwarded bool
 	Progress  Progress
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/rpc"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
+	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 	"github.com/pierhaven/pierhaven/internal/uptime"
 	"github.com/pierhaven/pierhaven/internal/usage"
@@ -108,12 +109,18 @@
 	views := newViewClient(settings, client, directory, budgets, &placementMode{peers: peers, client: placements, forwards: forwards}, usageReports)
 	views.evidence, evidence.views = evidence, views
 	quotas := newQuotaClient(settings, socket, views)
-	views.onConfigured = quotas.pruneTenants
+	origins := newOriginClient(settings, socket, views, directory)
+	views.onConfigured = func(configuration *traffic.Configuration) {
+		quotas.pruneTenants(configuration)
+		origins.applyConfiguration(configuration)
+	}
+	views.onListed, views.onFormerSoftware = origins.noteList, origins.noteFormer
 	limits := newLimitClient(settings, socket, views, directory)
 	views.limits = limits
 	runner := relay.NewRunner(directory, upstreams, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
 	runner.SetRemotePlacement(placements.Remote())
 	runner.OnRequestStart(usageReports.recordStart)
+	runner.SetOriginRecorder(origins.begin)
 	runner.SetConfigurationVersion(views.version)
 	runner.SetListKnowledge(views.listKnowledge)
 	runner.SetGuard(evidence.Guard)
@@ -134,7 +141,7 @@
 		warmup:    &placement.Warmup{Source: settings.PrefixSource, Directory: directory, Logger: settings.Logger},
 		client:    client,
 		upstreams: upstreams,
-		frontend:  &frontend{settings: settings, views: views, runner: runner, quotas: quotas, forwards: forwards},
+		frontend:  &frontend{settings: settings, views: views, runner: runner, quotas: quotas, forwards: forwards, origins: origins},
 		evidence:  evidence,
 		limits:    limits,
 		leaving:   newLeavingReporter(settings, client, views, directory),
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +24,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/datagram"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
@@ -99,6 +103,7 @@
 	mutex   sync.Mutex
 	view    region.View
 	polls   int
+	origins *origin.Keeper
 }
 
 func startCoordinator(t *testing.T, view region.View) *fakeCoordinator {
@@ -118,9 +123,54 @@
 		return &shown, nil
 	})
 	t.Cleanup(rpc.RunServer(engine, closing))
+	fake.keepOrigins(t)
 	return fake
 }
 
+// keepOrigins keeps where streams begin, as a coordinator does.
+func (f *fakeCoordinator) keepOrigins(t *testing.T) {
+	began := time.Now()
+	socket := &datagram.Socket{Logger: logr.Discard()}
+	f.origins = origin.NewKeeper(1<<10, f.recentSoftware)
+	socket.Handle(datagram.KindOrigin, func(from netip.AddrPort, payload []byte) error {
+		var message origin.Message
+		if _, err := message.UnmarshalMsg(payload); err != nil {
+			return err
+		}
+		if reply := f.origins.Handle(time.Since(began), &message); reply != nil {
+			socket.Send(datagram.KindOriginReply, reply, from)
+		}
+		return nil
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = socket.Run(ctx, f.address)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+// recentSoftware is the Keeper.Recent of a coordinator whose list has always been the one that it shows.
+func (f *fakeCoordinator) recentSoftware(services []string) (recent []origin.ServiceVersions) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, service := range services {
+		each := origin.ServiceVersions{Service: service, Complete: f.view.SoftwareComplete}
+		for _, replica := range f.view.Replicas {
+			software := origin.SoftwareOf(replica.Software, replica.ID)
+			if replica.Service == service && !slices.Contains(each.Software, software) {
+				each.Software = append(each.Software, software)
+			}
+		}
+		recent = append(recent, each)
+	}
+	return recent
+}
+
 func (f *fakeCoordinator) update(change func(*region.View)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/relay/daemon/forwardclient.go
+++ b/internal/relay/daemon/forwardclient.go
@@ -184,6 +184,8 @@
 		Attempts:      progress.Attempts,
 		Arrivals:      progress.Arrivals,
 		MayHaveRun:    progress.MayHaveRun,
+		Number:        call.Number,
+		Sends:         progress.Sends,
 	}
 	field := headerPeerCall
 	if call.Software.IsSet() {
--- a/internal/relay/daemon/forwardserver.go
+++ b/internal/relay/daemon/forwardserver.go
@@ -74,7 +74,10 @@
 	if forwarded.Software != nil {
 		call.Software = *forwarded.Software
 	}
-	call.Progress = relay.Progress{Attempts: forwarded.Attempts, Arrivals: forwarded.Arrivals, MayHaveRun: forwarded.MayHaveRun}
+	call.Number = forwarded.Number
+	call.Progress = relay.Progress{
+		Attempts: forwarded.Attempts, Arrivals: forwarded.Arrivals, Sends: forwarded.Sends, MayHaveRun: forwarded.MayHaveRun,
+	}
 	f.settings.Logger.V(1).Info(event.RequestTaken, "request", metadata.ID, "route", route.Name, "service", service,
 		"tenant", call.Tenant, "version", table.Configuration.Version, "wait_ms", metadata.Wait.Milliseconds(), "from", forwarded.Gateway)
 	return call, nil
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,11 +13,13 @@
 	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/framing"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 	"github.com/pierhaven/pierhaven/internal/upstream"
@@ -28,6 +32,7 @@
 	runner   *relay.Runner
 	quotas   *quotaClient
 	forwards *forwardClient
+	origins  *originClient
 	// refuseAfter is the time after which new requests are refused. It is nil until a planned stop
 	// begins.
 	refuseAfter atomic.Pointer[time.Time]
@@ -113,9 +118,7 @@
 // newCall validates and authenticates a request and returns the call for its route.
 func (f *frontend) newCall(ctx context.Context, request *app.RequestContext) (*authorizedCall, error) {
 	arrived := time.Now()
-	metadata := f.settings.Dialect.ReadRequestMetadata(func(name string) string {
-		return string(request.Request.Header.Peek(name))
-	})
+	metadata := f.settings.Dialect.ReadRequestMetadata(func(name string) string { return fieldValue(&request.Request.Header, name) })
 	if err := framing.Check(request.Request.Header.RawHeaders()); err != nil {
 		f.logRefusal(metadata.ID, err.Error())
 		return nil, err
@@ -142,19 +145,47 @@
 	if err != nil {
 		return nil, err
 	}
-	service := route.Splitter.Next()
+	tenantName := ""
+	if owner != nil {
+		tenantName = owner.Name
+	}
+	began, err := f.beginsAt(ctx, route, tenantName, metadata)
+	if err != nil {
+		f.logRefusal(metadata.ID, err.Error())
+		return nil, err
+	}
+	service := began.Service
 	call := f.callTo(service, table, request, metadata)
 	call.Arrived = arrived
 	call.Route = withTenantPriority(owner, route.Route)
-	if owner != nil {
-		call.Tenant = owner.Name
-	}
+	call.Tenant = tenantName
+	call.Software = began.Software
+	call.Number = rand.Uint64()
 	f.settings.Logger.V(1).Info(event.RequestTaken, "request", metadata.ID, "route", route.Name, "service", service,
 		"tenant", call.Tenant, "version", table.Configuration.Version, "wait_ms", metadata.Wait.Milliseconds(), "resumes", metadata.Resumes,
 		"after_event", metadata.LastEvent)
 	return &authorizedCall{Call: call, owner: owner, tenantRank: route.Priority}, nil
 }
 
+// fieldValue returns the value of a header field, and several of them as a list (RFC 9110, section 5.3), which is the value
+// of none of them.
+func fieldValue(header *protocol.RequestHeader, name string) string {
+	values := header.PeekAll(name)
+	if len(values) <= 1 {
+		return string(header.Peek(name))
+	}
+	return string(bytes.Join(values, []byte(", ")))
+}
+
+// beginsAt returns where a request's answer begins: the service and, for a stream that is taken up, the software.
+func (f *frontend) beginsAt(ctx context.Context, route *traffic.Mounted, tenant string, metadata relay.RequestMetadata) (origin.Origin, error) {
+	if route.Kind != traffic.KindStream || metadata.LastEvent == "" {
+		return origin.Origin{Service: route.Splitter.Next()}, nil
+	}
+	found, err := f.origins.find(ctx, tenant, metadata, route.Route)
+	return found.Origin, err
+}
+
 // callTo returns the call of a request to a service, without its tenant, route and time of arrival.
 func (f *frontend) callTo(service string, table *traffic.Table, request *app.RequestContext, metadata relay.RequestMetadata) *relay.Call {
 	metadata.Key = ""
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -8,13 +8,16 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -164,3 +167,69 @@
 		})
 	}
 }
+
+// takeUpWith takes a stream up at the second gateway by a request with given fields, and returns the status.
+func (r *takeUps) takeUpWith(fields map[string]string) int {
+	r.t.Helper()
+	status, _ := r.call(r.second, fields)
+	return status
+}
+
+// What nobody knows is refused at once, and never guessed.
+func TestAStreamOfUnknownOriginIsRefused(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"}, version{"service", "v2"})
+	r.begin("r-1")
+	for name, resumes := range map[string]string{
+		"none": "", "never was": "r-2", "absurdly long": strings.Repeat("r", 3000), "several": "r-1, r-1",
+	} {
+		began := time.Now()
+		status := r.takeUpWith(map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": resumes})
+		assert.Equal(t, http.StatusServiceUnavailable, status, name)
+		assert.Less(t, time.Since(began), 5*time.Second, "the caller waits for 20 s")
+	}
+	assert.Empty(t, r.wentOnAt)
+}
+
+// Where one version alone can have begun a stream it goes on there, whoever has begun it.
+func TestAStreamThatOnlyOneVersionCanHaveBegunGoesOn(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"})
+	fields := map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": "r-unknown"}
+	assert.Equal(t, http.StatusServiceUnavailable, r.takeUpWith(fields), "another one may have been listed before")
+	r.coordinator.update(func(view *region.View) { view.SoftwareComplete = true })
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusOK }, 30*time.Second, 10*time.Millisecond)
+	former := region.FormerSoftware{Service: "service", Version: "v0", Until: time.Now().UnixNano()}
+	r.coordinator.update(func(view *region.View) {
+		view.RegionNanos, view.FormerSoftware = time.Now().UnixNano(), []region.FormerSoftware{former}
+	})
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusServiceUnavailable }, 30*time.Second, 10*time.Millisecond)
+}
+
+// Coordinators are told where streams begin only while they can begin at more than one origin, and then also of those
+// that have begun before.
+func TestOriginsAreToldOnlyWhileThereAreSeveral(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"})
+	r.coordinator.update(func(view *region.View) { view.SoftwareComplete = true })
+	polls := r.coordinator.pollCount()
+	require.Eventually(t, func() bool { return r.coordinator.pollCount() > polls+4 }, 30*time.Second, time.Millisecond)
+	for number := range takenUpStreams {
+		r.begin(fmt.Sprint("r-", number))
+	}
+	assert.Zero(t, r.coordinator.origins.Counts().Kept)
+	r.coordinator.update(func(view *region.View) {
+		added := view.Replicas[0]
+		added.ID, added.Software = "newer", "v2"
+		view.ListRevision++
+		view.Replicas = append(slices.Clone(view.Replicas), added)
+	})
+	require.Eventually(t, func() bool { return r.coordinator.origins.Counts().Kept == takenUpStreams }, 30*time.Second, time.Millisecond)
+}
+
+// A tenant's request ID is of no use to another tenant: the key of a record has both.
+func TestAKeyBelongsToATenant(t *testing.T) {
+	assert.NotEqual(t, origin.KeyOf("a", "b"), origin.KeyOf("", "ab"))
+	assert.NotEqual(t, origin.KeyOf("a", "b"), origin.KeyOf("ab", ""))
+	assert.Equal(t, origin.KeyOf("a", "b"), origin.KeyOf("a", "b"))
+}
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -40,6 +40,11 @@
 	// onConfigured is called with each configuration that takes effect. It must be set before first
 	// use.
 	onConfigured func(*traffic.Configuration)
+	// onListed is called with each list that takes effect; whole is false while parts of it are missing. It must be set
+	// before first use.
+	onListed func(whole bool)
+	// onFormerSoftware is called with each view of a coordinator whose copy was confirmed. It must be set before first use.
+	onFormerSoftware func(view *region.View)
 
 	table atomic.Pointer[traffic.Table]
 	// gateways is the number of gateways last reported by a coordinator, 0 before the first report.
@@ -83,6 +88,9 @@
 
 		configured:   make(chan struct{}),
 		onConfigured: func(*traffic.Configuration) {},
+		onListed:     func(bool) {},
+
+		onFormerSoftware: func(*region.View) {},
 	}
 }
 
@@ -241,6 +249,7 @@
 		v.gateways.Store(int64(view.Gateways))
 	}
 	v.noteListAges(view)
+	v.onFormerSoftware(view)
 	if at := v.now() - time.Duration(view.AgeMillis)*time.Millisecond; !v.confirmed || at > v.freshAt {
 		v.confirmed = true
 		v.freshAt = at
@@ -288,6 +297,7 @@
 	}
 	replicas := v.list.Replicas()
 	v.directory.Replace(replicas)
+	v.onListed(!v.list.IsPartial())
 	v.logger.Info(event.ListTaken, "revision", view.ListRevision, "replicas", len(replicas),
 		"changed", len(view.Replicas), "removed", len(view.Removed), "part_end", view.PartEnd, "age_ms", view.AgeMillis)
 }
@@ -357,6 +367,7 @@
 		return err
 	}
 	v.directory.Replace(replicas)
+	v.onListed(true)
 	v.logger.Info(event.ListTakenDirectly, "replicas", len(replicas))
 	return nil
 }
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -18,6 +18,8 @@
 	// Attempts counts the replicas that may have run the call, Arrivals those that it may have reached.
 	Attempts int
 	Arrivals int
+	// Sends counts the sends to replicas.
+	Sends int
 	// MayHaveRun is set if an attempt may have run.
 	MayHaveRun bool
 	// LastEvent is the ID of the last event that the caller has of an interrupted stream.
@@ -88,7 +90,7 @@
 
 // progress returns what has become of the call here.
 func (r *callState) progress() Progress {
-	progress := Progress{Attempts: r.attempts, Arrivals: r.arrivals, MayHaveRun: r.mayHaveRun, LastEvent: r.call.LastEvent}
+	progress := Progress{Attempts: r.attempts, Arrivals: r.arrivals, Sends: r.sends, MayHaveRun: r.mayHaveRun, LastEvent: r.call.LastEvent}
 	if r.stream != nil && r.stream.lastEvent != "" {
 		progress.LastEvent = r.stream.lastEvent
 	}
--- /dev/null
+++ b/internal/relay/origins.go
@@ -0,0 +1,26 @@
+package relay
+
+import (
+	"github.com/pierhaven/pierhaven/internal/origin"
+	"github.com/pierhaven/pierhaven/internal/traffic"
+)
+
+// OriginRecorder records where a call's stream begins if its next send, of a number from 1, brings the first event. It does
+// not block.
+type OriginRecorder func(call *Call, at origin.Origin, send int)
+
+// SetOriginRecorder sets what records where streams begin, so that they can be taken up at another gateway. It must be
+// called before the Runner is used.
+func (r *Runner) SetOriginRecorder(recorder OriginRecorder) { r.recordOrigin = recorder }
+
+// mayBeTakenUp reports whether the call is a stream that callers may take up.
+func (c *Call) mayBeTakenUp() bool { return c.Route.Kind == traffic.KindStream && c.Route.Resumable }
+
+// noteOrigin records where the call's stream will begin, unless it has begun.
+func (r *callState) noteOrigin(lease *Lease) {
+	if r.recordOrigin == nil || !r.call.mayBeTakenUp() || r.call.Software.IsSet() {
+		return
+	}
+	at := origin.Origin{Service: r.call.Service.Name, Software: lease.Software}
+	r.recordOrigin(r.call, at, r.call.Progress.Sends+r.sends)
+}
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -44,6 +44,8 @@
 	// probationPermit asks a coordinator whether a request on probation may be sent now. If nil, no
 	// coordinator is asked.
 	probationPermit func(ctx context.Context, digest poison.Digest) (wait time.Duration)
+	// recordOrigin records where streams begin; nil if nothing keeps that.
+	recordOrigin OriginRecorder
 }
 
 // NewRunner returns a Runner that places requests from the given directory, without a guard, rate
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -138,6 +138,7 @@
 			"send", r.sends, "after_ms", time.Since(r.call.Arrived).Milliseconds())
 	}
 	r.logLeavingSend(lease)
+	r.noteOrigin(lease)
 	r.earlierEvents = r.eventCount()
 	sentAt := time.Now()
 	ctx, stopWatch := r.watchLinks(ctx)
