stageplan: each version of the software keeps two decode replicas

While replicas of several versions serve, a plan could turn all decode replicas of one version to prefill, and with one of them gone its streams had nowhere to go on. TestEachVersionKeepsDecodeReplicas fails without the bound (planted: one was left).

--- a/internal/coordinator/stageinput.go
+++ b/internal/coordinator/stageinput.go
@@ -96,7 +96,7 @@
 		if now < p.ordersHeldUntil[name] {
 			continue
 		}
-		planned := stageplan.Replica{ID: name, Slots: replica.Slots, Decodes: replica.Stage == region.StageDecode}
+		planned := stageplan.Replica{ID: name, Slots: replica.Slots, Decodes: replica.Stage == region.StageDecode, Software: replica.Software}
 		planned.Unsettled = unreachable[name]
 		planned.Rejects = refusing[name]
 		input.Unstable = input.Unstable || planned.Unsettled
--- a/internal/stageplan/plan.go
+++ b/internal/stageplan/plan.go
@@ -27,6 +27,8 @@
 	// Rejects is set for a replica that has rejected requests recently: it would be of no use in
 	// another stage.
 	Rejects bool
+	// Software is the version of the replica's software. Streams go on only at decode replicas of the same one.
+	Software string
 }
 
 // Input is the state that Step decides on.
@@ -111,8 +113,11 @@
 	busyPrefillUtilization = 0.3
 	// maximumPrefillUtilization is the highest utilization that prefill replicas can sustain.
 	maximumPrefillUtilization = 0.9
-	// minimumReplicas is the number of replicas that each stage keeps if there are enough.
-	minimumReplicas = 2
+	// minimumReplicas is the number of replicas that each stage keeps if there are enough, and minimumOfSoftware the number
+	// of decode replicas that each version of the software keeps: if one of them ends, the streams of the version go on at
+	// another one.
+	minimumReplicas   = 2
+	minimumOfSoftware = 2
 	// reversalDelay is the minimum time between a change towards one stage and one towards the
 	// other.
 	reversalDelay = 3 * time.Second
@@ -294,7 +299,11 @@
 // candidates are the replicas that may be moved to a stage.
 func (p *Planner) candidates(now time.Duration, input Input, decodes bool) []string {
 	var ids []string
+	decoding := decodingBySoftware(input.Replicas)
 	for _, replica := range input.Replicas {
+		if !decodes && len(decoding) > 1 && decoding[replica.Software] <= minimumOfSoftware {
+			continue
+		}
 		if replica.Decodes == decodes || replica.Changing || replica.Unsettled || replica.Rejects || p.withinDwell(now, replica.ID, input.Rules) {
 			continue
 		}
@@ -303,6 +312,17 @@
 	return ids
 }
 
+// decodingBySoftware counts the settled decode replicas of each version of the software.
+func decodingBySoftware(replicas []Replica) map[string]int {
+	decoding := map[string]int{}
+	for _, replica := range replicas {
+		if replica.Decodes && !replica.Unsettled {
+			decoding[replica.Software]++
+		}
+	}
+	return decoding
+}
+
 // ReplaceCandidate replaces the replica of a change by another of its candidates.
 func (p *Planner) ReplaceCandidate(now time.Duration, change *Change, id string) {
 	if id == change.ReplicaID {
--- a/internal/stageplan/plan_test.go
+++ b/internal/stageplan/plan_test.go
@@ -324,3 +324,40 @@
 	require.NotNil(t, change)
 	assert.Equal(t, []string{"r3", "r4", "r5"}, change.Candidates)
 }
+
+// Guards against streams that can't go on since all replicas of their version prefill: the last decode replicas of a
+// version stay.
+func TestEachVersionKeepsDecodeReplicas(t *testing.T) {
+	var replicas []stageplan.Replica
+	for index, version := range []string{"v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2", "v2", "v2"} {
+		replicas = append(replicas, stageplan.Replica{ID: fmt.Sprint("i-", index), Slots: 32, Decodes: true, Software: version})
+	}
+	planner := &stageplan.Planner{}
+	for step := range 100 {
+		now := time.Duration(step) * 10 * time.Second
+		change := planner.Step(now, stageplan.Input{Replicas: replicas, DemandKnown: true, PrefillLoad: 8, RunningStreams: 1})
+		if change == nil {
+			continue
+		}
+		for index := range replicas {
+			if replicas[index].ID == change.ReplicaID {
+				replicas[index].Decodes = change.Decodes
+			}
+		}
+		decoding := map[string]int{}
+		for _, replica := range replicas {
+			if replica.Decodes {
+				decoding[replica.Software]++
+			}
+		}
+		require.GreaterOrEqual(t, decoding["v1"], 2)
+		require.GreaterOrEqual(t, decoding["v2"], 2)
+	}
+	prefilling := 0
+	for _, replica := range replicas {
+		if !replica.Decodes {
+			prefilling++
+		}
+	}
+	require.Positive(t, prefilling)
+}
