relay: streams that go on are let in before new ones

A stream that goes on has one or two replicas to go to, a new one all of them. It is sent with the first priority, is not turned away while its caller can be served in time, and finds room: new requests leave the last quarter of the slots at replicas whose software at most two run, unless the others are full (TestNewRequestsLeaveRoomAtScarceReplicas, which fails without).

--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -123,7 +123,39 @@
 		// A replica that is leaving, and still accepts work, is better than none.
 		candidates = leaving
 	}
-	return d.belowLearnedLimit(candidates, wanted.Rank, now)
+	return d.leaveRoom(d.belowLearnedLimit(candidates, wanted.Rank, now), wanted, now)
+}
+
+const (
+	// scarceReplicas is the number of candidates with the same software up to which they are scarce: streams that have begun
+	// there can go on at few replicas.
+	scarceReplicas = 2
+	// scarceOccupancy is the occupancy up to which new requests are sent to scarce replicas.
+	scarceOccupancy = 0.75
+)
+
+// leaveRoom returns the candidates without those that are kept for streams that go on there: replicas whose software
+// hardly any other runs, once most of their slots are in use. The caller must hold d.mutex.
+func (d *Directory) leaveRoom(candidates []*Replica, wanted Wanted, now time.Duration) []*Replica {
+	if wanted.Software.IsSet() || !severalVersions(candidates) {
+		return candidates
+	}
+	running := map[string]int{}
+	for _, replica := range candidates {
+		running[replica.Version]++
+	}
+	roomy := slices.DeleteFunc(slices.Clone(candidates), func(r *Replica) bool {
+		return running[r.Version] <= scarceReplicas && r.occupancy(now) >= scarceOccupancy
+	})
+	if len(roomy) == 0 {
+		return candidates
+	}
+	return roomy
+}
+
+// severalVersions reports whether replicas run more than one version.
+func severalVersions(replicas []*Replica) bool {
+	return slices.ContainsFunc(replicas, func(r *Replica) bool { return r.Version != replicas[0].Version })
 }
 
 // lowest returns the candidate with the lowest score.
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -95,6 +95,10 @@
 // replica), and less than lateShare of its slots may be taken, so that on-time prompts find capacity. The
 // caller must hold d.mutex.
 func (d *Directory) acceptsLate(e *prefillEstimate, request PrefillRequest, now time.Duration) bool {
+	if request.Software.IsSet() {
+		// The stream goes on at one of few replicas or nowhere.
+		return e.total() < request.lateLeft()
+	}
 	taken := float64(e.replica.totalInFlight(now))
 	completes := d.lateTotal(e) < request.lateLeft() || (e.total() < request.lateLeft() && d.mayBeginLate(e, now))
 	return completes && taken < lateShare*float64(max(e.replica.Slots, 1))
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -86,7 +86,8 @@
 	if ctx.Err() != nil {
 		return verdictNotRun, context.Cause(ctx)
 	}
-	send := Send{LastEvent: r.call.LastEvent}
+	// A stream that goes on is let in before those that begin.
+	send := Send{LastEvent: r.call.LastEvent, Ranked: r.isModelCall() && r.call.Software.IsSet()}
 	if r.stream != nil && r.stream.lastEvent != "" {
 		send.LastEvent = r.stream.lastEvent
 	}
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
@@ -103,3 +105,19 @@
 		assert.Equal(t, []string{step.runs}, running, step.listed)
 	}
 }
+
+// New streams leave the last slots of a version that hardly any replica runs to the streams that go on there, unless there is
+// no other room.
+func TestNewRequestsLeaveRoomAtScarceReplicas(t *testing.T) {
+	w := newTestEnvironment(t)
+	for id, version := range map[string]string{"old": "v1", "new-1": "v2", "new-2": "v2", "new-3": "v2"} {
+		w.list(region.Replica{ID: id, Service: "service", Address: "10.0.0.1:80", Zone: "zone", Slots: 4, Software: version})
+	}
+	taken := map[string]int{}
+	for range 16 {
+		taken[w.directory.PickAny("service", relay.Wanted{}).Replica.ID]++
+	}
+	assert.Equal(t, 3, taken["old"], "three quarters of its slots, until all others are full")
+	goesOn := w.directory.PickAny("service", relay.Wanted{Software: origin.Software{Version: "v1"}})
+	assert.Equal(t, "old", goesOn.Replica.ID)
+}
