--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -16,6 +16,18 @@
 	registry.GaugeFunc("limits_dropped", "Limits of replicas that were given up for lack of room, since the start.", func() float64 {
 		return float64(c.limits.droppedReports())
 	})
+	registry.GaugeFunc("origins_kept", "Streams of which this coordinator keeps where they have begun.", func() float64 {
+		return float64(c.origins.Counts().Kept)
+	})
+	registry.GaugeFunc("origins_dropped", "Streams whose origins were given up for lack of room, since the start.", func() float64 {
+		return float64(c.origins.Counts().Dropped)
+	})
+	registry.GaugeFunc("origin_queries", "Queries of gateways for the origins of streams, since the start.", func() float64 {
+		return float64(c.origins.Counts().Queries)
+	})
+	registry.GaugeFunc("origins_found", "Queries for the origins of streams that were kept, since the start.", func() float64 {
+		return float64(c.origins.Counts().Found)
+	})
 	registry.GaugeFunc("messages_unreadable", "Messages of other processes that could not be read, since the start.", func() float64 {
 		return float64(c.placement.socket.Unreadable())
 	})
--- a/internal/coordinator/operatorroutes.go
+++ b/internal/coordinator/operatorroutes.go
@@ -22,6 +22,8 @@
 	// PathBuilds shows the build that each process runs, and the features that are disabled until all
 	// processes run a newer one.
 	PathBuilds = "/operator/v1/builds"
+	// PathSoftware shows the versions of the software that replicas run.
+	PathSoftware = "/operator/v1/software"
 	// PathRegions shows the replicas and the load of each region.
 	PathRegions = "/operator/v1/regions"
 	// PathFleet explains the current numbers of replicas.
@@ -46,6 +48,9 @@
 		builds, err := c.Builds(ctx)
 		writeOperatorResponse(call, builds, err)
 	})
+	router.GET(PathSoftware, func(_ context.Context, call *app.RequestContext) {
+		writeOperatorResponse(call, c.Software(), nil)
+	})
 	router.GET(PathRegions, func(_ context.Context, call *app.RequestContext) {
 		writeOperatorResponse(call, c.RegionLoads(), nil)
 	})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -34,8 +34,9 @@
 // maximumLine bounds a log line, in bytes.
 const maximumLine = 1 << 20
 
-// Read adds the lines of a log that are about a request. Whatever stands before
-// the object in a line is passed over, and lines without one are too.
+// Read adds the lines of a log that are about a request, or about one that takes up
+// its stream. Whatever stands before the object in a line is passed over, and lines
+// without one are too.
 func Read(log io.Reader, request string, lines []Line) ([]Line, error) {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maximumLine)
@@ -44,7 +45,7 @@
 		if !bytes.Contains(scanner.Bytes(), wanted) {
 			continue
 		}
-		if line, ok := parse(scanner.Text()); ok && line.Fields["request"] == request {
+		if line, ok := parse(scanner.Text()); ok && (line.Fields["request"] == request || line.Fields["resumes"] == request) {
 			lines = append(lines, line)
 		}
 	}
@@ -109,12 +110,34 @@
 	if len(lines) == 0 {
 		return fmt.Sprintf("Request %s is in none of the logs.", request)
 	}
+	takenUp := takeUpsOf(request, lines)
+	lines = slices.DeleteFunc(slices.Clone(lines), func(line Line) bool { return line.Fields["request"] != request })
 	for _, line := range slices.Backward(lines) {
 		if ending, found := endings[line.Event]; found {
-			return fmt.Sprintf("Request %s %s%s.", request, ending(line), attemptsOf(lines))
+			return fmt.Sprintf("Request %s %s%s%s.", request, ending(line), attemptsOf(lines), takenUp)
 		}
 	}
-	return fmt.Sprintf("Request %s has no end in the logs%s: its process stopped, or lines were dropped.", request, attemptsOf(lines))
+	return fmt.Sprintf("Request %s has no end in the logs%s: its process stopped, or lines were dropped%s.", request, attemptsOf(lines), takenUp)
+}
+
+// takeUpsOf tells which requests have taken up a request's stream, which one it takes up itself, and at which software.
+func takeUpsOf(request string, lines []Line) string {
+	var told strings.Builder
+	for _, line := range lines {
+		if line.Event != event.StreamTakenUp {
+			continue
+		}
+		where := fmt.Sprintf("at software %q of service %q, as told by %q", line.Fields["software"], line.Fields["service"], line.Fields["found"])
+		if cause, _ := line.Fields["error"].(string); cause != "" {
+			where = "in vain: " + cause
+		}
+		if line.Fields["request"] == request {
+			_, _ = fmt.Fprintf(&told, "; it takes up the stream of %v %s", line.Fields["resumes"], where)
+			continue
+		}
+		_, _ = fmt.Fprintf(&told, "; its stream was taken up by %v %s", line.Fields["request"], where)
+	}
+	return told.String()
 }
 
 // attemptsOf tells what each attempt led to.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -53,3 +53,18 @@
 		assert.Contains(t, explained(t, line).Cause, says)
 	}
 }
+
+func TestAStreamIsFollowedOverItsCallersTries(t *testing.T) {
+	log := `{"ts":"2026-01-01T00:00:00Z","msg":"stream broken off","request":"r-1","events":3,"cause":"a reset"}
+{"ts":"2026-01-01T00:00:01Z","msg":"stream taken up","request":"r-2","resumes":"r-1","service":"s","software":"v1","found":"10.0.0.1:1"}
+{"ts":"2026-01-01T00:00:02Z","msg":"request answered","request":"r-2","after_ms":5,"sends":1}
+`
+	explained := func(request string) string {
+		lines, err := explain.Read(strings.NewReader(log), request, nil)
+		require.NoError(t, err)
+		return explain.Explain(request, lines).Cause
+	}
+	assert.Equal(t, `Request r-1 had its stream broken off after 3 parts because a reset; its stream was taken up by r-2 `+
+		`at software "v1" of service "s", as told by "10.0.0.1:1".`, explained("r-1"))
+	assert.Equal(t, `Request r-2 was answered after 5 ms, in 1 sends; it takes up the stream of r-1 at software "v1" of service "s", as told by "10.0.0.1:1".`, explained("r-2"))
+}
