relay: a stream that is taken up behind its last event is complete

A caller that has all events of a stream, and has lost only its end, takes the stream up behind the last one: the replica answers 200 with nothing more. The gateway took that for a stream that ends inside an event, tried the next replica and refused with 502. The test failed before; so it was with a stream that a peer passes on.

--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -182,7 +182,8 @@
 		}
 		switch {
 		case err == nil && len(events.partial) <= maximumEventBytes:
-		case errors.Is(err, io.EOF) && len(events.partial) == 0 && r.stream != nil:
+		case errors.Is(err, io.EOF) && len(events.partial) == 0 && (r.stream != nil || r.call.LastEvent != ""):
+			r.beginStream(exchange)
 			r.stream.writer.End()
 			return verdictAnswered, nil
 		default:
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -121,3 +121,21 @@
 	goesOn := w.directory.PickAny("service", relay.Wanted{Software: origin.Software{Version: "v1"}})
 	assert.Equal(t, "old", goesOn.Replica.ID)
 }
+
+// Guards against streams that are taken up behind their last event, since only their end was lost, and are taken for broken.
+func TestAStreamThatIsTakenUpBehindItsLastEventIsComplete(t *testing.T) {
+	w := newTestEnvironment(t)
+	w.addReplica("a", "", streamEvents(1, 0, false))
+	call := newCall(traffic.KindStream, 2)
+	call.Route.Resumable = true
+	call.LastEvent, call.Software = "9", origin.Software{Version: "v1"}
+	answer := w.runCall(call)
+	assert.True(t, answer.ended)
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.Empty(t, answer.body.String())
+	assert.Equal(t, 1, w.requestCount("a"))
+
+	fresh := newCall(traffic.KindStream, 1)
+	fresh.Route.Resumable = true
+	assert.False(t, w.runCall(fresh).ended, "a stream that begins has events")
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -75,7 +75,9 @@
 		}
 		switch {
 		case err == nil && len(events.partial) <= maximumEventBytes:
-		case errors.Is(err, io.EOF) && len(events.partial) == 0 && r.stream != nil:
+		case errors.Is(err, io.EOF) && len(events.partial) == 0 && (r.stream != nil || send.LastEvent != ""):
+			// A caller that takes a stream up may have all of its events.
+			r.beginStream(response)
 			r.succeeded = true
 			r.stream.writer.End()
 			return verdictAnswered, nil
@@ -105,10 +107,7 @@
 // forward writes complete events, preceded by the header if it was not sent yet. An error means that
 // the caller has disconnected.
 func (r *callState) forward(response *upstream.Exchange, complete []byte, lastID string) error {
-	if r.stream == nil {
-		r.metrics.observeFirstAnswer(r.call)
-		r.stream = &streamState{writer: r.responder.Stream(response.Status, response.Header)}
-	}
+	r.beginStream(response)
 	if lastID != "" {
 		r.stream.lastEvent = lastID
 	}
@@ -117,6 +116,15 @@
 	return r.stream.writer.Send(complete)
 }
 
+// beginStream writes the header, if it was not sent yet.
+func (r *callState) beginStream(response *upstream.Exchange) {
+	if r.stream != nil {
+		return
+	}
+	r.metrics.observeFirstAnswer(r.call)
+	r.stream = &streamState{writer: r.responder.Stream(response.Status, response.Header)}
+}
+
 // recordStreamStart records the first event of a stream at a replica, which now has the prompt cached.
 // The start of a moved stream was recorded before.
 func (r *callState) recordStreamStart(lease *Lease, send Send) {
