--- a/internal/relay/limited.go
+++ b/internal/relay/limited.go
@@ -45,7 +45,7 @@
 	if r.limits == nil || rate < 0 {
 		return true
 	}
-	rank := rankOf(r.call.Route.Priority)
+	rank := r.rank()
 	permit := r.limits.Ask(ctx, PermitRequest{Request: r.call.ID, Life: lease.Replica.name, Rate: rate, Rank: rank})
 	if permit.Granted {
 		lease.permit = &permit
@@ -113,13 +113,13 @@
 	if r.call.Software.IsSet() && !r.directory.runs(r.call.Service.Name, r.call.Software) {
 		return errSoftwareGone
 	}
-	if wait := r.directory.backoffRetryAfter(r.call.Service.Name, rankOf(r.call.Route.Priority)); wait > 0 {
+	if wait := r.directory.backoffRetryAfter(r.call.Service.Name, r.rank()); wait > 0 {
 		return &backoffError{wait: wait}
 	}
 	if r.limits == nil {
 		return errNoReplica
 	}
-	wait := r.directory.limitRetryAfter(r.call.Service.Name, rankOf(r.call.Route.Priority))
+	wait := r.directory.limitRetryAfter(r.call.Service.Name, r.rank())
 	if wait <= 0 {
 		return errNoReplica
 	}
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -105,7 +105,7 @@
 }
 
 // candidates returns the replicas of a service that may get a request, those that are leaving only if there are
-// no others. Replicas at the learned limit are left out. The caller must hold d.mutex.
+// no others. Replicas at the learned limit are left out, except for a stream that goes on. The caller must hold d.mutex.
 func (d *Directory) candidates(service string, wanted Wanted, passes func(*Replica) bool, now time.Duration) []*Replica {
 	var candidates, leaving []*Replica
 	asking := d.gateNow()
@@ -123,7 +123,11 @@
 		// A replica that is leaving, and still accepts work, is better than none.
 		candidates = leaving
 	}
-	return d.leaveRoom(d.belowLearnedLimit(candidates, wanted.Rank, now), wanted, now)
+	if wanted.Software.IsSet() {
+		// Rather a rejection by the replica than none that could have taken it.
+		return candidates
+	}
+	return d.leaveRoom(d.belowLearnedLimit(candidates, wanted.Rank, now), now)
 }
 
 const (
@@ -136,8 +140,8 @@
 
 // leaveRoom returns the candidates without those that are kept for streams that go on there: replicas whose software
 // hardly any other runs, once most of their slots are in use. The caller must hold d.mutex.
-func (d *Directory) leaveRoom(candidates []*Replica, wanted Wanted, now time.Duration) []*Replica {
-	if wanted.Software.IsSet() || !severalVersions(candidates) {
+func (d *Directory) leaveRoom(candidates []*Replica, now time.Duration) []*Replica {
+	if !severalVersions(candidates) {
 		return candidates
 	}
 	running := map[string]int{}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -94,7 +94,7 @@
 		TargetTokenGap: r.call.Route.TargetGap,
 		ObjectiveLeft:  time.Until(r.call.Arrived.Add(objective)),
 		Left:           r.timeLeft(),
-		Rank:           rankOf(r.call.Route.Priority),
+		Rank:           r.rank(),
 		Tenant:         tenantHash(r.call.Tenant),
 		Zone:           r.directory.zone,
 		Excluded:       r.excluded(),
@@ -103,6 +103,14 @@
 	}
 }
 
+// rank returns the scheduling rank of the request: the first one for a stream that goes on, which few replicas can serve.
+func (r *callState) rank() int {
+	if r.call.Software.IsSet() {
+		return 0
+	}
+	return rankOf(r.call.Route.Priority)
+}
+
 // excluded returns the replicas that the request was sent to and those without capacity for it.
 func (r *callState) excluded() []*Replica {
 	if len(r.denied) == 0 {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -411,7 +411,7 @@
 	r.denied = nil
 	if !r.isModelCall() {
 		lease, err := r.permitted(ctx, func() (*Lease, error) {
-			wanted := Wanted{Rank: rankOf(r.call.Route.Priority), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas(), Software: r.call.Software}
+			wanted := Wanted{Rank: r.rank(), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas(), Software: r.call.Software}
 			return r.directory.PickAny(r.call.Service.Name, wanted), nil
 		})
 		return lease, nil, err
