--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -82,8 +82,9 @@
 	engines *platformtest.Engines
 	// engineTargets are where the engines listen behind the proxy.
 	engineTargets map[string]string
+	// mutex guards the processes, which the proxy looks up while they are laid out, the replicas and what the list shows.
+	mutex sync.Mutex
 	// replicas are those that requests may end.
-	mutex    sync.Mutex
 	replicas []*replicaProcess
 	// keepsIDs says that a replica which starts again does so under its id, as with those of
 	// half of the seeds.
@@ -375,7 +376,9 @@
 		if options.LongList {
 			common += fmt.Sprintf("drain_ms: %d\n", leaveTime.Milliseconds())
 		}
+		f.mutex.Lock()
 		f.coordinators = append(f.coordinators, laid)
+		f.mutex.Unlock()
 	} else {
 		laid.role = "relay"
 		laid.address = fmt.Sprintf("%s:%d", ip, callerPort)
@@ -387,7 +390,9 @@
 				return err
 			}
 		}
+		f.mutex.Lock()
 		f.gateways = append(f.gateways, laid)
+		f.mutex.Unlock()
 	}
 	laid.settings, laid.text = filepath.Join(f.folder, laid.name+".yaml"), common
 	var err error
@@ -404,6 +409,8 @@
 }
 
 func (f *fleet) all() []*process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return append(append([]*process(nil), f.coordinators...), f.gateways...)
 }
 
