bench/soak: engines of several versions side by side, and callers that take streams up

Engines start again with another version, under another id at the same address; each event tells what wrote it; callers take up streams that break off, at the next gateway, as often as five times. Plants: the version not kept on the call, an unknown one guessed; both are noticed.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -148,6 +148,11 @@
 	if err := f.addEngines(engineWatch); err != nil {
 		return f, err
 	}
+	if options.Releases {
+		for number := range engines {
+			f.engines.Release(engineName(number), versions[number%len(versions)])
+		}
+	}
 	listed, err := f.proxy.ListenTCP(listName, "127.0.0.1:0", list.Listener.Addr().String())
 	if err != nil {
 		return f, err
@@ -282,6 +287,30 @@
 	return err
 }
 
+// releaseEngine has another engine with a version of the software start at an engine's address.
+func (f *fleet) releaseEngine(number int, version string) error {
+	id := engineName(number)
+	f.proxy.End(id)
+	f.engines.Release(id, version)
+	_, err := f.proxy.ListenTCP(id, f.engines.Address(id), f.engineTargets[id])
+	return err
+}
+
+// steadyEngines counts the engines that have run a version for a time, and that the list does not show as draining.
+func (f *fleet) steadyEngines(version string, since time.Duration) (steady int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for number := range engines {
+		name := engineName(number)
+		_, born := f.engines.Shows(name)
+		_, runs := f.engines.Instance(name)
+		if runs == version && !f.draining[name] && time.Since(time.UnixMilli(born)) > since {
+			steady++
+		}
+	}
+	return steady
+}
+
 // listed is the platform's list, with the engines as they are. A replica that comes back under its
 // id stays listed, and for some time its former life too.
 func (f *fleet) listed() []platformtest.Listed {
@@ -302,10 +331,14 @@
 	}
 	for index := range f.list {
 		if list[index].Stage != "" {
-			list[index].Stage, list[index].Born = f.engines.Shows(list[index].ID)
-			if f.draining[list[index].ID] {
+			name := list[index].ID
+			list[index].Stage, list[index].Born = f.engines.Shows(name)
+			if f.draining[name] {
 				list[index].State = "draining"
 			}
+			if instance, version := f.engines.Instance(name); version != "" {
+				list[index].ID, list[index].Version = instance, version
+			}
 		}
 	}
 	if f.plants.UntoldStarts {
--- a/bench/soak/lives.go
+++ b/bench/soak/lives.go
@@ -20,7 +20,7 @@
 // restartEngines has engines start again until the context ends.
 func (s *soak) restartEngines(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, s.around(restartEvery))
+		pause(ctx, s.around(s.restartEvery()))
 		number := int(s.draw() * engines)
 		if s.truth.namesNow(engineName(number)) {
 			// Its limit has to be judged for longer than lives last here.
@@ -32,10 +32,23 @@
 	}
 }
 
+// restartEvery returns the mean time between two starts of engines.
+func (s *soak) restartEvery() time.Duration {
+	if s.options.GatewayKills {
+		return slowReleaseEvery
+	}
+	return restartEvery
+}
+
 // restartEngine has an engine end, with what it runs, and start again. It reports whether it has started.
 func (s *soak) restartEngine(number int) bool {
 	s.truth.interrupts(engineName(number))
-	err := s.fleet.restartEngine(number)
+	var err error
+	if s.options.Releases && s.roll(releasedShare) {
+		err = s.fleet.releaseEngine(number, s.anyVersion())
+	} else {
+		err = s.fleet.restartEngine(number)
+	}
 	if err != nil {
 		s.truth.report("%s does not start again: %v", engineName(number), err)
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -12,6 +12,8 @@
 //   - no replica is worked with by what was known of its former life, and nothing is sent to an
 //     entry of the platform's list that names no usable one
 //   - what the platform's list shows of leaving replicas is in force in time, also if it is long and some of its pages fail
+//   - a stream holds events of one version of the replicas' software, over all tries of its caller, and streams that are
+//     taken up go on
 //   - service comes back
 //
 // All of them hold too while processes are replaced by those of another build, one after the other.
@@ -51,6 +53,10 @@
 	EndingParts bool
 	// LongList has the platform's list come in pages, of which some fail, and take few calls a second.
 	LongList bool
+	// Releases has engines of several versions of the software serve side by side, and callers take up streams that break off.
+	Releases bool
+	// GatewayKills leaves out all faults but kills of gateways and starts of engines.
+	GatewayKills bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
 	Callers int
 	// Race builds the program with the race detector; each of its reports is a violation.
@@ -124,6 +130,9 @@
 	// Rested are the times for which a gateway was asked to leave an engine alone, and Left the engines that had told
 	// a gateway that they leave, which were judged.
 	Rested, Left int
+	// TakeUps are the tries to take up streams that were judged, and WentOn those that went on; Begins and Began are the same
+	// for streams that begin.
+	TakeUps, WentOn, Begins, Began int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
 	// first process was replaced, and from then on.
 	ServedBefore, ServedDuring float64
@@ -181,7 +190,8 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.operate(work) })
 	running.Go(func() { s.readBack(work) })
-	if options.Asks {
+	// Engines that rest, leave or name limits don't serve those who take streams up.
+	if options.Asks && !options.GatewayKills {
 		running.Go(func() { s.askToLeave(work) })
 		running.Go(func() { s.askForRest(work) })
 	}
@@ -194,7 +204,7 @@
 		running.Go(func() { s.sendEnding(work) })
 		running.Go(func() { s.restartEngines(work) })
 	}
-	if !options.Plants.NoLimits {
+	if !options.Plants.NoLimits && !options.GatewayKills {
 		running.Go(func() { s.nameLimits(work) })
 	}
 	for number := range options.callers() {
@@ -210,6 +220,8 @@
 		s.replaceAll(ctx)
 	case options.Planned:
 		s.plan(ctx)
+	case options.GatewayKills:
+		s.killGateways(ctx)
 	default:
 		s.harm(ctx)
 	}
@@ -217,6 +229,7 @@
 	cancel()
 	running.Wait()
 	s.truth.judgeCuts()
+	s.truth.judgeTakeUps()
 	s.truth.countAsks()
 	s.truth.races(options.Folder)
 	s.truth.endings()
@@ -283,6 +296,14 @@
 // be moved.
 const eventPace = 25 * time.Millisecond
 
+// brokenShare returns the share of streams that their engines break off.
+func (s *soak) brokenShare() float64 {
+	if s.options.Releases {
+		return 0.1
+	}
+	return 0.02
+}
+
 // rejectedMoves is the share of moved streams that the engine rejects to which they are moved.
 const rejectedMoves = 0.3
 
@@ -293,10 +314,13 @@
 			s.truth.ran(request)
 			s.truth.answersLeaving(engine, request)
 			time.Sleep(5 * time.Millisecond)
-			reply := platformtest.Reply{Status: http.StatusOK, Events: eventsFor(request), Pace: eventPace, Drop: s.roll(0.02)}
+			reply := platformtest.Reply{Status: http.StatusOK, Events: eventsFor(firstTry(request)), Pace: eventPace, Drop: s.roll(s.brokenShare())}
 			if reply.Drop {
 				s.truth.brokeOff(request)
 			}
+			if reply.Drop && s.options.Releases {
+				reply.Events = reply.Events[:1+int(s.draw()*float64(len(reply.Events)))]
+			}
 			return reply
 		},
 		Rejects:    func(string, string) bool { return s.roll(rejectedMoves) },
@@ -378,6 +402,11 @@
 			wanted = platformtest.Streamed(eventsFor(id))
 		}
 		key, owner := keyFor(caller, number)
+		if s.options.Releases && path == resumableRoute && owner != "" {
+			s.streamOverTries(ctx, client, caller+number/len(routes), stream{id: id, key: key, owner: owner, prompt: prompt})
+			pause(ctx, 10*time.Millisecond)
+			continue
+		}
 		s.truth.begin(id, path == onceRoute || path == modelRoute, wanted, owner)
 		gateway := s.gatewayFor(id, caller+number/len(routes))
 		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -193,3 +193,44 @@
 	require.NoError(t, err)
 	require.Contains(t, strings.Join(result.Violations, "\n"), "requests a second, and got")
 }
+
+// releaseSeeds are played with engines of several versions side by side: under all faults, and with kills of gateways alone,
+// where streams that are taken up have to go on.
+func TestStreamsAreOfOneVersionWhileSeveralServe(t *testing.T) {
+	t.Parallel()
+	binary := buildProgram(t, t.TempDir())
+	for name, options := range map[string]Options{
+		"all faults":    {Seed: 12001, Duration: 8 * time.Second},
+		"gateway kills": {Seed: 12101, Duration: 16 * time.Second, GatewayKills: true, Callers: 12},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options.Releases, options.Binary, options.Folder, options.Log = true, binary, t.TempDir(), t.Output()
+			result, err := Run(t.Context(), options)
+			require.NoError(t, err)
+			require.Empty(t, result.Violations)
+			require.Positive(t, result.Streams)
+			require.Positive(t, result.Began)
+		})
+	}
+}
+
+func TestASoakNoticesStreamsOfTwoVersions(t *testing.T) {
+	t.Parallel()
+	for name, plant := range map[string]struct{ file, text, planted string }{
+		"the version is not kept when a stream is moved or continued": {
+			"internal/relay/stream.go", "r.call.beginAt(lease.Software)", "r.stopped = false",
+		},
+		"an unknown version is guessed": {
+			"internal/relay/daemon/front.go", "if route.Kind != traffic.KindStream || metadata.LastEvent == \"\" {", "if true {",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			result, err := Run(t.Context(), Options{
+				Seed: 12201, Duration: noticeTime, EndsWhenNoticed: true, GatewayKills: true, Callers: 12, Releases: true,
+				Binary: buildPlanted(t, plant.file, plant.text, plant.planted), Folder: t.TempDir(), Log: t.Output(),
+			})
+			require.NoError(t, err)
+			require.Contains(t, strings.Join(result.Violations, "\n"), "holds events of versions")
+		})
+	}
+}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -50,6 +50,7 @@
 	// asks are what engines ask of gateways; rested and left count the rests and the leaving engines that were judged.
 	asks                  asks
 	rested, left, drained int
+	takeUps               takeUps
 	// cuts are the calls that ended without a whole answer, and excused how many of them may, by reason.
 	cuts       []cutCall
 	excused    map[string]int
@@ -185,10 +186,12 @@
 	t.answeredAt[id] = time.Now()
 	if answer.Status < 300 {
 		t.served++
+		body := answer.Body
 		if t.wanted[id] != bodyFor(id) {
 			t.streams++
+			body = t.ofOneVersion(id, body)
 		}
-		if !answer.Sealed || answer.Body != t.wanted[id] {
+		if !answer.Sealed || body != t.wanted[id] {
 			t.violate("request %s got a wrong answer: %q", id, answer.Body)
 		}
 	}
@@ -275,6 +278,10 @@
 		Rested:     t.rested,
 		Left:       t.left,
 		Drained:    t.drained,
+		TakeUps:    t.takeUps.judged,
+		WentOn:     t.takeUps.wentOn,
+		Begins:     t.takeUps.begins,
+		Began:      t.takeUps.began,
 	}
 }
 
