activeset: two replicas of each version with an active one stay active

Streams go on only at replicas of their version. In a large fleet the others of it could all stand by, so that streams had nowhere to go once the active one had ended. TestEachVersionKeepsActiveReplicas fails without the bound (planted: none left of one version).

--- a/internal/activeset/planner.go
+++ b/internal/activeset/planner.go
@@ -115,13 +115,16 @@
 		}
 		change.Activate = append(change.Activate, id)
 	}
+	change.Activate = append(change.Activate, members.activateScarce(change.Activate)...)
 	from, known := p.firstReportedAt[key.group]
 	if !known || now-from < demandDecay || float64(members.activeCount) <= deactivationRatio*float64(wanted) {
 		return
 	}
 	members.sort()
 	for range int(math.Ceil(deactivationShare * float64(members.activeCount-wanted))) {
-		change.Deactivate = append(change.Deactivate, members.deactivateLast())
+		if id, spared := members.deactivateLast(); !spared {
+			change.Deactivate = append(change.Deactivate, id)
+		}
 	}
 }
 
--- a/internal/activeset/planner_test.go
+++ b/internal/activeset/planner_test.go
@@ -167,3 +167,37 @@
 		})
 	}
 }
+
+// Guards against streams that can't go on since the other replicas of their version are on standby: two of each version
+// that has an active one stay active, whatever the load is.
+func TestEachVersionKeepsActiveReplicas(t *testing.T) {
+	replicas := fleetOf(2_000, 4)
+	for index := range replicas {
+		replicas[index].Software = "v1"
+		if index >= 1_960 {
+			replicas[index].Software = fmt.Sprint("v2.", index%4)
+		}
+	}
+	activeOf := func() map[string]int {
+		counts := map[string]int{}
+		for index := range replicas {
+			if replicas[index].Active && replicas[index].Role == Decode {
+				counts[replicas[index].Software]++
+			}
+		}
+		return counts
+	}
+	planner := &Planner{MinimumActive: DefaultMinimumActive}
+	busy := map[Group]Demand{model: {BusyPrefillReplicas: 400, DecodingAnswers: 20_000}}
+	apply(replicas, planner.Step(0, Input{Replicas: replicas, Demand: busy}))
+	before := activeOf()
+	require.Greater(t, len(before), 2)
+	for second := 1; second <= 600; second++ {
+		apply(replicas, planner.Step(time.Duration(second)*time.Second, Input{Replicas: replicas, Demand: map[Group]Demand{model: {BusyPrefillReplicas: 1}}}))
+	}
+	after := activeOf()
+	for software := range before {
+		assert.GreaterOrEqual(t, after[software], 2, software)
+	}
+	assert.Less(t, after["v1"], before["v1"])
+}
--- a/internal/activeset/pool.go
+++ b/internal/activeset/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,8 @@
 	// Eligible is false for replicas that are leaving, are changing their stage, don't respond or accept only
 	// a limited number of requests.
 	Eligible bool
+	// Software is the version of its software.
+	Software string
 }
 
 // poolKey identifies the replicas of a group with one role.
@@ -50,10 +53,18 @@
 	// activeCount is the number of replicas in activeByZone, maximumSlots the largest number of slots of a
 	// replica of the pool.
 	activeCount, maximumSlots int
+	// activeOf counts the active replicas by software, and standbyOf holds those on standby.
+	activeOf  map[string]int
+	standbyOf map[string][]*Replica
 }
 
 func newPoolMembers() *poolMembers {
-	return &poolMembers{activeByZone: map[string][]*Replica{}, standbyByZone: map[string][]*Replica{}}
+	return &poolMembers{
+		activeByZone:  map[string][]*Replica{},
+		standbyByZone: map[string][]*Replica{},
+		activeOf:      map[string]int{},
+		standbyOf:     map[string][]*Replica{},
+	}
 }
 
 // add adds a replica. Of an ineligible one only the slots count.
@@ -64,9 +75,36 @@
 	case replica.Active:
 		m.activeByZone[replica.Zone] = append(m.activeByZone[replica.Zone], replica)
 		m.activeCount++
+		m.activeOf[replica.Software]++
 	default:
 		m.standbyByZone[replica.Zone] = append(m.standbyByZone[replica.Zone], replica)
+		m.standbyOf[replica.Software] = append(m.standbyOf[replica.Software], replica)
+	}
+}
+
+// minimumOfSoftware is the number of active replicas of each version of the software, while there are several: streams go
+// on only at replicas of the version that has begun them.
+const minimumOfSoftware = 2
+
+// activateScarce returns the replicas on standby to activate so that minimumOfSoftware of each version are active, of
+// those that have any. The ids are of the first in activation order that are not among those that were activated already.
+func (m *poolMembers) activateScarce(activated []string) (ids []string) {
+	for _, software := range slices.Sorted(maps.Keys(m.activeOf)) {
+		if len(m.activeOf) == 1 {
+			return nil
+		}
+		standby := slices.SortedFunc(slices.Values(m.standbyOf[software]), compareActivationOrder)
+		for _, replica := range standby {
+			if m.activeOf[software] >= minimumOfSoftware {
+				break
+			}
+			if !slices.Contains(activated, replica.ID) {
+				m.activeOf[software]++
+				ids = append(ids, replica.ID)
+			}
+		}
 	}
+	return ids
 }
 
 // sort sorts the replicas of each zone in activation order: preemptible ones last, and otherwise by a hash
@@ -109,6 +147,7 @@
 	m.standbyByZone[zone] = m.standbyByZone[zone][1:]
 	m.activeByZone[zone] = append(m.activeByZone[zone], next)
 	m.activeCount++
+	m.activeOf[next.Software]++
 	return next.ID, true
 }
 
@@ -122,8 +161,8 @@
 }
 
 // deactivateLast sends a replica to standby: the last one, in activation order, of the zone with the most
-// active replicas.
-func (m *poolMembers) deactivateLast() string {
+// active replicas. It is spared if hardly any other active one has its software.
+func (m *poolMembers) deactivateLast() (id string, spared bool) {
 	zone := ""
 	for candidate := range m.activeByZone {
 		if zone == "" || m.precedes(zone, candidate) {
@@ -134,5 +173,9 @@
 	last := active[len(active)-1]
 	m.activeByZone[zone] = active[:len(active)-1]
 	m.activeCount--
-	return last.ID
+	if len(m.activeOf) > 1 && m.activeOf[last.Software] <= minimumOfSoftware {
+		return last.ID, true
+	}
+	m.activeOf[last.Software]--
+	return last.ID, false
 }
--- a/internal/coordinator/activity.go
+++ b/internal/coordinator/activity.go
@@ -119,6 +119,7 @@
 			Preemptible: replica.Preemptible,
 			Active:      !listed.Standby,
 			Eligible:    eligible,
+			Software:    replica.Software,
 		})
 	}
 	return input
