--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -296,8 +296,8 @@
 	return err
 }
 
-// steadyEngines counts the engines that have run a version for a time, and that the list does not show as draining.
-func (f *fleet) steadyEngines(version string, since time.Duration) (steady int) {
+// steadyEngines returns the engines that have run a version for a time, and that the list does not show as draining.
+func (f *fleet) steadyEngines(version string, since time.Duration) (steady []string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for number := range engines {
@@ -305,7 +305,7 @@
 		_, born := f.engines.Shows(name)
 		_, runs := f.engines.Instance(name)
 		if runs == version && !f.draining[name] && time.Since(time.UnixMilli(born)) > since {
-			steady++
+			steady = append(steady, name)
 		}
 	}
 	return steady
