relay: streams that began before their route was split can be taken up

While a route had one service with one version, nobody was told where its streams began; once a configuration had split it, a stream that its caller took up could have begun at either service, and was refused. With such a configuration the coordinators are told of the streams that have begun at the services that the route had. TestOriginsAreToldOnceARouteIsSplit fails without (nothing is told).

--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -144,9 +144,17 @@
 	}
 	o.versions.Observe(now, running, whole)
 	o.mutex.Unlock()
-	// The caller may hold the mutex of the views, which know the coordinators.
+	o.tellLater(untold)
+}
+
+// tellLater sends records to the coordinators that keep them. The caller may hold the mutex of the views, which know the
+// coordinators.
+func (o *originClient) tellLater(records []origin.Record) {
+	if len(records) == 0 {
+		return
+	}
 	go func() {
-		for _, record := range untold {
+		for _, record := range records {
 			o.tell(record)
 		}
 	}()
@@ -170,15 +178,24 @@
 	}
 }
 
-// applyConfiguration notes the services of the routes.
+// applyConfiguration notes the services of the routes. The coordinators are told of the streams that have begun at services
+// of routes that now have others.
 func (o *originClient) applyConfiguration(configuration *traffic.Configuration) {
 	now := o.clock()
+	changed := map[string]bool{}
+	var untold []origin.Record
 	o.mutex.Lock()
-	defer o.mutex.Unlock()
 	for index := range configuration.Routes {
-		o.routes.note(now, &configuration.Routes[index])
+		for _, service := range o.routes.note(now, &configuration.Routes[index]) {
+			changed[service] = true
+		}
 	}
 	o.routes.prune(configuration)
+	for service := range changed {
+		untold = append(untold, o.begun.Of(now, service)...)
+	}
+	o.mutex.Unlock()
+	o.tellLater(untold)
 }
 
 // takenUp is where a stream goes on that a caller takes up, and how that was found out.
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -211,10 +211,10 @@
 	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusServiceUnavailable }, 30*time.Second, 10*time.Millisecond)
 }
 
-// Coordinators are told where streams begin only while they can begin at more than one origin, and then also of those
-// that have begun before.
-func TestOriginsAreToldOnlyWhileThereAreSeveral(t *testing.T) {
-	t.Parallel()
+// assertToldOnceThereAreSeveral asserts that coordinators are not told where streams begin while they can begin at one
+// origin only, and are told of those that have begun once a change has added others.
+func assertToldOnceThereAreSeveral(t *testing.T, change func(*takeUps)) {
+	t.Helper()
 	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"})
 	r.coordinator.update(func(view *region.View) { view.SoftwareComplete = true })
 	polls := r.coordinator.pollCount()
@@ -223,15 +223,33 @@
 		r.begin(fmt.Sprint("r-", number))
 	}
 	assert.Zero(t, r.coordinator.origins.Counts().Kept)
-	r.coordinator.update(func(view *region.View) {
-		added := view.Replicas[0]
-		added.ID, added.Software = "newer", "v2"
-		view.ListRevision++
-		view.Replicas = append(slices.Clone(view.Replicas), added)
-	})
+	change(r)
 	require.Eventually(t, func() bool { return r.coordinator.origins.Counts().Kept == takenUpStreams }, 30*time.Second, time.Millisecond)
 }
 
+func TestOriginsAreToldOnceThereAreSeveralVersions(t *testing.T) {
+	t.Parallel()
+	assertToldOnceThereAreSeveral(t, func(r *takeUps) {
+		r.coordinator.update(func(view *region.View) {
+			added := view.Replicas[0]
+			added.ID, added.Software = "newer", "v2"
+			view.ListRevision++
+			view.Replicas = append(slices.Clone(view.Replicas), added)
+		})
+	})
+}
+
+// Guards against streams that began before their route was split, and can't be taken up after it.
+func TestOriginsAreToldOnceARouteIsSplit(t *testing.T) {
+	t.Parallel()
+	assertToldOnceThereAreSeveral(t, func(r *takeUps) {
+		r.coordinator.update(func(view *region.View) {
+			view.Version++
+			view.Document = resumableDocument(t, view.Version, 1, []traffic.Part{{Service: "service", Weight: 1}, {Service: "other", Weight: 1}})
+		})
+	})
+}
+
 // A tenant's request ID is of no use to another tenant: the key of a record has both.
 func TestAKeyBelongsToATenant(t *testing.T) {
 	assert.NotEqual(t, origin.KeyOf("a", "b"), origin.KeyOf("", "ab"))
--- a/internal/relay/daemon/routehistory.go
+++ b/internal/relay/daemon/routehistory.go
@@ -22,8 +22,9 @@
 	former  map[string]time.Duration
 }
 
-// note records a route of a configuration that takes effect.
-func (h routeHistory) note(now time.Duration, route *traffic.Route) {
+// note records a route of a configuration that takes effect. It returns the services that the route had before, if it has
+// others now.
+func (h routeHistory) note(now time.Duration, route *traffic.Route) (changed []string) {
 	known := h[placeOf(route)]
 	if known == nil {
 		known = &routeServices{}
@@ -45,6 +46,10 @@
 		}
 		known.former[service] = now
 	}
+	if slices.Equal(slices.Sorted(slices.Values(before)), slices.Sorted(slices.Values(known.present))) {
+		return nil
+	}
+	return before
 }
 
 // prune forgets the routes that a configuration no longer has.
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -124,7 +124,7 @@
 		candidates = leaving
 	}
 	if wanted.Software.IsSet() {
-		// Rather a rejection by the replica than none that could have taken it.
+		// It has no other candidates: one that is full may still take it, or rejects it.
 		return candidates
 	}
 	return d.leaveRoom(d.belowLearnedLimit(candidates, wanted.Rank, now), now)
