--- a/review/standin/region.go
+++ b/review/standin/region.go
@@ -224,7 +224,10 @@
 	}
 	p.log = log
 	p.command = exec.Command("target/pierhaven", p.role)
-	p.command.Env = append(os.Environ(), "PIERHAVEN_SETTINGS="+p.settings)
+	p.command.Env = []string{"PIERHAVEN_SETTINGS=" + p.settings}
+	for _, name := range []string{"PATH", "HOME", "LANG"} {
+		p.command.Env = append(p.command.Env, name+"="+os.Getenv(name))
+	}
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		return err
