--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -58,6 +58,7 @@
 	}
 	core.outbox.savedHardState = config.HardState
 	core.resetElectionDeadline()
+	core.lastLeaderContact = core.now
 	core.config.Entries = nil
 	core.config.Snapshot = Snapshot{}
 	return core, nil
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -9,6 +9,9 @@
 		c.term = term
 		c.vote = 0
 	}
+	if c.role == RoleLeader {
+		c.lastLeaderContact = c.now
+	}
 	c.role = RoleFollower
 	c.leader = leader
 	c.votes = nil
--- a/coordination/consensus/status.go
+++ b/coordination/consensus/status.go
@@ -1,11 +1,16 @@
 package consensus
 
+import "time"
+
 // Status is the state of a replica at one point in time.
 type Status struct {
 	SoftState
 	// Vote is the replica that this one has voted for in its term, 0 for none.
-	Vote        ReplicaID
-	CommitIndex uint64
+	Vote ReplicaID
+	// LeaderSilence is the time since this replica last heard from a leader, or
+	// since it was created; zero on a leader.
+	LeaderSilence time.Duration
+	CommitIndex   uint64
 	// FirstIndex is the index of the first log entry in memory, or LastIndex+1 if
 	// there is none.
 	FirstIndex uint64
@@ -32,6 +37,13 @@
 	return SoftState{Role: c.role, Leader: c.leader, Term: c.term}
 }
 
+func (c *Core) leaderSilence() time.Duration {
+	if c.role == RoleLeader {
+		return 0
+	}
+	return c.now - c.lastLeaderContact
+}
+
 // HasLostEntries reports whether the replica was found to lack entries that it
 // had acknowledged as being on disk. Such a replica must no longer take part in
 // its group.
@@ -42,6 +54,7 @@
 	status := Status{
 		SoftState:     c.SoftState(),
 		Vote:          c.vote,
+		LeaderSilence: c.leaderSilence(),
 		CommitIndex:   c.log.committed,
 		FirstIndex:    c.log.baseIndex + 1,
 		LastIndex:     c.log.lastIndex(),
--- a/coordination/replica/node.go
+++ b/coordination/replica/node.go
@@ -208,6 +208,7 @@
 		Term:            core.Term,
 		Leader:          core.Leader,
 		Vote:            core.Vote,
+		LeaderSilence:   core.LeaderSilence,
 		CommitIndex:     core.CommitIndex,
 		AppliedIndex:    n.applied,
 		LastIndex:       core.LastIndex,
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -111,9 +111,12 @@
 	Term          uint64
 	Leader        consensus.ReplicaID
 	// Vote is the replica that this replica voted for in Term, or zero.
-	Vote         consensus.ReplicaID
-	CommitIndex  uint64
-	AppliedIndex uint64
+	Vote consensus.ReplicaID
+	// LeaderSilence is the time since this replica last heard from a leader, or
+	// since it was opened; zero on a leader.
+	LeaderSilence time.Duration
+	CommitIndex   uint64
+	AppliedIndex  uint64
 	// LastIndex is the index of the last log entry.
 	LastIndex     uint64
 	SnapshotIndex uint64
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -148,13 +148,18 @@
 		if status.Role != consensus.RoleLeader {
 			continue
 		}
-		change := nextChange(status, c.members.silences(c.now(), status), c.settings.Voters)
+		silences := c.members.silences(c.now(), status)
+		change := nextChange(status, silences, c.settings.Voters)
 		if change.kind == changeNone {
 			continue
 		}
+		member, _ := status.Member(change.replica)
+		old, _ := status.Member(change.old)
 		err := c.applyMemberChange(ctx, change)
 		c.logger.Info(event.MembershipChanged, "change", change.kind, "replica", uint64(change.replica),
-			"old", uint64(change.old), "error", failure.Text(err))
+			"address", member.Address, "silent_ms", silences[change.replica].Milliseconds(),
+			"old", uint64(change.old), "old_address", old.Address, "old_silent_ms", silences[change.old].Milliseconds(),
+			"error", failure.Text(err))
 	}
 }
 
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -41,6 +41,10 @@
 	})
 	registry.Flag("leader", "1 while this coordinator believes that it leads.", c.Leads)
 	registry.Flag("voter", "1 while this coordinator votes.", c.IsVoter)
+	registry.Flag("member", "1 while this coordinator is a member of the group, as far as it knows.", c.isMember)
+	registry.GaugeFunc("leader_silence_seconds", "Time since this coordinator last heard from a leader, 0 while it leads.", func() float64 {
+		return c.group.Runner.Status().LeaderSilence.Seconds()
+	})
 	registry.GaugeFunc("term", "Term of the group.", func() float64 { return float64(c.group.Runner.Status().Term) })
 	registry.GaugeFunc("applied_index", "Last position of the log that is applied.", func() float64 {
 		return float64(c.group.Runner.Status().AppliedIndex)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,8 @@
 	ConfigurationReceived Event = "configuration received"
 	// ConfigurationRefused: a configuration from an operator is invalid.
 	ConfigurationRefused Event = "configuration refused"
+	// ConfigurationRead: a gateway has read a new configuration, and begins to use it.
+	ConfigurationRead Event = "configuration read"
 	// ConfigurationApplied: a gateway uses a new configuration.
 	ConfigurationApplied Event = "configuration applied"
 	// ViewFreshness: a gateway's view became current or outdated.
@@ -247,6 +249,7 @@
 		HandleNotFreed,
 		ConfigurationReceived,
 		ConfigurationRefused,
+		ConfigurationRead,
 		ConfigurationApplied,
 		ViewFreshness,
 		CopyFreshness,
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -229,6 +229,9 @@
 	registry.GaugeFunc("configuration_version", "Version in force, 0 before there is one.", func() float64 {
 		return float64(d.views.version())
 	})
+	registry.GaugeFunc("configuration_read_version", "Last version that was read, 0 before there is one; above the one in force while it is brought into force.", func() float64 {
+		return float64(d.views.readVersion.Load())
+	})
 }
 
 // Run serves until a planned stop has begun and either all requests are answered or StopTimeout has
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -47,6 +47,8 @@
 	onFormerSoftware func(view *region.View)
 
 	table atomic.Pointer[traffic.Table]
+	// readVersion is the version of the last configuration that was read, 0 before there is one.
+	readVersion atomic.Uint64
 	// gateways is the number of gateways last reported by a coordinator, 0 before the first report.
 	gateways atomic.Int64
 	// configured is closed when the first configuration has been applied.
@@ -303,6 +305,7 @@
 }
 
 func (v *viewClient) applyConfiguration(view *region.View) error {
+	begun := v.now()
 	document, err := region.Inflate(view.Document)
 	if err != nil {
 		return err
@@ -315,6 +318,8 @@
 	if previous != nil && previous.Configuration.Version >= configuration.Version {
 		return nil
 	}
+	v.logger.Info(event.ConfigurationRead, "version", configuration.Version, "in_force", v.version(), "routes", len(configuration.Routes))
+	v.readVersion.Store(configuration.Version)
 	for _, service := range configuration.Services {
 		if service.Engine != nil {
 			v.directory.SetEngine(service.Name, *service.Engine)
@@ -326,7 +331,7 @@
 		close(v.configured)
 	}
 	v.logger.Info(event.ConfigurationApplied, "version", configuration.Version, "routes", len(configuration.Routes),
-		"age_ms", view.AgeMillis)
+		"age_ms", view.AgeMillis, "took_ms", (v.now() - begun).Milliseconds())
 	return nil
 }
 
