A replica that was removed while it was away is told, and joins again

Cause: a leader sends nothing to a replica that it has removed, not even the entry that removes it. The replica took its own log for the truth, in which it was a member, so that it neither heard of the group nor asked to join it. The group counted its voters without it, and the next two losses left no majority.

Evidence: the leader's line "membership change" (old_silent_ms 2102) names the frozen coordinator; that one logs no request to join for 45 s.

A coordinator that was told so, or hears from no leader for longer than a voter may be silent, asks the seeds and the members of its log to be added. The leader first checks that the replica is reached at its address, so that none is added and removed in a circle. Its log and vote are kept: it needs only what it missed.

--- a/coordination/consensus/core.go
+++ b/coordination/consensus/core.go
@@ -18,7 +18,10 @@
 
 	electionDeadline  time.Duration
 	lastLeaderContact time.Duration
-	heartbeatDue      time.Duration
+	// removedAt is the log index of a committed configuration that lacks this
+	// replica, as a member has told since a leader was last heard; 0 for none.
+	removedAt    uint64
+	heartbeatDue time.Duration
 
 	// votes holds the responses to this replica's campaign: true if granted.
 	votes map[ReplicaID]bool
@@ -78,10 +81,20 @@
 	}
 	if c.now >= c.electionDeadline {
 		c.resetElectionDeadline()
-		c.startPreVote()
+		c.seekLeader()
 	}
 }
 
+// seekLeader campaigns. A replica without a vote, or one that was told that it is
+// no member any more, asks the others about its membership instead.
+func (c *Core) seekLeader() {
+	if c.removedAt != 0 || !c.configuration().IsVoter(c.config.ID) {
+		c.queryMembership()
+		return
+	}
+	c.startPreVote()
+}
+
 func (c *Core) tickLeader() {
 	if !c.hasActiveQuorum(c.configuration()) {
 		c.becomeFollower(c.term, 0)
@@ -106,6 +119,12 @@
 	if !c.matchesFounding(message) {
 		return
 	}
+	if c.handleMembershipMessage(message) {
+		return
+	}
+	if isVoteRequest(message) {
+		c.tellIfRemoved(message.From)
+	}
 	if isVoteRequest(message) && !message.Transfer && c.hasLiveLeader() {
 		return
 	}
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -62,6 +62,7 @@
 		c.becomeFollower(c.term, leader)
 	}
 	c.lastLeaderContact = c.now
+	c.removedAt = 0
 	c.resetElectionDeadline()
 }
 
--- a/coordination/consensus/membership_history.go
+++ b/coordination/consensus/membership_history.go
@@ -28,13 +28,16 @@
 }
 
 // at returns the configuration in effect at a log index.
-func (h *membershipHistory) at(index uint64) Configuration {
+func (h *membershipHistory) at(index uint64) Configuration { return h.entryAt(index).configuration }
+
+// entryAt returns the configuration in effect at a log index, and its own index.
+func (h *membershipHistory) entryAt(index uint64) indexedConfiguration {
 	for i := len(h.configurations) - 1; i > 0; i-- {
 		if h.configurations[i].index <= index {
-			return h.configurations[i].configuration
+			return h.configurations[i]
 		}
 	}
-	return h.configurations[0].configuration
+	return h.configurations[0]
 }
 
 // append adds the configurations among appended entries.
--- a/coordination/consensus/message.go
+++ b/coordination/consensus/message.go
@@ -29,6 +29,11 @@
 	MessageSnapshotRequest
 	MessageSnapshotResponse
 	MessageTimeoutNow
+	// MessageMembershipQuery asks a member whether the sender is one.
+	MessageMembershipQuery
+	// MessageRemoved tells the sender of a query, or of a vote request, that the
+	// committed configuration at LogIndex lacks it.
+	MessageRemoved
 )
 
 // String returns the name of the kind as used in logs.
@@ -36,7 +41,7 @@
 	names := [...]string{
 		"invalid", "pre-vote request", "pre-vote response", "vote request", "vote response",
 		"append request", "append response", "heartbeat request", "heartbeat response",
-		"snapshot request", "snapshot response", "timeout now",
+		"snapshot request", "snapshot response", "timeout now", "membership query", "removed",
 	}
 	if int(kind) >= len(names) {
 		return names[0]
--- a/coordination/consensus/status.go
+++ b/coordination/consensus/status.go
@@ -10,7 +10,10 @@
 	// LeaderSilence is the time since this replica last heard from a leader, or
 	// since it was created; zero on a leader.
 	LeaderSilence time.Duration
-	CommitIndex   uint64
+	// RemovedAt is the log index of a committed configuration that lacks this
+	// replica, as a member has told since a leader was last heard; 0 for none.
+	RemovedAt   uint64
+	CommitIndex uint64
 	// FirstIndex is the index of the first log entry in memory, or LastIndex+1 if
 	// there is none.
 	FirstIndex uint64
@@ -55,6 +58,7 @@
 		SoftState:     c.SoftState(),
 		Vote:          c.vote,
 		LeaderSilence: c.leaderSilence(),
+		RemovedAt:     c.removedAt,
 		CommitIndex:   c.log.committed,
 		FirstIndex:    c.log.baseIndex + 1,
 		LastIndex:     c.log.lastIndex(),
--- a/coordination/replica/node.go
+++ b/coordination/replica/node.go
@@ -209,6 +209,7 @@
 		Leader:          core.Leader,
 		Vote:            core.Vote,
 		LeaderSilence:   core.LeaderSilence,
+		RemovedAt:       core.RemovedAt,
 		CommitIndex:     core.CommitIndex,
 		AppliedIndex:    n.applied,
 		LastIndex:       core.LastIndex,
--- a/coordination/replica/runner_status.go
+++ b/coordination/replica/runner_status.go
@@ -19,6 +19,8 @@
 	LogSnapshotTaken = "snapshot taken"
 	LogWriteRefused  = "disk refuses writes"
 	LogWriteAccepted = "disk takes writes again"
+	LogRemoved       = "removed from the group"
+	LogTakenBack     = "a leader is heard again after the removal"
 )
 
 // logProgress compares two successive statuses and logs a change of term or vote, a
@@ -37,6 +39,14 @@
 	if status.Stalled == nil && before.Stalled != nil {
 		r.config.Logger.Info(LogWriteAccepted, "group", r.config.Group, "commit", status.CommitIndex, "last", status.LastIndex)
 	}
+	if status.RemovedAt != 0 && before.RemovedAt == 0 {
+		r.config.Logger.Info(LogRemoved, "group", r.config.Group, "index", status.RemovedAt, "commit", status.CommitIndex,
+			"leader", fmt.Sprintf("%x", uint64(status.Leader)), "leader_silent_ms", status.LeaderSilence.Milliseconds())
+	}
+	if status.RemovedAt == 0 && before.RemovedAt != 0 {
+		r.config.Logger.Info(LogTakenBack, "group", r.config.Group, "commit", status.CommitIndex,
+			"leader", fmt.Sprintf("%x", uint64(status.Leader)))
+	}
 	if status.SnapshotIndex != before.SnapshotIndex {
 		r.config.Logger.Info(LogSnapshotTaken, "group", r.config.Group, "index", status.SnapshotIndex, "applied", status.AppliedIndex)
 	}
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -115,8 +115,12 @@
 	// LeaderSilence is the time since this replica last heard from a leader, or
 	// since it was opened; zero on a leader.
 	LeaderSilence time.Duration
-	CommitIndex   uint64
-	AppliedIndex  uint64
+	// RemovedAt is the log index of a committed configuration that lacks this
+	// replica, as a member has told since a leader was last heard; zero for none.
+	// Members then lists an earlier one.
+	RemovedAt    uint64
+	CommitIndex  uint64
+	AppliedIndex uint64
 	// LastIndex is the index of the last log entry.
 	LastIndex     uint64
 	SnapshotIndex uint64
@@ -145,6 +149,13 @@
 	return MemberStatus{}, false
 }
 
+// IsMember reports whether the replica is a member of its group, as far as it
+// knows. One that was away may have been removed: it learns so from the others.
+func (status Status) IsMember() bool {
+	_, listed := status.Member(status.ID)
+	return status.Stage == storage.StageMember && listed && status.RemovedAt == 0
+}
+
 // MemberStatus is a member with its replication progress.
 type MemberStatus struct {
 	consensus.Member
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -391,3 +391,23 @@
 		})
 	}
 }
+
+// TestACoordinatorThatWasReplacedWhileAwayVotesAgain guards against a coordinator that is never a
+// member again, as its own log still lists it: the group then counts on one that has stopped.
+func TestACoordinatorThatWasReplacedWhileAwayVotesAgain(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	g.stop(g.addresses[1])
+	spare := testnet.Address(t)
+	g.start(spare, "spare", false)
+	g.awaitVote(spare)
+	g.start(g.addresses[1], g.addresses[1], false)
+	g.expectEverywhere(3)
+	g.stop(g.addresses[0])
+	g.awaitVote(g.addresses[1])
+	g.replace(g.addresses[1], 4)
+	// A disk is lost right after the acknowledgement.
+	g.stop(g.addresses[2])
+	g.start(g.addresses[2], "empty", false)
+	g.expectEverywhere(4)
+}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -7,7 +7,6 @@
 
 	"github.com/pierhaven/pierhaven/coordination/consensus"
 	"github.com/pierhaven/pierhaven/coordination/replica"
-	"github.com/pierhaven/pierhaven/coordination/storage"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
@@ -18,9 +17,9 @@
 )
 
 // joinGroup makes this coordinator a member of the group. Until the context ends, it asks the other
-// seeds to be added whenever this coordinator is not a member, unless its replica is quarantined. A
-// seed that may bootstrap the group also tries at the same time to found it together with the other
-// seeds, which only one of them coordinates (replication.Founder).
+// coordinators to be added whenever this one is not a member, or can't tell. A seed that may
+// bootstrap the group also tries at the same time to found it together with the other seeds, which
+// only one of them coordinates (replication.Founder).
 func (c *Coordinator) joinGroup(ctx context.Context) {
 	seeds := c.settings.Seeds()
 	if c.settings.Bootstrap && slices.Contains(seeds, c.settings.Address) {
@@ -29,26 +28,36 @@
 		founder := &replication.Founder{Group: c.group, Client: c.client, Self: c.settings.Address, Logger: c.logger}
 		go founder.Found(founding, seeds)
 	}
-	logged := false
+	asking := false
+	lastError := ""
 	for lifecycle.Sleep(ctx, joinInterval) {
-		if c.isMember() || c.group.Runner.Status().Quarantined != nil {
+		status := c.group.Runner.Status()
+		if !mustJoin(status) {
+			asking = false
 			continue
 		}
 		err := c.requestJoin(ctx)
-		if !logged || err == nil {
-			logged = true
-			c.logger.Info(event.JoinAsked, "replica", uint64(c.group.Runner.Status().ID), "error", failure.Text(err))
+		if text := failure.Text(err); !asking || text != lastError {
+			asking, lastError = true, text
+			c.logger.Info(event.JoinAsked, "replica", uint64(status.ID), "removed_at", status.RemovedAt,
+				"leader_silent_ms", status.LeaderSilence.Milliseconds(), "error", text)
 		}
 	}
 }
 
+// mustJoin reports whether a replica has to ask for its membership. It may have been removed
+// without learning of it once it has heard from no leader for longer than voterSilence; a member's
+// request changes nothing. One that could not keep the log does not ask.
+func mustJoin(status replica.Status) bool {
+	if status.Quarantined != nil || status.Stalled != nil {
+		return false
+	}
+	return !status.IsMember() || status.LeaderSilence > voterSilence
+}
+
 // isMember reports whether this replica is a member of the group, as far as it
 // knows.
-func (c *Coordinator) isMember() bool {
-	status := c.group.Runner.Status()
-	_, listed := status.Member(status.ID)
-	return status.Stage == storage.StageMember && listed
-}
+func (c *Coordinator) isMember() bool { return c.group.Runner.Status().IsMember() }
 
 // IsVoter reports whether this coordinator is a voter, knows that the membership
 // change that made it one is committed, and is the only voter at its address: the
@@ -63,19 +72,21 @@
 // Leads reports whether this coordinator believes that it leads.
 func (c *Coordinator) Leads() bool { return c.group.Leads() }
 
-// requestJoin asks each seed in turn, and the leader that it names, until one of them
-// has added this coordinator.
+// requestJoin asks for this coordinator to be added.
 func (c *Coordinator) requestJoin(ctx context.Context) error {
+	return c.requestFromOthers(ctx, region.PathJoin)
+}
+
+// requestFromOthers makes a request about this coordinator's membership. It asks each other
+// coordinator in turn, and the leader that this one names, until one of them has done it.
+func (c *Coordinator) requestFromOthers(ctx context.Context, path string) error {
 	request := &region.JoinRequest{
 		Address: c.settings.Address,
 		Replica: uint64(c.group.Runner.Status().ID),
 	}
 	var last error
-	for _, seed := range c.settings.Seeds() {
-		if seed == c.settings.Address {
-			continue
-		}
-		last = c.callWithRedirect(ctx, seed, region.PathJoin, request, &peer.Empty{})
+	for _, address := range c.others() {
+		last = c.callWithRedirect(ctx, address, path, request, &peer.Empty{})
 		if last == nil {
 			return nil
 		}
@@ -83,6 +94,18 @@
 	return last
 }
 
+// others returns the addresses of the other seeds, and those of the other members that the log
+// names: each may name only coordinators that are gone.
+func (c *Coordinator) others() []string {
+	others := slices.Clone(c.settings.Seeds())
+	for _, address := range c.group.MemberAddresses() {
+		if !slices.Contains(others, address) {
+			others = append(others, address)
+		}
+	}
+	return slices.DeleteFunc(others, func(address string) bool { return address == c.settings.Address })
+}
+
 // callWithRedirect calls a coordinator and, if that is not the leader, the leader that it
 // names.
 func (c *Coordinator) callWithRedirect(ctx context.Context, address, path string, request message, reply reply) error {
@@ -110,11 +133,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if err := c.checkIdentity(ctx, request); err != nil {
+		return nil, err
+	}
 	err := c.group.Runner.AddLearner(ctx, consensus.Member{ID: id, Address: request.Address})
 	c.logger.Info(event.ReplicaJoins, "replica", request.Replica, "address", request.Address, "error", failure.Text(err))
 	return &peer.Empty{}, c.group.Translate(err)
 }
 
+// checkIdentity checks that the replica that asks to be added is reached at its address. If it
+// were not, it would be added and removed again and again.
+func (c *Coordinator) checkIdentity(ctx context.Context, request *region.JoinRequest) error {
+	identity, err := replication.AskIdentity(ctx, c.client, request.Address, groupNumber)
+	if err != nil {
+		return failure.Wrap(err, failure.NotReady, failure.WithRan(failure.RanNo))
+	}
+	if identity.Replica != request.Replica {
+		return failure.New(failure.InvalidDocument, "another replica is at the address "+request.Address)
+	}
+	return nil
+}
+
 // memberWatch records when the leader last heard from each member.
 type memberWatch struct {
 	term      uint64
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -159,6 +159,10 @@
 	FoundingUntold Event = "founding was not told"
 	// FoundingRetried: a seed can't be reached, and the bootstrap is retried.
 	FoundingRetried Event = "group is not founded yet"
+	// Removed: another coordinator has told that this one is no member of the group any more.
+	Removed Event = replica.LogRemoved
+	// TakenBack: a leader sends to this coordinator again after Removed.
+	TakenBack Event = replica.LogTakenBack
 	// JoinAsked: this coordinator has requested to join the group.
 	JoinAsked Event = "asked to join the group"
 	// ReplicaJoins: the leader has added a coordinator as a non-voting member.
@@ -295,6 +299,8 @@
 		GroupFounded,
 		FoundingUntold,
 		FoundingRetried,
+		Removed,
+		TakenBack,
 		JoinAsked,
 		ReplicaJoins,
 		MembershipChanged,
