A voter that stops gives its vote to a spare coordinator

Seen by callers: a coordinator is removed as planned while its successor has run for long, and the next machine is lost before 2 s have passed: the group is without a majority for good, though only one machine at a time was missing.

Cause: a coordinator that leaves by SIGTERM told nobody. It counted as a voter until its silence was noticed.

Mend: before it stops, a voter asks the leader to be replaced, if there is a learner to do so; the leader counts it as silent until its real silence tells. With no learner nothing changes: it returns with its disk. A replacement whose leader was lost between its two steps left four voters; the silent one of them is removed now.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/go-logr/logr"
 
+	"github.com/pierhaven/pierhaven/coordination/consensus"
 	"github.com/pierhaven/pierhaven/internal/activeset"
 	"github.com/pierhaven/pierhaven/internal/controller/peer"
 	"github.com/pierhaven/pierhaven/internal/event"
@@ -39,6 +40,7 @@
 	freshness         freshness
 	clock             func() time.Duration
 	members           memberWatch
+	retirements       retirements
 	zones             *memberZones
 	builds            *buildTable
 	cacheOwners       cacheOwners
@@ -105,6 +107,7 @@
 		elected:           make(chan struct{}, 1),
 		clock:             clock,
 		members:           memberWatch{lastHeard: map[uint64]time.Duration{}},
+		retirements:       retirements{announcedAt: map[consensus.ReplicaID]time.Duration{}},
 		permits:           probationPermits{issued: poison.NewPermits()},
 		usage:             newUsageState(uptime.SuspendedBy(settings.Now)),
 	}
@@ -142,7 +145,7 @@
 func (c *Coordinator) now() time.Duration { return c.clock() }
 
 // Run serves requests and runs the coordinator's loops until the context ends. A leader
-// transfers its leadership before Run returns.
+// transfers its leadership before Run returns, and a voter its vote if a learner can take it.
 func (c *Coordinator) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", c.settings.Listen)
 	if err != nil {
@@ -163,6 +166,7 @@
 	select {
 	case <-ctx.Done():
 		c.transferLeadership()
+		c.giveUpVote()
 	case <-c.group.Runner.Done():
 		err = c.group.Runner.Status().Err
 	}
@@ -237,6 +241,7 @@
 	rpc.Handle(engine, region.PathReadIndex, c.handleReadIndex)
 	rpc.Handle(engine, region.PathReplace, c.handleReplace)
 	rpc.Handle(engine, region.PathJoin, c.handleJoin)
+	rpc.Handle(engine, region.PathRetire, c.handleRetire)
 	rpc.Handle(engine, region.PathPoison, c.handlePoison)
 	rpc.Handle(engine, region.PathRelease, c.handleRelease)
 	rpc.Handle(engine, region.PathQuotas, c.quotas.handleStatus)
--- a/internal/coordinator/group_test.go
+++ b/internal/coordinator/group_test.go
@@ -411,3 +411,17 @@
 	g.start(g.addresses[2], "empty", false)
 	g.expectEverywhere(4)
 }
+
+// TestAVoterThatStopsGivesItsVoteToALearner guards against a group that counts on a machine that has
+// gone for good until its silence is noticed: the next loss would leave no majority.
+func TestAVoterThatStopsGivesItsVoteToALearner(t *testing.T) {
+	g := newGroup(t)
+	g.replace(g.addresses[0], 3)
+	spare := testnet.Address(t)
+	g.start(spare, "spare", false)
+	g.expectEverywhere(3)
+	g.stop(g.addresses[0])
+	g.stop(g.addresses[1])
+	g.replace(spare, 4)
+	g.expectEverywhere(4)
+}
--- a/internal/coordinator/memberchange.go
+++ b/internal/coordinator/memberchange.go
@@ -32,7 +32,8 @@
 //     replaces the voter, which can't return.
 //   - If there are too few voters, a learner is promoted.
 //   - A voter that has been silent for longer than voterSilence is replaced by a
-//     learner.
+//     learner, or removed if there are too many voters: a replacement whose leader was
+//     lost between its two steps has left one.
 //   - A learner that has been silent for longer than learnerSilence, or is superseded
 //     at its address, is removed.
 //   - Of two voters at one address, the one that has been silent for longer is
@@ -65,18 +66,33 @@
 			return memberChange{kind: changeRemove, replica: voter.ID}
 		}
 	}
+	silent := silentVoter(status.ID, voters, silences)
+	if len(voters) > wantedVoters && silent != 0 {
+		return memberChange{kind: changeRemove, replica: silent}
+	}
 	if len(ready) == 0 {
 		return memberChange{}
 	}
 	if len(voters) < wantedVoters {
 		return memberChange{kind: changePromote, replica: ready[0].ID}
 	}
+	if silent != 0 {
+		return memberChange{kind: changeReplace, replica: ready[0].ID, old: silent}
+	}
+	return memberChange{}
+}
+
+// silentVoter returns the other voter that has been silent for longest, if that is longer than
+// voterSilence, and 0 otherwise.
+func silentVoter(self consensus.ReplicaID, voters []replica.MemberStatus, silences map[consensus.ReplicaID]time.Duration) consensus.ReplicaID {
+	silent := consensus.ReplicaID(0)
+	longest := voterSilence
 	for _, voter := range voters {
-		if voter.ID != status.ID && silences[voter.ID] > voterSilence {
-			return memberChange{kind: changeReplace, replica: ready[0].ID, old: voter.ID}
+		if voter.ID != self && silences[voter.ID] > longest {
+			silent, longest = voter.ID, silences[voter.ID]
 		}
 	}
-	return memberChange{}
+	return silent
 }
 
 // isSuperseded reports whether another active member has the same address and was
--- a/internal/coordinator/memberchange_test.go
+++ b/internal/coordinator/memberchange_test.go
@@ -51,6 +51,17 @@
 			map[consensus.ReplicaID]time.Duration{4: time.Second}, 3,
 			memberChange{kind: changeRemove, replica: 4},
 		},
+		"too many voters, one is lost": {
+			append(lost[:3:3], member(4, "d", false, true)),
+			map[consensus.ReplicaID]time.Duration{3: 3 * time.Second}, 3,
+			memberChange{kind: changeRemove, replica: 3},
+		},
+		"too many voters, all are active": {append(voters[:3:3], member(4, "d", false, true)), nil, 3, memberChange{}},
+		"of two lost voters, the first goes first": {
+			[]replica.MemberStatus{member(1, "a", false, true), member(2, "b", false, false), member(3, "c", false, false), member(4, "d", true, true)},
+			map[consensus.ReplicaID]time.Duration{2: 3 * time.Second, 3: long}, 3,
+			memberChange{kind: changeReplace, replica: 4, old: 3},
+		},
 		"two voters at one address": {
 			append(lost[:3:3], member(4, "c", false, true)),
 			map[consensus.ReplicaID]time.Duration{3: time.Second}, 3,
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -188,6 +188,7 @@
 			continue
 		}
 		silences := c.members.silences(c.now(), status)
+		c.retirements.addTo(silences, c.now())
 		change := nextChange(status, silences, c.settings.Voters)
 		if change.kind == changeNone {
 			continue
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -153,6 +153,8 @@
 	WriteAccepted Event = replica.LogWriteAccepted
 	// LeadershipHandedOver: a leader that stops has transferred its leadership.
 	LeadershipHandedOver Event = "handed leadership over"
+	// VoteGivenUp: a voter that stops has asked for a learner to take its place.
+	VoteGivenUp Event = "gave its vote up"
 	// GroupFounded: the seeds have bootstrapped the group.
 	GroupFounded Event = "founded group"
 	// FoundingUntold: a seed missed the bootstrap, and learns of the group from its leader.
@@ -296,6 +298,7 @@
 		WriteRefused,
 		WriteAccepted,
 		LeadershipHandedOver,
+		VoteGivenUp,
 		GroupFounded,
 		FoundingUntold,
 		FoundingRetried,
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -16,6 +16,7 @@
 	PathReadIndex     = "/internal/v1/region/read-index"
 	PathReplace       = "/internal/v1/region/replace"
 	PathJoin          = "/internal/v1/region/join"
+	PathRetire        = "/internal/v1/region/retire"
 	PathPoison        = "/internal/v1/region/poison"
 	PathRelease       = "/internal/v1/region/release"
 	PathQuotas        = "/internal/v1/region/quotas"
@@ -322,7 +323,8 @@
 	Index uint64 `msg:"index"`
 }
 
-// JoinRequest asks the leader to add a consensus replica to the group.
+// JoinRequest asks the leader to add a consensus replica to the group, or to give its vote to
+// another before it stops.
 type JoinRequest struct {
 	Address string `msg:"address"`
 	Replica uint64 `msg:"replica"`
