--- a/internal/traffic/table.go
+++ b/internal/traffic/table.go
@@ -13,8 +13,10 @@
 type Table struct {
 	Configuration *Configuration
 	hosts         map[string][]*Mounted
-	services      map[string]*Service
-	keys          tenant.Keys[*Tenant]
+	// splitters are those of the routes.
+	splitters map[place]*Splitter
+	services  map[string]*Service
+	keys      tenant.Keys[*Tenant]
 }
 
 // Mounted is a route of a table with its splitter.
@@ -29,6 +31,7 @@
 	table := &Table{
 		Configuration: configuration,
 		hosts:         map[string][]*Mounted{},
+		splitters:     make(map[place]*Splitter, len(configuration.Routes)),
 		services:      make(map[string]*Service, len(configuration.Services)),
 	}
 	for index := range configuration.Services {
@@ -41,7 +44,9 @@
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
 		host := strings.ToLower(route.Host)
-		table.hosts[host] = append(table.hosts[host], &Mounted{Route: route, Splitter: before.splitterFor(route)})
+		splitter := before.splitterFor(host, route)
+		table.splitters[place{host, route.PathPrefix}] = splitter
+		table.hosts[host] = append(table.hosts[host], &Mounted{Route: route, Splitter: splitter})
 	}
 	for _, mounted := range table.hosts {
 		sort.SliceStable(mounted, func(i, j int) bool {
@@ -71,12 +76,11 @@
 // splitterFor keeps the splitter of an unchanged split. A new one starts at a
 // random position, so that gateways that start together don't all serve the
 // same part first.
-func (t *Table) splitterFor(route *Route) *Splitter {
+func (t *Table) splitterFor(host string, route *Route) *Splitter {
 	if t != nil {
-		for _, mounted := range t.hosts[strings.ToLower(route.Host)] {
-			if mounted.PathPrefix == route.PathPrefix && mounted.Splitter.Splits(route.Split) {
-				return mounted.Splitter
-			}
+		splitter := t.splitters[place{host, route.PathPrefix}]
+		if splitter != nil && splitter.Splits(route.Split) {
+			return splitter
 		}
 	}
 	return NewSplitter(route.Split, rand.IntN)
