Weights whose sum wraps to 0 are valid

A configuration with four weights of 2^62 was refused with "the weights add up to 0": the sum of 64 bits was. Only weights that are all 0 are refused now. TestWeightsThatWrapToZeroAreValid failed before.

--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// TestWeightsThatWrapToZeroAreValid: only weights that are all 0 are refused.
+func TestWeightsThatWrapToZeroAreValid(t *testing.T) {
+	parts := []traffic.Part{{Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 1 << 62}, {Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 1 << 62}}
+	require.NoError(t, configuration(route("r", "h", "/p/", parts...)).Validate())
+}
+
 func TestServicesAreNamedOnce(t *testing.T) {
 	twice := &traffic.Configuration{Services: []traffic.Service{{Name: "a"}, {Name: "a"}}}
 	require.ErrorContains(t, twice.Validate(), "defined twice")
--- a/internal/traffic/validate.go
+++ b/internal/traffic/validate.go
@@ -122,7 +122,7 @@
 	default:
 		return invalid("route %q is of the unknown kind %q", r.Name, r.Kind)
 	}
-	sum := 0
+	weighted := false
 	for _, part := range r.Split {
 		if !services[part.Service] {
 			return invalid("route %q names the unknown service %q", r.Name, part.Service)
@@ -130,9 +130,9 @@
 		if part.Weight < 0 {
 			return invalid("route %q has a negative weight", r.Name)
 		}
-		sum += part.Weight
+		weighted = weighted || part.Weight > 0
 	}
-	if sum == 0 {
+	if !weighted {
 		return invalid("the weights of route %q add up to 0", r.Name)
 	}
 	return nil
