Polls go on while a gateway brings a configuration into force

Cause: the loop that polls the coordinators brought configurations into force itself, however long that took.

Mend: it hands them on, and asks for what is newer than the one that it has; of those that wait, the newest is next. One that can't be read is asked for again.

TestPollsGoOnWhileAConfigurationIsBroughtIntoForce: before, the first call of apply waited for the configuration to be read.

--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -254,6 +254,7 @@
 	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go d.views.applyConfigurations(work)
 	go d.views.pollCoordinators(work)
 	go d.views.probeCoordinators(work)
 	go d.views.pollListWhenStale(work)
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -49,6 +49,10 @@
 	table atomic.Pointer[traffic.Table]
 	// readVersion is the version of the last configuration that was read, 0 before there is one.
 	readVersion atomic.Uint64
+	// received holds the newest configuration that is not in force yet, and receivedVersion is its
+	// version, or that of the last one before.
+	received        chan *region.View
+	receivedVersion atomic.Uint64
 	// gateways is the number of gateways last reported by a coordinator, 0 before the first report.
 	gateways atomic.Int64
 	// configured is closed when the first configuration has been applied.
@@ -88,6 +92,7 @@
 		zones:         map[string]string{},
 		failedAt:      map[string]time.Duration{},
 
+		received:     make(chan *region.View, 1),
 		configured:   make(chan struct{}),
 		onConfigured: func(*traffic.Configuration) {},
 		onListed:     func(bool) {},
@@ -204,7 +209,7 @@
 	if v.evidence != nil {
 		request.PoisonRevision = v.evidence.Guard.Revision()
 	}
-	request.Version = v.version()
+	request.Version = max(v.version(), v.receivedVersion.Load())
 	v.mutex.Lock()
 	v.list.Request(request, maximumListPart)
 	request.MembersHash = v.membersHash
@@ -232,9 +237,7 @@
 		v.evidence.Guard.ApplyNews(view.Poison)
 	}
 	if len(view.Document) > 0 {
-		if err := v.applyConfiguration(view); err != nil {
-			return err
-		}
+		v.receive(view)
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -304,6 +307,39 @@
 		"changed", len(view.Replicas), "removed", len(view.Removed), "part_end", view.PartEnd, "age_ms", view.AgeMillis)
 }
 
+// receive passes a configuration on to applyConfigurations, in place of one that waits there.
+func (v *viewClient) receive(view *region.View) {
+	v.receivedVersion.Store(view.Version)
+	select {
+	case <-v.received:
+	default:
+	}
+	v.received <- view
+}
+
+// applyConfigurations brings the configurations that are received into force until the context
+// ends. However long one takes, polls go on, and of those that come meanwhile the newest is next.
+func (v *viewClient) applyConfigurations(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case view := <-v.received:
+			if err := v.applyConfiguration(view); err != nil {
+				v.logger.Info(event.ConfigurationRefused, "version", view.Version, "reason", err.Error())
+				v.receiveAgain(ctx, view.Version)
+			}
+		}
+	}
+}
+
+// receiveAgain has the next poll ask once more for a configuration that could not be read.
+func (v *viewClient) receiveAgain(ctx context.Context, version uint64) {
+	if lifecycle.Sleep(ctx, pollRetryDelay) {
+		v.receivedVersion.CompareAndSwap(version, v.version())
+	}
+}
+
 func (v *viewClient) applyConfiguration(view *region.View) error {
 	begun := v.now()
 	document, err := region.Inflate(view.Document)
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +96,43 @@
 	views.partialList = true
 	assert.False(t, views.needsDirectList(), "the gateway knows only part of the replicas")
 }
+
+// slowCodec reads a document as the configuration of the version that it holds, and takes until
+// released for version 1.
+type slowCodec struct {
+	traffic.Codec
+	begun, released chan struct{}
+}
+
+func (c slowCodec) Read(document []byte) (*traffic.Configuration, error) {
+	version, err := strconv.ParseUint(string(document), 10, 64)
+	if version == 1 {
+		close(c.begun)
+		<-c.released
+	}
+	return &traffic.Configuration{Version: version}, err
+}
+
+// Guards against a gateway that polls no coordinator while it brings a configuration into force:
+// neither the list nor a later configuration arrived.
+func TestPollsGoOnWhileAConfigurationIsBroughtIntoForce(t *testing.T) {
+	directory := relay.NewDirectory(func() time.Duration { return 0 }, "z", func(string, string) {}, logr.Discard())
+	budgets := relay.NewRetryBudgets(func() time.Duration { return 0 }, relay.RetryBudgetOptions{Window: time.Second}, 1)
+	mode := &placementMode{peers: newTestPlacementMode().peers, client: newTestPlacementMode().client, forwards: newForwardClient(Settings{})}
+	codec := slowCodec{begun: make(chan struct{}), released: make(chan struct{})}
+	views := newViewClient(Settings{Codec: codec, Logger: logr.Discard(), Now: uptime.Now}, nil, directory, budgets, mode, nil)
+	go views.applyConfigurations(t.Context())
+	view := func(version uint64) *region.View {
+		return &region.View{Version: version, Document: region.Deflate([]byte(strconv.FormatUint(version, 10))), AgeMillis: 10, Gateways: 1}
+	}
+	assert.NoError(t, views.apply("coordinator", view(1)))
+	<-codec.begun
+	listed := view(2)
+	listed.HasList, listed.WholeList, listed.ListRevision, listed.Replicas = true, true, 4, []region.Replica{{ID: "a"}}
+	assert.NoError(t, views.apply("coordinator", listed))
+	assert.NoError(t, views.apply("coordinator", view(3)))
+	assert.Equal(t, 1, views.directory.Count(), "the list is in force")
+	assert.Zero(t, views.version())
+	close(codec.released)
+	assert.Eventually(t, func() bool { return views.version() == 3 }, time.Minute, time.Millisecond, "the newest wins")
+}
