pierhaven group: who votes, who leads, and whether a coordinator is a member

"pierhaven group" tells how one of them sees the group, with fewer voters than wanted in a line of its own; controllers of zones report the role "removed" and a warning, since there operators decide who is added.

The soak has a mode in which one coordinator at a time freezes, is killed, stopped, cut off or loses its disk, and some are replaced at new addresses, with notice and without (--members).

--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -38,6 +38,7 @@
 	command.Flags().IntVar(&options.Callers, "callers", defaultCallers, "callers, each with one request at a time")
 	command.Flags().BoolVar(&options.Race, "race", false, "build the program with the race detector, whose reports are violations")
 	command.Flags().BoolVar(&options.GatewayKills, "gateway-kills", false, "no faults but kills of gateways and starts of engines: streams that are taken up have to go on")
+	command.Flags().BoolVar(&options.Members, "members", false, "no faults but losses of one coordinator at a time, of which some are replaced by others at new addresses")
 	command.Flags().BoolVar(&options.LongList, "long-list", false, "the platform's list comes in pages, of which some fail, and takes few calls a second")
 	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
 	command.Flags().BoolVar(&options.LateThaw, "late-thaw", false, "with --calm: the process that is replaced last stands still until all others are new")
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -73,8 +73,12 @@
 	// stand by.
 	activeReplicas int
 	coordinators   []*process
-	gateways       []*process
-	servers        []*httptest.Server
+	// added is the number of coordinators that were added after the start.
+	added    int
+	gateways []*process
+	// listAddress is where the platform's list is read.
+	listAddress string
+	servers     []*httptest.Server
 	// proxy stands before the coordinators' internal addresses, the replicas and
 	// the platform's list.
 	proxy   *faultproxy.Proxy
@@ -145,7 +149,8 @@
 	f.addOther(run)
 	list := httptest.NewServer(f.platform())
 	f.servers = append(f.servers, list)
-	if err := f.addEngines(engineWatch); err != nil {
+	err := f.addEngines(engineWatch)
+	if err != nil {
 		return f, err
 	}
 	if options.Releases {
@@ -153,13 +158,12 @@
 			f.engines.Release(engineName(number), versions[number%len(versions)])
 		}
 	}
-	listed, err := f.proxy.ListenTCP(listName, "127.0.0.1:0", list.Listener.Addr().String())
-	if err != nil {
+	if f.listAddress, err = f.proxy.ListenTCP(listName, "127.0.0.1:0", list.Listener.Addr().String()); err != nil {
 		return f, err
 	}
 	f.delayRegions()
 	for number := range coordinators + gateways {
-		if err := f.lay(number, listed, options); err != nil {
+		if err := f.lay(number, options); err != nil {
 			return f, err
 		}
 	}
@@ -383,19 +387,23 @@
 }
 
 // lay writes the settings of one process.
-func (f *fleet) lay(number int, list string, options Options) error {
+func (f *fleet) lay(number int, options Options) error {
 	var seeds []string
-	for seed := range coordinators {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(seed), operatorPort)))
+	if number >= firstSpare {
+		seeds = f.seeds()
+	} else {
+		for seed := range coordinators {
+			seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", f.ip(seed), operatorPort)))
+		}
 	}
 	ip := f.ip(number)
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary(), seeds: seeds}
 	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\n%s\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
-		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), list, ip, metricsPort, usageSeconds, quotaSettings())
+		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), f.listAddress, ip, metricsPort, usageSeconds, quotaSettings())
 	if options.LongList {
 		common += fmt.Sprintf("list_calls_per_second: %d\n", longListRate)
 	}
-	if number < coordinators {
+	if number < coordinators || number >= firstSpare {
 		laid.role = "coordinator"
 		laid.address = fmt.Sprintf("%s:%d", ip, operatorPort)
 		hidden := fmt.Sprintf("%s:%d", f.hiddenIP(number), internalPort)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -55,6 +55,8 @@
 	LongList bool
 	// Releases has engines of several versions of the software serve side by side, and callers take up streams that break off.
 	Releases bool
+	// Members leaves out all faults but those of coordinators, one at a time, and replaces some by others at new addresses.
+	Members bool
 	// GatewayKills leaves out all faults but kills of gateways and starts of engines.
 	GatewayKills bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
@@ -222,6 +224,8 @@
 		s.plan(ctx)
 	case options.GatewayKills:
 		s.killGateways(ctx)
+	case options.Members:
+		s.changeMembers(ctx)
 	default:
 		s.harm(ctx)
 	}
@@ -364,9 +368,7 @@
 }
 
 func (s *soak) coordinator() string {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.fleet.coordinators[s.dice.IntN(coordinators)].address
+	return s.anyCoordinator().address
 }
 
 // readBack reads the configuration at any coordinator, all the time.
--- a/internal/api/operatorapi/fleet.go
+++ b/internal/api/operatorapi/fleet.go
@@ -110,7 +110,7 @@
 	Name       string `json:"name" msg:"name"`
 	ReplicaID  uint64 `json:"replica_id" msg:"replica_id"`
 	Generation uint64 `json:"generation" msg:"generation"`
-	// Role is leader, follower, candidate, pre-candidate or joining.
+	// Role is leader, follower, candidate, pre-candidate, joining, or removed if the replica was told that it is no member any more.
 	Role string `json:"role" msg:"role"`
 	Term uint64 `json:"term" msg:"term"`
 	// Leader and LeaderAddress are 0 and empty if no leader is known.
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -89,7 +89,7 @@
 		a.coordinatorCommand(),
 		a.explainCommand(),
 		a.tenantsCommand(),
-		a.heldCommand(), a.quotaCommand(), a.limitCommand(), a.softwareCommand(), a.buildCommand(), a.regionsCommand(), a.fleetCommand(),
+		a.heldCommand(), a.quotaCommand(), a.limitCommand(), a.softwareCommand(), a.buildCommand(), a.regionsCommand(), a.groupCommand(), a.fleetCommand(),
 		a.policyCommand(),
 		documentCommand[dynamic.Tenant](a, dynamic.KindTenant),
 		documentCommand[dynamic.Model](a, dynamic.KindModel),
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -61,8 +61,11 @@
 			Active:     member.RecentlyActive,
 		})
 	}
-	if len(status.Members) == 0 {
+	switch {
+	case len(status.Members) == 0:
 		state.Role = roleJoining
+	case status.RemovedAt != 0:
+		state.Role = roleRemoved
 	}
 	if problem := errors.Join(status.Quarantined, status.Err); problem != nil {
 		state.Problem = problem.Error()
@@ -70,5 +73,9 @@
 	return state
 }
 
-// roleJoining is the reported role of a replica that does not know its group yet.
-const roleJoining = "joining"
+const (
+	// roleJoining is the reported role of a replica that does not know its group yet.
+	roleJoining = "joining"
+	// roleRemoved is that of one that was told that it is no member any more.
+	roleRemoved = "removed"
+)
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -38,9 +38,12 @@
 	if state.Problem != "" {
 		warnings = append(warnings, fmt.Sprintf("group %s: %s", state.Name, state.Problem))
 	}
-	if state.Role == roleJoining {
+	switch {
+	case state.Role == roleJoining:
 		warnings = append(warnings, fmt.Sprintf("group %s: this replica (%d) waits to be added", state.Name, state.ReplicaID))
-	} else if state.Leader == 0 {
+	case state.Role == roleRemoved:
+		warnings = append(warnings, fmt.Sprintf("group %s: this replica (%d) was removed; an operator may add it again with its data", state.Name, state.ReplicaID))
+	case state.Leader == 0:
 		warnings = append(warnings, fmt.Sprintf("group %s: no leader is known", state.Name))
 	}
 	if state.Leader != state.ReplicaID {
--- a/internal/coordinator/operatorroutes.go
+++ b/internal/coordinator/operatorroutes.go
@@ -24,6 +24,8 @@
 	PathBuilds = "/operator/v1/builds"
 	// PathSoftware shows the versions of the software that replicas run.
 	PathSoftware = "/operator/v1/software"
+	// PathGroup shows the group of the coordinators, as this one sees it.
+	PathGroup = "/operator/v1/group"
 	// PathRegions shows the replicas and the load of each region.
 	PathRegions = "/operator/v1/regions"
 	// PathFleet explains the current numbers of replicas.
@@ -51,6 +53,9 @@
 	router.GET(PathSoftware, func(_ context.Context, call *app.RequestContext) {
 		writeOperatorResponse(call, c.Software(), nil)
 	})
+	router.GET(PathGroup, func(_ context.Context, call *app.RequestContext) {
+		writeOperatorResponse(call, c.Group(), nil)
+	})
 	router.GET(PathRegions, func(_ context.Context, call *app.RequestContext) {
 		writeOperatorResponse(call, c.RegionLoads(), nil)
 	})
