What a next life asks in a late answer counts after the former one has left

Seen by callers: none known. Seen by replicas: one that has started again and said that it leaves gets requests for longer than the grace time, one that asked for rest gets them at once.

Cause: an answer doesn't say of which life it is. One that arrives after the list has shown the next life is recorded for the former, and passed on to the next only if the former had asked for nothing of the kind: a former life that had left made the word of the next one no news. The list's taking the former one off left a state, which did the same to its first wish for rest.

Mend: what is asked under a life that is not listed any more is handed to the one that is listed at the address each time, not only the first; what was asked before that one's start still doesn't count for it.

TestLeavingOfANextIncarnationCountsAfterTheFormerOneHasLeft failed before in two of three cases.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -69,7 +69,8 @@
 func (g *Gate) Disable(backoff, leaving bool) { g.honorBackoff, g.honorLeaving = !backoff, !leaving }
 
 // OnChange sets a function that is called for each peer that asks for something for the first time, and again
-// when it says that it is leaving. It must be called before first use.
+// when it says that it is leaving. For a peer that is not listed any more it is called each time: the response may be
+// that of the next incarnation. It must be called before first use.
 func (g *Gate) OnChange(notify func(peer Peer, state *PeerState)) { g.onChange = notify }
 
 // Now is the current time by the gate's clock.
@@ -97,7 +98,7 @@
 	g.note(state, now, backoff, leaving)
 	longer := state.extendBackoff(now, backoff)
 	leaves := leaving && noteFirst(&state.saidAt, now)
-	if first || leaves {
+	if first || leaves || state.unlistedAt.Load() != 0 {
 		g.onChange(peer, state)
 	}
 	switch {
--- a/internal/relay/life_test.go
+++ b/internal/relay/life_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -313,6 +314,31 @@
 	assert.Equal(t, []string{next.Instance}, d.UnreportedLeaving())
 }
 
+// A request is sent before the list shows the new process, whose answer says that it is leaving. The former process had said so
+// too, so that the answer seemed to be no news, and requests were sent to the new one for longer than it takes any.
+func TestLeavingOfANextIncarnationCountsAfterTheFormerOneHasLeft(t *testing.T) {
+	for name, answers := range map[string][]string{"leaving": {"Leaving"}, "rest": {"Retry-After"}, "both": {"Retry-After", "Leaving"}} {
+		t.Run(name, func(t *testing.T) {
+			d, gate := newDirectoryWithGate(startedAt(5, replica("a", "")))
+			former := backpressure.Peer{Address: replica("a", "").Address, Instance: incarnationName("a", 5)}
+			gate.Observe(former, http.StatusOK, http.Header{"Leaving": {"1"}, "Retry-After": {"1"}})
+			d.now += 10 * time.Second
+			born := time.Now().Add(-time.Second).UnixMilli()
+			d.Replace([]region.Replica{startedAt(born, replica("a", "")), replica("busy", "")})
+			next := backpressure.Peer{Address: former.Address, Instance: incarnationName("a", born)}
+			gate.MarkUnlisted(former)
+			require.NoError(t, gate.Permits(next, true))
+			for _, field := range answers {
+				gate.Observe(former, http.StatusServiceUnavailable, http.Header{field: {"2"}})
+			}
+			assert.Equal(t, "busy", d.PickAny("s", relay.Wanted{}).Replica.ID)
+			if slices.Contains(answers, "Leaving") {
+				assert.Equal(t, []string{next.Instance}, d.UnreportedLeaving())
+			}
+		})
+	}
+}
+
 // Without start times, the next incarnation has the name of the former one. What that has asked for ends
 // with its process, also for processes that learned of it from others.
 func TestBackoffEndsWithProcessOfUnknownStartTime(t *testing.T) {
