--- a/bench/soak/members.go
+++ b/bench/soak/members.go
@@ -35,17 +35,17 @@
 
 // losses are what happens to one coordinator that comes back, with its disk or without.
 var losses = []harmful{
-	{"freeze", func(s *soak, ctx context.Context) { s.freezeFor(ctx, s.anyCoordinator(), s.away()) }},
-	{"kill and start", func(s *soak, ctx context.Context) { s.stopFor(ctx, s.anyCoordinator(), syscall.SIGKILL, s.away()) }},
-	{"stop and start", func(s *soak, ctx context.Context) { s.stopFor(ctx, s.anyCoordinator(), syscall.SIGTERM, s.away()) }},
+	{"freeze", func(s *soak, ctx context.Context) { s.freezeFor(ctx, s.victim(), s.away()) }},
+	{"kill and start", func(s *soak, ctx context.Context) { s.stopFor(ctx, s.victim(), syscall.SIGKILL, s.away()) }},
+	{"stop and start", func(s *soak, ctx context.Context) { s.stopFor(ctx, s.victim(), syscall.SIGTERM, s.away()) }},
 	{"cut off", func(s *soak, ctx context.Context) {
-		name := s.anyCoordinator().name
+		name := s.victim().name
 		s.cutFor(ctx, s.away(), faultproxy.Match{Source: name}, faultproxy.Match{Destination: name})
 	}},
 	{"cut off one way", func(s *soak, ctx context.Context) {
-		s.cutFor(ctx, s.away(), faultproxy.Match{Source: s.anyCoordinator().name})
+		s.cutFor(ctx, s.away(), faultproxy.Match{Source: s.victim().name})
 	}},
-	{"lose the disk", func(s *soak, ctx context.Context) { s.loseDisk(ctx, s.anyCoordinator(), s.away()/2) }},
+	{"lose the disk", func(s *soak, ctx context.Context) { s.loseDisk(ctx, s.victim(), s.away()/2) }},
 }
 
 // changeMembers has coordinators go away one at a time, and replaces some by others at new addresses, until the duration is
@@ -55,7 +55,7 @@
 	end := time.Now().Add(s.options.Duration)
 	pause(ctx, settleTime)
 	for ctx.Err() == nil && time.Now().Before(end) && !s.waitedFor() {
-		if s.draw() < replacements {
+		if s.random.Float64() < replacements {
 			s.replaceCoordinator(ctx)
 		} else {
 			s.loseOne(ctx)
@@ -66,7 +66,7 @@
 // loseOne has one coordinator away for a time.
 func (s *soak) loseOne(ctx context.Context) {
 	s.countFault()
-	kind := losses[int(s.draw()*float64(len(losses)))]
+	kind := losses[int(s.random.Float64()*float64(len(losses)))]
 	s.note("%s", kind.name)
 	kind.do(s, ctx)
 	back := time.Now()
@@ -148,12 +148,12 @@
 	}
 	s.note("%s is added", added.name)
 	pause(ctx, settleTime)
-	for s.draw() < spareLosses && !s.waitedFor() {
+	for s.random.Float64() < spareLosses && !s.waitedFor() {
 		s.loseOne(ctx)
 	}
-	gone := old[int(s.draw()*float64(len(old)))]
+	gone := old[int(s.random.Float64()*float64(len(old)))]
 	signal := syscall.SIGKILL
-	if s.draw() < notices {
+	if s.random.Float64() < notices {
 		signal = syscall.SIGTERM
 	}
 	s.note("%s goes for good: %s", gone.name, signal)
@@ -169,7 +169,7 @@
 // tellSeeds has some of the processes name the coordinators that there are.
 func (s *soak) tellSeeds() {
 	for _, each := range s.fleet.all() {
-		if s.draw() < seedChanges {
+		if s.random.Float64() < seedChanges {
 			if err := each.setSeeds(s.fleet.seeds()); err != nil {
 				s.truth.report("%s: %v", each.name, err)
 			}
@@ -181,14 +181,12 @@
 	_, _ = fmt.Fprintf(s.options.Log, "seed %d: %s\n", s.options.Seed, fmt.Sprintf(format, arguments...))
 }
 
-func (s *soak) anyCoordinator() *process {
-	running := s.fleet.running()
-	return running[int(s.draw()*float64(len(running)))]
-}
+// victim draws a coordinator that is lost. Only the goroutine that does the harm calls it.
+func (s *soak) victim() *process { return s.anyOf(s.fleet.running()) }
 
 // away draws for how long a coordinator is away.
 func (s *soak) away() time.Duration {
-	return shortestAway + time.Duration(s.draw()*float64(longestAway-shortestAway))
+	return shortestAway + time.Duration(s.random.Float64()*float64(longestAway-shortestAway))
 }
 
 func (s *soak) freezeFor(ctx context.Context, harmed *process, away time.Duration) {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -368,7 +368,8 @@
 }
 
 func (s *soak) coordinator() string {
-	return s.anyCoordinator().address
+	running := s.fleet.running()
+	return running[int(s.draw()*float64(len(running)))].address
 }
 
 // readBack reads the configuration at any coordinator, all the time.
