--- a/bench/simulation/faults.go
+++ b/bench/simulation/faults.go
@@ -40,6 +40,29 @@
 	c.kill()
 }
 
+// removeAway has an operator take a controller out of its groups while it is away. It is no member then, which
+// it can only learn from the others.
+func removeAway(f *faultInjector) {
+	if !f.world.isWhole() {
+		return
+	}
+	c := pick(f.world, f.world.controllers)
+	lasts := f.lasting(mediumFault)
+	switch f.world.random.IntN(3) {
+	case 0:
+		f.pause(&c.process, lasts)
+	case 1:
+		f.downController(c, lasts)
+	default:
+		f.isolate(&c.process, lasts)
+	}
+	f.world.after(lasts/2, func() {
+		for _, hosted := range c.replicas() {
+			hosted.group.remove(hosted.id)
+		}
+	})
+}
+
 // killAllControllers takes the power of a whole zone's controllers.
 func killAllControllers(f *faultInjector) {
 	z := pick(f.world, f.world.zones)
--- a/bench/simulation/plant.go
+++ b/bench/simulation/plant.go
@@ -49,6 +49,8 @@
 	PlantStaleRenewal Plant = "stale-renewal"
 	// PlantNothingHeld: gateways send on what has ended engines.
 	PlantNothingHeld Plant = "nothing-held"
+	// PlantUntoldRemoval: nobody tells a replica that it was removed.
+	PlantUntoldRemoval Plant = "untold-removal"
 	// PlantSteadyClock: processes go by a clock that does not count suspensions.
 	PlantSteadyClock Plant = "steady-clock"
 )
@@ -75,6 +77,7 @@
 	{PlantDispatchToLeaving, "leaving", []Rule{Rule(truth.DispatchedToLeaving)}},
 	{PlantLocalRead, "racing-operators", []Rule{ruleLinearizable}},
 	{PlantStaleRenewal, "isolated-gateways", []Rule{ruleChangedInUse}},
+	{PlantUntoldRemoval, "removed-while-away", []Rule{ruleLiveness}},
 	{PlantNothingHeld, "ending-requests", []Rule{ruleEnding}},
 	{PlantSteadyClock, "suspensions", []Rule{ruleChangedInUse, Rule(truth.DispatchedToLeaving)}},
 }
--- a/bench/simulation/repair.go
+++ b/bench/simulation/repair.go
@@ -92,7 +92,7 @@
 		if hosted.node == nil {
 			continue
 		}
-		if _, found := status.Member(hosted.id); !found {
+		if _, found := status.Member(hosted.id); !found && hosted.asksToJoin() {
 			member := consensus.Member{ID: hosted.id, Address: owner.name}
 			return consensus.MembershipChange{Kind: consensus.AddLearner, Member: member}, true
 		}
@@ -109,6 +109,18 @@
 	return consensus.MembershipChange{}, false
 }
 
+// asksToJoin reports whether a replica knows that it is no member.
+func (r *hostedReplica) asksToJoin() bool {
+	return r.owner.alive && !r.owner.paused && !r.node.Status().IsMember()
+}
+
+// remove takes a replica out of the group if another one leads.
+func (g *group) remove(id consensus.ReplicaID) {
+	if leader := g.leader(); leader != nil && leader.id != id {
+		leader.changeMembership(consensus.MembershipChange{Kind: consensus.RemoveMember, Member: consensus.Member{ID: id}}, func(error) {})
+	}
+}
+
 func (g *group) staleMember(status replica.Status) (consensus.Member, bool) {
 	for _, member := range status.Members {
 		if !g.isCurrent(member.ID) {
--- a/bench/simulation/replica.go
+++ b/bench/simulation/replica.go
@@ -137,7 +137,7 @@
 // send encodes a message, as the wire does, so that no memory is shared.
 func (r *hostedReplica) send(message consensus.Message) {
 	host := r.group.hosts[message.To]
-	if host == nil {
+	if host == nil || r.owner.world.plant == PlantUntoldRemoval && message.Kind == consensus.MessageRemoved {
 		return
 	}
 	encoded, err := message.MarshalMsg(nil)
--- a/bench/simulation/scenarios.go
+++ b/bench/simulation/scenarios.go
@@ -93,6 +93,10 @@
 			operate(f)
 			f.every(2*time.Second, failSync, fillDisk)
 		}),
+		usual("removed-while-away", "controllers taken out of their groups while they are stopped, without power or cut off", threeZones, func(f *faultInjector) {
+			operate(f)
+			f.every(6*time.Second, removeAway)
+		}),
 		usual("lost-disks", "disks lost, a second one right after the repair of the first", oneZone, func(f *faultInjector) {
 			operate(f)
 			f.every(4*time.Second, loseDisk, loseDisk, killController)
