--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -36,7 +36,7 @@
 			asking = false
 			continue
 		}
-		err := c.requestJoin(ctx)
+		err := c.requestFromOthers(ctx, region.PathJoin)
 		if text := failure.Text(err); !asking || text != lastError {
 			asking, lastError = true, text
 			c.logger.Info(event.JoinAsked, "replica", uint64(status.ID), "removed_at", status.RemovedAt,
@@ -72,12 +72,7 @@
 // Leads reports whether this coordinator believes that it leads.
 func (c *Coordinator) Leads() bool { return c.group.Leads() }
 
-// requestJoin asks for this coordinator to be added.
-func (c *Coordinator) requestJoin(ctx context.Context) error {
-	return c.requestFromOthers(ctx, region.PathJoin)
-}
-
-// requestFromOthers makes a request about this coordinator's membership. It asks each other
+// requestFromOthers makes a request about this coordinator's membership: it asks each other
 // coordinator in turn, and the leader that this one names, until one of them has done it.
 func (c *Coordinator) requestFromOthers(ctx context.Context, path string) error {
 	request := &region.JoinRequest{
--- a/internal/coordinator/retirement.go
+++ b/internal/coordinator/retirement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +74,9 @@
 	ctx, cancel := context.WithTimeout(ctx, retirementTimeout)
 	defer cancel()
 	id := consensus.ReplicaID(request.Replica)
-	c.retirements.announce(id, c.now())
+	if c.group.Leads() {
+		c.retirements.announce(id, c.now())
+	}
 	for {
 		status := c.group.Runner.Status()
 		switch {
@@ -93,21 +96,11 @@
 }
 
 func hasLearner(status replica.Status) bool {
-	for _, member := range status.Members {
-		if member.Learner {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(status.Members, func(member replica.MemberStatus) bool { return member.Learner })
 }
 
 func hasActiveLearner(status replica.Status) bool {
-	for _, member := range status.Members {
-		if member.Learner && member.RecentlyActive {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(status.Members, func(member replica.MemberStatus) bool { return member.Learner && member.RecentlyActive })
 }
 
 // hasSurplus reports whether there are more voters than wanted: a replacement is between its two
