--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,8 @@
 // cases are the cases by their names. Each returns whether the rule held.
 var cases = map[string]func(written *record, trouble bool) (held bool, err error){
 	"refusal-text": runRefusalText,
+	"garbage":      runGarbage,
+	"first-start":  runFirstStart,
 }
 
 const (
--- a/review/standin-2/refusal.go
+++ b/review/standin-2/refusal.go
@@ -68,6 +68,29 @@
 	return listener.Addr().String(), nil
 }
 
+// addFloorReplicas adds the replicas of the application.
+func (r *region) addFloorReplicas() ([]*floorReplica, error) {
+	var replicas []*floorReplica
+	for number := range 3 {
+		replica := &floorReplica{id: fmt.Sprintf("i-floor-%d", number+1), written: r.record, ran: map[string]int{}}
+		address, err := startReplica("127.0.0.1:0", replica.serve)
+		if err != nil {
+			return nil, err
+		}
+		replicas = append(replicas, replica)
+		r.list.add(instance{Service: "vloerapp", Address: address, Zone: r.zones[number], Version: "v1", Slots: 6, State: "ready", ID: replica.id})
+	}
+	return replicas, nil
+}
+
+// floorConfiguration is a configuration of the application's route.
+func floorConfiguration(version int) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"belt-assign","Host":%q,"PathPrefix":"/belt/","RouteType":"non_idempotent",`+
+		`"TimeoutMs":1000,"TargetLatencyMs":100,"Priority":0,"Service":"vloerapp","MaxAttempts":1}],`+
+		`"Services":[{"Name":"vloerapp","HealthCheck":"/healthz","MaxConnections":100,"Protocol":"h1","Tls":false}],`+
+		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, refusalHost)
+}
+
 // runRefusalText has replicas fail a part of their requests, after they ran them, with an answer of their own.
 func runRefusalText(written *record, trouble bool) (bool, error) {
 	created, err := newRegion(written, 2)
@@ -75,23 +98,17 @@
 		return false, err
 	}
 	running = created
-	var replicas []*floorReplica
-	for number := range 3 {
-		replica := &floorReplica{id: fmt.Sprintf("i-floor-%d", number+1), written: written, trouble: trouble, ran: map[string]int{}}
-		address, err := startReplica("127.0.0.1:0", replica.serve)
-		if err != nil {
-			return false, err
-		}
-		replicas = append(replicas, replica)
-		created.list.add(instance{Service: "vloerapp", Address: address, Zone: created.zones[number], Version: "v1", Slots: 6, State: "ready", ID: replica.id})
+	replicas, err := created.addFloorReplicas()
+	if err != nil {
+		return false, err
+	}
+	for _, each := range replicas {
+		each.trouble = trouble
 	}
 	if err := created.startAll(); err != nil {
 		return false, err
 	}
-	configuration := []byte(`{"Version":1,"Routes":[{"Name":"belt-assign","Host":"` + refusalHost + `","PathPrefix":"/belt/","RouteType":"non_idempotent",` +
-		`"TimeoutMs":1000,"TargetLatencyMs":100,"Priority":0,"Service":"vloerapp","MaxAttempts":1}],` +
-		`"Services":[{"Name":"vloerapp","HealthCheck":"/healthz","MaxConnections":100,"Protocol":"h1","Tls":false}],` +
-		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`)
+	configuration := floorConfiguration(1)
 	if err := created.replaceUntilTaken(configuration, 20*time.Second); err != nil {
 		return false, err
 	}
--- a/review/standin-2/region.go
+++ b/review/standin-2/region.go
@@ -61,12 +61,17 @@
 	folder       string
 	record       *record
 	coordinators []*process
-	gateways     []*process
-	list         *platformList
-	zones        []string
-	client       *http.Client
+	// seeds are the coordinators that the settings name.
+	seeds    []*process
+	gateways []*process
+	list     *platformList
+	zones    []string
+	client   *http.Client
 }
 
+// coordinators are those that start with the region, and one machine more that is started only in the place of another.
+const coordinators = 4
+
 // newRegion lays a region out; nothing runs yet.
 func newRegion(written *record, gateways int) (*region, error) {
 	folder, err := os.MkdirTemp("", "pierhaven-review-")
@@ -84,9 +89,10 @@
 	if r.list, err = newPlatformList(subnet + ".200:0"); err != nil {
 		return nil, err
 	}
-	for number := range 3 {
+	for number := range coordinators {
 		r.coordinators = append(r.coordinators, r.lay("coordinator", number, subnet, 10))
 	}
+	r.seeds = r.coordinators[:3:3]
 	for number := range gateways {
 		r.gateways = append(r.gateways, r.lay("relay", number, subnet, 30))
 	}
@@ -118,7 +124,7 @@
 }
 
 func isFree(subnet string) bool {
-	for _, host := range []int{10, 11, 12, 30, 31, 32} {
+	for _, host := range []int{10, 11, 12, 13, 30, 31, 32} {
 		for _, port := range []int{internalPort, controlPort, frontPort, readyPort, metricsPort} {
 			opened, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet, host, port))
 			if err != nil {
@@ -132,9 +138,9 @@
 
 // writeSettings writes what the deploy file's templates give for a small deployment.
 func (r *region) writeSettings(each *process, bootstrap bool) error {
-	seeds := make([]string, 0, len(r.coordinators))
-	for _, coordinator := range r.coordinators {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", coordinator.ip, controlPort)))
+	seeds := make([]string, 0, len(r.seeds))
+	for _, seed := range r.seeds {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", seed.ip, controlPort)))
 	}
 	var text strings.Builder
 	line := func(format string, arguments ...any) { fmt.Fprintf(&text, format+"\n", arguments...) }
@@ -201,7 +207,7 @@
 
 // startAll starts all processes.
 func (r *region) startAll() error {
-	for _, each := range append(append([]*process{}, r.coordinators...), r.gateways...) {
+	for _, each := range append(append([]*process{}, r.seeds...), r.gateways...) {
 		if err := r.start(each); err != nil {
 			return err
 		}
@@ -255,7 +261,7 @@
 // replaceUntilTaken sends a configuration to one coordinator after the other until one acknowledges it.
 func (r *region) replaceUntilTaken(document []byte, within time.Duration) error {
 	for end, number := time.Now().Add(within), 0; time.Now().Before(end); number++ {
-		if status := r.replace(r.coordinators[number%len(r.coordinators)], document); status == http.StatusOK {
+		if status := r.replace(r.seeds[number%len(r.seeds)], document); status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -299,6 +305,7 @@
 	State           string
 	ColdRemainingMs int
 	ID              string `json:"Id"`
+	Stage           string `json:",omitempty"`
 }
 
 // platformList is a stand-in of the platform's list of replicas.
@@ -306,7 +313,7 @@
 	address string
 	server  *http.Server
 	mutex   sync.Mutex
-	entries []instance
+	entries []func() instance
 }
 
 func newPlatformList(address string) (*platformList, error) {
@@ -318,8 +325,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(writer http.ResponseWriter, _ *http.Request) {
 		l.mutex.Lock()
-		page := map[string]any{"Instances": append([]instance{}, l.entries...), "NextPageToken": nil}
+		entries := make([]instance, 0, len(l.entries))
+		for _, shown := range l.entries {
+			entries = append(entries, shown())
+		}
 		l.mutex.Unlock()
+		page := map[string]any{"Instances": entries, "NextPageToken": nil}
 		writer.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(writer).Encode(page)
 	})
@@ -328,10 +339,13 @@
 	return l, nil
 }
 
-func (l *platformList) add(entry instance) {
+func (l *platformList) add(entry instance) { l.addShown(func() instance { return entry }) }
+
+// addShown adds an entry that is asked for whenever the list is read.
+func (l *platformList) addShown(shown func() instance) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.entries = append(l.entries, entry)
+	l.entries = append(l.entries, shown)
 }
 
 func (l *platformList) close() { _ = l.server.Close() }
