--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -33,6 +33,8 @@
 	PromptRead Event = "prompt read apart"
 	// AttemptEnded: a send ended without an answer for the caller.
 	AttemptEnded Event = "attempt ended"
+	// AnswerLost: a replica's answer has broken off, or was given up.
+	AnswerLost Event = "answer lost"
 	// ReplicaLost: the connection to a replica has broken under a request.
 	ReplicaLost Event = "replica lost under a request"
 	// RequestAnswered: the caller got a complete answer.
@@ -242,6 +244,7 @@
 		LeavingSent,
 		PromptRead,
 		AttemptEnded,
+		AnswerLost,
 		ReplicaLost,
 		RequestAnswered,
 		RequestRefused,
--- a/internal/relay/daemon/forwardclient.go
+++ b/internal/relay/daemon/forwardclient.go
@@ -71,7 +71,7 @@
 func newForwardClient(settings Settings) *forwardClient {
 	return &forwardClient{
 		settings:    settings,
-		client:      upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes}),
+		client:      upstream.NewClient(upstream.Options{DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Budget: settings.AnswerBudget}),
 		pausedUntil: map[peerService]time.Time{},
 	}
 }
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/membudget"
 	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/quota"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -74,6 +75,8 @@
 	// Gate tracks what replicas ask of this process (backoff, leaving). If nil, the daemon creates
 	// its own. Anything else in this process that sends to the replicas uses the same gate.
 	Gate *backpressure.Gate
+	// AnswerBudget counts what is kept of the answers of replicas and peers. If nil, the daemon creates its own.
+	AnswerBudget *membudget.Budget
 	// PrefixSource reports which prefixes replicas have cached; nil leaves this to be learned.
 	PrefixSource placement.PrefixSource
 	Codec        traffic.Codec
--- /dev/null
+++ b/internal/relay/lostanswer.go
@@ -0,0 +1,19 @@
+package relay
+
+import (
+	"errors"
+
+	"github.com/pierhaven/pierhaven/internal/event"
+	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/upstream"
+)
+
+// logLostAnswer logs what had come of an answer that was lost.
+func (r *callState) logLostAnswer(lease *Lease, err error) {
+	var lost *upstream.Error
+	if !errors.As(err, &lost) || !lost.HandedOver {
+		return
+	}
+	r.logger.Info(event.AnswerLost, "request", r.call.ID, "replica", lease.Replica.ID, "cause", failure.Text(lost.Cause),
+		"received_bytes", lost.Received, "head_read", lost.HeadRead)
+}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -209,6 +209,7 @@
 		lease.permitUsed()
 	}
 	if err != nil {
+		r.logLostAnswer(lease, err)
 		if !upstream.HeldBack(err) && (ctx.Err() == nil || context.Cause(ctx) == errSlowPrefill || context.Cause(ctx) == errLinksSilent) {
 			lease.Unreachable(upstream.HandedOver(err) && !lostWithLinks(err))
 			if upstream.HandedOver(err) {
@@ -221,6 +222,7 @@
 	recordLimit(lease, response.Status, r.dialect.ReadResponseMetadata(response.Header))
 	body, err := response.ReadAll()
 	if err != nil {
+		r.logLostAnswer(lease, err)
 		lease.Unreachable(true)
 		r.recordConnectionLoss(ctx, lease, err)
 		return nil, err
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -203,6 +203,7 @@
 		r.unsent++
 		return verdictNotRun, err
 	}
+	r.logLostAnswer(lease, err)
 	handedOver := upstream.HandedOver(err)
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, errDeadline) || errors.Is(cause, errLinksSilent) {
@@ -246,6 +247,7 @@
 func (r *callState) relayResponse(ctx context.Context, lease *Lease, response *upstream.Exchange, metadata ResponseMetadata) (verdict, error) {
 	body, err := response.ReadAll()
 	if err != nil {
+		r.logLostAnswer(lease, err)
 		lease.Unreachable(true)
 		r.recordConnectionLoss(ctx, lease, err)
 		return verdictUnknown, err
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -89,6 +89,7 @@
 					return verdictMoved, nil
 				}
 			}
+			r.logLostAnswer(lease, response.Lost(brokenStream(err)))
 			lease.Unreachable(true)
 			r.recordConnectionLoss(ctx, lease, err)
 			r.streamBreak = brokenStream(err)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
+	"github.com/pierhaven/pierhaven/internal/membudget"
 )
 
 // Options bound the exchanges of a Client.
@@ -25,6 +25,8 @@
 	// OnDial is called with the result of each attempt to connect to an incarnation that was not given up, and how long it
 	// has taken; nil if nobody cares.
 	OnDial func(instance string, took time.Duration, err error)
+	// Budget counts what exchanges keep of their answers; nil if nobody cares.
+	Budget *membudget.Budget
 	// Gate hears what answers ask of this process, and is asked before each send; nil if nobody cares.
 	Gate *backpressure.Gate
 }
@@ -101,10 +103,11 @@
 	}
 	stopWatch := context.AfterFunc(ctx, func() { c.giveUp(conn) })
 	sent := send(conn, request)
-	exchange := &Exchange{client: c, request: request, connection: conn, stopWatch: stopWatch, sent: sent, ctx: ctx}
+	exchange := &Exchange{client: c, request: request, connection: conn, stopWatch: stopWatch, sent: sent, ctx: ctx, kept: c.options.Budget.Reserve()}
+	conn.source.received = 0
 	if err := exchange.readHead(); err != nil {
 		exchange.abandon()
-		return nil, &Error{HandedOver: sent.handedOver(), Cause: causeOf(ctx, err)}
+		return nil, &Error{HandedOver: sent.handedOver(), Received: conn.source.received, Cause: causeOf(ctx, err)}
 	}
 	return exchange, nil
 }
@@ -146,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	return newConnection(opened), nil
 }
 
 // Connect makes a connection to an incarnation and keeps it for its next request, unless maximumIdle connections are kept.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -25,12 +25,18 @@
 // connection is one connection to a replica.
 type connection struct {
 	net.Conn
+	source *source
 	reader *bufio.Reader
 	// idleSince and idleUntil bound its rest in the pool.
 	idleSince time.Time
 	idleUntil time.Time
 }
 
+func newConnection(opened net.Conn) *connection {
+	from := &source{Conn: opened}
+	return &connection{Conn: opened, source: from, reader: bufio.NewReaderSize(from, readBufferBytes)}
+}
+
 // newDialer returns a dialer whose connections notice a peer that has fallen
 // silent.
 func newDialer(timeout time.Duration) *net.Dialer {
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -12,7 +12,10 @@
 type Error struct {
 	// HandedOver is false only if no byte of the request was handed over.
 	HandedOver bool
-	Cause      error
+	// Received is how many bytes of an answer have come, HeadRead is set once its head was whole.
+	Received int64
+	HeadRead bool
+	Cause    error
 }
 
 // Error implements error.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pierhaven/pierhaven/internal/membudget"
 )
 
 // Exchange is one exchange whose answer's head has been read.
@@ -23,8 +25,10 @@
 	sent       *sending
 	ctx        context.Context
 	response   *http.Response
-	ended      bool
-	closed     bool
+	// kept is what is held of the answer: of its head while that is read, then of its body.
+	kept   membudget.Reservation
+	ended  bool
+	closed bool
 }
 
 const (
@@ -34,8 +38,13 @@
 	maximumInformational  = 5
 )
 
+// Received returns how many bytes of the answer have come.
+func (e *Exchange) Received() int64 { return e.connection.source.received }
+
 // readHead reads heads until one is the answer to the request.
 func (e *Exchange) readHead() error {
+	e.connection.source.onHead = e.kept.Resize
+	defer func() { e.connection.source.onHead = nil }()
 	for range maximumForeignAnswers {
 		response, err := e.nextResponse()
 		if err != nil {
@@ -105,14 +114,20 @@
 	limit := e.client.options.MaximumBodyBytes
 	body, err := io.ReadAll(io.LimitReader(e, limit+1))
 	if err != nil {
-		return nil, &Error{HandedOver: true, Cause: err}
+		return nil, e.Lost(err)
 	}
 	if int64(len(body)) > limit {
-		return nil, &Error{HandedOver: true, Cause: errTooLarge}
+		return nil, e.Lost(errTooLarge)
 	}
+	e.kept.Resize(int64(len(body)))
 	return body, nil
 }
 
+// Lost returns the error of an exchange whose body has broken off, or was given up.
+func (e *Exchange) Lost(cause error) error {
+	return &Error{HandedOver: true, Received: e.Received(), HeadRead: true, Cause: cause}
+}
+
 // Close ends the exchange. The connection is kept only if nothing speaks against
 // it.
 func (e *Exchange) Close() {
@@ -120,6 +135,7 @@
 		return
 	}
 	e.closed = true
+	e.kept.Release()
 	if !e.reusable() {
 		e.abandon()
 		return
@@ -138,6 +154,7 @@
 // abandon closes the connection, which ends the replica's work on the request.
 func (e *Exchange) abandon() {
 	e.stopWatch()
+	e.kept.Release()
 	_ = e.connection.Close()
 	<-e.sent.done
 }
