--- a/internal/cli/regional.go
+++ b/internal/cli/regional.go
@@ -21,6 +21,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/linelog"
+	"github.com/pierhaven/pierhaven/internal/membudget"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/relay/daemon"
 	"github.com/pierhaven/pierhaven/internal/telemetry"
@@ -47,7 +48,9 @@
 	settings *regional.Settings
 	seeds    *regional.Seeds
 	metrics  *telemetry.Metrics
-	logger   logr.Logger
+	// answers bounds what is kept of the answers of others.
+	answers *membudget.Budget
+	logger  logr.Logger
 }
 
 // regionalCommand returns the command that runs one kind of process.
@@ -77,8 +80,10 @@
 				settings: settings,
 				seeds:    regional.NewSeeds(path, process, settings, logger),
 				metrics:  telemetry.NewMetrics(name),
+				answers:  membudget.New(int64(answerMemoryShare * float64(settings.MemoryMegabytes<<20))),
 				logger:   logger,
 			}
+			registerAnswers(started)
 			started.metrics.GaugeFunc("log_lines_dropped", "Log lines that were not written since the start.", func() float64 {
 				return float64(log.Dropped())
 			})
@@ -122,6 +127,21 @@
 // instead of letting the heap grow: the rest is for stacks and sockets.
 const memoryShare = 0.6
 
+// answerMemoryShare of what the process may use is for the answers of others while they are read.
+const answerMemoryShare = 0.125
+
+// registerAnswers registers the gauges of what is kept of the answers of others.
+func registerAnswers(process regionalProcess) {
+	answers := process.answers
+	process.metrics.GaugeFunc("answer_bytes_held", "Bytes of answers of other processes that are kept now.", func() float64 {
+		return float64(answers.Held())
+	})
+	process.metrics.GaugeFunc("answer_bytes_held_most", "The most of these bytes since the start.", func() float64 { return float64(answers.Most()) })
+	process.metrics.GaugeFunc("answer_bytes_held_by_one", "The most of these bytes that a single answer has held since the start.", func() float64 {
+		return float64(answers.MostOfOne())
+	})
+}
+
 func tuneMemory(settings *regional.Settings) {
 	debug.SetGCPercent(collectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -180,7 +200,8 @@
 		ReadListPage:       newLister(process).Page,
 		ListCallsPerSecond: settings.ListRate(),
 		Gate:               gate,
-		PrefixSource:       platform.NewEngines(gate),
+		PrefixSource:       platform.NewEngines(gate, process.answers),
+		AnswerBudget:       process.answers,
 		Codec:              platform.Codec{},
 		Dialect:            platform.Dialect{},
 		Metrics:            process.metrics,
@@ -194,7 +215,7 @@
 
 // newLister returns the reader of the platform's list, with its metric.
 func newLister(process regionalProcess) *platform.Lister {
-	lister := platform.NewLister(process.settings.ReplicaList, process.logger)
+	lister := platform.NewLister(process.settings.ReplicaList, process.answers, process.logger)
 	process.metrics.GaugeFunc("list_entries_unusable", "Entries of the platform's list, when it was last read here, that name no replica.", func() float64 {
 		return float64(lister.Unusable())
 	})
@@ -220,7 +241,7 @@
 		usage = coordinator.UsageOptions{Window: settings.UsageWindow(), Late: settings.UsageLate()}
 	}
 	gate := platform.NewGate(settings.LeaveTime(), settings.ListedTime(), process.logger)
-	engines := platform.NewEngines(gate)
+	engines := platform.NewEngines(gate, process.answers)
 	created, err := coordinator.New(coordinator.Settings{
 		Name:              settings.Name,
 		Zone:              settings.Zone,
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/links"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
-	"github.com/pierhaven/pierhaven/internal/membudget"
 	"github.com/pierhaven/pierhaven/internal/peers"
 	"github.com/pierhaven/pierhaven/internal/placement"
 	"github.com/pierhaven/pierhaven/internal/regionclock"
@@ -76,9 +75,6 @@
 	}
 	settings.Gate.Disable(settings.DisabledMechanisms[mechanism.ReplicaRests], settings.DisabledMechanisms[mechanism.ReplicaLeaving])
 	var directory *relay.Directory
-	if settings.AnswerBudget == nil {
-		settings.AnswerBudget = &membudget.Budget{}
-	}
 	upstreams := upstream.NewClient(upstream.Options{
 		DialTimeout: dialTimeout, MaximumBodyBytes: maximumBodyBytes, Budget: settings.AnswerBudget, Gate: settings.Gate,
 		OnDial: func(instance string, took time.Duration, err error) { directory.ObserveDial(instance, took, err) },
@@ -151,7 +147,6 @@
 		leaving:   newLeavingReporter(settings, client, views, directory),
 	}
 	created.registerGauges(settings.Metrics)
-	registerBudget(settings.Metrics, settings.AnswerBudget)
 	return created, nil
 }
 
@@ -239,15 +234,6 @@
 	})
 }
 
-// registerBudget registers the gauges of what is kept of answers.
-func registerBudget(registry *telemetry.Metrics, budget *membudget.Budget) {
-	registry.GaugeFunc("answer_bytes_held", "Bytes of answers of replicas and peers that are kept now.", func() float64 { return float64(budget.Held()) })
-	registry.GaugeFunc("answer_bytes_held_most", "The most of these bytes since the start.", func() float64 { return float64(budget.Most()) })
-	registry.GaugeFunc("answer_bytes_held_by_one", "The most of these bytes that a single answer has held since the start.", func() float64 {
-		return float64(budget.MostOfOne())
-	})
-}
-
 // Run serves until a planned stop has begun and either all requests are answered or StopTimeout has
 // passed.
 func (d *Daemon) Run(stopping context.Context) error {
--- a/internal/relay/daemon/forwardclient.go
+++ b/internal/relay/daemon/forwardclient.go
@@ -223,9 +223,12 @@
 	return software
 }
 
+// maximumRefusalBytes bounds a peer's own refusal.
+const maximumRefusalBytes = 64 << 10
+
 // readRefusal reads a peer's own refusal. One that can't be read leaves unknown whether the call has run.
 func readRefusal(exchange *upstream.Exchange) error {
-	body, err := exchange.ReadAll()
+	body, err := exchange.ReadAtMost(maximumRefusalBytes)
 	if err != nil {
 		return failure.Wrap(err, failure.OutcomeUnknown)
 	}
--- a/internal/relay/daemon/settings.go
+++ b/internal/relay/daemon/settings.go
@@ -75,7 +75,7 @@
 	// Gate tracks what replicas ask of this process (backoff, leaving). If nil, the daemon creates
 	// its own. Anything else in this process that sends to the replicas uses the same gate.
 	Gate *backpressure.Gate
-	// AnswerBudget counts what is kept of the answers of replicas and peers. If nil, the daemon creates its own.
+	// AnswerBudget bounds what is kept of the answers of replicas and peers; nil sets no bound.
 	AnswerBudget *membudget.Budget
 	// PrefixSource reports which prefixes replicas have cached; nil leaves this to be learned.
 	PrefixSource placement.PrefixSource
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -172,7 +172,11 @@
 	buffer := make([]byte, streamReadBytes)
 	for {
 		count, err := exchange.Read(buffer)
-		if complete := events.add(buffer[:count]); len(complete) > 0 {
+		complete := events.add(buffer[:count])
+		if err == nil {
+			err = events.checkBounds(exchange)
+		}
+		if len(complete) > 0 {
 			r.streamBreak = nil
 			r.call.beginAt(software)
 			if err := r.forward(exchange, complete, events.lastID); err != nil {
@@ -181,7 +185,7 @@
 			}
 		}
 		switch {
-		case err == nil && len(events.partial) <= maximumEventBytes:
+		case err == nil:
 		case errors.Is(err, io.EOF) && len(events.partial) == 0 && (r.stream != nil || r.call.LastEvent != ""):
 			r.beginStream(exchange)
 			r.stream.writer.End()
--- a/internal/relay/lostanswer.go
+++ b/internal/relay/lostanswer.go
@@ -8,12 +8,16 @@
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
-// logLostAnswer logs what had come of an answer that was lost.
+// logLostAnswer logs what had come of an answer that was lost, and counts it if it was given up at a bound.
 func (r *callState) logLostAnswer(lease *Lease, err error) {
 	var lost *upstream.Error
 	if !errors.As(err, &lost) || !lost.HandedOver {
 		return
 	}
+	bound := upstream.ExceededBound(err)
+	if bound != "" {
+		r.metrics.countGivenUp(bound)
+	}
 	r.logger.Info(event.AnswerLost, "request", r.call.ID, "replica", lease.Replica.ID, "cause", failure.Text(lost.Cause),
-		"received_bytes", lost.Received, "head_read", lost.HeadRead)
+		"bound", bound, "received_bytes", lost.Received, "head_read", lost.HeadRead)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/telemetry"
 	"github.com/pierhaven/pierhaven/internal/topology"
+	"github.com/pierhaven/pierhaven/internal/upstream"
 )
 
 // Metrics are the counters and histograms of a relaying gateway.
@@ -18,6 +19,7 @@
 	prefills       *prometheus.CounterVec
 	prefillSeconds *prometheus.HistogramVec
 	transfers      *prometheus.CounterVec
+	givenUp        *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They are dense from 0.1 to 0.8 s, where the objectives of
@@ -50,6 +52,7 @@
 		prefillSeconds: registry.Histogram("prompt_read_seconds",
 			"Time in which a prompt was read apart, its wait included.", latencyBuckets),
 		transfers: registry.Counter("moved_total", "What has gone from one place to another, by how far it is.", "what", "distance"),
+		givenUp:   registry.Counter("answers_given_up_total", "Answers of replicas that were given up, by the bound that they went beyond.", "bound"),
 	}
 }
 
@@ -78,6 +81,8 @@
 	m.latency.WithLabelValues(string(call.Route.Kind)).Observe(time.Since(call.Arrived).Seconds())
 }
 
+func (m *Metrics) countGivenUp(bound upstream.Bound) { m.givenUp.WithLabelValues(string(bound)).Inc() }
+
 func (m *Metrics) countAttempt(outcome verdict) { m.attempts.WithLabelValues(outcome.String()).Inc() }
 
 func (m *Metrics) countForward(outcome verdict) { m.forwards.WithLabelValues(outcome.String()).Inc() }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -210,7 +210,7 @@
 		return nil, 0
 	}
 	defer response.Close()
-	content, err := response.ReadAll()
+	content, err := response.ReadAtMost(maximumHandleBytes)
 	if err != nil || response.Status != http.StatusOK {
 		r.logger.Info(event.MoveFailed, "request", r.call.ID, "replica", from.ID, "to", to.ID, "last", last, "status", response.Status)
 		return nil, response.Status
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -220,7 +220,7 @@
 	}
 	defer response.Close()
 	recordLimit(lease, response.Status, r.dialect.ReadResponseMetadata(response.Header))
-	body, err := response.ReadAll()
+	body, err := response.ReadAtMost(maximumHandleBytes)
 	if err != nil {
 		r.logLostAnswer(lease, err)
 		lease.Unreachable(true)
@@ -251,6 +251,9 @@
 	}
 }
 
+// maximumHandleBytes bounds the answer that names the handle of a prompt or a stream.
+const maximumHandleBytes = 64 << 10
+
 // freeUnlessConsumed frees the memory of a prompt that no replica has fetched.
 func (h *promptHandle) freeUnlessConsumed(r *Runner) {
 	if h == nil || h.consumed {
@@ -277,6 +280,6 @@
 		r.logger.V(1).Info(event.HandleNotFreed, "replica", handle.replica.ID, "error", err.Error())
 		return
 	}
-	_, _ = response.ReadAll()
+	_ = response.Discard()
 	response.Close()
 }
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -11,6 +11,7 @@
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
+	"github.com/pierhaven/pierhaven/internal/membudget"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/pierhaven/pierhaven/internal/upstream"
 )
@@ -179,6 +180,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// kept is the memory that it takes.
+	kept membudget.Reservation
 }
 
 // countStart counts the request as begun at a given time. Only the first call has an effect, and none for a
@@ -197,6 +200,7 @@
 	state.attempts, state.arrivals, state.mayHaveRun = call.Progress.Attempts, call.Progress.Arrivals, call.Progress.MayHaveRun
 	deadlineCtx, cancel := context.WithDeadlineCause(ctx, state.deadline, errDeadline)
 	defer cancel()
+	defer state.releaseErrorResponse()
 	err := state.serve(deadlineCtx)
 	call.Runs = state.attempts
 	state.reportSuccess()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -234,7 +234,7 @@
 }
 
 func (r *callState) recordRejection(lease *Lease, response *upstream.Exchange, metadata ResponseMetadata) {
-	_, _ = response.ReadAll()
+	_ = response.Discard()
 	if response.Status == http.StatusMisdirectedRequest {
 		lease.Misdirected()
 		return
@@ -255,7 +255,7 @@
 	failed := response.Status >= http.StatusInternalServerError
 	lease.Answered(failed, metadata.Load)
 	if failed && r.stream == nil {
-		r.lastErrorResponse = &bufferedResponse{status: response.Status, header: response.Header, body: body}
+		r.keepErrorResponse(response, body)
 		return verdictFailed, failure.New(failure.BackEndRefused, http.StatusText(response.Status))
 	}
 	if r.stream != nil {
@@ -267,6 +267,19 @@
 	return verdictAnswered, nil
 }
 
+// keepErrorResponse keeps an error response of a replica in the place of an earlier one.
+func (r *callState) keepErrorResponse(response *upstream.Exchange, body []byte) {
+	r.releaseErrorResponse()
+	r.lastErrorResponse = &bufferedResponse{status: response.Status, header: response.Header, body: body, kept: response.Detach()}
+}
+
+// releaseErrorResponse gives back the memory of the response that is kept.
+func (r *callState) releaseErrorResponse() {
+	if r.lastErrorResponse != nil {
+		r.lastErrorResponse.kept.Release()
+	}
+}
+
 func (v verdict) String() string {
 	switch v {
 	case verdictAnswered:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,9 @@
 	for {
 		count, err := response.Read(buffer)
 		complete := events.add(buffer[:count])
+		if err == nil {
+			err = events.checkBounds(response)
+		}
 		if len(complete) > 0 {
 			if first {
 				first = false
@@ -74,7 +77,7 @@
 			}
 		}
 		switch {
-		case err == nil && len(events.partial) <= maximumEventBytes:
+		case err == nil:
 		case errors.Is(err, io.EOF) && len(events.partial) == 0 && (r.stream != nil || send.LastEvent != ""):
 			// A caller that takes a stream up may have all of its events.
 			r.beginStream(response)
@@ -155,24 +158,42 @@
 
 // add appends data and returns all events that are now complete.
 func (s *eventSplitter) add(data []byte) []byte {
+	// What was there before has no separator, but may have the beginning of one.
+	from := max(len(s.partial)-len(crlfEventSeparator)+1, 0)
 	s.partial = append(s.partial, data...)
-	end := max(lastSeparatorEnd(s.partial, eventSeparator), lastSeparatorEnd(s.partial, crlfEventSeparator))
+	end := max(lastSeparatorEnd(s.partial, eventSeparator, from), lastSeparatorEnd(s.partial, crlfEventSeparator, from))
 	if end == 0 {
 		return nil
 	}
 	complete := bytes.Clone(s.partial[:end])
-	s.partial = append(s.partial[:0], s.partial[end:]...)
+	s.keep(s.partial[end:])
 	s.recordIDs(complete)
 	return complete
 }
 
-// lastSeparatorEnd returns the offset after the last separator, 0 if there is none.
-func lastSeparatorEnd(data, separator []byte) int {
-	at := bytes.LastIndex(data, separator)
+// keep keeps the beginning of an event, and the buffer unless an earlier event has made it large.
+func (s *eventSplitter) keep(rest []byte) {
+	if cap(s.partial) > 2*streamReadBytes {
+		s.partial = nil
+	}
+	s.partial = append(s.partial[:0], rest...)
+}
+
+// checkBounds returns an error if the event that is under way is too large, or there is no room for it.
+func (s *eventSplitter) checkBounds(response *upstream.Exchange) error {
+	if len(s.partial) > maximumEventBytes {
+		return &upstream.ExcessError{Bound: upstream.BoundEvent}
+	}
+	return response.Keep(int64(cap(s.partial)))
+}
+
+// lastSeparatorEnd returns the offset after the last separator that begins at an offset or later, 0 if there is none.
+func lastSeparatorEnd(data, separator []byte, from int) int {
+	at := bytes.LastIndex(data[from:], separator)
 	if at < 0 {
 		return 0
 	}
-	return at + len(separator)
+	return from + at + len(separator)
 }
 
 func (s *eventSplitter) recordIDs(complete []byte) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -25,7 +25,7 @@
 	// OnDial is called with the result of each attempt to connect to an incarnation that was not given up, and how long it
 	// has taken; nil if nobody cares.
 	OnDial func(instance string, took time.Duration, err error)
-	// Budget counts what exchanges keep of their answers; nil if nobody cares.
+	// Budget bounds what exchanges keep of their answers together; nil sets no bound.
 	Budget *membudget.Budget
 	// Gate hears what answers ask of this process, and is asked before each send; nil if nobody cares.
 	Gate *backpressure.Gate
@@ -66,6 +66,9 @@
 	// MaximumIdle is how many unused connections may be kept to the replica once this one is one of them;
 	// 0 for maximumIdlePerReplica.
 	MaximumIdle int
+	// HeadDeadline returns until when a head has to be whole whose first bytes have come; nil or a zero time leave that to
+	// the context.
+	HeadDeadline func() time.Time
 	// Belongs reports whether an answer is to this request; nil takes any.
 	Belongs func(http.Header) bool
 }
@@ -103,8 +106,8 @@
 	}
 	stopWatch := context.AfterFunc(ctx, func() { c.giveUp(conn) })
 	sent := send(conn, request)
-	exchange := &Exchange{client: c, request: request, connection: conn, stopWatch: stopWatch, sent: sent, ctx: ctx, kept: c.options.Budget.Reserve()}
-	conn.source.received = 0
+	exchange := newExchange(ctx, c, request, conn)
+	exchange.stopWatch, exchange.sent = stopWatch, sent
 	if err := exchange.readHead(); err != nil {
 		exchange.abandon()
 		return nil, &Error{HandedOver: sent.handedOver(), Received: conn.source.received, Cause: causeOf(ctx, err)}
--- a/internal/upstream/error.go
+++ b/internal/upstream/error.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/pierhaven/pierhaven/internal/backpressure"
+	"github.com/pierhaven/pierhaven/internal/headlimit"
 )
 
 // Error is the failure of an exchange.
@@ -48,12 +49,52 @@
 // The causes of errors that are found in an answer.
 var (
 	errForeignAnswers = errors.New("only answers to other requests came")
-	errTooLarge       = errors.New("the answer is too large")
 	// ErrUnframedEnd says that an event stream without a length ended inside an
 	// event.
 	ErrUnframedEnd = errors.New("the stream ended inside an event")
 )
 
+// Bound is one that an answer may go beyond.
+type Bound string
+
+// Bounds of answers.
+const (
+	// BoundHead and BoundLines are of the heads of an exchange, BoundTime is of the time that a head takes once it has begun.
+	BoundHead  Bound = "head"
+	BoundLines Bound = "lines"
+	BoundTime  Bound = "time"
+	// BoundBody is of a body that is read whole, BoundEvent of one event of a stream.
+	BoundBody  Bound = "body"
+	BoundEvent Bound = "event"
+	// BoundMemory is of what all answers may hold together.
+	BoundMemory Bound = "memory"
+)
+
+// ExcessError says that an answer was given up because it goes beyond a bound.
+type ExcessError struct{ Bound Bound }
+
+// Error implements error.
+func (e *ExcessError) Error() string {
+	return "the answer goes beyond the bound of its " + string(e.Bound)
+}
+
+// ExceededBound returns the bound for which an answer was given up, empty if it was lost otherwise.
+func ExceededBound(err error) Bound {
+	var excess *ExcessError
+	if errors.As(err, &excess) {
+		return excess.Bound
+	}
+	return ""
+}
+
+// boundOf returns the bound of heads that an error of headlimit stands for.
+func boundOf(err error) Bound {
+	if errors.Is(err, headlimit.ErrLines) {
+		return BoundLines
+	}
+	return BoundHead
+}
+
 // causeOf prefers the end of the context to the error that it has led to.
 func causeOf(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,7 @@
 	response   *http.Response
 	// kept is what is held of the answer: of its head while that is read, then of its body.
 	kept   membudget.Reservation
+	head   headGuard
 	ended  bool
 	closed bool
 }
@@ -38,13 +39,19 @@
 	maximumInformational  = 5
 )
 
+// newExchange returns an exchange of which nothing was sent.
+func newExchange(ctx context.Context, client *Client, request *Request, conn *connection) *Exchange {
+	created := &Exchange{client: client, request: request, connection: conn, ctx: ctx, kept: client.options.Budget.Reserve()}
+	created.head = headGuard{kept: &created.kept, deadline: request.HeadDeadline}
+	conn.source.received = 0
+	return created
+}
+
 // Received returns how many bytes of the answer have come.
 func (e *Exchange) Received() int64 { return e.connection.source.received }
 
 // readHead reads heads until one is the answer to the request.
 func (e *Exchange) readHead() error {
-	e.connection.source.onHead = e.kept.Resize
-	defer func() { e.connection.source.onHead = nil }()
 	for range maximumForeignAnswers {
 		response, err := e.nextResponse()
 		if err != nil {
@@ -57,7 +64,7 @@
 		if !framed(response) {
 			return errForeignAnswers
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, e.client.options.MaximumBodyBytes)); err != nil {
+		if err := discard(response.Body); err != nil {
 			return err
 		}
 	}
@@ -65,9 +72,8 @@
 }
 
 func (e *Exchange) nextResponse() (*http.Response, error) {
-	described := &http.Request{Method: e.request.Method}
 	for range maximumInformational {
-		response, err := http.ReadResponse(e.connection.reader, described)
+		response, err := e.nextHead()
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -84,6 +90,39 @@
 	return nil, errForeignAnswers
 }
 
+// nextHead reads the next head, also an interim one, within the bounds of the exchange.
+func (e *Exchange) nextHead() (*http.Response, error) {
+	reader, from := e.connection.reader, e.connection.source
+	from.head = &e.head
+	defer func() { from.head = nil }()
+	e.head.scanner.Next()
+	// Peek returns what is buffered without reading more.
+	buffered, _ := reader.Peek(reader.Buffered())
+	if err := e.head.add(from.Conn, buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: e.request.Method})
+	if e.head.excess != nil {
+		return nil, e.head.excess
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response, e.head.stopWaiting(from.Conn)
+}
+
+// maximumDiscardBytes bounds a body that nobody wants and that is read for the sake of its connection.
+const maximumDiscardBytes = 1 << 20
+
+// discard reads a body to its end.
+func discard(body io.Reader) error {
+	count, err := io.Copy(io.Discard, io.LimitReader(body, maximumDiscardBytes+1))
+	if err == nil && count > maximumDiscardBytes {
+		err = &ExcessError{Bound: BoundBody}
+	}
+	return err
+}
+
 func (e *Exchange) take(response *http.Response) {
 	e.response = response
 	e.Status = response.StatusCode
@@ -110,17 +149,75 @@
 }
 
 // ReadAll reads the whole body.
-func (e *Exchange) ReadAll() ([]byte, error) {
-	limit := e.client.options.MaximumBodyBytes
-	body, err := io.ReadAll(io.LimitReader(e, limit+1))
-	if err != nil {
-		return nil, e.Lost(err)
+func (e *Exchange) ReadAll() ([]byte, error) { return e.ReadAtMost(e.client.options.MaximumBodyBytes) }
+
+// ReadAtMost reads the whole body, or gives it up if it has more bytes than that.
+func (e *Exchange) ReadAtMost(most int64) ([]byte, error) {
+	if e.response.ContentLength > most {
+		return nil, e.Lost(&ExcessError{Bound: BoundBody})
+	}
+	body := make([]byte, 0, minimumBodyBuffer)
+	for {
+		count, err := e.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if int64(len(body)) > most {
+			return nil, e.Lost(&ExcessError{Bound: BoundBody})
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err == nil && len(body) == cap(body) {
+			body, err = e.grow(body, most)
+		}
+		if err != nil {
+			return nil, e.Lost(err)
+		}
+	}
+}
+
+// minimumBodyBuffer is the size of the buffer in which a body is read at first.
+const minimumBodyBuffer = 512
+
+// grow returns a body in a buffer of twice the size, with room for one byte more than it may have.
+func (e *Exchange) grow(body []byte, most int64) ([]byte, error) {
+	size := min(2*int64(cap(body)), most+1)
+	// Both buffers are kept while one is copied to the other.
+	if err := e.Keep(int64(cap(body)) + size); err != nil {
+		return nil, err
+	}
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown, e.Keep(size)
+}
+
+// Keep notes how many bytes of the body the caller keeps. It returns an error if there is no room for them, or none for
+// others beside them.
+func (e *Exchange) Keep(size int64) error {
+	if size <= readBufferBytes {
+		size = 0
+	}
+	if err := e.kept.Resize(e.head.held() + size); err != nil {
+		return &ExcessError{Bound: BoundMemory}
+	}
+	return nil
+}
+
+// Detach hands what is kept on to the caller, who keeps the body beyond the exchange and has to release it.
+func (e *Exchange) Detach() membudget.Reservation {
+	kept := e.kept
+	e.kept = e.client.options.Budget.Reserve()
+	return kept
+}
+
+// Discard reads a body that nobody wants to its end, unless it is long.
+func (e *Exchange) Discard() error {
+	if e.response.ContentLength > maximumDiscardBytes {
+		return e.Lost(&ExcessError{Bound: BoundBody})
 	}
-	if int64(len(body)) > limit {
-		return nil, e.Lost(errTooLarge)
+	if err := discard(e); err != nil {
+		return e.Lost(err)
 	}
-	e.kept.Resize(int64(len(body)))
-	return body, nil
+	return nil
 }
 
 // Lost returns the error of an exchange whose body has broken off, or was given up.
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -1,22 +1,102 @@
 package upstream
 
-import "net"
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
 
-// source is what the buffered reader of a connection reads from. It counts what one exchange has brought.
+	"github.com/pierhaven/pierhaven/internal/headlimit"
+	"github.com/pierhaven/pierhaven/internal/membudget"
+)
+
+// source is what the buffered reader of a connection reads from. It counts what one exchange has brought, and bounds its heads.
 type source struct {
 	net.Conn
 	// received is the number of bytes since the exchange began.
 	received int64
-	// onHead is called with received while a head is being read; nil at other times.
-	onHead func(received int64)
+	// head follows the head that is being read; nil at other times.
+	head *headGuard
 }
 
 // Read implements io.Reader.
 func (s *source) Read(buffer []byte) (int, error) {
+	if s.head != nil && s.head.excess != nil {
+		return 0, s.head.excess
+	}
 	count, err := s.Conn.Read(buffer)
 	s.received += int64(count)
-	if s.onHead != nil {
-		s.onHead(s.received)
+	if s.head == nil {
+		return count, err
+	}
+	if s.head.excess = s.head.add(s.Conn, buffer[:count]); s.head.excess != nil {
+		return 0, s.head.excess
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.head.excess = &ExcessError{Bound: BoundTime}
+		return count, s.head.excess
 	}
 	return count, err
 }
+
+// headMemory is the number of bytes that are kept of a head for each of its own, its fields and the copies of them.
+const headMemory = 4
+
+// headGuard bounds the bytes, the memory and the time that the heads of an exchange take.
+type headGuard struct {
+	scanner headlimit.Scanner
+	kept    *membudget.Reservation
+	// deadline returns until when a head that has begun now has to be whole; nil sets no bound, as a zero time does.
+	deadline func() time.Time
+	// until is what deadline has returned, and waits is set while it applies.
+	until time.Time
+	waits bool
+	// excess is the bound that was gone beyond: a parser may tell of what was incomplete instead.
+	excess error
+}
+
+// add takes in what has come on a connection, and returns the bound that it goes beyond.
+func (g *headGuard) add(conn net.Conn, data []byte) error {
+	if err := g.scanner.Add(data); err != nil {
+		return &ExcessError{Bound: boundOf(err)}
+	}
+	if err := g.kept.Resize(g.held()); err != nil {
+		return &ExcessError{Bound: BoundMemory}
+	}
+	if g.scanner.Ended() {
+		return g.stopWaiting(conn)
+	}
+	if len(data) > 0 && !g.waits {
+		return g.wait(conn)
+	}
+	return nil
+}
+
+// held is the number of bytes that are kept of heads, as far as they are more than the connection's own buffer.
+func (g *headGuard) held() int64 {
+	if g.scanner.Bytes() <= readBufferBytes {
+		return 0
+	}
+	return headMemory * int64(g.scanner.Bytes())
+}
+
+// wait bounds the time for the rest of a head.
+func (g *headGuard) wait(conn net.Conn) error {
+	if g.deadline == nil {
+		return nil
+	}
+	if g.until.IsZero() {
+		g.until = g.deadline()
+	}
+	g.waits = !g.until.IsZero()
+	return conn.SetReadDeadline(g.until)
+}
+
+// stopWaiting takes the bound away: what follows a head may take its time.
+func (g *headGuard) stopWaiting(conn net.Conn) error {
+	if !g.waits {
+		return nil
+	}
+	g.waits = false
+	return conn.SetReadDeadline(time.Time{})
+}
