--- a/internal/api/operatorapi/client.go
+++ b/internal/api/operatorapi/client.go
@@ -14,10 +14,12 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/pierhaven/pierhaven/internal/config/dynamic"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/headlimit"
 	"github.com/pierhaven/pierhaven/internal/poison"
 )
 
@@ -37,6 +39,8 @@
 	defaultClientTimeout = 10 * time.Second
 	defaultClientRounds  = 2
 	pauseBetweenRounds   = 300 * time.Millisecond
+	// maximumAnswerBytes bounds an answer.
+	maximumAnswerBytes = 64 << 20
 )
 
 // Client is the operators' side of the interface. A change that may have been
@@ -57,7 +61,12 @@
 	if options.Rounds == 0 {
 		options.Rounds = defaultClientRounds
 	}
-	httpClient, err := client.NewClient(client.WithDialTimeout(options.Timeout), client.WithDisablePathNormalizing(true))
+	httpClient, err := client.NewClient(
+		client.WithDialer(headlimit.Dialer{Dialer: standard.NewDialer(), MaximumBody: maximumAnswerBytes}),
+		client.WithDialTimeout(options.Timeout),
+		client.WithDisablePathNormalizing(true),
+		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maximumAnswerBytes }},
+	)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/backendclient.go
+++ b/internal/controller/backendclient.go
@@ -9,10 +9,12 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/pierhaven/pierhaven/internal/api/applicationapi"
 	"github.com/pierhaven/pierhaven/internal/api/engineapi"
+	"github.com/pierhaven/pierhaven/internal/headlimit"
 	"github.com/pierhaven/pierhaven/internal/reconcile"
 )
 
@@ -33,6 +35,7 @@
 
 func newBackEndClient() (*backEndClient, error) {
 	httpClient, err := client.NewClient(
+		client.WithDialer(headlimit.Dialer{Dialer: standard.NewDialer(), MaximumBody: maximumStateBytes}),
 		client.WithDialTimeout(backEndDialTimeout),
 		client.WithNoDefaultUserAgentHeader(true),
 		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maximumStateBytes }},
--- a/internal/gateway/exchange/client.go
+++ b/internal/gateway/exchange/client.go
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"github.com/pierhaven/pierhaven/internal/headlimit"
 )
 
 const (
@@ -48,7 +50,7 @@
 func NewClient(options Options) *Client {
 	return &Client{
 		options: options,
-		dialer:  standard.NewDialer(),
+		dialer:  headlimit.Dialer{Dialer: standard.NewDialer(), MaximumBody: options.MaximumBodyBytes},
 		pool:    newPool(options.MaximumIdlePerAddress, options.MaximumIdleTime),
 	}
 }
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -19,6 +19,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/headlimit"
 )
 
 // Defaults of ClientOptions.
@@ -75,7 +76,7 @@
 func NewClient(options ClientOptions) (*Client, error) {
 	options = options.withDefaults()
 	httpClient, err := client.NewClient(
-		client.WithDialer(markingDialer{standard.NewDialer()}),
+		client.WithDialer(markingDialer{headlimit.Dialer{Dialer: standard.NewDialer(), MaximumBody: options.MaximumBodyBytes}}),
 		client.WithDialTimeout(options.DialTimeout),
 		client.WithMaxConnsPerHost(options.MaximumConnections),
 		client.WithMaxIdleConnDuration(options.IdleTime),
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/rpc"
+	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/wire"
 )
 
@@ -258,3 +260,17 @@
 	w.count.Add(int64(len(data)))
 	return w.Writer.Write(data)
 }
+
+func TestAReplyWithoutEndIsGivenUp(t *testing.T) {
+	answers := maps.Clone(testnet.EndlessHeads)
+	maps.Copy(answers, testnet.EndlessBodies)
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peer := testnet.StartEndless(t, answer)
+			_, err := heartbeat(newClient(t, rpc.ClientOptions{MaximumBodyBytes: 1 << 20}), peer.Address)
+			require.Equal(t, failure.OutcomeUnknown, failure.KindOf(err))
+			require.Less(t, <-peer.Sent, testnet.EndlessBytes, "the connection is closed at the bound")
+		})
+	}
+}
