--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -34,9 +34,12 @@
 	sealed := "HTTP/1.1 200 OK\r\nSealed: yes\r\n"
 	long := strings.Repeat("a", 64<<10)
 	for name, endless := range map[string]testnet.Endless{
-		"bytes":  {Piece: long},
-		"fields": {Beginning: sealed, Piece: strings.Repeat("A: b\r\n", 1000)},
-		"a body": {Beginning: sealed + "\r\n", Piece: long},
+		"bytes":        {Piece: long},
+		"fields":       {Beginning: sealed, Piece: strings.Repeat("A: b\r\n", 1000)},
+		"a body":       {Beginning: sealed + "\r\n", Piece: long},
+		"one byte":     {Beginning: "H", Pause: time.Millisecond},
+		"slow fields":  {Beginning: sealed, Piece: "A: b\r\n", Pause: 10 * time.Millisecond},
+		"an early 103": {Beginning: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP", Piece: " ", Pause: 10 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -44,6 +44,8 @@
 		Body:     r.call.Body,
 		Work:     true,
 
+		HeadDeadline: r.headDeadline(send.PrefillOnly),
+
 		MaximumIdle: idleConnectionLimit(r.call.Service.MaximumConnections, r.directory.placerCount()),
 		Belongs: func(header http.Header) bool {
 			metadata := r.dialect.ReadResponseMetadata(header)
@@ -56,6 +58,21 @@
 	return request
 }
 
+// headDeadline returns when the head of a send's answer has to be whole once it has begun: early enough for another
+// replica, if one may serve the call, and with its deadline if not.
+func (r *callState) headDeadline(prefillOnly bool) func() time.Time {
+	if !prefillOnly && (!r.call.Route.Repeatable() || r.attempts+1 >= r.call.Route.MaximumAttempts) {
+		return nil
+	}
+	return func() time.Time {
+		return time.Now().Add(min(max(r.call.objective(), minimumHeadTime), r.timeLeft()/2))
+	}
+}
+
+// minimumHeadTime is the least time for a head, unless the caller has less than twice as much: a sound machine may be silent
+// for a second or so.
+const minimumHeadTime = time.Second
+
 const (
 	// idleShare is the share of a replica's maximum connections that all gateways together may keep
 	// idle. The others are left for requests.
