Soak: stand-ins that answer without end

Each process's own memory is judged every 10 ms against what the users' sites give it (284 MB), and one that holds more is killed, as the platform does.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -108,9 +108,20 @@
 	duties *platformtest.Duties
 }
 
+// wrapper puts something before the handler of a stand-in, by its name and its number among its kind.
+type wrapper func(name string, number int, inner http.Handler) http.Handler
+
+// around returns the handler of a stand-in, without anything before it if nothing is to be put there.
+func (w wrapper) around(name string, number int, inner http.Handler) http.Handler {
+	if w == nil {
+		return inner
+	}
+	return w(name, number, inner)
+}
+
 // newFleet lays a region out on the loopback network. Each seed has a subnet of its
 // own, so that several may run.
-func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply, engineWatch platformtest.EngineWatch) (*fleet, error) {
+func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply, engineWatch platformtest.EngineWatch, wrap wrapper) (*fleet, error) {
 	f := &fleet{
 		folder:      options.Folder,
 		subnet:      int(options.Seed % subnets),
@@ -133,11 +144,12 @@
 	f.proxy = faultproxy.New(&faultproxy.Owners{Processes: f.numbers}, rand.New(rand.NewPCG(options.Seed, 3)))
 	for number := range replicas {
 		added := &replicaProcess{name: replicaName(number), keepsID: f.keepsIDs, address: f.replicaIP(number) + ":0"}
-		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			platformtest.ReplicaHandler(f.instanceOf(added), func(request platformtest.Request) platformtest.Reply {
 				return run(number, request)
 			}).ServeHTTP(writer, request)
-		}))
+		})
+		server := httptest.NewServer(wrap.around(added.name, number, handler))
 		f.servers = append(f.servers, server)
 		added.target = server.Listener.Addr().String()
 		f.replicas = append(f.replicas, added)
@@ -147,9 +159,9 @@
 	}
 	f.layBrokenEntries()
 	f.addOther(run)
-	list := httptest.NewServer(f.platform())
+	list := httptest.NewServer(wrap.around(listName, 0, f.platform()))
 	f.servers = append(f.servers, list)
-	err := f.addEngines(engineWatch)
+	err := f.addEngines(engineWatch, wrap)
 	if err != nil {
 		return f, err
 	}
@@ -193,7 +205,7 @@
 }
 
 // addEngines adds model replicas, of which one reads prompts at first.
-func (f *fleet) addEngines(watch platformtest.EngineWatch) error {
+func (f *fleet) addEngines(watch platformtest.EngineWatch, wrap wrapper) error {
 	f.engines = platformtest.NewEngines(watch)
 	for number := range engines {
 		id := engineName(number)
@@ -201,7 +213,7 @@
 		if number == 0 {
 			stage = platformtest.StagePrefill
 		}
-		server := httptest.NewServer(f.engines.Add(id, stage))
+		server := httptest.NewServer(wrap.around(id, number, f.engines.Add(id, stage)))
 		f.servers = append(f.servers, server)
 		address, err := f.proxy.ListenTCP(id, f.replicaIP(replicas+number)+":0", server.Listener.Addr().String())
 		if err != nil {
@@ -400,6 +412,9 @@
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary(), seeds: seeds}
 	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\n%s\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
 		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), f.listAddress, ip, metricsPort, usageSeconds, quotaSettings())
+	if options.Endless {
+		common += fmt.Sprintf("memory_megabytes: %d\n", memoryMegabytes)
+	}
 	if options.LongList {
 		common += fmt.Sprintf("list_calls_per_second: %d\n", longListRate)
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -14,6 +14,7 @@
 //   - what the platform's list shows of leaving replicas is in force in time, also if it is long and some of its pages fail
 //   - a stream holds events of one version of the replicas' software, over all tries of its caller, and streams that are
 //     taken up go on
+//   - a process holds no more memory than it may, whatever its peers answer
 //   - service comes back
 //
 // All of them hold too while processes are replaced by those of another build, one after the other.
@@ -61,6 +62,8 @@
 	GatewayKills bool
 	// Callers is the number of callers beside those of the tenant with a limit; 0 selects the default.
 	Callers int
+	// Endless has stand-ins answer some requests without end, and judges the memory of each process.
+	Endless bool
 	// Race builds the program with the race detector; each of its reports is a violation.
 	Race bool
 	// Halt stops the replacing of processes half-way: the two builds go on side by side. LateThaw has
@@ -135,6 +138,8 @@
 	// TakeUps are the tries to take up streams that were judged, and WentOn those that went on; Begins and Began are the same
 	// for streams that begin.
 	TakeUps, WentOn, Begins, Began int
+	// Endless are the answers without end, and MostMemory is the most that a process has held, in megabytes.
+	Endless, MostMemory int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
 	// first process was replaced, and from then on.
 	ServedBefore, ServedDuring float64
@@ -177,7 +182,7 @@
 		client:  newClient(),
 	}
 	var err error
-	s.fleet, err = newFleet(options, s.runAtReplica, s.engineWatch())
+	s.fleet, err = newFleet(options, s.runAtReplica, s.engineWatch(), s.endlessly)
 	if s.fleet != nil {
 		defer s.fleet.stop()
 	}
@@ -197,6 +202,9 @@
 		running.Go(func() { s.askToLeave(work) })
 		running.Go(func() { s.askForRest(work) })
 	}
+	if options.Endless {
+		running.Go(func() { s.watchMemory(work) })
+	}
 	if !options.Calm {
 		running.Go(func() { s.callHalfClosed(work) })
 	}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -55,6 +55,8 @@
 	cuts       []cutCall
 	excused    map[string]int
 	violations []string
+	// endless counts the answers without end, mostMemory is the most that a process has held, in megabytes.
+	endless, mostMemory int
 }
 
 func newTruth() *truth {
@@ -282,6 +284,8 @@
 		WentOn:     t.takeUps.wentOn,
 		Begins:     t.takeUps.begins,
 		Began:      t.takeUps.began,
+		Endless:    t.endless,
+		MostMemory: t.mostMemory,
 	}
 }
 
