--- a/bench/simulation/engine.go
+++ b/bench/simulation/engine.go
@@ -27,7 +27,9 @@
 	fences map[engineapi.Fence]engineapi.Fence
 	// crossNext counts the stream events that a fault gives to another stream.
 	crossNext int
-	leaving   bool
+	// endlessNext counts the attempts whose answer a fault makes bytes without end.
+	endlessNext int
+	leaving     bool
 }
 
 // engineStream is the answer to one attempt on its way to a gateway.
@@ -76,7 +78,7 @@
 	e.streams = map[string]*engineStream{}
 	e.wakeAt = 0
 	e.leaving = false
-	e.crossNext = 0
+	e.crossNext, e.endlessNext = 0, 0
 	e.world.record(e.recorder.Started(e.durable)...)
 }
 
--- a/bench/simulation/enginestream.go
+++ b/bench/simulation/enginestream.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"time"
+
 	"github.com/pierhaven/pierhaven/bench/engine/core"
 	"github.com/pierhaven/pierhaven/internal/api/engineapi"
 )
@@ -73,6 +75,10 @@
 		}
 	}
 	open.whole = call.prefilled
+	if e.endlessNext > 0 {
+		e.endlessNext--
+		e.answerEndlessly(open, answers, call)
+	}
 	open.link = e.connect(func() {
 		answers.send(func() { call.end(attemptOutcome{handedOver: true, detail: "connection reset"}) })
 	})
@@ -101,6 +107,20 @@
 	open.stream.world.note(e.name, "attempt %s of request %s: refused %q", call.request.AttemptID, call.request.RequestID, refusedReason)
 }
 
+// givenUpWithin bounds the time after which a gateway closes the connection of an answer that has no end.
+const givenUpWithin = 2 * time.Second
+
+// answerEndlessly drops what belongs to the answer. The gateway gives it up at a bound, and the engine notices.
+func (e *engine) answerEndlessly(open *engineStream, answers *stream, call *engineCall) {
+	open.receive = func(*engineapi.StreamEvent) {}
+	open.whole = func(engineapi.PrefillReply) {}
+	life, attemptID := e.life, open.attemptID
+	e.world.after(time.Duration(e.world.random.Int64N(int64(givenUpWithin))), func() {
+		answers.send(func() { call.end(attemptOutcome{handedOver: true, detail: "the answer has no end"}) })
+		e.run(life, func() { e.step(core.Cancel{AttemptID: attemptID}) })
+	})
+}
+
 // watchGateway cancels the attempt when its gateway's process dies.
 func (e *engine) watchGateway(from *process, open *engineStream) {
 	life := e.life
--- a/bench/simulation/faults.go
+++ b/bench/simulation/faults.go
@@ -299,6 +299,13 @@
 	})
 }
 
+// answerWithoutEnd lets an engine answer attempts by bytes without end.
+func answerWithoutEnd(f *faultInjector) {
+	e := pick(f.world, pick(f.world, f.world.zones).engines)
+	e.endlessNext = 6
+	f.begin(e.name, "answers without end", shortFault, func() { e.endlessNext = 0 })
+}
+
 // disturbNetwork loses, repeats and delays messages.
 func disturbNetwork(f *faultInjector) {
 	n := f.world.network
--- a/bench/simulation/scenarios.go
+++ b/bench/simulation/scenarios.go
@@ -149,6 +149,11 @@
 			f.every(time.Second, crossAnswers)
 			f.every(4*time.Second, disturbNetwork)
 		}),
+		usual("endless-answers", "engines that run attempts and answer by bytes without end, killed and stopped too", oneZone, func(f *faultInjector) {
+			operate(f)
+			f.every(time.Second, answerWithoutEnd)
+			f.every(4*time.Second, killEngine, pauseEngine, disturbNetwork)
+		}),
 		usual("application-faults", "application back ends killed, stopped and cut off", oneZone, func(f *faultInjector) {
 			f.every(2*time.Second, killBackEnd, pauseBackEnd, cutGatewayFromBackEnds, crossAnswers)
 		}),
