A handler's answer is never taken for a refusal of the HTTP library

Cause: a listener told the library's refusals by the text of what is written. Replicas write the bodies that gateways hand on, so that any of the four texts with any 4xx could be one. Class: telling who speaks by what was said. Change: the library refuses a request only while it reads it. A connection knows from the server whether a request is being read (tracer) or answered by a handler (first handler of both doors); what a handler writes is left alone, whatever its status and body. Coordinators' listeners replace nothing. Looked for elsewhere (comparisons with texts of errors and bodies in internal/ and platform/): no other place decides by a text who speaks; the one that looks into the text of an error (internal/cli/documentchange.go) only names a document in front of it.

--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -105,6 +105,8 @@
 	listener *Listener
 	refused  atomic.Bool
 	closing  atomic.Bool
+	// answering is set while a handler answers a request, and not while one is read.
+	answering atomic.Bool
 	// stalledFrom is since when nothing of what is written was taken, in nanoseconds since 1970; 0 while
 	// nothing is written.
 	stalledFrom atomic.Int64
@@ -115,7 +117,7 @@
 // Write implements net.Conn.
 func (c *connection) Write(answer []byte) (int, error) {
 	kind, isRefusal := refusalKind(answer)
-	if !isRefusal {
+	if !isRefusal || c.answering.Load() {
 		return c.writeSteadily(answer)
 	}
 	c.refused.Store(true)
--- a/internal/gateway/listener/refusal.go
+++ b/internal/gateway/listener/refusal.go
@@ -14,7 +14,7 @@
 )
 
 // libraryRefusals are the plain texts with which hertz refuses a request before
-// any handler sees it. No handler of the gateway writes such a body.
+// any handler sees it.
 var libraryRefusals = []struct {
 	text string
 	kind failure.Kind
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,7 +56,7 @@
 }
 
 func (g *Gateway) newServer(opened *listener.Listener) *server.Hertz {
-	created := server.New(
+	created := server.New(append(listener.ServerOptions(),
 		server.WithListener(opened),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
@@ -69,9 +69,9 @@
 		server.WithRedirectTrailingSlash(false),
 		server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true),
-	)
+	)...)
 	recovery := middleware.NewRecovery(g.logger, g.settings.Times.WriteTimeout)
-	created.Use(recovery.Handle, middleware.NewRequestID().Handle, middleware.NewFraming().Handle)
+	created.Use(listener.MarkAnswer, recovery.Handle, middleware.NewRequestID().Handle, middleware.NewFraming().Handle)
 	created.NoRoute(refuseAlways(failure.NotFound))
 	created.NoMethod(refuseAlways(failure.MethodNotAllowed))
 	return created
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -53,7 +53,7 @@
 
 // newServer returns a server of requests that arrive at a listener.
 func (f *frontend) newServer(opened *listener.Listener, handle app.HandlerFunc) *server.Hertz {
-	created := server.New(
+	created := server.New(append(listener.ServerOptions(),
 		server.WithListener(opened),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
@@ -70,7 +70,8 @@
 		server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithExitWaitTime(0),
-	)
+	)...)
+	created.Use(listener.MarkAnswer)
 	created.NoRoute(handle)
 	return created
 }
