--- a/internal/gateway/listener/answering_test.go
+++ b/internal/gateway/listener/answering_test.go
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			connection := dial(t, echo(t))
-			require.NoError(t, connection.SetDeadline(time.Now().Add(20 * time.Second)))
+			require.NoError(t, connection.SetDeadline(time.Now().Add(20*time.Second)))
 			reader := bufio.NewReader(connection)
 			_, err := io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nStatus: 4\r\nText: Request timeout\r\n\r\n")
 			require.NoError(t, err)
