A replica's 404 without a body stays without one

Cause: the library, whose handler for unknown paths the gateway is, fills in a text if a 404 has no bytes. Change: such an answer has an empty stream for its body, which the library leaves alone. Failed before: TestAnEmptyAnswerOfAReplicaStaysEmpty ('Not Found', length 9).

--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -378,6 +378,26 @@
 	}
 }
 
+// The HTTP library writes a text of its own in the place of an empty body, if the status is 404.
+func TestAnEmptyAnswerOfAReplicaStaysEmpty(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusConflict} {
+		replica := startReplica(t, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Sealed", "yes")
+			writer.WriteHeader(status)
+		})
+		g := startGateway(t, startCoordinator(t, newView(t, 3, replica)))
+		g.awaitReadiness(http.StatusOK)
+		answer, err := g.post("/v3/x")
+		require.NoError(t, err)
+		body, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		require.NoError(t, err)
+		assert.Equal(t, status, answer.StatusCode)
+		assert.Empty(t, string(body))
+		assert.Zero(t, answer.ContentLength)
+	}
+}
+
 func TestPlannedStopFinishesAcceptedRequestsAndRefusesLateOnes(t *testing.T) {
 	begun, finish := make(chan struct{}), make(chan struct{})
 	replica := startReplica(t, func(writer http.ResponseWriter, request *http.Request) {
--- a/internal/relay/daemon/responder.go
+++ b/internal/relay/daemon/responder.go
@@ -28,6 +28,11 @@
 	r.answered = true
 	r.copyHeader(header)
 	r.request.Response.SetStatusCode(status)
+	if len(body) == 0 && status == http.StatusNotFound {
+		// The library puts a text in the place of an empty body, but not of a stream.
+		r.request.Response.SetBodyStream(http.NoBody, 0)
+		return
+	}
 	r.request.Response.SetBodyRaw(body)
 }
 
