Soak: an answer without a length that a fault ends in order is a whole one

Trace: i-2 had answered quota-1-44 and c1-8 with its seal and a body without a length, and the fault 'end all connections to replicas in the middle' closed the connection in order at 13.77 s; the gateways answered at 13.774 and 13.776. Such a body ends with its connection (RFC 9112, section 6.3), so that nothing tells it from a whole one: the check takes just the beginnings of these answers, for the requests that got them.

--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -59,12 +59,13 @@
 			inner.ServeHTTP(writer, request)
 			return
 		}
+		answer := endlessAnswers[int(s.draw()*float64(len(endlessAnswers)))]
 		if id := platformtest.RunBy(request); id != "" {
 			s.truth.arrivedUntold(name, id)
 			s.truth.ran(id)
 			s.truth.brokeOff(id)
+			s.truth.answersUnframed(id, answer)
 		}
-		answer := endlessAnswers[int(s.draw()*float64(len(endlessAnswers)))]
 		answer.Beginning = strings.Replace(answer.Beginning, " OK\r\n", " OK\r\n"+platformtest.SealFields(request), 1)
 		connection, _, err := writer.(http.Hijacker).Hijack()
 		if err != nil {
@@ -115,6 +116,25 @@
 	return kilobytes >> 10
 }
 
+// answersUnframed notes that a request is answered by a body without a length, if it is. A fault that ends its connection in
+// order makes this a whole answer (RFC 9112, section 6.3).
+func (t *truth) answersUnframed(id string, answer endless.Answer) {
+	head, body, isWhole := strings.Cut(answer.Beginning, "\r\n\r\n")
+	if !isWhole || strings.Contains(head, "Content-Length") || strings.Contains(head, "Transfer-Encoding") {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.unframed[id] = append(t.unframed[id], body+answer.Piece)
+}
+
+// isUnframed reports whether an answer is one without a length that a replica has begun. It is called with the mutex held.
+func (t *truth) isUnframed(id, body string) bool {
+	return slices.ContainsFunc(t.unframed[id], func(begun string) bool {
+		return strings.HasPrefix(body, begun) || strings.HasPrefix(begun, body)
+	})
+}
+
 // countEndless counts an answer without end.
 func (t *truth) countEndless() {
 	t.mutex.Lock()
