--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -60,9 +60,11 @@
 			return
 		}
 		answer := endlessAnswers[int(s.draw()*float64(len(endlessAnswers)))]
-		if id := platformtest.RunBy(request); id != "" {
+		if id, begins := platformtest.RunBy(request); id != "" {
 			s.truth.arrivedUntold(name, id)
-			s.truth.ran(id)
+			if begins {
+				s.truth.ran(id)
+			}
 			s.truth.brokeOff(id)
 			s.truth.answersUnframed(id, answer)
 		}
