--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -205,6 +205,9 @@
 	found string
 	// age is the time since that was recorded, negative if it was not.
 	age time.Duration
+	// replies is the number of coordinators that have replied, possible what the services have run as far as is known.
+	replies  int
+	possible []origin.ServiceVersions
 }
 
 // Who knew where a stream has begun.
@@ -231,7 +234,7 @@
 	o.lookups.WithLabelValues(kind).Inc()
 	o.logger.Info(event.StreamTakenUp, "request", request.ID, "resumes", request.Resumes, "after_event", request.LastEvent,
 		"route", route.Name, "service", found.Service, "software", found.Software.String(), "found", found.found,
-		"age_ms", found.age.Milliseconds(), "took_ms", time.Since(began).Milliseconds(), "error", failure.Text(err))
+		"age_ms", found.age.Milliseconds(), "replies", found.replies, "possible", describeVersions(found.possible), "took_ms", time.Since(began).Milliseconds(), "error", failure.Text(err))
 	return found, err
 }
 
@@ -249,13 +252,35 @@
 		return checked(takenUp{Origin: record.Origin, found: originOwn, age: age}, record, route)
 	}
 	replies := o.ask(ctx, key, recent)
+	possible := merged(recent, replies)
+	found, err := o.fromReplies(replies, possible, request, route)
+	found.replies, found.possible = len(replies), possible
+	return found, err
+}
+
+// fromReplies returns where a stream goes on that has not begun at this gateway.
+func (o *originClient) fromReplies(replies []keeperReply, possible []origin.ServiceVersions, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
 	if best := newest(replies); best != nil && request.Resumes != "" {
 		return checked(takenUp{Origin: best.Record.Origin, found: best.from, age: time.Duration(best.AgeMillis) * time.Millisecond}, best.Record, route)
 	}
 	if age, known := o.views.age(); len(replies) == 0 && (!known || age > o.settings.ContactTime) {
 		return takenUp{age: -1}, failure.New(failure.StreamNotResumed, "no coordinator tells where the stream has begun, and the list is old")
 	}
-	return onlyOrigin(merged(recent, replies), route)
+	return onlyOrigin(possible, route)
+}
+
+// describeVersions returns what services run and have run, for the log.
+func describeVersions(services []origin.ServiceVersions) []string {
+	described := make([]string, 0, len(services))
+	for _, each := range services {
+		if !each.Complete {
+			described = append(described, each.Service+" incomplete")
+		}
+		for _, software := range each.Software {
+			described = append(described, each.Service+" "+software.String())
+		}
+	}
+	return described
 }
 
 // checked returns where a stream goes on, given its record.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -20,6 +20,7 @@
 	prefillSeconds *prometheus.HistogramVec
 	transfers      *prometheus.CounterVec
 	givenUp        *prometheus.CounterVec
+	retries        *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They are dense from 0.1 to 0.8 s, where the objectives of
@@ -53,6 +54,7 @@
 			"Time in which a prompt was read apart, its wait included.", latencyBuckets),
 		transfers: registry.Counter("moved_total", "What has gone from one place to another, by how far it is.", "what", "distance"),
 		givenUp:   registry.Counter("answers_given_up_total", "Answers of replicas that were given up, by the bound that they went beyond.", "bound"),
+		retries:   registry.Counter("retries_total", "Requests to replicas beyond the first of a call, by what for and whether the retry budget was charged.", "reason", "outcome"),
 	}
 }
 
@@ -83,6 +85,10 @@
 
 func (m *Metrics) countGivenUp(bound upstream.Bound) { m.givenUp.WithLabelValues(string(bound)).Inc() }
 
+func (m *Metrics) countRetry(reason retryReason, outcome string) {
+	m.retries.WithLabelValues(string(reason), outcome).Inc()
+}
+
 func (m *Metrics) countAttempt(outcome verdict) { m.attempts.WithLabelValues(outcome.String()).Inc() }
 
 func (m *Metrics) countForward(outcome verdict) { m.forwards.WithLabelValues(outcome.String()).Inc() }
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -141,7 +141,7 @@
 	var budgetTaken atomic.Bool
 	idle := func() time.Duration { return r.placer.idleTime(prefillCtx, lease) }
 	stall := newStallWatch(idle, r.stallTimeout(&placedPrompt), func() {
-		if r.budgets.Withdraw(service) {
+		if r.withdraw(retrySlowPrompt) {
 			budgetTaken.Store(true)
 			abandon(errSlowPrefill)
 		}
@@ -153,7 +153,8 @@
 		"fetch", lease.FetchFrom(), "late", placedPrompt.urgency == Late, "wait_ms", placedPrompt.wait.Milliseconds(),
 		"busy_ms", placedPrompt.busy.Milliseconds(), "took_ms", time.Since(startedAt).Milliseconds(),
 		"pace", int(r.directory.prefillRate(service)), "after_ms", time.Since(r.call.Arrived).Milliseconds(), "limit", lease.Limit(),
-		"rest_ms", backoffBefore.Milliseconds(), "leaving", leavingBefore, "error", failure.Text(err))
+		"rest_ms", backoffBefore.Milliseconds(), "leaving", leavingBefore, "error", failure.Text(err),
+		"handed_over", err == nil || upstream.HandedOver(err))
 	if err == nil {
 		r.metrics.recordPrefill(prefillDone, time.Since(startedAt))
 		return handle, nil
@@ -170,9 +171,10 @@
 		// The response was lost, not the prompt: the decode replica may fetch it there. A prompt that
 		// was received is not charged to the budget, whatever became of its response.
 		lease.PromptCached(r.call.Prompt)
+		r.metrics.countRetry(retryLostPrompt, retryUncharged)
 		return nil, nil
 	}
-	if isPrefillRejection(err) && !r.budgets.Withdraw(service) {
+	if isPrefillRejection(err) && !r.withdraw(retryRejectedPrompt) {
 		return nil, failure.New(failure.BackEndRefused, "the prompt was not read, and the retry budget is used up")
 	}
 	return nil, nil
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -346,7 +346,7 @@
 	if lease == nil {
 		return nil, nil, r.noReplicaError()
 	}
-	if r.stopped && handle == nil && !r.budgets.Overdraw(r.call.Service.Name) {
+	if r.stopped && handle == nil && !r.overdraw(retryContinuation) {
 		lease.Release()
 		return nil, nil, failure.New(failure.AttemptsExhausted, "the retry budget is overdrawn")
 	}
@@ -360,7 +360,7 @@
 	if err := r.checkAttemptAllowed(); err != nil {
 		return err
 	}
-	if r.moved == nil && r.arrivals > 0 && !r.stopped && !r.budgets.Withdraw(r.call.Service.Name) {
+	if r.moved == nil && r.arrivals > 0 && !r.stopped && !r.withdraw(retrySend) {
 		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
 	}
 	return nil
