--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -79,6 +79,13 @@
 	return b.serviceBudget(service).Overdraw(b.clock())
 }
 
+// Return gives a retry back to a service's budget that was taken out and not made.
+func (b *RetryBudgets) Return(service string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.serviceBudget(service).Return(b.clock())
+}
+
 func (b *RetryBudgets) serviceBudget(service string) *retry.Budget {
 	budget, found := b.services[service]
 	if !found {
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -15,7 +15,8 @@
 
 // Progress is what has become of a call at a gateway that forwards it.
 type Progress struct {
-	// Attempts counts the replicas that may have run the call, Arrivals those that it may have reached.
+	// Attempts counts the replicas that may have run the call, Arrivals its arrivals at replicas, of which all but the first
+	// are paid for.
 	Attempts int
 	Arrivals int
 	// Sends counts the sends to replicas.
@@ -72,6 +73,9 @@
 
 // forwardCall forwards the call to peers until one takes it. The verdict is verdictNotRun if none does.
 func (r *callState) forwardCall(ctx context.Context) (verdict, error) {
+	if r.ledger.promptTaken && !r.pay(retryForward) {
+		return verdictFailed, errRetryBudget
+	}
 	for r.forwards < maximumForwards {
 		r.forwards++
 		answer, err := r.forwarder(ctx, r.call, r.progress())
@@ -90,7 +94,7 @@
 
 // progress returns what has become of the call here.
 func (r *callState) progress() Progress {
-	progress := Progress{Attempts: r.attempts, Arrivals: r.arrivals, Sends: r.sends, MayHaveRun: r.mayHaveRun, LastEvent: r.call.LastEvent}
+	progress := Progress{Attempts: r.attempts, Arrivals: r.ledger.forwarded(), Sends: r.sends, MayHaveRun: r.mayHaveRun, LastEvent: r.call.LastEvent}
 	if r.stream != nil && r.stream.lastEvent != "" {
 		progress.LastEvent = r.stream.lastEvent
 	}
@@ -143,7 +147,7 @@
 
 // countLostForward counts a forwarded call whose answer was lost as one that a replica may have run.
 func (r *callState) countLostForward() {
-	r.arrivals++
+	r.ledger.record(sendForward, outcomeUnknown)
 	r.attempts++
 }
 
@@ -225,7 +229,7 @@
 		return false
 	}
 	if r.call.Forwarded {
-		return r.arrivals == r.call.Progress.Arrivals
+		return r.ledger.arrivals == r.call.Progress.Arrivals
 	}
 	return r.peersDeclined && !r.directory.reachesAny(r.call.Service.Name)
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	for !r.isHeld() {
-		if target := r.placeMove(ctx, handle.replica, r.overdraw); target != nil {
+		if target := r.placeMove(ctx, handle.replica, r.payWithDebt); target != nil {
 			r.moved = &movedStream{lease: target, handle: handle}
 			return true
 		}
@@ -67,13 +67,13 @@
 	return false
 }
 
-// placeMove leases a replica to which a stream may be moved, and charges the move. It returns nil if there is none.
-func (r *callState) placeMove(ctx context.Context, from *Replica, charge func(reason retryReason) bool) *Lease {
+// placeMove leases a replica to which a stream may be moved, and pays for the move. It returns nil if there is none.
+func (r *callState) placeMove(ctx context.Context, from *Replica, pay func(reason retryReason) bool) *Lease {
 	target := r.placer.PlaceWithCapacity(ctx, from, r.prefillRequest())
 	if target == nil {
 		return nil
 	}
-	if !r.permits(ctx, target) || !charge(retryMove) {
+	if !r.permits(ctx, target) || !pay(retryMove) {
 		target.Release()
 		return nil
 	}
@@ -162,7 +162,7 @@
 	if m.lease.BackoffLeft() > 0 {
 		return false
 	}
-	target := r.placeMove(ctx, m.lease.Replica, r.withdraw)
+	target := r.placeMove(ctx, m.lease.Replica, r.pay)
 	if target == nil {
 		return false
 	}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -54,6 +54,10 @@
 		return nil, nil, err
 	}
 	handle, err := r.runPrefill(ctx, prefillLease)
+	if handle != nil && !r.pay(retrySend) {
+		handle.freeUnlessConsumed(r.Runner)
+		handle, err = nil, errRetryBudget
+	}
 	if handle != nil {
 		lease, err := r.useReserved(ctx, reserved, handle.replica.Zone)
 		return lease, handle, err
@@ -68,6 +72,9 @@
 	if r.mayForward() {
 		return nil, nil, errForward
 	}
+	if !r.pay(retryPrompt) {
+		return nil, nil, failure.New(failure.BackEndRefused, "no replica is known to have read the prompt, and the retry budget is used up")
+	}
 	lease, err := r.permittedDirect(ctx)
 	return lease, nil, err
 }
@@ -124,10 +131,8 @@
 func (r *callState) onlyUnlimitedReplicas() bool { return len(r.denied) >= maximumDenials }
 
 // runPrefill has the prompt prefilled, and releases the lease. It returns a nil handle if that failed, and
-// errPrefillUnsent if the request reached no replica. A rejected prompt makes the next send a retry, which is
-// charged to the retry budget; if the budget is used up, runPrefill returns an error. A slow prefill is
-// abandoned only if the budget allows the retry. A lost response is not charged: the request may have arrived,
-// and the decode replica may fetch the prompt there.
+// errPrefillUnsent if the request reached no replica. A slow prefill is abandoned only if the retry budget allows
+// the send after it, which is then paid for.
 func (r *callState) runPrefill(ctx context.Context, lease *Lease) (*promptHandle, error) {
 	r.prefills++
 	service := r.call.Service.Name
@@ -141,13 +146,17 @@
 	var budgetTaken atomic.Bool
 	idle := func() time.Duration { return r.placer.idleTime(prefillCtx, lease) }
 	stall := newStallWatch(idle, r.stallTimeout(&placedPrompt), func() {
-		if r.withdraw(retrySlowPrompt) {
+		if r.charge(r.budgets.Withdraw, retrySlowPrompt) {
 			budgetTaken.Store(true)
 			abandon(errSlowPrefill)
 		}
 	})
-	handle, err := r.sendPrefill(prefillCtx, lease)
+	handle, outcome, err := r.sendPrefill(prefillCtx, lease)
 	stall.stop()
+	r.ledger.record(sendPrompt, outcome)
+	if budgetTaken.Load() {
+		r.ledger.paid++
+	}
 	r.logger.V(1).Info(event.PromptRead, "request", r.call.ID, "replica", lease.Replica.ID,
 		"distance", r.directory.distanceTo(lease.Replica).String(), "tokens", r.call.Prompt.Tokens, "missing", placedPrompt.missing, "prefix", r.call.Prompt.sharedPart(),
 		"fetch", lease.FetchFrom(), "late", placedPrompt.urgency == Late, "wait_ms", placedPrompt.wait.Milliseconds(),
@@ -160,22 +169,16 @@
 		return handle, nil
 	}
 	r.metrics.recordPrefill(prefillFailed, time.Since(startedAt))
-	if !upstream.HandedOver(err) && !isPrefillRejection(err) && ctx.Err() == nil {
+	if outcome == outcomeUnsent && ctx.Err() == nil {
 		r.prefills--
 		if !upstream.HeldBack(err) {
 			r.unconnected++
 		}
 		return nil, errPrefillUnsent
 	}
-	if upstream.HandedOver(err) && !budgetTaken.Load() && !isPrefillRejection(err) {
-		// The response was lost, not the prompt: the decode replica may fetch it there. A prompt that
-		// was received is not charged to the budget, whatever became of its response.
+	if !budgetTaken.Load() && (outcome == outcomeUnknown || outcome == outcomeTakenUp) {
+		// The response was lost, perhaps not the prompt: the decode replica may fetch it there.
 		lease.PromptCached(r.call.Prompt)
-		r.metrics.countRetry(retryLostPrompt, retryUncharged)
-		return nil, nil
-	}
-	if isPrefillRejection(err) && !r.withdraw(retryRejectedPrompt) {
-		return nil, failure.New(failure.BackEndRefused, "the prompt was not read, and the retry budget is used up")
 	}
 	return nil, nil
 }
@@ -184,9 +187,6 @@
 // costs only time.
 var errPrefillUnsent = errors.New("the prefill request reached no replica")
 
-// isPrefillRejection reports whether a replica has said that it did not prefill the prompt.
-func isPrefillRejection(err error) bool { return failure.KindOf(err) == failure.BackEndRefused }
-
 // stallTimeout returns how long a replica may be known to have prefilled nothing before the prompt is
 // withdrawn from it. A prompt that is already late stays where it is.
 func (r *callState) stallTimeout(placedPrompt *placedPrefill) time.Duration {
@@ -201,7 +201,8 @@
 
 var errSlowPrefill = failure.New(failure.DeadlineExceeded, "the prompt was not read in time")
 
-func (r *callState) sendPrefill(ctx context.Context, lease *Lease) (*promptHandle, error) {
+// sendPrefill sends a prompt to be prefilled, and returns its handle or why there is none.
+func (r *callState) sendPrefill(ctx context.Context, lease *Lease) (*promptHandle, sendOutcome, error) {
 	fetch := lease.FetchFrom()
 	r.metrics.countTransfer(transferPrefill, r.directory.distanceTo(lease.Replica))
 	r.countFetch(lease)
@@ -218,30 +219,37 @@
 				r.recordConnectionLoss(ctx, lease, err)
 			}
 		}
-		return nil, err
+		if !upstream.HandedOver(err) {
+			return nil, outcomeUnsent, err
+		}
+		return nil, outcomeUnknown, err
 	}
 	defer response.Close()
 	recordLimit(lease, response.Status, r.dialect.ReadResponseMetadata(response.Header))
+	outcome := outcomeTakenUp
+	if response.Status != http.StatusOK {
+		outcome = outcomeRejected
+	}
 	body, err := response.ReadAtMost(maximumHandleBytes)
 	if err != nil {
 		r.logLostAnswer(lease, err)
 		lease.Unreachable(true)
 		r.recordConnectionLoss(ctx, lease, err)
-		return nil, err
+		return nil, outcome, err
 	}
-	if response.Status != http.StatusOK {
+	if outcome == outcomeRejected {
 		r.recordPrefillRejection(lease, response)
-		return nil, failure.New(failure.BackEndRefused, http.StatusText(response.Status))
+		return nil, outcome, failure.New(failure.BackEndRefused, http.StatusText(response.Status))
 	}
 	id, err := r.dialect.ReadHandle(body)
 	if err != nil {
 		lease.Answered(true, nil)
-		return nil, err
+		return nil, outcome, err
 	}
 	lease.Answered(false, nil)
 	lease.PrefillDone()
 	lease.PromptCached(r.call.Prompt)
-	return &promptHandle{id: id, replica: lease.Replica}, nil
+	return &promptHandle{id: id, replica: lease.Replica}, outcome, nil
 }
 
 func (r *callState) recordPrefillRejection(lease *Lease, response *upstream.Exchange) {
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -136,8 +136,8 @@
 	unsentPrefills int
 	// unconnected counts the sends and prefills among these for which no connection could be made.
 	unconnected int
-	// arrivals counts the sends that may have reached a replica.
-	arrivals int
+	// ledger counts the arrivals at replicas, and the retries that were paid for.
+	ledger ledger
 	// forwards counts the peers to which the call was forwarded. peersDeclined is set once no other one takes it, and
 	// peerRefusal if one has refused it for good.
 	forwards      int
@@ -197,11 +197,12 @@
 // Run serves a call until the caller has its answer or has disconnected.
 func (r *Runner) Run(ctx context.Context, call *Call, responder Responder) {
 	state := &callState{Runner: r, call: call, responder: responder, deadline: call.deadline(), suspendedBefore: r.suspended()}
-	state.attempts, state.arrivals, state.mayHaveRun = call.Progress.Attempts, call.Progress.Arrivals, call.Progress.MayHaveRun
+	state.attempts, state.ledger, state.mayHaveRun = call.Progress.Attempts, newLedger(call.Progress), call.Progress.MayHaveRun
 	deadlineCtx, cancel := context.WithDeadlineCause(ctx, state.deadline, errDeadline)
 	defer cancel()
 	defer state.releaseErrorResponse()
 	err := state.serve(deadlineCtx)
+	state.returnUnused()
 	call.Runs = state.attempts
 	state.reportSuccess()
 	if ctx.Err() != nil || state.writeError != nil {
@@ -346,26 +347,27 @@
 	if lease == nil {
 		return nil, nil, r.noReplicaError()
 	}
-	if r.stopped && handle == nil && !r.overdraw(retryContinuation) {
+	if r.stopped && handle == nil && !r.payWithDebt(retryContinuation) {
 		lease.Release()
 		return nil, nil, failure.New(failure.AttemptsExhausted, "the retry budget is overdrawn")
 	}
 	return lease, handle, nil
 }
 
-// checkSendAllowed returns the reason why no further send may be made, or nil. If an earlier send may have
-// reached a replica, it takes the retry out of the retry budget, except for a stream that this gateway has stopped:
-// that is charged once a replica was found.
+// checkSendAllowed returns the reason why no further send may be made, or nil. It pays for the send, except for one of a
+// stream that this gateway has stopped: that is paid for once a replica was found.
 func (r *callState) checkSendAllowed() error {
 	if err := r.checkAttemptAllowed(); err != nil {
 		return err
 	}
-	if r.moved == nil && r.arrivals > 0 && !r.stopped && !r.withdraw(retrySend) {
-		return failure.New(failure.AttemptsExhausted, "the retry budget is used up")
+	if r.moved == nil && !r.stopped && !r.pay(retrySend) {
+		return errRetryBudget
 	}
 	return nil
 }
 
+var errRetryBudget = failure.New(failure.AttemptsExhausted, "the retry budget is used up")
+
 // checkAttemptAllowed returns the reason why no further attempt may be made, here or by a peer, or nil.
 func (r *callState) checkAttemptAllowed() error {
 	if r.isHeld() {
--- a/internal/relay/runner_test.go
+++ b/internal/relay/runner_test.go
@@ -564,15 +564,45 @@
 	assert.Contains(t, lines[2], `"failures"=2`)
 }
 
+// cutAfterHead answers a prompt, and closes the connection inside the body.
+func cutAfterHead(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Length", "100")
+	writer.WriteHeader(http.StatusOK)
+	writer.(http.Flusher).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 func TestPromptWithLostPrefillResponseIsFetched(t *testing.T) {
-	// Sending a prompt that was received is no retry, so no budget is needed.
+	for name, test := range map[string]struct {
+		terms  relay.RetryBudgetOptions
+		reader http.HandlerFunc
+	}{
+		// A replica that has answered 200 has taken the prompt up, so that the next send is the first that counts.
+		"taken up":     {relay.RetryBudgetOptions{Window: time.Second}, cutAfterHead},
+		"may have run": {relay.RetryBudgetOptions{Ratio: 5, Window: time.Second, Slack: 100}, dropConnection},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvironmentWithBudget(t, test.terms)
+			w.addReplica("reader", region.StagePrefill, test.reader)
+			w.addReplica("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
+				assert.Equal(t, w.replicaList[0].Address, request.Header.Get("Fetch"))
+				streamEvents(1, 2, false)(writer, request)
+			})
+			assert.Equal(t, eventText(1, 2), w.runCall(newModelCall(8000, "own")).body.String())
+		})
+	}
+}
+
+// Guards against sends that no retry budget knows of: a replica that resets the connection has not taken the prompt up, so
+// that the next send is the request's second arrival.
+func TestASendAfterALostPromptNeedsRetryBudget(t *testing.T) {
 	w := newTestEnvironmentWithBudget(t, relay.RetryBudgetOptions{Window: time.Second})
 	w.addReplica("reader", region.StagePrefill, dropConnection)
-	w.addReplica("generator", region.StageDecode, func(writer http.ResponseWriter, request *http.Request) {
-		assert.Equal(t, w.replicaList[0].Address, request.Header.Get("Fetch"))
-		streamEvents(1, 2, false)(writer, request)
-	})
-	assert.Equal(t, eventText(1, 2), w.runCall(newModelCall(8000, "own")).body.String())
+	w.addReplica("generator", region.StageDecode, streamEvents(1, 2, false))
+	answer := w.runCall(newModelCall(8000, "own"))
+	require.Error(t, answer.err)
+	assert.Equal(t, failure.RanNo, failure.AnswerFor(answer.err).Ran)
+	assert.Zero(t, w.requestCount("generator"))
 }
 
 // Guards against a replica being told of more time than the caller has left: the monotonic clock stops
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -173,13 +173,14 @@
 		return r.classifyFailure(ctx, lease, send, err)
 	}
 	defer response.Close()
-	r.arrivals++
 	metadata := r.dialect.ReadResponseMetadata(response.Header)
 	recordLimit(lease, response.Status, metadata)
 	if metadata.NotRun || response.Status == http.StatusMisdirectedRequest {
+		r.ledger.record(sendAnswer, outcomeRejected)
 		r.recordRejection(lease, response, metadata)
 		return verdictNotRun, failure.New(failure.BackEndRefused, http.StatusText(response.Status))
 	}
+	r.ledger.record(sendAnswer, outcomeTakenUp)
 	if !send.Moved {
 		r.attempts++
 	}
@@ -235,7 +236,7 @@
 		r.unconnected++
 		return verdictNotRun, err
 	}
-	r.arrivals++
+	r.ledger.record(sendAnswer, outcomeUnknown)
 	if !send.Moved {
 		r.attempts++
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -62,6 +62,12 @@
 // retries. It returns false if the debt would exceed the maximum balance.
 func (b *Budget) Overdraw(now time.Duration) bool { return b.take(now, -b.options.Maximum) }
 
+// Return gives a retry back that was taken out and not made.
+func (b *Budget) Return(now time.Duration) {
+	b.advance(now)
+	b.add(1)
+}
+
 // take takes one retry out of the budget unless the balance would fall below least.
 func (b *Budget) take(now time.Duration, least float64) bool {
 	b.advance(now)
