--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -182,6 +182,7 @@
 		}
 		if len(complete) > 0 {
 			r.streamBreak = nil
+			r.notePeerOrigin(software)
 			r.call.beginAt(software)
 			if err := r.forward(exchange, complete, events.lastID); err != nil {
 				r.writeError = err
--- a/internal/relay/forwarding_test.go
+++ b/internal/relay/forwarding_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/testnet"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -31,11 +33,34 @@
 		if err != nil {
 			return nil, err
 		}
-		return &relay.PeerAnswer{Peer: "peer", Exchange: exchange}, nil
+		return &relay.PeerAnswer{Peer: "peer", Exchange: exchange, Software: peerSoftware}, nil
 	})
 	return w
 }
 
+// peerSoftware is that of the peer's replicas.
+var peerSoftware = origin.Software{Version: "v2"}
+
+// Guards against an origin by a gateway's own send that has reached no replica, after a peer has begun the stream elsewhere.
+func TestTheOriginOfAStreamThatAPeerHasBegunIsRecorded(t *testing.T) {
+	w := newCutOffEnvironment(t, streamEvents(1, 2, false))
+	type record struct {
+		at   origin.Origin
+		send int
+	}
+	var records []record
+	w.runner.SetOriginRecorder(func(_ *relay.Call, at origin.Origin, send int) { records = append(records, record{at, send}) })
+	call := newCall(traffic.KindStream, 1)
+	call.Route.Resumable = true
+	require.True(t, w.runCall(call).ended)
+	require.NotEmpty(t, records)
+	last := records[len(records)-1]
+	assert.Equal(t, origin.Origin{Service: "service", Software: peerSoftware}, last.at)
+	for _, earlier := range records[:len(records)-1] {
+		assert.Less(t, earlier.send, last.send, "a record of a later send replaces earlier ones")
+	}
+}
+
 // Guards against tenants that are not charged for streams which a peer gateway has served.
 func TestAForwardedStreamCountsAsRun(t *testing.T) {
 	w := newCutOffEnvironment(t, streamEvents(1, 2, false))
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"math"
+
 	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
@@ -16,11 +18,23 @@
 // mayBeTakenUp reports whether the call is a stream that callers may take up.
 func (c *Call) mayBeTakenUp() bool { return c.Route.Kind == traffic.KindStream && c.Route.Resumable }
 
+// beginsStream reports whether the call begins a stream that callers may take up.
+func (c *Call) beginsStream() bool { return c.mayBeTakenUp() && !c.Software.IsSet() }
+
 // noteOrigin records where the call's stream will begin, unless it has begun.
 func (r *callState) noteOrigin(lease *Lease) {
-	if r.recordOrigin == nil || !r.call.mayBeTakenUp() || r.call.Software.IsSet() {
+	if r.recordOrigin == nil || !r.call.beginsStream() {
 		return
 	}
 	at := origin.Origin{Service: r.call.Service.Name, Software: lease.Software}
 	r.recordOrigin(r.call, at, r.call.Progress.Sends+r.sends)
 }
+
+// notePeerOrigin records that the call's stream has begun at a replica that a peer gateway has chosen. A send of this gateway
+// may have been recorded before.
+func (r *callState) notePeerOrigin(software origin.Software) {
+	if r.recordOrigin == nil || !r.call.beginsStream() || !software.IsSet() {
+		return
+	}
+	r.recordOrigin(r.call, origin.Origin{Service: r.call.Service.Name, Software: software}, math.MaxInt32)
+}
