--- a/internal/build/build.go
+++ b/internal/build/build.go
@@ -10,11 +10,14 @@
 // Protocol is raised with each change of the messages between processes that an earlier build would have
 // to know for a promise to hold (docs/design/versions.md). Builds before the first one tell none, which
 // reads as 0.
-const Protocol = 2
+const Protocol = 3
 
 // SoftwareProtocol is the first Protocol whose coordinators store the versions of the replicas' software.
 const SoftwareProtocol = 2
 
+// SoftwareGateProtocol is the first Protocol whose coordinators keep which software may not begin streams yet.
+const SoftwareGateProtocol = 3
+
 // revisionLength of a commit's name tells commits apart.
 const revisionLength = 12
 
--- a/internal/coordinator/builds.go
+++ b/internal/coordinator/builds.go
@@ -190,6 +190,7 @@
 			newGate("replicas that stand by", reply.Earlier),
 			newGate("limits that replicas name", withoutBuild(reply.Gateways)),
 			newGate("versions of the replicas' software", before(reply.Coordinators, build.SoftwareProtocol)),
+			newGate("streams at new software", before(reply.Coordinators, build.SoftwareGateProtocol)),
 		},
 	}, nil
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -49,10 +50,16 @@
 	quotas            *quotaService
 	limits            *limitService
 	// origins keeps where streams have begun.
-	origins  *origin.Keeper
-	leaving  *leavingReports
-	list     *listSync
-	listAges listAges
+	origins *origin.Keeper
+	// unrecorded are the queries for origins of which there is no record.
+	unrecorded chan originQuery
+	// gatewayLists are the leases of gateways on the lists that this coordinator has shown them, memberLists those of
+	// coordinators and their gateways, as the leader hears in memberListsTerm.
+	gatewayLists, memberLists *listLeases
+	memberListsTerm           atomic.Uint64
+	leaving                   *leavingReports
+	list                      *listSync
+	listAges                  listAges
 	// listChange serializes changes of the list at the leader: each is computed from the state that it changes.
 	listChange sync.Mutex
 	// elected is signalled when this coordinator becomes the leader.
@@ -110,6 +117,9 @@
 		retirements:       retirements{announcedAt: map[consensus.ReplicaID]time.Duration{}},
 		permits:           probationPermits{issued: poison.NewPermits()},
 		usage:             newUsageState(uptime.SuspendedBy(settings.Now)),
+		unrecorded:        make(chan originQuery, maximumUnrecorded),
+		gatewayLists:      newListLeases(settings.ContactTime),
+		memberLists:       newListLeases(settings.ContactTime),
 	}
 	c.group, err = replication.OpenPatiently(replication.Options{
 		Name:             groupName,
@@ -160,7 +170,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.joinGroup, c.keepFresh, c.manageMembers, c.list.run, c.planActiveReplicas, c.planStages, c.reportUsage, c.scaleFleet, c.holdPoisonedRequests, c.forwardLeaving, c.logLeadership, c.listenForDatagrams, c.placeForGateways, c.quotas.Run, c.limits.Run, c.limits.notifyLimitChanges} {
+	for _, loop := range []func(context.Context){c.joinGroup, c.keepFresh, c.manageMembers, c.list.run, c.planActiveReplicas, c.planStages, c.reportUsage, c.scaleFleet, c.holdPoisonedRequests, c.forwardLeaving, c.logLeadership, c.listenForDatagrams, c.placeForGateways, c.quotas.Run, c.limits.Run, c.limits.notifyLimitChanges, c.admitSoftware, c.answerUnrecorded} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -79,6 +79,7 @@
 		Protocol:    build.Protocol,
 		Revision:    build.Revision(),
 		OtherBuilds: c.builds.otherBuilds(c.gateways.localGateways(start)),
+		ListHeld:    c.heldList(),
 	}
 	reply, err := c.requestReadIndex(ctx, request)
 	if err != nil {
@@ -145,6 +146,7 @@
 		}
 	}
 	c.zones.set(request.From, request.Zone)
+	c.renewMemberList(now, request.From, request.ListHeld)
 	c.builds.recordReport(request)
 	peers := c.gateways.all(now)
 	reply := &region.ReadIndexReply{
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -111,7 +111,7 @@
 	for _, name := range names {
 		wanted[name] = true
 	}
-	change := &region.ListCommand{Standby: true, At: c.usage.clock.Now().UnixNano()}
+	change := &region.ListCommand{Standby: true, At: c.usage.clock.Now().UnixNano(), Gated: c.gatesSoftware(&state)}
 	for index := range state.Replicas {
 		replica := state.Replicas[index].Replica
 		if !wanted[replica.Incarnation().Name()] || replica.IsLeaving() {
--- a/internal/coordinator/list.go
+++ b/internal/coordinator/list.go
@@ -234,6 +234,7 @@
 	}
 	change.Standby = true
 	change.At = c.usage.clock.Now().UnixNano()
+	change.Gated = c.gatesSoftware(&state)
 	c.logListChange(state.Replicas, change)
 	// The activity is planned in the same command, so that gateways are never shown all replicas, and lose
 	// no replica that leaves without being shown another one.
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -44,12 +44,16 @@
 		m.state.Version = change.Version
 		m.state.Document = change.Document
 	}
+	before := m.state
 	if change := command.List; change != nil {
 		m.applyList(index, change)
 	}
 	if change := command.Activity; change != nil {
 		m.applyActivity(index, change)
 	}
+	if command.List != nil || command.Activity != nil {
+		noteNewSoftware(&m.state, &before, command.List)
+	}
 	if change := command.Change; change != nil {
 		m.recordCall(dutyStages)
 		m.beginChange(index, change)
@@ -57,6 +61,9 @@
 	if change := command.ChangeEnd; change != nil {
 		m.dropChanges(index, func(each region.StageChange) bool { return each.Replica == change.Replica })
 	}
+	if change := command.Software; change != nil {
+		m.applySoftware(change)
+	}
 	m.applyUsage(command)
 	if command.Poison != nil {
 		m.state.Poison.Apply(index, command.Poison)
--- a/internal/coordinator/place.go
+++ b/internal/coordinator/place.go
@@ -100,6 +100,7 @@
 	var version, revision uint64
 	for ctx.Err() == nil {
 		state, changed := c.machine.read()
+		c.placement.directory.SetNewSoftware(state.NewSoftware)
 		if state.ListRevision > revision {
 			revision = state.ListRevision
 			view := &region.View{}
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/build"
 	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 )
@@ -15,6 +16,9 @@
 	maximumFormerSoftware = 256
 	// clockSlack is by how much the clocks of two coordinators may differ.
 	clockSlack = 5 * time.Second
+	// recountTime is how long software that runs again needs no gate: everyone counts what has run for origin.Window, also
+	// by a list that is as old as the contact time.
+	recountTime = origin.Window / 2
 	// sinceEver is the SoftwareSince of a group whose first list is known: replicas have run nothing before it.
 	sinceEver = 1
 )
@@ -52,6 +56,82 @@
 	state.FormerSoftware = former
 }
 
+// noteNewSoftware records in a state at what software streams may begin that they couldn't begin at before a change of the
+// list, nil if only the activity of replicas has changed. It stays until a SoftwareCommand, whatever is listed meanwhile.
+func noteNewSoftware(state, before *region.State, change *region.ListCommand) {
+	if change != nil {
+		state.SoftwareGated = change.Gated
+	}
+	if !state.SoftwareGated {
+		state.NewSoftware = nil
+		return
+	}
+	known, others := countedSoftware(before, change)
+	earlier := listedSoftware(before.Replicas)
+	for _, former := range before.FormerSoftware {
+		earlier[serviceSoftware{former.Service, former.Version}] = true
+	}
+	added := slices.Clone(state.NewSoftware)
+	for software := range activeSoftware(state.Replicas) {
+		if known[software] || !others[software.service] {
+			continue
+		}
+		added = append(added, region.NewSoftware{
+			Service: software.service, Version: software.version, Revision: state.ListRevision, Begun: earlier[software],
+		})
+	}
+	slices.SortFunc(added, func(a, b region.NewSoftware) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version))
+	})
+	state.NewSoftware = added
+}
+
+// countedSoftware returns at what software everyone takes it that streams may have begun before a change of the list, or that
+// may not begin any yet; and the services that had any.
+func countedSoftware(before *region.State, change *region.ListCommand) (counted map[serviceSoftware]bool, services map[string]bool) {
+	counted, services = activeSoftware(before.Replicas), map[string]bool{}
+	for software := range counted {
+		services[software.service] = true
+	}
+	for _, each := range before.NewSoftware {
+		counted[serviceSoftware{each.Service, each.Version}] = true
+	}
+	if change == nil {
+		return counted, services
+	}
+	for _, former := range before.FormerSoftware {
+		age := change.At - former.Until
+		services[former.Service] = services[former.Service] || age < int64(origin.Window+clockSlack)
+		if age < int64(recountTime) {
+			counted[serviceSoftware{former.Service, former.Version}] = true
+		}
+	}
+	return counted, services
+}
+
+// activeSoftware returns the known versions that replicas run which are not on standby.
+func activeSoftware(replicas []region.ListedReplica) map[serviceSoftware]bool {
+	return listedSoftware(slices.DeleteFunc(slices.Clone(replicas), func(each region.ListedReplica) bool { return each.Standby }))
+}
+
+// applySoftware lets the software begin streams that lists up to a revision show. It replaces the state's slice, since
+// readers hold it.
+func (m *stateMachine) applySoftware(change *region.SoftwareCommand) {
+	m.state.NewSoftware = slices.DeleteFunc(slices.Clone(m.state.NewSoftware), func(each region.NewSoftware) bool {
+		return each.Revision <= change.Revision
+	})
+}
+
+// gatesSoftware reports whether new software is kept from beginning streams. It is not while the group has coordinators of an
+// earlier build; until all have reported their builds, it goes on as before.
+func (c *Coordinator) gatesSoftware(state *region.State) bool {
+	all, earlier := c.builds.support(c.sortedMembers(), build.SoftwareGateProtocol)
+	if all || earlier {
+		return all
+	}
+	return state.SoftwareGated || len(state.Replicas) == 0
+}
+
 // listedSoftware returns the known versions that replicas run.
 func listedSoftware(replicas []region.ListedReplica) map[serviceSoftware]bool {
 	listed := map[serviceSoftware]bool{}
@@ -88,7 +168,8 @@
 	return former, fresh && state.SoftwareSince != 0 && now-state.SoftwareSince >= int64(origin.Window+clockSlack)
 }
 
-// recentSoftware returns what the replicas of services run and have run within origin.Window.
+// recentSoftware returns at what software the streams of services may have begun within origin.Window, by this coordinator's
+// copy of the state.
 func (c *Coordinator) recentSoftware(services []string) []origin.ServiceVersions {
 	state, _ := c.machine.read()
 	former, complete := c.formerSoftware(state)
@@ -106,6 +187,12 @@
 				known[origin.Software{Version: gone.Version}] = true
 			}
 		}
+		for _, not := range state.NewSoftware {
+			if not.Service == service && !not.Begun {
+				// No stream has begun there yet.
+				delete(known, origin.Software{Version: not.Version})
+			}
+		}
 		for software := range known {
 			each.Software = append(each.Software, software)
 		}
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -13,7 +14,8 @@
 // handleView answers a gateway's poll once there is something that the gateway does
 // not have, or when its wait has ended.
 func (c *Coordinator) handleView(ctx context.Context, request *region.ViewRequest) (*region.View, error) {
-	c.gateways.recordPoll(c.now(), request.Address)
+	came := c.now()
+	c.gateways.recordPoll(came, request.Address)
 	c.builds.recordGateway(request.Address, region.Build{Protocol: request.Protocol, Revision: request.Revision})
 	c.gatewayDemand.put(c.now(), request.Address, request.Demand)
 	c.usage.ownClocks.Record(request.Address, request.WallNanos)
@@ -22,23 +24,44 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	limits := c.limits.changed()
+	answer := func(state region.State) (*region.View, error) {
+		view := c.buildView(state, request)
+		now := c.now()
+		view.HeldMillis = (now - came).Milliseconds()
+		c.renewGatewayList(now, request, state.ListRevision)
+		return view, nil
+	}
+	c.renewGatewayList(came, request, 0)
 	for {
 		state, changed := c.machine.read()
-		if state.Version > request.Version || request.LacksList(state.ListRevision) || state.Poison.Revision > request.PoisonRevision {
-			return c.buildView(state, request), nil
+		if state.Version > request.Version || request.LacksList(state.ListRevision) || state.Poison.Revision > request.PoisonRevision ||
+			region.HashNewSoftware(state.NewSoftware) != request.NewSoftware && request.Life != 0 {
+			return answer(state)
 		}
 		select {
 		case <-changed:
 		case <-limits:
-			return c.buildView(state, request), nil
+			return answer(state)
 		case <-timer.C:
-			return c.buildView(state, request), nil
+			return answer(state)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// renewGatewayList records the list that a gateway has, or that it is shown as its first. A process that has replaced another
+// one at its address holds a lease of its own.
+func (c *Coordinator) renewGatewayList(now time.Duration, request *region.ViewRequest, shown uint64) {
+	revision := request.ListRevision
+	if revision == 0 {
+		revision = shown
+	}
+	if revision != 0 {
+		c.gatewayLists.renew(now, request.Address+"/"+strconv.FormatInt(request.Life, 10), revision)
+	}
+}
+
 // gatewaySettleTime is the time after its start for which a coordinator reports no number of gateways. If all
 // processes have started at once, all gateways have polled by then.
 const gatewaySettleTime = 500 * time.Millisecond
@@ -80,6 +103,7 @@
 		Poison:       state.Poison.NewsSince(request.PoisonRevision),
 	}
 	view.FormerSoftware, view.SoftwareComplete = c.formerSoftware(state)
+	view.NewSoftware, view.SoftwareGated = state.NewSoftware, state.SoftwareGated
 	view.LimitNames, view.Limits = c.limits.view(request.LimitNames)
 	view.ListMillis, view.PageMillis = c.listAges.at(c.now())
 	if age < 0 {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,6 +83,10 @@
 	ListLate Event = "list of replicas read late"
 	// ListNotCommitted: the leader could not commit changes of the list, and will try again.
 	ListNotCommitted Event = "list of replicas not committed"
+	// SoftwareAdmitted: streams may begin at software of which nobody may be unaware any more.
+	SoftwareAdmitted Event = "new software takes streams"
+	// OriginQueryDropped: a gateway's query was dropped, as too many wait.
+	OriginQueryDropped Event = "origin query dropped"
 	// ReplicaListed: a replica was added to the list, or its entry has changed.
 	ReplicaListed Event = "replica listed"
 	// ReplicaRestarted: a replica has restarted under its ID; what was known of the previous process is discarded.
@@ -269,6 +273,8 @@
 		ListReachable,
 		ListLate,
 		ListNotCommitted,
+		SoftwareAdmitted,
+		OriginQueryDropped,
 		ReplicaListed,
 		ReplicaRestarted,
 		ReplicaGone,
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maximumQueriedServices bounds the services of a query.
-const maximumQueriedServices = 64
+// MaximumQueriedServices bounds the services of a query.
+const MaximumQueriedServices = 64
 
 // Keeper keeps the records that gateways send, and answers their queries. It is safe for concurrent use.
 type Keeper struct {
@@ -48,7 +48,7 @@
 		k.counts.Found++
 		return &Reply{ID: query.ID, Record: record, AgeMillis: age.Milliseconds()}
 	}
-	return &Reply{ID: query.ID, Recent: k.Recent(query.Services[:min(len(query.Services), maximumQueriedServices)])}
+	return &Reply{ID: query.ID, Recent: k.Recent(query.Services[:min(len(query.Services), MaximumQueriedServices)])}
 }
 
 // Counts returns the counts.
--- a/internal/region/listcopy.go
+++ b/internal/region/listcopy.go
@@ -69,6 +69,11 @@
 // Replicas returns the replicas of the copy, in no order.
 func (l *ListCopy) Replicas() []Replica { return slices.Collect(maps.Values(l.replicas)) }
 
+// IsNewerThan reports whether the copy is newer than a view's list.
+func (l *ListCopy) IsNewerThan(view *View) bool {
+	return view.ListRevision < max(l.revision, l.partRevision)
+}
+
 // IsPartial reports whether parts of the list are missing or outdated.
 func (l *ListCopy) IsPartial() bool { return l.partEnd != "" }
 
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -95,6 +95,10 @@
 	// Protocol and Revision identify the gateway's build, see Build.
 	Protocol int    `msg:"protocol,omitempty"`
 	Revision string `msg:"revision,omitempty"`
+	// Life is the start time of the gateway's process.
+	Life int64 `msg:"life,omitempty"`
+	// NewSoftware is HashNewSoftware of what the gateway knows.
+	NewSoftware uint64 `msg:"new_software,omitempty"`
 }
 
 // ForwardedCall describes a call that a gateway forwards to a peer, beside the caller's request.
@@ -221,6 +225,11 @@
 	// within origin.Window but what their replicas run now.
 	FormerSoftware   []FormerSoftware `msg:"former_software,omitempty"`
 	SoftwareComplete bool             `msg:"software_complete,omitempty"`
+	// NewSoftware is that of State, kept if SoftwareGated is set. The gateway may then act on the list until the contact time
+	// after it was confirmed: HeldMillis after the request came, less AgeMillis.
+	NewSoftware   []NewSoftware `msg:"new_software,omitempty"`
+	SoftwareGated bool          `msg:"software_gated,omitempty"`
+	HeldMillis    int64         `msg:"held,omitempty"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership, and carries reports of a coordinator to it.
@@ -247,6 +256,9 @@
 	Protocol    int            `msg:"protocol,omitempty"`
 	Revision    string         `msg:"revision,omitempty"`
 	OtherBuilds []ProcessBuild `msg:"other_builds,omitempty"`
+	// ListHeld is the revision of the oldest list that the requester, or a gateway that polls it, may act on; 0 if that is
+	// not known.
+	ListHeld uint64 `msg:"list_held,omitempty"`
 }
 
 // ServiceDemand is the demand for a service of model engines.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -2217,8 +2217,8 @@
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Zone == "" {
 		zb0001Len--
@@ -2240,6 +2240,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.ListHeld == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2315,6 +2319,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "list_held"
+			o = append(o, 0xa9, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+			o = msgp.AppendUint64(o, z.ListHeld)
+		}
 	}
 	return
 }
@@ -2492,6 +2501,12 @@
 					return
 				}
 			}
+		case "list_held":
+			z.ListHeld, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ListHeld")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2522,6 +2537,7 @@
 	for za0005 := range z.OtherBuilds {
 		s += z.OtherBuilds[za0005].Msgsize()
 	}
+	s += 10 + msgp.Uint64Size
 	return
 }
 
@@ -3090,8 +3106,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(29)
-	var zb0001Mask uint32 /* 29 bits */
+	zb0001Len := uint32(32)
+	var zb0001Mask uint32 /* 32 bits */
 	_ = zb0001Mask
 	if z.PartEnd == "" {
 		zb0001Len--
@@ -3141,6 +3157,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x10000000
 	}
+	if z.NewSoftware == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000000
+	}
+	if z.SoftwareGated == false {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
+	if z.HeldMillis == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -3301,6 +3329,28 @@
 			o = append(o, 0xb1, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
 			o = msgp.AppendBool(o, z.SoftwareComplete)
 		}
+		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
+			// string "new_software"
+			o = append(o, 0xac, 0x6e, 0x65, 0x77, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.NewSoftware)))
+			for za0009 := range z.NewSoftware {
+				o, err = z.NewSoftware[za0009].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NewSoftware", za0009)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+			// string "software_gated"
+			o = append(o, 0xae, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x67, 0x61, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.SoftwareGated)
+		}
+		if (zb0001Mask & 0x80000000) == 0 { // if not omitted
+			// string "held"
+			o = append(o, 0xa4, 0x68, 0x65, 0x6c, 0x64)
+			o = msgp.AppendInt64(o, z.HeldMillis)
+		}
 	}
 	return
 }
@@ -3664,6 +3714,41 @@
 				err = msgp.WrapError(err, "SoftwareComplete")
 				return
 			}
+		case "new_software":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewSoftware")
+				return
+			}
+			if zb0011 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.NewSoftware) >= int(zb0011) {
+				z.NewSoftware = (z.NewSoftware)[:zb0011]
+			} else {
+				z.NewSoftware = make([]NewSoftware, zb0011)
+			}
+			for za0009 := range z.NewSoftware {
+				bts, err = z.NewSoftware[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NewSoftware", za0009)
+					return
+				}
+			}
+		case "software_gated":
+			z.SoftwareGated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SoftwareGated")
+				return
+			}
+		case "held":
+			z.HeldMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeldMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3716,7 +3801,11 @@
 	for za0008 := range z.FormerSoftware {
 		s += z.FormerSoftware[za0008].Msgsize()
 	}
-	s += 18 + msgp.BoolSize
+	s += 18 + msgp.BoolSize + 13 + msgp.ArrayHeaderSize
+	for za0009 := range z.NewSoftware {
+		s += z.NewSoftware[za0009].Msgsize()
+	}
+	s += 15 + msgp.BoolSize + 5 + msgp.Int64Size
 	return
 }
 
@@ -3724,8 +3813,8 @@
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
 	_ = zb0001Mask
 	if z.MembersHash == 0 {
 		zb0001Len--
@@ -3759,6 +3848,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Life == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.NewSoftware == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -3849,6 +3946,16 @@
 			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendString(o, z.Revision)
 		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// string "life"
+			o = append(o, 0xa4, 0x6c, 0x69, 0x66, 0x65)
+			o = msgp.AppendInt64(o, z.Life)
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "new_software"
+			o = append(o, 0xac, 0x6e, 0x65, 0x77, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendUint64(o, z.NewSoftware)
+		}
 	}
 	return
 }
@@ -4011,6 +4118,18 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "life":
+			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Life")
+				return
+			}
+		case "new_software":
+			z.NewSoftware, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewSoftware")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4035,6 +4154,6 @@
 	} else {
 		s += z.Usage.Msgsize()
 	}
-	s += 16 + msgp.Uint64Size + 12 + msgp.Uint64Size + 15 + msgp.Uint64Size + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision)
+	s += 16 + msgp.Uint64Size + 12 + msgp.Uint64Size + 15 + msgp.Uint64Size + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision) + 5 + msgp.Int64Size + 13 + msgp.Uint64Size
 	return
 }
--- a/internal/region/state.go
+++ b/internal/region/state.go
@@ -35,6 +35,19 @@
 	// what was listed since SoftwareSince, in nanoseconds since 1970; 0 if it is not kept.
 	FormerSoftware []FormerSoftware `msg:"former_software,omitempty"`
 	SoftwareSince  int64            `msg:"software_since,omitempty"`
+	// NewSoftware is what replicas that are not on standby have begun to run beside other software of their service. Streams
+	// may not begin there yet: processes may act on lists that lack it. It is kept if SoftwareGated is set.
+	NewSoftware   []NewSoftware `msg:"new_software,omitempty"`
+	SoftwareGated bool          `msg:"software_gated,omitempty"`
+}
+
+// NewSoftware is a version of the software of a service's replicas, with the ListRevision of the first list that shows it.
+type NewSoftware struct {
+	Service  string `msg:"service"`
+	Version  string `msg:"version"`
+	Revision uint64 `msg:"revision"`
+	// Begun says that streams may have begun there before: it ran earlier, or its replicas were on standby meanwhile.
+	Begun bool `msg:"begun,omitempty"`
 }
 
 // FormerSoftware is a version of the software that a service's replicas ran until a time in nanoseconds since 1970.
@@ -104,6 +117,13 @@
 	Fleet         *FleetOrder           `msg:"fleet"`
 	Poison        *poison.Command       `msg:"poison"`
 	Activity      *ActivityCommand      `msg:"activity,omitempty"`
+	Software      *SoftwareCommand      `msg:"software,omitempty"`
+}
+
+// SoftwareCommand lets the replicas of NewSoftware begin streams that a list up to a revision shows: nobody acts on an older
+// list any more.
+type SoftwareCommand struct {
+	Revision uint64 `msg:"revision"`
 }
 
 // UsageCallCommand precedes each report of a window's usage to the platform. Its log index is the fencing
@@ -149,6 +169,8 @@
 	Standby bool `msg:"standby,omitempty"`
 	// At is the time of the change in nanoseconds since 1970, 0 from leaders of earlier builds.
 	At int64 `msg:"at,omitempty"`
+	// Gated says that State.NewSoftware is kept: all coordinators know it.
+	Gated bool `msg:"gated,omitempty"`
 }
 
 // ActivityCommand activates replicas and puts others on standby, by their ids.
--- a/internal/region/state_gen.go
+++ b/internal/region/state_gen.go
@@ -259,13 +259,17 @@
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Activity == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Software == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -396,6 +400,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "software"
+			o = append(o, 0xa8, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			if z.Software == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 1
+				// string "revision"
+				o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+				o = msgp.AppendUint64(o, z.Software.Revision)
+			}
+		}
 	}
 	return
 }
@@ -831,6 +847,50 @@
 					return
 				}
 			}
+		case "software":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Software = nil
+			} else {
+				if z.Software == nil {
+					z.Software = new(SoftwareCommand)
+				}
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Software")
+					return
+				}
+				if zb0011 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0011 > 0 {
+					zb0011--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Software")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "revision":
+						z.Software.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Software", "Revision")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Software")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -908,6 +968,12 @@
 	} else {
 		s += z.Activity.Msgsize()
 	}
+	s += 9
+	if z.Software == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 9 + msgp.Uint64Size
+	}
 	return
 }
 
@@ -1162,8 +1228,8 @@
 func (z *ListCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Standby == false {
 		zb0001Len--
@@ -1173,6 +1239,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Gated == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1204,6 +1274,11 @@
 			o = append(o, 0xa2, 0x61, 0x74)
 			o = msgp.AppendInt64(o, z.At)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "gated"
+			o = append(o, 0xa5, 0x67, 0x61, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Gated)
+		}
 	}
 	return
 }
@@ -1288,6 +1363,12 @@
 				err = msgp.WrapError(err, "At")
 				return
 			}
+		case "gated":
+			z.Gated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gated")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1310,7 +1391,7 @@
 	for za0002 := range z.Removed {
 		s += msgp.StringPrefixSize + len(z.Removed[za0002])
 	}
-	s += 8 + msgp.BoolSize + 3 + msgp.Int64Size
+	s += 8 + msgp.BoolSize + 3 + msgp.Int64Size + 6 + msgp.BoolSize
 	return
 }
 
@@ -1407,6 +1488,104 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *NewSoftware) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Begun == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Version)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "begun"
+			o = append(o, 0xa5, 0x62, 0x65, 0x67, 0x75, 0x6e)
+			o = msgp.AppendBool(o, z.Begun)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NewSoftware) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "begun":
+			z.Begun, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Begun")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *NewSoftware) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.Uint64Size + 6 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z RemovedReplica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1472,6 +1651,62 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z SoftwareCommand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "revision"
+	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SoftwareCommand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SoftwareCommand) Msgsize() (s int) {
+	s = 1 + 9 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *StageChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1559,8 +1794,8 @@
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.FormerSoftware == nil {
 		zb0001Len--
@@ -1570,6 +1805,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.NewSoftware == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	if z.SoftwareGated == false {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1704,6 +1947,23 @@
 			o = append(o, 0xae, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
 			o = msgp.AppendInt64(o, z.SoftwareSince)
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "new_software"
+			o = append(o, 0xac, 0x6e, 0x65, 0x77, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.NewSoftware)))
+			for za0008 := range z.NewSoftware {
+				o, err = z.NewSoftware[za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NewSoftware", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "software_gated"
+			o = append(o, 0xae, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x67, 0x61, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.SoftwareGated)
+		}
 	}
 	return
 }
@@ -2107,6 +2367,35 @@
 				err = msgp.WrapError(err, "SoftwareSince")
 				return
 			}
+		case "new_software":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewSoftware")
+				return
+			}
+			if zb0015 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.NewSoftware) >= int(zb0015) {
+				z.NewSoftware = (z.NewSoftware)[:zb0015]
+			} else {
+				z.NewSoftware = make([]NewSoftware, zb0015)
+			}
+			for za0008 := range z.NewSoftware {
+				bts, err = z.NewSoftware[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NewSoftware", za0008)
+					return
+				}
+			}
+		case "software_gated":
+			z.SoftwareGated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SoftwareGated")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2148,7 +2437,11 @@
 	for za0007 := range z.FormerSoftware {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.FormerSoftware[za0007].Service) + 8 + msgp.StringPrefixSize + len(z.FormerSoftware[za0007].Version) + 6 + msgp.Int64Size
 	}
-	s += 15 + msgp.Int64Size
+	s += 15 + msgp.Int64Size + 13 + msgp.ArrayHeaderSize
+	for za0008 := range z.NewSoftware {
+		s += z.NewSoftware[za0008].Msgsize()
+	}
+	s += 15 + msgp.BoolSize
 	return
 }
 
--- a/internal/relay/border.go
+++ b/internal/relay/border.go
@@ -35,7 +35,7 @@
 func (d *Directory) replicasByStage(service string, request PrefillRequest, now time.Duration) stageReplicas {
 	// A prompt may be prefilled by other software than that which runs the request.
 	prefill := request.wanted()
-	prefill.Software = origin.Software{}
+	prefill.Software, prefill.BeginsStream = origin.Software{}, false
 	return stageReplicas{
 		prefill: d.healthyCandidates(service, prefill, ofStage(region.StagePrefill), now),
 		decode:  d.healthyCandidates(service, request.wanted(), ofStage(region.StageDecode), now),
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -104,6 +104,8 @@
 	view    region.View
 	polls   int
 	origins *origin.Keeper
+	// isCutOff is set once it answers nothing any more.
+	isCutOff bool
 }
 
 func startCoordinator(t *testing.T, view region.View) *fakeCoordinator {
@@ -118,6 +120,9 @@
 		time.Sleep(time.Millisecond)
 		fake.mutex.Lock()
 		defer fake.mutex.Unlock()
+		if fake.isCutOff {
+			return nil, failure.New(failure.Internal, "cut off")
+		}
 		fake.polls++
 		shown := fake.view
 		return &shown, nil
@@ -137,7 +142,7 @@
 		if _, err := message.UnmarshalMsg(payload); err != nil {
 			return err
 		}
-		if reply := f.origins.Handle(time.Since(began), &message); reply != nil {
+		if reply := f.origins.Handle(time.Since(began), &message); reply != nil && f.answers() {
 			socket.Send(datagram.KindOriginReply, reply, from)
 		}
 		return nil
@@ -162,7 +167,10 @@
 		each := origin.ServiceVersions{Service: service, Complete: f.view.SoftwareComplete}
 		for _, replica := range f.view.Replicas {
 			software := origin.SoftwareOf(replica.Software, replica.ID)
-			if replica.Service == service && !slices.Contains(each.Software, software) {
+			isNew := slices.ContainsFunc(f.view.NewSoftware, func(each region.NewSoftware) bool {
+				return each.Service == service && each.Version == replica.Software
+			})
+			if replica.Service == service && !isNew && !slices.Contains(each.Software, software) {
 				each.Software = append(each.Software, software)
 			}
 		}
@@ -177,6 +185,19 @@
 	change(&f.view)
 }
 
+// cutOff has the coordinator answer nothing any more.
+func (f *fakeCoordinator) cutOff() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.isCutOff = true
+}
+
+func (f *fakeCoordinator) answers() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.isCutOff
+}
+
 func (f *fakeCoordinator) pollCount() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- /dev/null
+++ b/internal/relay/daemon/listlease.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pierhaven/pierhaven/internal/origin"
+	"github.com/pierhaven/pierhaven/internal/region"
+)
+
+// leaseShare is the part of the contact time for which conclusions are drawn from a list. The rest is for clocks that run at
+// different rates.
+const leaseShare = 0.9
+
+// listLease is a gateway's lease on its list of replicas: until the contact time after the list was known to be complete, no
+// stream begins at software that the list lacks.
+type listLease struct {
+	// kept is set if leases on lists are kept: coordinators of earlier builds keep none.
+	kept bool
+	// confirmedAt is when the list was known to be complete; it is valid once confirmed is set.
+	confirmedAt time.Duration
+	confirmed   bool
+	// newSoftware is the software of the list at which streams may not begin yet, and unconfirmed what only the platform has
+	// shown: coordinators may not have it.
+	newSoftware []region.NewSoftware
+	unconfirmed []region.NewSoftware
+}
+
+// renew renews the lease by a view that was asked for at a time: it may have been under way since.
+func (l *listLease) renew(view *region.View, polledAt time.Duration) {
+	at := polledAt + time.Duration(view.HeldMillis-view.AgeMillis)*time.Millisecond
+	if !l.confirmed || at > l.confirmedAt {
+		l.confirmed, l.confirmedAt = true, at
+	}
+}
+
+// holdsLease reports whether no stream can have begun at software that the list lacks, and whether such leases are kept at
+// all: if not, the view counts for the contact time.
+func (v *viewClient) holdsLease() (holds, kept bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.lease.kept {
+		return v.lease.confirmed && v.now()-v.lease.confirmedAt < time.Duration(leaseShare*float64(v.settings.ContactTime)), true
+	}
+	return v.confirmed && v.now()-v.freshAt <= v.settings.ContactTime, false
+}
+
+// noteNewSoftware takes over the software at which streams may not begin yet, unless the view is older than the list. The
+// caller must hold v.mutex.
+func (v *viewClient) noteNewSoftware(view *region.View) {
+	if v.list.IsNewerThan(view) {
+		return
+	}
+	v.lease.kept, v.lease.newSoftware = view.SoftwareGated, view.NewSoftware
+	v.lease.unconfirmed = slices.DeleteFunc(v.lease.unconfirmed, func(each region.NewSoftware) bool {
+		return slices.ContainsFunc(v.list.Replicas(), func(r region.Replica) bool { return r.Service == each.Service && r.Software == each.Version })
+	})
+	v.showNewSoftware()
+}
+
+// noteDirectSoftware notes the software of a list that no coordinator has shown.
+func (v *viewClient) noteDirectSoftware(replicas []region.Replica) {
+	running := v.directory.RunningSoftware()
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if !v.lease.kept {
+		return
+	}
+	for index := range replicas {
+		replica := &replicas[index]
+		known := running[replica.Service]
+		if len(known) == 0 || known[origin.SoftwareOf(replica.Software, replica.Incarnation().Name())] {
+			continue
+		}
+		v.lease.unconfirmed = append(v.lease.unconfirmed, region.NewSoftware{Service: replica.Service, Version: replica.Software})
+	}
+	v.showNewSoftware()
+}
+
+// showNewSoftware tells the directory at what software streams may not begin yet. The caller must hold v.mutex.
+func (v *viewClient) showNewSoftware() {
+	if len(v.lease.unconfirmed) == 0 {
+		v.directory.SetNewSoftware(v.lease.newSoftware)
+		return
+	}
+	v.directory.SetNewSoftware(slices.Concat(v.lease.newSoftware, v.lease.unconfirmed))
+}
--- a/internal/relay/daemon/originquery.go
+++ b/internal/relay/daemon/originquery.go
@@ -18,6 +18,11 @@
 	// originOthersFraction is the fraction of that time to wait for the others once one coordinator has the record: one may
 	// have a newer record.
 	originOthersFraction = 0.2
+	// maximumOriginWait bounds how long coordinators are asked that can't tell yet, and 1/originWaitDivisor of its caller's
+	// wait does.
+	maximumOriginWait = time.Second
+	originWaitDivisor = 2
+	originRetryPause  = 50 * time.Millisecond
 )
 
 // keeperReply is the reply of a coordinator.
@@ -49,7 +54,29 @@
 	return best
 }
 
-// merged returns what services have run recently, as this gateway and coordinators know it. What one of them knows
+// narrowed returns at what software streams of services may have begun, as this gateway and coordinators know it. What one of
+// them knows completely holds by itself, so that what another one counts beyond it is left out.
+func narrowed(recent []origin.ServiceVersions, replies []keeperReply) []origin.ServiceVersions {
+	all := slices.Clone(recent)
+	for _, reply := range replies {
+		for _, told := range reply.Recent {
+			at := slices.IndexFunc(all, func(each origin.ServiceVersions) bool { return each.Service == told.Service })
+			if at < 0 || !told.Complete {
+				continue
+			}
+			if !all[at].Complete {
+				all[at] = told
+				continue
+			}
+			all[at].Software = slices.DeleteFunc(slices.Clone(all[at].Software), func(each origin.Software) bool {
+				return !slices.Contains(told.Software, each)
+			})
+		}
+	}
+	return all
+}
+
+// merged returns what services have run recently, as this gateway and coordinators know it, where no leases on lists are kept. What one of them knows
 // completely is complete: the others may have started later.
 func merged(recent []origin.ServiceVersions, replies []keeperReply) []origin.ServiceVersions {
 	all := slices.Clone(recent)
@@ -73,6 +100,14 @@
 	return all
 }
 
+// anyTells reports whether a coordinator has a record, or knows at what software of all services streams may have begun.
+func anyTells(replies []keeperReply) bool {
+	return slices.ContainsFunc(replies, func(each keeperReply) bool {
+		isIncomplete := func(told origin.ServiceVersions) bool { return !told.Complete }
+		return each.Record != nil || len(each.Recent) > 0 && !slices.ContainsFunc(each.Recent, isIncomplete)
+	})
+}
+
 // ask asks the coordinators that may keep the record of a key, and returns the replies of those that answer in time.
 func (o *originClient) ask(ctx context.Context, key origin.Key, recent []origin.ServiceVersions) []keeperReply {
 	keepers := o.keepers(key, originAsked)
--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -13,6 +13,7 @@
 	"github.com/pierhaven/pierhaven/internal/datagram"
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/relay"
@@ -240,32 +241,47 @@
 
 func (o *originClient) search(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
 	key := origin.KeyOf(tenant, request.Resumes)
+	// A lease that is renewed meanwhile may be on a newer list than what is read here.
+	holds, kept := o.views.holdsLease()
 	now := o.clock()
 	o.mutex.Lock()
 	record, age := o.begun.Get(now, key)
 	recent := o.recentlyAt(now, route)
 	o.mutex.Unlock()
+	for index := range recent {
+		recent[index].Complete = recent[index].Complete && holds
+	}
 	if request.Resumes == "" {
 		record = nil
 	}
 	if record != nil {
 		return checked(takenUp{Origin: record.Origin, found: originOwn, age: age}, record, route)
 	}
-	replies := o.ask(ctx, key, recent)
-	possible := merged(recent, replies)
-	found, err := o.fromReplies(replies, possible, request, route)
-	found.replies, found.possible = len(replies), possible
-	return found, err
+	combine := merged
+	if kept {
+		combine = narrowed
+	}
+	until := time.Now().Add(min(maximumOriginWait, callerWait(request.Wait)/originWaitDivisor))
+	for {
+		replies := o.ask(ctx, key, recent)
+		possible := combine(recent, replies)
+		found, err := fromReplies(replies, possible, request, route)
+		found.replies, found.possible = len(replies), possible
+		if err == nil || len(replies) == 0 || anyTells(replies) || time.Now().After(until) {
+			return found, err
+		}
+		// Coordinators that have just started, or lack a leader, can tell in a moment.
+		if !lifecycle.Sleep(ctx, originRetryPause) {
+			return found, err
+		}
+	}
 }
 
 // fromReplies returns where a stream goes on that has not begun at this gateway.
-func (o *originClient) fromReplies(replies []keeperReply, possible []origin.ServiceVersions, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
+func fromReplies(replies []keeperReply, possible []origin.ServiceVersions, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
 	if best := newest(replies); best != nil && request.Resumes != "" {
 		return checked(takenUp{Origin: best.Record.Origin, found: best.from, age: time.Duration(best.AgeMillis) * time.Millisecond}, best.Record, route)
 	}
-	if age, known := o.views.age(); len(replies) == 0 && (!known || age > o.settings.ContactTime) {
-		return takenUp{age: -1}, failure.New(failure.StreamNotResumed, "no coordinator tells where the stream has begun, and the list is old")
-	}
 	return onlyOrigin(possible, route)
 }
 
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -290,3 +291,63 @@
 	assert.Equal(t, http.StatusOK, status)
 	r.assertPairs(1)
 }
+
+// showSecondVersion lists a replica of a second version at the coordinator, at which streams may not begin yet.
+func (r *takeUps) showSecondVersion() {
+	address := startReplica(r.t, r.replica(version{"service", "v2"}))
+	r.coordinator.update(func(view *region.View) {
+		view.ListRevision++
+		view.Replicas = append(slices.Clone(view.Replicas), region.Replica{
+			ID: "newer", Service: "service", Address: address, Zone: "zone", Slots: 64, Software: "v2",
+		})
+		view.NewSoftware = []region.NewSoftware{{Service: "service", Version: "v2", Revision: view.ListRevision}}
+	})
+}
+
+// Guards against streams of two versions after a kill of the gateways that know the second one, while others are cut off from
+// the coordinators and know of the first alone: no stream begins at a version while anyone may act on a list without it.
+func TestStreamsBeginAtANewVersionOnlyOnceNobodyIsUnawareOfIt(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"})
+	r.coordinator.update(func(view *region.View) { view.SoftwareComplete, view.SoftwareGated = true, true })
+	r.showSecondVersion()
+	r.awaitPolls()
+	for number := range takenUpStreams {
+		r.begin(fmt.Sprint("r-", number))
+	}
+	assert.NotContains(t, r.versionsBegun(), "service v2")
+	assert.Equal(t, http.StatusOK, r.takeUp("r-0"), "a stream of the first version goes on")
+	r.coordinator.update(func(view *region.View) { view.NewSoftware = nil })
+	require.Eventually(t, func() bool {
+		r.begin(fmt.Sprint("later-", time.Now().UnixNano()))
+		return slices.Contains(r.versionsBegun(), "service v2")
+	}, 30*time.Second, time.Millisecond)
+}
+
+// awaitPolls waits until both gateways have the coordinator's view.
+func (r *takeUps) awaitPolls() {
+	r.t.Helper()
+	polls := r.coordinator.pollCount()
+	require.Eventually(r.t, func() bool { return r.coordinator.pollCount() > polls+8 }, 30*time.Second, time.Millisecond)
+}
+
+// versionsBegun returns where streams have begun.
+func (r *takeUps) versionsBegun() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Collect(maps.Values(r.begunAt))
+}
+
+// Guards against conclusions from a list that has become old: a gateway whose view was under way, or that was cut off, since
+// others have learned of a second version.
+func TestAStreamOfUnknownOriginIsRefusedOnceTheLeaseOnTheListIsOver(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"})
+	r.coordinator.update(func(view *region.View) { view.SoftwareComplete, view.SoftwareGated = true, true })
+	fields := map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": "r-unknown"}
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusOK }, 30*time.Second, 10*time.Millisecond)
+	r.awaitPolls()
+	r.coordinator.cutOff()
+	assert.Equal(t, http.StatusOK, r.takeUpWith(fields), "one that is cut off goes on while its lease lasts")
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusServiceUnavailable }, 30*time.Second, 10*time.Millisecond)
+}
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -67,6 +67,7 @@
 	// is set.
 	freshAt   time.Duration
 	confirmed bool
+	lease     listLease
 	// copyAge is the age of the coordinator's copy in the last view. listReadAt and pageReadAt are when the last reading of
 	// the platform's list began, and when a page of it was last read; 0 if that is not known.
 	copyAge, listReadAt, pageReadAt time.Duration
@@ -199,6 +200,7 @@
 		Usage:      v.usage.report(v.settings.PeerListen, coordinator),
 		Protocol:   build.Protocol,
 		Revision:   build.Revision(),
+		Life:       v.usage.incarnation,
 	}
 	request.NeighborsHash = v.placementMode.forwards.neighborsHash()
 	if request.Usage != nil {
@@ -213,7 +215,9 @@
 	v.mutex.Lock()
 	v.list.Request(request, maximumListPart)
 	request.MembersHash = v.membersHash
+	request.NewSoftware = region.HashNewSoftware(v.lease.newSoftware)
 	v.mutex.Unlock()
+	polledAt := v.now()
 	var view region.View
 	if err := v.client.Call(ctx, coordinator, region.PathView, request, &view); err != nil {
 		// The usage report may not have arrived, so the next one contains all counts.
@@ -221,7 +225,7 @@
 		return err
 	}
 	v.usage.acknowledge(coordinator, request.Usage, &view, time.Now())
-	if err := v.apply(coordinator, &view); err != nil {
+	if err := v.apply(coordinator, &view, polledAt); err != nil {
 		return err
 	}
 	// Limits are applied after the list, as limits of unlisted replicas are ignored.
@@ -229,8 +233,8 @@
 	return nil
 }
 
-// apply applies a coordinator's view.
-func (v *viewClient) apply(coordinator string, view *region.View) error {
+// apply applies a coordinator's view, which was asked for at a time.
+func (v *viewClient) apply(coordinator string, view *region.View, polledAt time.Duration) error {
 	if v.evidence != nil {
 		// Held requests are applied before the configuration, as a starting gateway begins to serve
 		// when it has its first configuration.
@@ -241,6 +245,8 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	// What may not take streams yet is known before it is listed.
+	v.noteNewSoftware(view)
 	v.applyList(view)
 	v.zones[coordinator] = view.Zone
 	v.updateMembers(view)
@@ -249,6 +255,7 @@
 	if view.AgeMillis < 0 {
 		return nil
 	}
+	v.lease.renew(view, polledAt)
 	v.budgets.SetGateways(view.Gateways)
 	if view.Gateways > 0 {
 		v.gateways.Store(int64(view.Gateways))
@@ -407,6 +414,7 @@
 	if err != nil {
 		return err
 	}
+	v.noteDirectSoftware(replicas)
 	v.directory.Replace(replicas)
 	v.onListed(true)
 	v.logger.Info(event.ListTakenDirectly, "replicas", len(replicas))
--- a/internal/relay/daemon/viewkeeper_test.go
+++ b/internal/relay/daemon/viewkeeper_test.go
@@ -57,7 +57,7 @@
 	mode := &placementMode{peers: newTestPlacementMode().peers, client: newTestPlacementMode().client, forwards: newForwardClient(Settings{})}
 	settings := Settings{Codec: fixedCodec{}, Logger: logr.Discard(), Now: func() time.Duration { return uptime.Now() + suspended }}
 	views := newViewClient(settings, nil, directory, budgets, mode, nil)
-	assert.NoError(t, views.apply("coordinator", &region.View{AgeMillis: 10, Gateways: 1}))
+	assert.NoError(t, views.apply("coordinator", &region.View{AgeMillis: 10, Gateways: 1}, 0))
 	age, known := views.age()
 	assert.True(t, known)
 	assert.Less(t, age, staleAge)
@@ -125,12 +125,12 @@
 	view := func(version uint64) *region.View {
 		return &region.View{Version: version, Document: region.Deflate([]byte(strconv.FormatUint(version, 10))), AgeMillis: 10, Gateways: 1}
 	}
-	assert.NoError(t, views.apply("coordinator", view(1)))
+	assert.NoError(t, views.apply("coordinator", view(1), 0))
 	<-codec.begun
 	listed := view(2)
 	listed.HasList, listed.WholeList, listed.ListRevision, listed.Replicas = true, true, 4, []region.Replica{{ID: "a"}}
-	assert.NoError(t, views.apply("coordinator", listed))
-	assert.NoError(t, views.apply("coordinator", view(3)))
+	assert.NoError(t, views.apply("coordinator", listed, 0))
+	assert.NoError(t, views.apply("coordinator", view(3), 0))
 	assert.Equal(t, 1, views.directory.Count(), "the list is in force")
 	assert.Zero(t, views.version())
 	close(codec.released)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -38,6 +38,8 @@
 	// its previous incarnation do not apply to it.
 	replicas map[string]*Replica
 	services map[string][]*Replica
+	// newSoftware is what streams may not begin at yet.
+	newSoftware newSoftware
 	// costModels are the learned costs of each service's engines, and engines their configuration.
 	costModels map[string]*costmodel.Model
 	engines    map[string]traffic.Engine
--- a/internal/relay/picker.go
+++ b/internal/relay/picker.go
@@ -23,6 +23,8 @@
 	Unlimited bool
 	// Software excludes all replicas that run something else, if it is set.
 	Software origin.Software
+	// BeginsStream excludes the replicas at whose software streams may not begin yet.
+	BeginsStream bool
 }
 
 // excludes reports whether a replica may not get the request now.
@@ -110,7 +112,8 @@
 	var candidates, leaving []*Replica
 	asking := d.gateNow()
 	for _, replica := range d.services[service] {
-		if replica.Draining || replica.removed || !passes(replica) || replica.inBackoff(asking) || wanted.excludes(replica, now) {
+		if replica.Draining || replica.removed || !passes(replica) || replica.inBackoff(asking) || wanted.excludes(replica, now) ||
+			wanted.BeginsStream && d.runsNewSoftware(replica, now) {
 			continue
 		}
 		if !replica.isLeavingForGood() {
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -107,6 +107,7 @@
 		Excluded:       r.excluded(),
 		Unlimited:      r.onlyUnlimitedReplicas(),
 		Software:       r.call.Software,
+		BeginsStream:   r.call.beginsStream(),
 	}
 }
 
--- a/internal/relay/question.go
+++ b/internal/relay/question.go
@@ -48,6 +48,8 @@
 		Tenant:         query.Tenant,
 		Zone:           query.Zone,
 		Excluded:       d.Find(query.Excluded),
+		// A query does not tell whether a stream begins.
+		BeginsStream: true,
 	}
 }
 
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -26,13 +26,15 @@
 	// Excluded are replicas that must not be chosen; Unlimited excludes all that declare a rate limit.
 	Excluded  []*Replica
 	Unlimited bool
-	// Software is that of the replicas which may run the request, if it is set.
-	Software origin.Software
+	// Software is that of the replicas which may run the request, if it is set. BeginsStream is set if a stream begins there
+	// that callers may take up.
+	Software     origin.Software
+	BeginsStream bool
 }
 
 // wanted returns the restrictions on which replicas may get the request.
 func (r *PrefillRequest) wanted() Wanted {
-	return Wanted{Rank: r.Rank, Excluded: r.Excluded, Unlimited: r.Unlimited, Software: r.Software}
+	return Wanted{Rank: r.Rank, Excluded: r.Excluded, Unlimited: r.Unlimited, Software: r.Software, BeginsStream: r.BeginsStream}
 }
 
 // Urgency is the scheduling class of a prefill. Replicas process the prompts of an earlier class first.
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -272,7 +272,7 @@
 		if errors.Is(err, errForward) {
 			continue
 		}
-		if err != nil && r.awaitContinuation(ctx, err) {
+		if err != nil && (r.awaitContinuation(ctx, err) || r.awaitNewSoftware(ctx, err)) {
 			continue
 		}
 		if err != nil {
@@ -417,7 +417,7 @@
 	r.denied = nil
 	if !r.isModelCall() {
 		lease, err := r.permitted(ctx, func() (*Lease, error) {
-			wanted := Wanted{Rank: r.rank(), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas(), Software: r.call.Software}
+			wanted := Wanted{Rank: r.rank(), Excluded: r.excluded(), Unlimited: r.onlyUnlimitedReplicas(), Software: r.call.Software, BeginsStream: r.call.beginsStream()}
 			return r.directory.PickAny(r.call.Service.Name, wanted), nil
 		})
 		return lease, nil, err
