--- a/internal/relay/limited_test.go
+++ b/internal/relay/limited_test.go
@@ -173,6 +173,32 @@
 	assert.Zero(t, w.directory.LimitedCount(), "the process that declared it has ended")
 }
 
+// Guards against limits that a spoiled answer lifts: a replica begins answers with a good status, names no limit, and does not
+// get as far as an event, a body or a handle.
+func TestAnAnswerThatIsNeverWholeLiftsNoLimit(t *testing.T) {
+	spoiled := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Sealed", "yes")
+		cutAfterHead(writer, request)
+	}
+	for name, kind := range map[string]traffic.Kind{"body": traffic.KindOnce, "stream": traffic.KindStream} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvironment(t)
+			w.addReplica("a", "", spoiled)
+			w.declareLimit(1, "a")
+			require.Error(t, w.runCall(newCall(kind, 1)).err)
+			assert.Equal(t, 1, w.directory.LimitedCount())
+		})
+	}
+	t.Run("handle", func(t *testing.T) {
+		w := newTestEnvironment(t)
+		w.addReplica("reader", region.StagePrefill, spoiled)
+		w.addReplica("generator", region.StageDecode, streamEvents(1, 2, false))
+		w.declareLimit(1, "reader")
+		require.NoError(t, w.runCall(newModelCall(8000, "own")).err)
+		assert.Equal(t, 1, w.directory.LimitedCount())
+	})
+}
+
 func TestLimitEndsWithItsReplica(t *testing.T) {
 	w := newTestEnvironment(t)
 	w.listReplica("a", "", "127.0.0.1:1")
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -226,7 +226,8 @@
 		return nil, outcomeUnknown, err
 	}
 	defer response.Close()
-	recordLimit(lease, response.Status, r.dialect.ReadResponseMetadata(response.Header))
+	metadata := r.dialect.ReadResponseMetadata(response.Header)
+	recordLimit(lease, response.Status, metadata)
 	outcome := outcomeTakenUp
 	if response.Status != http.StatusOK {
 		outcome = outcomeRejected
@@ -247,6 +248,7 @@
 		lease.Answered(true, nil)
 		return nil, outcome, err
 	}
+	recordNoLimit(lease, response.Status, metadata)
 	lease.Answered(false, nil)
 	lease.PrefillDone()
 	lease.PromptCached(r.call.Prompt)
--- a/internal/relay/ratelimit.go
+++ b/internal/relay/ratelimit.go
@@ -17,6 +17,9 @@
 	Rate float64
 }
 
+// isGiven reports whether the response says anything of a limit.
+func (l RateLimit) isGiven() bool { return l.Declared || l.Unreadable }
+
 // ReplicaLimits enforces the limits that replicas declare, across all gateways.
 type ReplicaLimits struct {
 	// Ask requests a permit to send a request to a replica.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -243,10 +243,17 @@
 	return verdictUnknown, err
 }
 
-// recordLimit records the rate limit that a response declares. A response of another incarnation (status
-// 421) is ignored: its limit does not apply to this one.
+// recordLimit records the rate limit that the head of a response declares. A response of another incarnation (status 421) is
+// ignored: its limit does not apply to this one.
 func recordLimit(lease *Lease, status int, metadata ResponseMetadata) {
-	if status != http.StatusMisdirectedRequest {
+	if status != http.StatusMisdirectedRequest && metadata.Limit.isGiven() {
+		lease.NoteLimit(metadata.Limit, true)
+	}
+}
+
+// recordNoLimit records that a response declares no rate limit, once it has proved to be an answer: a spoiled one lifts none.
+func recordNoLimit(lease *Lease, status int, metadata ResponseMetadata) {
+	if !metadata.Limit.isGiven() {
 		lease.NoteLimit(metadata.Limit, !metadata.NotRun && status < http.StatusInternalServerError)
 	}
 }
@@ -271,6 +278,7 @@
 		return verdictUnknown, err
 	}
 	failed := response.Status >= http.StatusInternalServerError
+	recordNoLimit(lease, response.Status, metadata)
 	lease.Answered(failed, metadata.Load)
 	if failed && r.stream == nil {
 		r.keepErrorResponse(response, body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,6 +63,7 @@
 				r.streamBreak, r.stopped = nil, false
 				r.call.beginAt(lease.Software)
 				r.countStart(time.Now())
+				recordNoLimit(lease, response.Status, metadata)
 				lease.Answered(false, metadata.Load)
 				r.recordStreamStart(lease, send)
 				if r.isModelCall() && !r.directory.disabled[mechanism.StreamMoves] {
