--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -24,32 +24,34 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	limits := c.limits.changed()
-	answer := func(state region.State) (*region.View, error) {
-		view := c.buildView(state, request)
-		now := c.now()
-		view.HeldMillis = (now - came).Milliseconds()
-		c.renewGatewayList(now, request, state.ListRevision)
-		return view, nil
-	}
 	c.renewGatewayList(came, request, 0)
 	for {
 		state, changed := c.machine.read()
 		if state.Version > request.Version || request.LacksList(state.ListRevision) || state.Poison.Revision > request.PoisonRevision ||
-			region.HashNewSoftware(state.NewSoftware) != request.NewSoftware && request.Life != 0 {
-			return answer(state)
+			request.LacksNewSoftware(&state) {
+			return c.answerView(state, request, came), nil
 		}
 		select {
 		case <-changed:
 		case <-limits:
-			return answer(state)
+			return c.answerView(state, request, came), nil
 		case <-timer.C:
-			return answer(state)
+			return c.answerView(state, request, came), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// answerView answers a gateway's poll that came at a time, and renews the gateway's lease on its list.
+func (c *Coordinator) answerView(state region.State, request *region.ViewRequest, came time.Duration) *region.View {
+	view := c.buildView(state, request)
+	now := c.now()
+	view.HeldMillis = (now - came).Milliseconds()
+	c.renewGatewayList(now, request, state.ListRevision)
+	return view
+}
+
 // renewGatewayList records the list that a gateway has, or that it is shown as its first. A process that has replaced another
 // one at its address holds a lease of its own.
 func (c *Coordinator) renewGatewayList(now time.Duration, request *region.ViewRequest, shown uint64) {
--- a/internal/region/newsoftware.go
+++ b/internal/region/newsoftware.go
@@ -17,3 +17,9 @@
 	}
 	return digest.Sum64()
 }
+
+// LacksNewSoftware reports whether a state has other new software than the gateway that makes the request, and no older list. A
+// gateway of an earlier build, which tells no life, knows none.
+func (r *ViewRequest) LacksNewSoftware(state *State) bool {
+	return r.Life != 0 && state.ListRevision >= r.ListRevision && HashNewSoftware(state.NewSoftware) != r.NewSoftware
+}
