--- a/internal/relay/daemon/originquery.go
+++ b/internal/relay/daemon/originquery.go
@@ -76,8 +76,8 @@
 	return all
 }
 
-// merged returns what services have run recently, as this gateway and coordinators know it, where no leases on lists are kept. What one of them knows
-// completely is complete: the others may have started later.
+// merged returns what services have run recently, as this gateway and coordinators know it, where no leases on lists are kept.
+// What one of them knows completely is complete: the others may have started later.
 func merged(recent []origin.ServiceVersions, replies []keeperReply) []origin.ServiceVersions {
 	all := slices.Clone(recent)
 	for index := range all {
