--- a/internal/coordinator/newsoftware.go
+++ b/internal/coordinator/newsoftware.go
@@ -57,9 +57,7 @@
 		if replica.Service != software.Service || each.Standby || replica.IsLeaving() {
 			return false
 		}
-		return !slices.ContainsFunc(state.NewSoftware, func(other region.NewSoftware) bool {
-			return other.Service == replica.Service && other.Version == replica.Software
-		})
+		return !region.IsNewSoftware(state.NewSoftware, replica.Service, replica.Software)
 	})
 }
 
--- a/internal/region/newsoftware.go
+++ b/internal/region/newsoftware.go
@@ -1,11 +1,17 @@
 package region
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// IsNewSoftware reports whether a version of a service's software is among new software.
+func IsNewSoftware(software []NewSoftware, service, version string) bool {
+	return slices.ContainsFunc(software, func(each NewSoftware) bool { return each.Service == service && each.Version == version })
+}
+
 // HashNewSoftware returns a hash of new software in its order, 0 if there is none.
 func HashNewSoftware(software []NewSoftware) uint64 {
 	if len(software) == 0 {
--- a/internal/relay/daemon/daemon_test.go
+++ b/internal/relay/daemon/daemon_test.go
@@ -167,9 +167,7 @@
 		each := origin.ServiceVersions{Service: service, Complete: f.view.SoftwareComplete}
 		for _, replica := range f.view.Replicas {
 			software := origin.SoftwareOf(replica.Software, replica.ID)
-			isNew := slices.ContainsFunc(f.view.NewSoftware, func(each region.NewSoftware) bool {
-				return each.Service == service && each.Version == replica.Software
-			})
+			isNew := region.IsNewSoftware(f.view.NewSoftware, service, replica.Software)
 			if replica.Service == service && !isNew && !slices.Contains(each.Software, software) {
 				each.Software = append(each.Software, software)
 			}
--- a/internal/relay/newsoftware.go
+++ b/internal/relay/newsoftware.go
@@ -35,9 +35,7 @@
 	if len(d.newSoftware.software) == 0 || now >= d.newSoftware.until {
 		return false
 	}
-	return slices.ContainsFunc(d.newSoftware.software, func(each region.NewSoftware) bool {
-		return each.Service == replica.Service && each.Version == replica.Version
-	})
+	return region.IsNewSoftware(d.newSoftware.software, replica.Service, replica.Version)
 }
 
 // hasNewSoftware reports whether a service has replicas at which streams may not begin yet.
