--- a/bench/soak/deaflog_test.go
+++ b/bench/soak/deaflog_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -79,17 +77,9 @@
 // residentMegabytes is the memory that a process has in use, in MiB.
 func residentMegabytes(t *testing.T, p *process) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	require.NoError(t, err)
-	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
-			kilobytes, err := strconv.Atoi(strings.Fields(value)[0])
-			require.NoError(t, err)
-			return kilobytes >> 10
-		}
-	}
-	t.Fatal("no VmRSS")
-	return 0
+	held := p.memoryMegabytes("VmRSS:")
+	require.Positive(t, held, "it runs, and its status can be read")
+	return held
 }
 
 // metric reads one gauge of a metrics page.
--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -84,7 +84,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, memoryInterval)
 		for _, each := range s.fleet.all() {
-			held := each.anonymousMegabytes()
+			held := each.memoryMegabytes(anonymousMemory)
 			s.truth.holds(held)
 			if held <= memoryMegabytes {
 				continue
@@ -95,8 +95,11 @@
 	}
 }
 
-// anonymousMegabytes is the memory that the process has without its program's file, 0 if it does not run.
-func (p *process) anonymousMegabytes() int {
+// anonymousMemory is the field of a process's status with the memory that it has without its program's file.
+const anonymousMemory = "RssAnon:"
+
+// memoryMegabytes is the memory that a field of the process's status tells, 0 if it does not run.
+func (p *process) memoryMegabytes(field string) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.command == nil {
@@ -106,7 +109,7 @@
 	if err != nil {
 		return 0
 	}
-	_, after, _ := strings.Cut(string(status), "RssAnon:")
+	_, after, _ := strings.Cut(string(status), field)
 	fields := strings.Fields(after)
 	if len(fields) == 0 {
 		return 0
