Soak: each fleet claims a subnet that no other fleet has

fault proxy before p0: listen tcp 127.77.158.1:17400: bind: address already in use

Cause: a fleet's addresses followed from its seed alone.

A fleet now listens at an address of its subnet that nothing else uses, and goes on to the next one if another fleet has it. A seed gets the subnet that it had, if that one is free.

--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -58,14 +59,14 @@
 	firstVersion = "v1"
 	// listName is the platform's list, for the proxy.
 	listName = "list"
-	// subnets is the number of different loopback subnets for fleets.
-	subnets = 254
 )
 
 // fleet is a region: coordinators, gateways, and stand-ins for the rest.
 type fleet struct {
 	folder string
+	// subnet is that of all addresses, and claim keeps other fleets away from it.
 	subnet int
+	claim  net.Listener
 	// placesAbove is the setting of the coordinators: those of even seeds choose the replicas
 	// for the gateways, those of odd ones leave it to them.
 	placesAbove int
@@ -119,12 +120,16 @@
 	return w(name, number, inner)
 }
 
-// newFleet lays a region out on the loopback network. Each seed has a subnet of its
-// own, so that several may run.
+// newFleet lays a region out on the loopback network, in a subnet of its own, so that several may run.
 func newFleet(options Options, run func(replica int, request platformtest.Request) platformtest.Reply, engineWatch platformtest.EngineWatch, wrap wrapper) (*fleet, error) {
+	subnet, claim, err := claimSubnet(options.Seed)
+	if err != nil {
+		return nil, err
+	}
 	f := &fleet{
 		folder:      options.Folder,
-		subnet:      int(options.Seed % subnets),
+		subnet:      subnet,
+		claim:       claim,
 		placesAbove: int(options.Seed%2) * gateways,
 		// 0 is the default, with which all are active.
 		activeReplicas: int(options.Seed/2%2) * fewActive,
@@ -161,8 +166,7 @@
 	f.addOther(run)
 	list := httptest.NewServer(wrap.around(listName, 0, f.platform()))
 	f.servers = append(f.servers, list)
-	err := f.addEngines(engineWatch, wrap)
-	if err != nil {
+	if err := f.addEngines(engineWatch, wrap); err != nil {
 		return f, err
 	}
 	if options.Releases {
@@ -491,6 +495,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	}
+	_ = f.claim.Close()
 }
 
 // newClient returns a client that opens a connection for each request.
