--- a/internal/coordinator/newsoftware.go
+++ b/internal/coordinator/admission.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// softwareInterval is the time between two looks at whether new software may begin streams.
-	softwareInterval = 50 * time.Millisecond
+	// admissionInterval is the time between two looks at whether streams may begin at what is new.
+	admissionInterval = 50 * time.Millisecond
 	// minimumSoftwareAge is how long new software begins no streams while other software of its service takes work: gateways
 	// have told by then where their streams have begun, also if they all end right after it was listed.
 	minimumSoftwareAge = time.Second
@@ -61,22 +61,36 @@
 	})
 }
 
-// admitSoftware lets new software begin streams, while this coordinator leads, once nobody may act on a list without it.
-func (c *Coordinator) admitSoftware(ctx context.Context) {
+// admissibleRoutes returns the version of the configuration up to which streams may begin at new services of routes, 0 if there
+// is none: nobody may act on an older one than oldest.
+func admissibleRoutes(state *region.State, oldest uint64) (version uint64) {
+	for _, each := range state.NewRoutes {
+		if each.Version <= oldest {
+			version = max(version, each.Version)
+		}
+	}
+	return version
+}
+
+// admitOrigins lets streams begin at new software and at new services of routes, while this coordinator leads, once nobody may
+// act on a list or a configuration without them.
+func (c *Coordinator) admitOrigins(ctx context.Context) {
 	ages := softwareAges{}
-	for lifecycle.Sleep(ctx, softwareInterval) {
+	for lifecycle.Sleep(ctx, admissionInterval) {
 		state, _ := c.machine.read()
 		now := c.now()
 		ages.update(now, state.NewSoftware)
-		if len(state.NewSoftware) == 0 || !c.group.Leads() {
+		if len(state.NewSoftware)+len(state.NewRoutes) == 0 || !c.group.Leads() {
 			continue
 		}
-		c.restartMemberLists(now)
-		revision := ages.admissible(now, &state, c.memberLists.oldest(now, state.ListRevision))
-		if revision == 0 {
+		c.restartMemberViews(now)
+		held := c.memberViews.oldest(now, newestView(&state))
+		admitted := region.SoftwareCommand{Revision: ages.admissible(now, &state, held.list), Version: admissibleRoutes(&state, held.version)}
+		if admitted == (region.SoftwareCommand{}) {
 			continue
 		}
-		_, err := c.commit(ctx, &region.Command{Software: &region.SoftwareCommand{Revision: revision}})
-		c.logger.Info(event.SoftwareAdmitted, "revision", revision, "waiting", len(state.NewSoftware), "error", failure.Text(err))
+		_, err := c.commit(ctx, &region.Command{Software: &admitted})
+		c.logger.Info(event.OriginsAdmitted, "revision", admitted.Revision, "version", admitted.Version,
+			"waiting", len(state.NewSoftware), "waiting_routes", len(state.NewRoutes), "error", failure.Text(err))
 	}
 }
--- a/internal/coordinator/newsoftware_test.go
+++ b/internal/coordinator/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/region"
+	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
 const (
@@ -28,16 +30,18 @@
 	now          time.Duration
 	machine      *stateMachine
 	index        uint64
-	members      *listLeases
+	members      *viewLeases
 	ages         softwareAges
 	coordinators []*leaseCoordinator
 	gateways     []*leaseGateway
-	// begun is the software at which streams have begun, with the last time.
-	begun map[string]time.Duration
+	// begun is the software at which streams have begun, and begunServices are the services, with the last time.
+	begun, begunServices map[string]time.Duration
+	configurations       map[uint64]*traffic.Configuration
 	// admitsAtOnce is a fault: new software begins streams although others may not know it.
 	admitsAtOnce bool
 	joined       int
-	admitted     int
+	// admitted and admittedRoutes count how often streams were let begin at new software, and at new services of routes.
+	admitted, admittedRoutes int
 }
 
 // leaseCoordinator has a copy of the state as of a time.
@@ -46,7 +50,7 @@
 	copied      region.State
 	confirmedAt time.Duration
 	confirmed   bool
-	gateways    *listLeases
+	gateways    *viewLeases
 	cutUntil    time.Duration
 }
 
@@ -59,9 +63,15 @@
 	possible    map[string]time.Duration
 	revision    uint64
 	newSoftware []region.NewSoftware
-	leasedAt    time.Duration
-	leased      bool
-	cutUntil    time.Duration
+	// version is that of the configuration in force, and received that of one which comes into force at a time.
+	version, received uint64
+	inForceAt         time.Duration
+	newRoutes         []region.NewRoute
+	// services are those at which streams may have begun by earlier configurations, until a time.
+	services map[string]time.Duration
+	leasedAt time.Duration
+	leased   bool
+	cutUntil time.Duration
 	// pending is a view that is under way until a time.
 	pending      *region.State
 	pendingLease time.Duration
@@ -70,12 +80,14 @@
 
 func newLeaseWorld(seed uint64) *leaseWorld {
 	w := &leaseWorld{
-		random: rand.New(rand.NewPCG(seed, 1)), members: newListLeases(leaseTerm), ages: softwareAges{}, begun: map[string]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, 1)), members: newViewLeases(leaseTerm), ages: softwareAges{}, begun: map[string]time.Duration{},
+		begunServices: map[string]time.Duration{}, configurations: map[uint64]*traffic.Configuration{},
 	}
 	w.machine = newStateMachine(func() time.Duration { return w.now })
 	w.list("v1")
+	w.configure()
 	for number := range 3 {
-		w.coordinators = append(w.coordinators, &leaseCoordinator{name: fmt.Sprint("c", number), gateways: newListLeases(leaseTerm)})
+		w.coordinators = append(w.coordinators, &leaseCoordinator{name: fmt.Sprint("c", number), gateways: newViewLeases(leaseTerm)})
 	}
 	for number := range 5 {
 		w.gateways = append(w.gateways, &leaseGateway{name: fmt.Sprint("g", number)})
@@ -106,6 +118,23 @@
 	w.machine.apply(w.index, &region.Command{List: change})
 }
 
+// configure has the streams of the route begin at one or two of three services.
+func (w *leaseWorld) configure() {
+	state, _ := w.machine.read()
+	drawn := w.random.Perm(3)[:1+w.random.IntN(2)]
+	route := traffic.Route{Host: "h", PathPrefix: "/", Kind: traffic.KindStream, Resumable: true}
+	for _, number := range drawn {
+		route.Split = append(route.Split, traffic.Part{Service: fmt.Sprint("s", number), Weight: 1})
+	}
+	after := &traffic.Configuration{Version: state.Version + 1, Routes: []traffic.Route{route}}
+	moved := traffic.MovedStreams(w.configurations[state.Version], after)
+	w.configurations[after.Version] = after
+	w.index++
+	w.machine.apply(w.index, &region.Command{Configuration: &region.ConfigurationCommand{
+		Version: after.Version, At: int64(listTime + w.now), Base: state.Version, Former: moved.Former, Added: moved.Added,
+	}})
+}
+
 // version draws one of a few versions.
 func (w *leaseWorld) version() string { return fmt.Sprint("v", 1+w.random.IntN(4)) }
 
@@ -126,6 +155,9 @@
 		if w.chance(0.2) {
 			w.remove(w.version())
 		}
+		if w.chance(0.1) {
+			w.configure()
+		}
 		if w.chance(0.05) {
 			// Another leader, which has heard of nobody.
 			w.members.restart(w.now)
@@ -146,15 +178,14 @@
 		c.cutUntil = w.now + w.upTo(6*time.Second)
 	case w.chance(0.03):
 		// It starts again, and knows of no gateway.
-		c.gateways = newListLeases(leaseTerm)
+		c.gateways = newViewLeases(leaseTerm)
 		c.gateways.restart(w.now)
 		c.confirmed = false
 	}
 	if w.now < c.cutUntil || w.random.IntN(8) > 0 {
 		return
 	}
-	held := c.gateways.oldest(w.now, c.copied.ListRevision)
-	w.members.renew(w.now, c.name, held)
+	w.members.renew(w.now, c.name, c.gateways.oldest(w.now, newestView(&c.copied)))
 	c.copied, _ = w.machine.read()
 	c.confirmed, c.confirmedAt = true, w.now
 }
@@ -185,7 +216,14 @@
 	if revision == 0 {
 		revision = shown.ListRevision
 	}
-	c.gateways.renew(w.now, fmt.Sprint(g.name, "/", g.life), revision)
+	version := g.version
+	if version == 0 {
+		version = g.received
+	}
+	if version == 0 {
+		version = shown.Version
+	}
+	c.gateways.renew(w.now, fmt.Sprint(g.name, "/", g.life), heldView{list: revision, version: version})
 	g.pending, g.pendingLease, g.pendingUntil = &shown, c.confirmedAt, w.now
 	if w.random.IntN(10) == 0 {
 		g.pendingUntil += w.upTo(5 * time.Second)
@@ -206,6 +244,7 @@
 		}
 		w.count(g, view)
 	}
+	w.receiveConfiguration(g, view)
 	if !g.leased || g.pendingLease > g.leasedAt {
 		g.leased, g.leasedAt = true, g.pendingLease
 	}
@@ -225,8 +264,71 @@
 	}
 }
 
+// receiveConfiguration takes over a view's configuration, which comes into force a moment later.
+func (w *leaseWorld) receiveConfiguration(g *leaseGateway, view *region.State) {
+	if view.Version < g.received {
+		return
+	}
+	if view.Version > g.received {
+		g.received, g.inForceAt = view.Version, w.now+w.upTo(4*leaseStep)
+	}
+	g.newRoutes = view.NewRoutes
+	for _, former := range view.FormerRoutes {
+		w.keepService(g, former.RouteService.Service, time.Duration(former.Until)-listTime+origin.Window)
+	}
+}
+
+func (w *leaseWorld) keepService(g *leaseGateway, service string, until time.Duration) {
+	if g.services == nil {
+		g.services = map[string]time.Duration{}
+	}
+	g.services[service] = max(g.services[service], until)
+}
+
+// apply brings a received configuration into force.
+func (w *leaseWorld) apply(g *leaseGateway) {
+	if g.version == g.received || w.now < g.inForceAt {
+		return
+	}
+	for _, former := range traffic.MovedStreams(w.configurations[g.version], w.configurations[g.received]).Former {
+		w.keepService(g, former.Service, w.now+origin.Window)
+	}
+	g.version = g.received
+}
+
+// beginAtServices has streams begin at the services that may take them.
+func (w *leaseWorld) beginAtServices(g *leaseGateway) {
+	if g.version == 0 {
+		return
+	}
+	for _, service := range w.configurations[g.version].Routes[0].Services() {
+		isNew := func(each region.NewRoute) bool { return each.RouteService.Service == service }
+		if !slices.ContainsFunc(g.newRoutes, isNew) {
+			w.begunServices[service] = w.now
+		}
+	}
+}
+
+// concludeServices has a gateway conclude at which services streams may have begun.
+func (w *leaseWorld) concludeServices(t *testing.T, g *leaseGateway) {
+	if g.version == 0 || g.version != g.received {
+		return
+	}
+	for service, at := range w.begunServices {
+		if w.configurations[g.version].Routes[0].SplitsTo(service) || w.now < g.services[service] || w.now-at >= streamTime {
+			continue
+		}
+		w.joined++
+		if !w.admitsAtOnce {
+			t.Errorf("%s: %s has configuration %d in force, and streams have begun at %s", w.now, g.name, g.version, service)
+		}
+	}
+}
+
 // begin has streams begin at whatever software may take them.
 func (w *leaseWorld) begin(g *leaseGateway) {
+	w.apply(g)
+	w.beginAtServices(g)
 	for version := range g.listed {
 		isNew := false
 		for _, each := range g.newSoftware {
@@ -243,6 +345,7 @@
 	if !g.leased || float64(w.now-g.leasedAt) >= leaseShare*float64(leaseTerm) {
 		return
 	}
+	w.concludeServices(t, g)
 	for version, at := range w.begun {
 		if g.listed[version] || w.now < g.possible[version] || w.now-at >= streamTime {
 			continue
@@ -257,33 +360,35 @@
 func (w *leaseWorld) admit() {
 	state, _ := w.machine.read()
 	w.ages.update(w.now, state.NewSoftware)
-	if len(state.NewSoftware) == 0 {
-		return
-	}
-	oldest := w.members.oldest(w.now, state.ListRevision)
+	oldest := w.members.oldest(w.now, newestView(&state))
 	if w.admitsAtOnce {
-		oldest = state.ListRevision
+		oldest = newestView(&state)
 	}
-	if revision := w.ages.admissible(w.now, &state, oldest); revision > 0 {
-		w.index++
-		w.machine.apply(w.index, &region.Command{Software: &region.SoftwareCommand{Revision: revision}})
-		w.admitted++
+	admitted := region.SoftwareCommand{Revision: w.ages.admissible(w.now, &state, oldest.list), Version: admissibleRoutes(&state, oldest.version)}
+	if admitted == (region.SoftwareCommand{}) {
+		return
 	}
+	w.index++
+	w.machine.apply(w.index, &region.Command{Software: &admitted})
+	w.admitted += oneIf(admitted.Revision > 0)
+	w.admittedRoutes += oneIf(admitted.Version > 0)
 }
 
-// Guards against streams of two versions: gateways whose view is old, or that are cut off, conclude that one version alone
-// takes streams while others begin them at a second one.
+// Guards against streams of two versions, or of two services: gateways whose view is old, or that are cut off, conclude that one
+// alone takes streams while others begin them at a second one.
 func TestNobodyIsUnawareOfSoftwareAtWhichStreamsBegin(t *testing.T) {
-	admitted := 0
+	admitted, admittedRoutes := 0, 0
 	for seed := range uint64(300) {
 		w := newLeaseWorld(seed)
 		w.run(t)
 		admitted += w.admitted
+		admittedRoutes += w.admittedRoutes
 	}
 	assert.Positive(t, admitted, "new software takes streams some time")
+	assert.Positive(t, admittedRoutes, "new services of routes do")
 }
 
-// A planted fault is noticed: software that takes streams as soon as it is listed.
+// A planted fault is noticed: software and services that take streams as soon as they are listed, or in a configuration.
 func TestSoftwareThatIsAdmittedAtOnceIsNoticed(t *testing.T) {
 	joined := 0
 	for seed := range uint64(20) {
@@ -299,13 +404,14 @@
 	state := region.State{NewSoftware: []region.NewSoftware{{Service: "s", Version: "v2", Revision: 7}}, Replicas: []region.ListedReplica{
 		{Replica: running("a", "v1")}, {Replica: running("b", "v2")},
 	}}
-	leases, ages := newListLeases(leaseTerm), softwareAges{}
-	leases.renew(0, "c", 6)
+	leases, ages := newViewLeases(leaseTerm), softwareAges{}
+	newest := heldView{list: 7}
+	leases.renew(0, "c", heldView{list: 6})
 	ages.update(0, state.NewSoftware)
-	assert.Zero(t, leases.oldest(leaseTerm-1, 7), "holders that nothing is known of")
+	assert.Zero(t, leases.oldest(leaseTerm-1, newest), "holders that nothing is known of")
 	assert.Zero(t, ages.admissible(minimumSoftwareAge, &state, 6), "an older list")
 	assert.Zero(t, ages.admissible(minimumSoftwareAge-1, &state, 7), "too new")
-	assert.EqualValues(t, 7, ages.admissible(minimumSoftwareAge, &state, leases.oldest(leaseTerm, 7)), "the lease is over")
+	assert.EqualValues(t, 7, ages.admissible(minimumSoftwareAge, &state, leases.oldest(leaseTerm, newest).list), "the lease is over")
 	state.Replicas[0].Replica.Draining = true
 	assert.EqualValues(t, 7, ages.admissible(1, &state, 7), "nothing else takes work")
 }
--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -83,16 +83,27 @@
 	}
 }
 
-// handleReplace commits a configuration. Only the leader does so.
+// handleReplace commits a configuration. Only the leader does so. It tries again if another configuration has come into effect
+// since it was compared with the one before.
 func (c *Coordinator) handleReplace(ctx context.Context, request *region.ReplaceRequest) (*region.ReplaceReply, error) {
-	if !c.group.Leads() {
-		return nil, rpc.NotLeader(c.group.LeaderAddress())
+	for {
+		if !c.group.Leads() {
+			return nil, rpc.NotLeader(c.group.LeaderAddress())
+		}
+		reply, err := c.proposeConfiguration(ctx, request)
+		if err != nil || reply.Version >= request.Version {
+			return reply, err
+		}
+	}
+}
+
+func (c *Coordinator) proposeConfiguration(ctx context.Context, request *region.ReplaceRequest) (*region.ReplaceReply, error) {
+	state, _ := c.machine.read()
+	change, err := c.configurationCommand(&state, request)
+	if err != nil {
+		return nil, err
 	}
-	command := &region.Command{Configuration: &region.ConfigurationCommand{
-		Version:  request.Version,
-		Document: request.Document,
-	}}
-	encoded, err := command.MarshalMsg(nil)
+	encoded, err := (&region.Command{Configuration: change}).MarshalMsg(nil)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal)
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,10 +53,10 @@
 	origins *origin.Keeper
 	// unrecorded are the queries for origins of which there is no record.
 	unrecorded chan originQuery
-	// gatewayLists are the leases of gateways on the lists that this coordinator has shown them, memberLists those of
-	// coordinators and their gateways, as the leader hears in memberListsTerm.
-	gatewayLists, memberLists *listLeases
-	memberListsTerm           atomic.Uint64
+	// gatewayViews are the leases of gateways on what this coordinator has shown them, memberViews those of coordinators and
+	// their gateways, as the leader hears in memberViewsTerm.
+	gatewayViews, memberViews *viewLeases
+	memberViewsTerm           atomic.Uint64
 	leaving                   *leavingReports
 	list                      *listSync
 	listAges                  listAges
@@ -118,8 +118,8 @@
 		permits:           probationPermits{issued: poison.NewPermits()},
 		usage:             newUsageState(uptime.SuspendedBy(settings.Now)),
 		unrecorded:        make(chan originQuery, maximumUnrecorded),
-		gatewayLists:      newListLeases(settings.ContactTime),
-		memberLists:       newListLeases(settings.ContactTime),
+		gatewayViews:      newViewLeases(settings.ContactTime),
+		memberViews:       newViewLeases(settings.ContactTime),
 	}
 	c.group, err = replication.OpenPatiently(replication.Options{
 		Name:             groupName,
@@ -170,7 +170,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.joinGroup, c.keepFresh, c.manageMembers, c.list.run, c.planActiveReplicas, c.planStages, c.reportUsage, c.scaleFleet, c.holdPoisonedRequests, c.forwardLeaving, c.logLeadership, c.listenForDatagrams, c.placeForGateways, c.quotas.Run, c.limits.Run, c.limits.notifyLimitChanges, c.admitSoftware, c.answerUnrecorded} {
+	for _, loop := range []func(context.Context){c.joinGroup, c.keepFresh, c.manageMembers, c.list.run, c.planActiveReplicas, c.planStages, c.reportUsage, c.scaleFleet, c.holdPoisonedRequests, c.forwardLeaving, c.logLeadership, c.listenForDatagrams, c.placeForGateways, c.quotas.Run, c.limits.Run, c.limits.notifyLimitChanges, c.admitOrigins, c.answerUnrecorded} {
 		loops.Go(func() { loop(work) })
 	}
 	select {
--- a/internal/coordinator/freshness.go
+++ b/internal/coordinator/freshness.go
@@ -67,6 +67,7 @@
 	members := c.zones.withZones(c.sortedMembers())
 	leader := c.group.LeaderAddress()
 	usage, revision := c.usage.unreported(leader)
+	held := c.heldView()
 	request := &region.ReadIndexRequest{
 		From:        c.settings.Address,
 		Zone:        c.settings.Zone,
@@ -79,7 +80,8 @@
 		Protocol:    build.Protocol,
 		Revision:    build.Revision(),
 		OtherBuilds: c.builds.otherBuilds(c.gateways.localGateways(start)),
-		ListHeld:    c.heldList(),
+		ListHeld:    held.list,
+		VersionHeld: held.version,
 	}
 	reply, err := c.requestReadIndex(ctx, request)
 	if err != nil {
@@ -146,7 +148,7 @@
 		}
 	}
 	c.zones.set(request.From, request.Zone)
-	c.renewMemberList(now, request.From, request.ListHeld)
+	c.renewMemberView(now, request.From, heldView{list: request.ListHeld, version: request.VersionHeld})
 	c.builds.recordReport(request)
 	peers := c.gateways.all(now)
 	reply := &region.ReadIndexReply{
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -40,9 +40,8 @@
 }
 
 func (m *stateMachine) apply(index uint64, command *region.Command) {
-	if change := command.Configuration; change != nil && change.Version > m.state.Version {
-		m.state.Version = change.Version
-		m.state.Document = change.Document
+	if change := command.Configuration; change != nil {
+		m.applyConfiguration(change)
 	}
 	before := m.state
 	if change := command.List; change != nil {
@@ -74,6 +73,17 @@
 	}
 }
 
+// applyConfiguration puts a configuration into effect, unless one of the same or a higher version is, or another one than that
+// with which it was compared.
+func (m *stateMachine) applyConfiguration(change *region.ConfigurationCommand) {
+	if change.Version <= m.state.Version || change.At != 0 && change.Base != m.state.Version {
+		return
+	}
+	noteRoutes(&m.state, change)
+	m.state.Version = change.Version
+	m.state.Document = change.Document
+}
+
 // recordCall records the current time as that of the duty's last call: the command that
 // precedes the call has been applied.
 func (m *stateMachine) recordCall(of duty) { m.calls[of] = lastCall{known: true, at: m.clock()} }
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -114,9 +114,12 @@
 	return listedSoftware(slices.DeleteFunc(slices.Clone(replicas), func(each region.ListedReplica) bool { return each.Standby }))
 }
 
-// applySoftware lets the software begin streams that lists up to a revision show. It replaces the state's slice, since
-// readers hold it.
+// applySoftware lets streams begin at the software that lists up to a revision show, and at the services of routes of
+// configurations up to a version. It replaces the state's slices, since readers hold them.
 func (m *stateMachine) applySoftware(change *region.SoftwareCommand) {
+	m.state.NewRoutes = slices.DeleteFunc(slices.Clone(m.state.NewRoutes), func(each region.NewRoute) bool {
+		return each.Version <= change.Version
+	})
 	m.state.NewSoftware = slices.DeleteFunc(slices.Clone(m.state.NewSoftware), func(each region.NewSoftware) bool {
 		return each.Revision <= change.Revision
 	})
--- a/internal/coordinator/view.go
+++ b/internal/coordinator/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/region"
@@ -24,11 +23,11 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	limits := c.limits.changed()
-	c.renewGatewayList(came, request, 0)
+	c.renewGatewayView(came, request, nil)
 	for {
 		state, changed := c.machine.read()
 		if state.Version > request.Version || request.LacksList(state.ListRevision) || state.Poison.Revision > request.PoisonRevision ||
-			request.LacksNewSoftware(&state) {
+			request.LacksNewOrigins(&state) {
 			return c.answerView(state, request, came), nil
 		}
 		select {
@@ -43,27 +42,15 @@
 	}
 }
 
-// answerView answers a gateway's poll that came at a time, and renews the gateway's lease on its list.
+// answerView answers a gateway's poll that came at a time, and renews the gateway's lease on what it has.
 func (c *Coordinator) answerView(state region.State, request *region.ViewRequest, came time.Duration) *region.View {
 	view := c.buildView(state, request)
 	now := c.now()
 	view.HeldMillis = (now - came).Milliseconds()
-	c.renewGatewayList(now, request, state.ListRevision)
+	c.renewGatewayView(now, request, &state)
 	return view
 }
 
-// renewGatewayList records the list that a gateway has, or that it is shown as its first. A process that has replaced another
-// one at its address holds a lease of its own.
-func (c *Coordinator) renewGatewayList(now time.Duration, request *region.ViewRequest, shown uint64) {
-	revision := request.ListRevision
-	if revision == 0 {
-		revision = shown
-	}
-	if revision != 0 {
-		c.gatewayLists.renew(now, request.Address+"/"+strconv.FormatInt(request.Life, 10), revision)
-	}
-}
-
 // gatewaySettleTime is the time after its start for which a coordinator reports no number of gateways. If all
 // processes have started at once, all gateways have polled by then.
 const gatewaySettleTime = 500 * time.Millisecond
@@ -106,6 +93,8 @@
 	}
 	view.FormerSoftware, view.SoftwareComplete = c.formerSoftware(state)
 	view.NewSoftware, view.SoftwareGated = state.NewSoftware, state.SoftwareGated
+	view.NewRoutes, view.RoutesKept = state.NewRoutes, state.RoutesSince != 0
+	view.FormerRoutes, view.RoutesComplete = c.formerRoutes(&state)
 	view.LimitNames, view.Limits = c.limits.view(request.LimitNames)
 	view.ListMillis, view.PageMillis = c.listAges.at(c.now())
 	if age < 0 {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,8 +83,8 @@
 	ListLate Event = "list of replicas read late"
 	// ListNotCommitted: the leader could not commit changes of the list, and will try again.
 	ListNotCommitted Event = "list of replicas not committed"
-	// SoftwareAdmitted: streams may begin at software of which nobody may be unaware any more.
-	SoftwareAdmitted Event = "new software takes streams"
+	// OriginsAdmitted: streams may begin at software, or at services of routes, of which nobody may be unaware any more.
+	OriginsAdmitted Event = "new origins admitted"
 	// OriginQueryDropped: a gateway's query was dropped, as too many wait.
 	OriginQueryDropped Event = "origin query dropped"
 	// ReplicaListed: a replica was added to the list, or its entry has changed.
@@ -273,7 +273,7 @@
 		ListReachable,
 		ListLate,
 		ListNotCommitted,
-		SoftwareAdmitted,
+		OriginsAdmitted,
 		OriginQueryDropped,
 		ReplicaListed,
 		ReplicaRestarted,
--- a/internal/region/messages.go
+++ b/internal/region/messages.go
@@ -97,8 +97,10 @@
 	Revision string `msg:"revision,omitempty"`
 	// Life is the start time of the gateway's process.
 	Life int64 `msg:"life,omitempty"`
-	// NewSoftware is HashNewSoftware of what the gateway knows.
+	// NewSoftware is HashNewOrigins of what the gateway knows.
 	NewSoftware uint64 `msg:"new_software,omitempty"`
+	// InForce is the version of the configuration that the gateway acts on. Version may have been received and not be in force.
+	InForce uint64 `msg:"in_force,omitempty"`
 }
 
 // ForwardedCall describes a call that a gateway forwards to a peer, beside the caller's request.
@@ -230,6 +232,12 @@
 	NewSoftware   []NewSoftware `msg:"new_software,omitempty"`
 	SoftwareGated bool          `msg:"software_gated,omitempty"`
 	HeldMillis    int64         `msg:"held,omitempty"`
+	// FormerRoutes and NewRoutes are those of State, kept if RoutesKept is set. FormerRoutes is complete if RoutesComplete is
+	// set: then streams have begun nowhere else within origin.Window but where the configuration in effect says.
+	FormerRoutes   []FormerRoute `msg:"former_routes,omitempty"`
+	NewRoutes      []NewRoute    `msg:"new_routes,omitempty"`
+	RoutesKept     bool          `msg:"routes_kept,omitempty"`
+	RoutesComplete bool          `msg:"routes_complete,omitempty"`
 }
 
 // ReadIndexRequest asks the leader to confirm its leadership, and carries reports of a coordinator to it.
@@ -259,6 +267,8 @@
 	// ListHeld is the revision of the oldest list that the requester, or a gateway that polls it, may act on; 0 if that is
 	// not known.
 	ListHeld uint64 `msg:"list_held,omitempty"`
+	// VersionHeld is the same for the version of the configuration.
+	VersionHeld uint64 `msg:"version_held,omitempty"`
 }
 
 // ServiceDemand is the demand for a service of model engines.
--- a/internal/region/messages_gen.go
+++ b/internal/region/messages_gen.go
@@ -2217,8 +2217,8 @@
 func (z *ReadIndexRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Zone == "" {
 		zb0001Len--
@@ -2244,6 +2244,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.VersionHeld == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2324,6 +2328,11 @@
 			o = append(o, 0xa9, 0x6c, 0x69, 0x73, 0x74, 0x5f, 0x68, 0x65, 0x6c, 0x64)
 			o = msgp.AppendUint64(o, z.ListHeld)
 		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "version_held"
+			o = append(o, 0xac, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+			o = msgp.AppendUint64(o, z.VersionHeld)
+		}
 	}
 	return
 }
@@ -2507,6 +2516,12 @@
 				err = msgp.WrapError(err, "ListHeld")
 				return
 			}
+		case "version_held":
+			z.VersionHeld, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VersionHeld")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2537,7 +2552,7 @@
 	for za0005 := range z.OtherBuilds {
 		s += z.OtherBuilds[za0005].Msgsize()
 	}
-	s += 10 + msgp.Uint64Size
+	s += 10 + msgp.Uint64Size + 13 + msgp.Uint64Size
 	return
 }
 
@@ -3106,8 +3121,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(32)
-	var zb0001Mask uint32 /* 32 bits */
+	zb0001Len := uint32(36)
+	var zb0001Mask uint64 /* 36 bits */
 	_ = zb0001Mask
 	if z.PartEnd == "" {
 		zb0001Len--
@@ -3169,6 +3184,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x80000000
 	}
+	if z.FormerRoutes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100000000
+	}
+	if z.NewRoutes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200000000
+	}
+	if z.RoutesKept == false {
+		zb0001Len--
+		zb0001Mask |= 0x400000000
+	}
+	if z.RoutesComplete == false {
+		zb0001Len--
+		zb0001Mask |= 0x800000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -3351,6 +3382,40 @@
 			o = append(o, 0xa4, 0x68, 0x65, 0x6c, 0x64)
 			o = msgp.AppendInt64(o, z.HeldMillis)
 		}
+		if (zb0001Mask & 0x100000000) == 0 { // if not omitted
+			// string "former_routes"
+			o = append(o, 0xad, 0x66, 0x6f, 0x72, 0x6d, 0x65, 0x72, 0x5f, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FormerRoutes)))
+			for za0010 := range z.FormerRoutes {
+				o, err = z.FormerRoutes[za0010].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerRoutes", za0010)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200000000) == 0 { // if not omitted
+			// string "new_routes"
+			o = append(o, 0xaa, 0x6e, 0x65, 0x77, 0x5f, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.NewRoutes)))
+			for za0011 := range z.NewRoutes {
+				o, err = z.NewRoutes[za0011].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NewRoutes", za0011)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400000000) == 0 { // if not omitted
+			// string "routes_kept"
+			o = append(o, 0xab, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73, 0x5f, 0x6b, 0x65, 0x70, 0x74)
+			o = msgp.AppendBool(o, z.RoutesKept)
+		}
+		if (zb0001Mask & 0x800000000) == 0 { // if not omitted
+			// string "routes_complete"
+			o = append(o, 0xaf, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73, 0x5f, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+			o = msgp.AppendBool(o, z.RoutesComplete)
+		}
 	}
 	return
 }
@@ -3749,6 +3814,64 @@
 				err = msgp.WrapError(err, "HeldMillis")
 				return
 			}
+		case "former_routes":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FormerRoutes")
+				return
+			}
+			if zb0012 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FormerRoutes) >= int(zb0012) {
+				z.FormerRoutes = (z.FormerRoutes)[:zb0012]
+			} else {
+				z.FormerRoutes = make([]FormerRoute, zb0012)
+			}
+			for za0010 := range z.FormerRoutes {
+				bts, err = z.FormerRoutes[za0010].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerRoutes", za0010)
+					return
+				}
+			}
+		case "new_routes":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewRoutes")
+				return
+			}
+			if zb0013 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.NewRoutes) >= int(zb0013) {
+				z.NewRoutes = (z.NewRoutes)[:zb0013]
+			} else {
+				z.NewRoutes = make([]NewRoute, zb0013)
+			}
+			for za0011 := range z.NewRoutes {
+				bts, err = z.NewRoutes[za0011].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NewRoutes", za0011)
+					return
+				}
+			}
+		case "routes_kept":
+			z.RoutesKept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RoutesKept")
+				return
+			}
+		case "routes_complete":
+			z.RoutesComplete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RoutesComplete")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3805,7 +3928,15 @@
 	for za0009 := range z.NewSoftware {
 		s += z.NewSoftware[za0009].Msgsize()
 	}
-	s += 15 + msgp.BoolSize + 5 + msgp.Int64Size
+	s += 15 + msgp.BoolSize + 5 + msgp.Int64Size + 14 + msgp.ArrayHeaderSize
+	for za0010 := range z.FormerRoutes {
+		s += z.FormerRoutes[za0010].Msgsize()
+	}
+	s += 11 + msgp.ArrayHeaderSize
+	for za0011 := range z.NewRoutes {
+		s += z.NewRoutes[za0011].Msgsize()
+	}
+	s += 12 + msgp.BoolSize + 16 + msgp.BoolSize
 	return
 }
 
@@ -3813,8 +3944,8 @@
 func (z *ViewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(20)
-	var zb0001Mask uint32 /* 20 bits */
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
 	_ = zb0001Mask
 	if z.MembersHash == 0 {
 		zb0001Len--
@@ -3856,6 +3987,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
+	if z.InForce == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -3956,6 +4091,11 @@
 			o = append(o, 0xac, 0x6e, 0x65, 0x77, 0x5f, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65)
 			o = msgp.AppendUint64(o, z.NewSoftware)
 		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "in_force"
+			o = append(o, 0xa8, 0x69, 0x6e, 0x5f, 0x66, 0x6f, 0x72, 0x63, 0x65)
+			o = msgp.AppendUint64(o, z.InForce)
+		}
 	}
 	return
 }
@@ -4130,6 +4270,12 @@
 				err = msgp.WrapError(err, "NewSoftware")
 				return
 			}
+		case "in_force":
+			z.InForce, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InForce")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4154,6 +4300,6 @@
 	} else {
 		s += z.Usage.Msgsize()
 	}
-	s += 16 + msgp.Uint64Size + 12 + msgp.Uint64Size + 15 + msgp.Uint64Size + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision) + 5 + msgp.Int64Size + 13 + msgp.Uint64Size
+	s += 16 + msgp.Uint64Size + 12 + msgp.Uint64Size + 15 + msgp.Uint64Size + 9 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Revision) + 5 + msgp.Int64Size + 13 + msgp.Uint64Size + 9 + msgp.Uint64Size
 	return
 }
--- a/internal/region/state.go
+++ b/internal/region/state.go
@@ -1,6 +1,9 @@
 package region
 
-import "github.com/pierhaven/pierhaven/internal/poison"
+import (
+	"github.com/pierhaven/pierhaven/internal/origin"
+	"github.com/pierhaven/pierhaven/internal/poison"
+)
 
 //go:generate go tool msgp -file state.go -tests=false -io=false
 //msgp:limit arrays:65536 maps:65536
@@ -39,6 +42,24 @@
 	// may not begin there yet: processes may act on lists that lack it. It is kept if SoftwareGated is set.
 	NewSoftware   []NewSoftware `msg:"new_software,omitempty"`
 	SoftwareGated bool          `msg:"software_gated,omitempty"`
+	// FormerRoutes are services at which streams of routes have begun within origin.Window, by earlier configurations. It is
+	// complete for those in effect since RoutesSince, in nanoseconds since 1970; 0 if it is not kept.
+	FormerRoutes []FormerRoute `msg:"former_routes,omitempty"`
+	RoutesSince  int64         `msg:"routes_since,omitempty"`
+	// NewRoutes are services at which streams of routes may not begin yet: processes may act on configurations that lack them.
+	NewRoutes []NewRoute `msg:"new_routes,omitempty"`
+}
+
+// FormerRoute is a service at which the streams of a route began until a time in nanoseconds since 1970.
+type FormerRoute struct {
+	RouteService origin.RouteService `msg:"route"`
+	Until        int64               `msg:"until"`
+}
+
+// NewRoute is a service at which the streams of a route may begin by a configuration, and by none before it.
+type NewRoute struct {
+	RouteService origin.RouteService `msg:"route"`
+	Version      uint64              `msg:"version"`
 }
 
 // NewSoftware is a version of the software of a service's replicas, with the ListRevision of the first list that shows it.
@@ -120,10 +141,11 @@
 	Software      *SoftwareCommand      `msg:"software,omitempty"`
 }
 
-// SoftwareCommand lets the replicas of NewSoftware begin streams that a list up to a revision shows: nobody acts on an older
-// list any more.
+// SoftwareCommand lets streams begin at the software of State.NewSoftware that a list up to a revision shows, and at the
+// services of State.NewRoutes that a configuration up to a version has: nobody acts on an older one any more.
 type SoftwareCommand struct {
 	Revision uint64 `msg:"revision"`
+	Version  uint64 `msg:"version,omitempty"`
 }
 
 // UsageCallCommand precedes each report of a window's usage to the platform. Its log index is the fencing
@@ -156,6 +178,13 @@
 type ConfigurationCommand struct {
 	Version  uint64 `msg:"version"`
 	Document []byte `msg:"document,limit=67108864"`
+	// At is the time of the change in nanoseconds since 1970, 0 if State.FormerRoutes is not kept. Then Former and Added are
+	// where streams begin no more, and where they begin and did not before, compared with the configuration of version Base.
+	// The command has no effect if another one is in effect.
+	At     int64                 `msg:"at,omitempty"`
+	Base   uint64                `msg:"base,omitempty"`
+	Former []origin.RouteService `msg:"former,omitempty"`
+	Added  []origin.RouteService `msg:"added,omitempty"`
 }
 
 // ListCommand changes the list of replicas.
--- a/internal/region/state_gen.go
+++ b/internal/region/state_gen.go
@@ -3,6 +3,7 @@
 package region
 
 import (
+	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/poison"
 	"github.com/tinylib/msgp/msgp"
 )
@@ -280,13 +281,11 @@
 		if z.Configuration == nil {
 			o = msgp.AppendNil(o)
 		} else {
-			// map header, size 2
-			// string "version"
-			o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-			o = msgp.AppendUint64(o, z.Configuration.Version)
-			// string "document"
-			o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-			o = msgp.AppendBytes(o, z.Configuration.Document)
+			o, err = z.Configuration.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Configuration")
+				return
+			}
 		}
 		// string "list"
 		o = append(o, 0xa4, 0x6c, 0x69, 0x73, 0x74)
@@ -406,10 +405,28 @@
 			if z.Software == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 1
-				// string "revision"
-				o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-				o = msgp.AppendUint64(o, z.Software.Revision)
+				// check for omitted fields
+				zb0007Len := uint32(2)
+				var zb0007Mask uint8 /* 2 bits */
+				_ = zb0007Mask
+				if z.Software.Version == 0 {
+					zb0007Len--
+					zb0007Mask |= 0x2
+				}
+				// variable map header, size zb0007Len
+				o = append(o, 0x80|uint8(zb0007Len))
+
+				// skip if no fields are to be emitted
+				if zb0007Len != 0 {
+					// string "revision"
+					o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+					o = msgp.AppendUint64(o, z.Software.Revision)
+					if (zb0007Mask & 0x2) == 0 { // if not omitted
+						// string "version"
+						o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+						o = msgp.AppendUint64(o, z.Software.Version)
+					}
+				}
 			}
 		}
 	}
@@ -449,60 +466,11 @@
 				if z.Configuration == nil {
 					z.Configuration = new(ConfigurationCommand)
 				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Configuration.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Configuration")
 					return
 				}
-				if zb0002 > ze2bed3a0limitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "version":
-						z.Configuration.Version, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration", "Version")
-							return
-						}
-					case "document":
-						var zb0003 uint32
-						zb0003, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration", "Document")
-							return
-						}
-						if zb0003 > 67108864 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Configuration.Document == nil || uint32(cap(z.Configuration.Document)) < zb0003 {
-							z.Configuration.Document = make([]byte, zb0003)
-						} else {
-							z.Configuration.Document = z.Configuration.Document[:zb0003]
-						}
-						if uint32(len(bts)) < zb0003 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Configuration.Document, bts[:zb0003])
-						bts = bts[zb0003:]
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Configuration")
-							return
-						}
-					}
-				}
 			}
 		case "list":
 			if msgp.IsNil(bts) {
@@ -532,18 +500,18 @@
 				if z.Change == nil {
 					z.Change = new(ChangeCommand)
 				}
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0002 uint32
+				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Change")
 					return
 				}
-				if zb0004 > ze2bed3a0limitMaps {
+				if zb0002 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0002 > 0 {
+					zb0002--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Change")
@@ -588,18 +556,18 @@
 				if z.ChangeEnd == nil {
 					z.ChangeEnd = new(ChangeEndCommand)
 				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "ChangeEnd")
 					return
 				}
-				if zb0005 > ze2bed3a0limitMaps {
+				if zb0003 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "ChangeEnd")
@@ -632,18 +600,18 @@
 				if z.Usage == nil {
 					z.Usage = new(UsageWindow)
 				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Usage")
 					return
 				}
-				if zb0006 > ze2bed3a0limitMaps {
+				if zb0004 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Usage")
@@ -657,30 +625,30 @@
 							return
 						}
 					case "counts":
-						var zb0007 uint32
-						zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						var zb0005 uint32
+						zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Usage", "Counts")
 							return
 						}
-						if zb0007 > ze2bed3a0limitArrays {
+						if zb0005 > ze2bed3a0limitArrays {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Usage.Counts) >= int(zb0007) {
-							z.Usage.Counts = (z.Usage.Counts)[:zb0007]
+						if cap(z.Usage.Counts) >= int(zb0005) {
+							z.Usage.Counts = (z.Usage.Counts)[:zb0005]
 						} else {
-							z.Usage.Counts = make([]UsageCount, zb0007)
+							z.Usage.Counts = make([]UsageCount, zb0005)
 						}
 						for za0001 := range z.Usage.Counts {
-							var zb0008 uint32
-							zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							var zb0006 uint32
+							zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 							if err != nil {
 								err = msgp.WrapError(err, "Usage", "Counts", za0001)
 								return
 							}
-							if zb0008 != 3 {
-								err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+							if zb0006 != 3 {
+								err = msgp.ArrayError{Wanted: 3, Got: zb0006}
 								return
 							}
 							z.Usage.Counts[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
@@ -719,18 +687,18 @@
 				if z.UsageCall == nil {
 					z.UsageCall = new(UsageCallCommand)
 				}
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "UsageCall")
 					return
 				}
-				if zb0009 > ze2bed3a0limitMaps {
+				if zb0007 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "UsageCall")
@@ -763,18 +731,18 @@
 				if z.UsageEnd == nil {
 					z.UsageEnd = new(UsageEndCommand)
 				}
-				var zb0010 uint32
-				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "UsageEnd")
 					return
 				}
-				if zb0010 > ze2bed3a0limitMaps {
+				if zb0008 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0010 > 0 {
-					zb0010--
+				for zb0008 > 0 {
+					zb0008--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "UsageEnd")
@@ -858,18 +826,18 @@
 				if z.Software == nil {
 					z.Software = new(SoftwareCommand)
 				}
-				var zb0011 uint32
-				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Software")
 					return
 				}
-				if zb0011 > ze2bed3a0limitMaps {
+				if zb0009 > ze2bed3a0limitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0011 > 0 {
-					zb0011--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Software")
@@ -882,6 +850,12 @@
 							err = msgp.WrapError(err, "Software", "Revision")
 							return
 						}
+					case "version":
+						z.Software.Version, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Software", "Version")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -909,7 +883,7 @@
 	if z.Configuration == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Configuration.Document)
+		s += z.Configuration.Msgsize()
 	}
 	s += 5
 	if z.List == nil {
@@ -972,7 +946,7 @@
 	if z.Software == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 9 + msgp.Uint64Size
+		s += 1 + 9 + msgp.Uint64Size + 8 + msgp.Uint64Size
 	}
 	return
 }
@@ -980,13 +954,72 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigurationCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "version"
-	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "document"
-	o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
-	o = msgp.AppendBytes(o, z.Document)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.At == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Base == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Former == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Added == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "document"
+		o = append(o, 0xa8, 0x64, 0x6f, 0x63, 0x75, 0x6d, 0x65, 0x6e, 0x74)
+		o = msgp.AppendBytes(o, z.Document)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "at"
+			o = append(o, 0xa2, 0x61, 0x74)
+			o = msgp.AppendInt64(o, z.At)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "base"
+			o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
+			o = msgp.AppendUint64(o, z.Base)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "former"
+			o = append(o, 0xa6, 0x66, 0x6f, 0x72, 0x6d, 0x65, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Former)))
+			for za0001 := range z.Former {
+				o, err = z.Former[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Former", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "added"
+			o = append(o, 0xa5, 0x61, 0x64, 0x64, 0x65, 0x64)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Added)))
+			for za0002 := range z.Added {
+				o, err = z.Added[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Added", za0002)
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
@@ -1040,6 +1073,64 @@
 			}
 			copy(z.Document, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "at":
+			z.At, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
+		case "base":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "former":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Former")
+				return
+			}
+			if zb0003 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Former) >= int(zb0003) {
+				z.Former = (z.Former)[:zb0003]
+			} else {
+				z.Former = make([]origin.RouteService, zb0003)
+			}
+			for za0001 := range z.Former {
+				bts, err = z.Former[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Former", za0001)
+					return
+				}
+			}
+		case "added":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Added")
+				return
+			}
+			if zb0004 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Added) >= int(zb0004) {
+				z.Added = (z.Added)[:zb0004]
+			} else {
+				z.Added = make([]origin.RouteService, zb0004)
+			}
+			for za0002 := range z.Added {
+				bts, err = z.Added[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Added", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1054,7 +1145,14 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigurationCommand) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document)
+	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 3 + msgp.Int64Size + 5 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Former {
+		s += z.Former[za0001].Msgsize()
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Added {
+		s += z.Added[za0002].Msgsize()
+	}
 	return
 }
 
@@ -1150,6 +1248,75 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *FormerRoute) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "route"
+	o = append(o, 0x82, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+	o, err = z.RouteService.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteService")
+		return
+	}
+	// string "until"
+	o = append(o, 0xa5, 0x75, 0x6e, 0x74, 0x69, 0x6c)
+	o = msgp.AppendInt64(o, z.Until)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FormerRoute) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "route":
+			bts, err = z.RouteService.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RouteService")
+				return
+			}
+		case "until":
+			z.Until, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Until")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FormerRoute) Msgsize() (s int) {
+	s = 1 + 6 + z.RouteService.Msgsize() + 6 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z FormerSoftware) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1488,6 +1655,75 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *NewRoute) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "route"
+	o = append(o, 0x82, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+	o, err = z.RouteService.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteService")
+		return
+	}
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NewRoute) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "route":
+			bts, err = z.RouteService.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RouteService")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *NewRoute) Msgsize() (s int) {
+	s = 1 + 6 + z.RouteService.Msgsize() + 8 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *NewSoftware) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1654,10 +1890,28 @@
 // MarshalMsg implements msgp.Marshaler
 func (z SoftwareCommand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "revision"
-	o = append(o, 0x81, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Version == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Version)
+		}
+	}
 	return
 }
 
@@ -1689,6 +1943,12 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1703,7 +1963,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z SoftwareCommand) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size
+	s = 1 + 9 + msgp.Uint64Size + 8 + msgp.Uint64Size
 	return
 }
 
@@ -1794,8 +2054,8 @@
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.FormerSoftware == nil {
 		zb0001Len--
@@ -1813,8 +2073,20 @@
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.FormerRoutes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.RoutesSince == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
+	if z.NewRoutes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -1964,6 +2236,47 @@
 			o = append(o, 0xae, 0x73, 0x6f, 0x66, 0x74, 0x77, 0x61, 0x72, 0x65, 0x5f, 0x67, 0x61, 0x74, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.SoftwareGated)
 		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "former_routes"
+			o = append(o, 0xad, 0x66, 0x6f, 0x72, 0x6d, 0x65, 0x72, 0x5f, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FormerRoutes)))
+			for za0009 := range z.FormerRoutes {
+				// map header, size 2
+				// string "route"
+				o = append(o, 0x82, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+				o, err = z.FormerRoutes[za0009].RouteService.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerRoutes", za0009, "RouteService")
+					return
+				}
+				// string "until"
+				o = append(o, 0xa5, 0x75, 0x6e, 0x74, 0x69, 0x6c)
+				o = msgp.AppendInt64(o, z.FormerRoutes[za0009].Until)
+			}
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "routes_since"
+			o = append(o, 0xac, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73, 0x5f, 0x73, 0x69, 0x6e, 0x63, 0x65)
+			o = msgp.AppendInt64(o, z.RoutesSince)
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "new_routes"
+			o = append(o, 0xaa, 0x6e, 0x65, 0x77, 0x5f, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.NewRoutes)))
+			for za0010 := range z.NewRoutes {
+				// map header, size 2
+				// string "route"
+				o = append(o, 0x82, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
+				o, err = z.NewRoutes[za0010].RouteService.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "NewRoutes", za0010, "RouteService")
+					return
+				}
+				// string "version"
+				o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+				o = msgp.AppendUint64(o, z.NewRoutes[za0010].Version)
+			}
+		}
 	}
 	return
 }
@@ -2396,6 +2709,124 @@
 				err = msgp.WrapError(err, "SoftwareGated")
 				return
 			}
+		case "former_routes":
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FormerRoutes")
+				return
+			}
+			if zb0016 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FormerRoutes) >= int(zb0016) {
+				z.FormerRoutes = (z.FormerRoutes)[:zb0016]
+			} else {
+				z.FormerRoutes = make([]FormerRoute, zb0016)
+			}
+			for za0009 := range z.FormerRoutes {
+				var zb0017 uint32
+				zb0017, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FormerRoutes", za0009)
+					return
+				}
+				if zb0017 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0017 > 0 {
+					zb0017--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "FormerRoutes", za0009)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "route":
+						bts, err = z.FormerRoutes[za0009].RouteService.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerRoutes", za0009, "RouteService")
+							return
+						}
+					case "until":
+						z.FormerRoutes[za0009].Until, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerRoutes", za0009, "Until")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "FormerRoutes", za0009)
+							return
+						}
+					}
+				}
+			}
+		case "routes_since":
+			z.RoutesSince, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RoutesSince")
+				return
+			}
+		case "new_routes":
+			var zb0018 uint32
+			zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NewRoutes")
+				return
+			}
+			if zb0018 > ze2bed3a0limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.NewRoutes) >= int(zb0018) {
+				z.NewRoutes = (z.NewRoutes)[:zb0018]
+			} else {
+				z.NewRoutes = make([]NewRoute, zb0018)
+			}
+			for za0010 := range z.NewRoutes {
+				var zb0019 uint32
+				zb0019, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NewRoutes", za0010)
+					return
+				}
+				if zb0019 > ze2bed3a0limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0019 > 0 {
+					zb0019--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "NewRoutes", za0010)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "route":
+						bts, err = z.NewRoutes[za0010].RouteService.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "NewRoutes", za0010, "RouteService")
+							return
+						}
+					case "version":
+						z.NewRoutes[za0010].Version, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "NewRoutes", za0010, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "NewRoutes", za0010)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2410,7 +2841,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *State) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.Uint64Size + 9 + msgp.BytesPrefixSize + len(z.Document) + 14 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
 	for za0001 := range z.Replicas {
 		s += 1 + 8 + z.Replicas[za0001].Replica.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.BoolSize
 	}
@@ -2441,7 +2872,14 @@
 	for za0008 := range z.NewSoftware {
 		s += z.NewSoftware[za0008].Msgsize()
 	}
-	s += 15 + msgp.BoolSize
+	s += 15 + msgp.BoolSize + 14 + msgp.ArrayHeaderSize
+	for za0009 := range z.FormerRoutes {
+		s += 1 + 6 + z.FormerRoutes[za0009].RouteService.Msgsize() + 6 + msgp.Int64Size
+	}
+	s += 13 + msgp.Int64Size + 11 + msgp.ArrayHeaderSize
+	for za0010 := range z.NewRoutes {
+		s += 1 + 6 + z.NewRoutes[za0010].RouteService.Msgsize() + 8 + msgp.Uint64Size
+	}
 	return
 }
 
--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -110,11 +110,11 @@
 	views.evidence, evidence.views = evidence, views
 	quotas := newQuotaClient(settings, socket, views)
 	origins := newOriginClient(settings, socket, views, directory)
-	views.onConfigured = func(configuration *traffic.Configuration) {
-		quotas.pruneTenants(configuration)
-		origins.applyConfiguration(configuration)
+	views.onConfigured = func(before, after *traffic.Configuration) {
+		quotas.pruneTenants(after)
+		origins.applyConfiguration(before, after)
 	}
-	views.onListed, views.onFormerSoftware = origins.noteList, origins.noteFormer
+	views.onListed, views.onFormerOrigins = origins.noteList, origins.noteFormer
 	limits := newLimitClient(settings, socket, views, directory)
 	views.limits = limits
 	runner := relay.NewRunner(directory, upstreams, settings.Dialect, budgets, relay.NewMetrics(settings.Metrics), settings.Logger)
--- a/internal/relay/daemon/forwardserver.go
+++ b/internal/relay/daemon/forwardserver.go
@@ -60,7 +60,7 @@
 	}
 	metadata.Wait = time.Duration(forwarded.WaitMicros) * time.Microsecond
 	metadata.LastEvent = forwarded.LastEvent
-	began, err := f.forwardedOrigin(ctx, route, forwarded, metadata)
+	began, err := f.forwardedOrigin(ctx, table.Configuration.Version, route, forwarded, metadata)
 	if err != nil {
 		f.logRefusal(metadata.ID, err.Error())
 		return nil, err
@@ -84,9 +84,10 @@
 // errServiceLeft refuses a call that continues a stream of a service that its route no longer has.
 var errServiceLeft = failure.New(failure.StreamNotResumed, "the route no longer has the service that has begun the stream")
 
-// forwardedOrigin returns the service that serves a forwarded call and, for one that continues a stream, the software. A peer
+// forwardedOrigin returns, by a version of the configuration, the service that serves a forwarded call and, for one that continues a
+// stream, the software. A peer
 // of an earlier build does not tell the latter.
-func (f *frontend) forwardedOrigin(ctx context.Context, route *traffic.Mounted, forwarded *region.ForwardedCall, metadata relay.RequestMetadata) (origin.Origin, error) {
+func (f *frontend) forwardedOrigin(ctx context.Context, version uint64, route *traffic.Mounted, forwarded *region.ForwardedCall, metadata relay.RequestMetadata) (origin.Origin, error) {
 	began := origin.Origin{Service: forwarded.Service}
 	if forwarded.Software != nil {
 		began.Software = *forwarded.Software
@@ -94,11 +95,12 @@
 	allowed := route.Route.SplitsTo(began.Service)
 	switch {
 	case forwarded.LastEvent != "" && forwarded.Software == nil:
-		return f.beginsAt(ctx, route, forwarded.Tenant, metadata)
+		return f.beginsAt(ctx, version, route, forwarded.Tenant, metadata)
 	case !allowed && forwarded.Software != nil:
 		return began, errServiceLeft
 	case !allowed:
-		began.Service = route.Splitter.Next()
+		service, err := f.chooseService(ctx, route)
+		return origin.Origin{Service: service}, err
 	}
 	return began, nil
 }
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -19,6 +19,7 @@
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/framing"
 	"github.com/pierhaven/pierhaven/internal/gateway/listener"
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/origin"
 	"github.com/pierhaven/pierhaven/internal/relay"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -150,7 +151,7 @@
 	if owner != nil {
 		tenantName = owner.Name
 	}
-	began, err := f.beginsAt(ctx, route, tenantName, metadata)
+	began, err := f.beginsAt(ctx, table.Configuration.Version, route, tenantName, metadata)
 	if err != nil {
 		f.logRefusal(metadata.ID, err.Error())
 		return nil, err
@@ -178,15 +179,43 @@
 	return string(bytes.Join(values, []byte(", ")))
 }
 
-// beginsAt returns where a request's answer begins: the service and, for a stream that is taken up, the software.
-func (f *frontend) beginsAt(ctx context.Context, route *traffic.Mounted, tenant string, metadata relay.RequestMetadata) (origin.Origin, error) {
+// beginsAt returns where a request's answer begins, by a version of the configuration: the service and, for a stream that is taken
+// up, the software.
+func (f *frontend) beginsAt(ctx context.Context, version uint64, route *traffic.Mounted, tenant string, metadata relay.RequestMetadata) (origin.Origin, error) {
 	if route.Kind != traffic.KindStream || metadata.LastEvent == "" {
-		return origin.Origin{Service: route.Splitter.Next()}, nil
+		service, err := f.chooseService(ctx, route)
+		return origin.Origin{Service: service}, err
 	}
-	found, err := f.origins.find(ctx, tenant, metadata, route.Route)
+	found, err := f.origins.find(ctx, tenant, metadata, route.Route, version)
 	return found.Origin, err
 }
 
+const (
+	// maximumNewServiceWait bounds how long a stream waits until it may begin at the services of its route.
+	maximumNewServiceWait = 500 * time.Millisecond
+	newServicePause       = 20 * time.Millisecond
+)
+
+// chooseService deals a request to a service of its route. Streams that callers may take up go to others while they may not begin
+// at one, and wait a moment if they may begin at none.
+func (f *frontend) chooseService(ctx context.Context, route *traffic.Mounted) (string, error) {
+	chosen := route.Splitter.Next()
+	if !route.MayBeTakenUp() || f.views.mayBegin(route.Route, chosen) {
+		return chosen, nil
+	}
+	for until := time.Now().Add(maximumNewServiceWait); time.Now().Before(until); {
+		for _, service := range route.Services() {
+			if f.views.mayBegin(route.Route, service) {
+				return service, nil
+			}
+		}
+		if !lifecycle.Sleep(ctx, newServicePause) {
+			break
+		}
+	}
+	return "", failure.New(failure.NotReady, "streams of the route may not begin at its services yet", failure.WithRetryAfter(notReadyRetryAfter))
+}
+
 // callTo returns the call of a request to a service, without its tenant, route and time of arrival.
 func (f *frontend) callTo(service string, table *traffic.Table, request *app.RequestContext, metadata relay.RequestMetadata) *relay.Call {
 	metadata.Key = ""
--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -60,7 +60,6 @@
 		lookups:   settings.Metrics.Counter("streams_taken_up_total", "Streams that callers have taken up, by how it was found out where they began.", "found"),
 		clock:     views.now,
 		begun:     origin.Table{Maximum: maximumOrigins},
-		routes:    routeHistory{},
 		// Starting at the current time avoids reusing the query IDs of an earlier process.
 		lastID:  uint64(time.Now().UnixNano()),
 		pending: map[uint64]chan<- keeperReply{},
@@ -82,7 +81,8 @@
 	now := o.clock()
 	o.mutex.Lock()
 	o.begun.Put(now, record)
-	_, single := origin.Only(o.recentlyAt(now, call.Route))
+	recent, _ := o.recentlyAt(now, call.Route)
+	_, single := origin.Only(recent)
 	o.mutex.Unlock()
 	if !single || left > origin.Window {
 		o.tell(record)
@@ -97,14 +97,14 @@
 	return wait
 }
 
-// recentlyAt returns what the services run, and have run, at which streams of a route may have begun within
-// origin.Window. The caller must hold o.mutex.
-func (o *originClient) recentlyAt(now time.Duration, route *traffic.Route) []origin.ServiceVersions {
-	var recent []origin.ServiceVersions
-	for _, service := range o.routes.services(now, route) {
+// recentlyAt returns what the services run, and have run, at which streams of a route may have begun within origin.Window, and
+// whether these are all services as far as the configurations tell. The caller must hold o.mutex.
+func (o *originClient) recentlyAt(now time.Duration, route *traffic.Route) (recent []origin.ServiceVersions, allServices bool) {
+	services, allServices := o.routes.services(now, route)
+	for _, service := range services {
 		recent = append(recent, o.versions.Recent(now, service))
 	}
-	return recent
+	return recent, allServices
 }
 
 // tell sends records to the coordinators that keep them.
@@ -161,7 +161,7 @@
 	}()
 }
 
-// noteFormer records what a view says that replicas have run.
+// noteFormer records what a view says that replicas have run, and where streams of routes began.
 func (o *originClient) noteFormer(view *region.View) {
 	now := o.clock()
 	former := map[string]map[origin.Software]time.Duration{}
@@ -174,25 +174,19 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.routes.noteView(now, view)
 	if view.SoftwareComplete && !o.views.list.IsPartial() {
 		o.versions.Confirm(now, former)
 	}
 }
 
-// applyConfiguration notes the services of the routes. The coordinators are told of the streams that have begun at services
-// of routes that now have others.
-func (o *originClient) applyConfiguration(configuration *traffic.Configuration) {
+// applyConfiguration notes where the streams of routes begin. The coordinators are told of the streams that have begun at
+// services of routes that now have others.
+func (o *originClient) applyConfiguration(before, after *traffic.Configuration) {
 	now := o.clock()
-	changed := map[string]bool{}
 	var untold []origin.Record
 	o.mutex.Lock()
-	for index := range configuration.Routes {
-		for _, service := range o.routes.note(now, &configuration.Routes[index]) {
-			changed[service] = true
-		}
-	}
-	o.routes.prune(configuration)
-	for service := range changed {
+	for _, service := range o.routes.noteConfiguration(now, before, after) {
 		untold = append(untold, o.begun.Of(now, service)...)
 	}
 	o.mutex.Unlock()
@@ -221,10 +215,10 @@
 	originUnknown = "unknown"
 )
 
-// find finds out where a stream of a route has begun that a tenant's request takes up.
-func (o *originClient) find(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
+// find finds out where a stream of a route has begun that a tenant's request takes up, by a version of the configuration.
+func (o *originClient) find(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route, version uint64) (takenUp, error) {
 	began := time.Now()
-	found, err := o.search(ctx, tenant, request, route)
+	found, err := o.search(ctx, tenant, request, route, version)
 	kind := found.found
 	if kind != originOwn && kind != originOnly {
 		kind = originKeeper
@@ -239,17 +233,17 @@
 	return found, err
 }
 
-func (o *originClient) search(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
+func (o *originClient) search(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route, version uint64) (takenUp, error) {
 	key := origin.KeyOf(tenant, request.Resumes)
-	// A lease that is renewed meanwhile may be on a newer list than what is read here.
-	holds, kept := o.views.holdsLease()
+	// A lease that is renewed meanwhile may be on a newer view than what is read here.
+	held := o.views.heldLease(version)
 	now := o.clock()
 	o.mutex.Lock()
 	record, age := o.begun.Get(now, key)
-	recent := o.recentlyAt(now, route)
+	recent, allServices := o.recentlyAt(now, route)
 	o.mutex.Unlock()
 	for index := range recent {
-		recent[index].Complete = recent[index].Complete && holds
+		recent[index].Complete = recent[index].Complete && held.software
 	}
 	if request.Resumes == "" {
 		record = nil
@@ -258,16 +252,20 @@
 		return checked(takenUp{Origin: record.Origin, found: originOwn, age: age}, record, route)
 	}
 	combine := merged
-	if kept {
+	if held.kept {
 		combine = narrowed
 	}
+	routesKnown := !held.routesKept || held.routes && allServices
 	until := time.Now().Add(min(maximumOriginWait, callerWait(request.Wait)/originWaitDivisor))
 	for {
 		replies := o.ask(ctx, key, recent)
 		possible := combine(recent, replies)
+		if !routesKnown {
+			possible = withoutCompleteness(possible)
+		}
 		found, err := fromReplies(replies, possible, request, route)
 		found.replies, found.possible = len(replies), possible
-		if err == nil || len(replies) == 0 || anyTells(replies) || time.Now().After(until) {
+		if err == nil || len(replies) == 0 || !routesKnown || anyTells(replies) || time.Now().After(until) {
 			return found, err
 		}
 		// Coordinators that have just started, or lack a leader, can tell in a moment.
@@ -277,6 +275,15 @@
 	}
 }
 
+// withoutCompleteness returns what services run and have run, if streams may have begun at others too.
+func withoutCompleteness(services []origin.ServiceVersions) []origin.ServiceVersions {
+	incomplete := slices.Clone(services)
+	for index := range incomplete {
+		incomplete[index].Complete = false
+	}
+	return incomplete
+}
+
 // fromReplies returns where a stream goes on that has not begun at this gateway.
 func fromReplies(replies []keeperReply, possible []origin.ServiceVersions, request relay.RequestMetadata, route *traffic.Route) (takenUp, error) {
 	if best := newest(replies); best != nil && request.Resumes != "" {
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -324,6 +324,93 @@
 	}, 30*time.Second, time.Millisecond)
 }
 
+// split has the coordinator show a configuration whose route goes to other services.
+func (r *takeUps) split(change func(*region.View), services ...string) {
+	var split []traffic.Part
+	for _, service := range services {
+		split = append(split, traffic.Part{Service: service, Weight: 1})
+	}
+	r.coordinator.update(func(view *region.View) {
+		view.Version++
+		view.Document = resumableDocument(r.t, view.Version, 1, split)
+		change(view)
+	})
+}
+
+// otherService is the route's second service in tests of its split.
+var otherService = origin.RouteService{Host: "h.example", PathPrefix: "/v3/", Service: "other"}
+
+// startRegionOfTwoServices starts a region with leases whose route has one of two services.
+func startRegionOfTwoServices(t *testing.T) *takeUps {
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"}, version{"other", "v1"})
+	r.coordinator.update(func(view *region.View) {
+		view.SoftwareComplete, view.SoftwareGated, view.RoutesKept, view.RoutesComplete = true, true, true, true
+	})
+	return r
+}
+
+// Guards against streams that are taken up at the new service of their route by a gateway that has started since: others have
+// begun them at the one before, and nobody has a record.
+func TestAStreamIsNotTakenUpAtAServiceThatItsRouteHasGotSince(t *testing.T) {
+	t.Parallel()
+	r := startRegionOfTwoServices(t)
+	r.split(func(view *region.View) {
+		former := otherService
+		former.Service = "service"
+		view.RegionNanos = time.Now().UnixNano()
+		view.FormerRoutes = []region.FormerRoute{{RouteService: former, Until: view.RegionNanos}}
+	}, "other")
+	r.second = startGateway(t, r.coordinator)
+	r.second.awaitReadiness(http.StatusOK)
+	r.awaitPolls()
+	fields := map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": "r-unknown"}
+	assert.Equal(t, http.StatusServiceUnavailable, r.takeUpWith(fields))
+	r.coordinator.update(func(view *region.View) { view.FormerRoutes[0].Until -= int64(2 * origin.Window) })
+	r.second = startGateway(t, r.coordinator)
+	r.second.awaitReadiness(http.StatusOK)
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusOK }, 30*time.Second, 10*time.Millisecond)
+}
+
+// Guards against streams of two services after a kill of the gateways that know the second one, while others are cut off from the
+// coordinators and know of the first alone: no stream begins at a service while anyone may act on a configuration without it.
+func TestStreamsBeginAtANewServiceOfTheirRouteOnlyOnceNobodyIsUnawareOfIt(t *testing.T) {
+	t.Parallel()
+	r := startRegionOfTwoServices(t)
+	gate := func(view *region.View) {
+		view.NewRoutes = []region.NewRoute{{RouteService: otherService, Version: view.Version}}
+	}
+	r.split(gate, "service", "other")
+	r.awaitPolls()
+	for number := range takenUpStreams {
+		r.begin(fmt.Sprint("r-", number))
+	}
+	assert.NotContains(t, r.versionsBegun(), "other v1")
+	r.split(gate, "other")
+	r.awaitPolls()
+	status, _ := r.call(r.first, map[string]string{"Request": "none", "Begun": "none"})
+	assert.Equal(t, http.StatusServiceUnavailable, status, "its route has no other service")
+	assert.NotContains(t, r.versionsBegun(), "other v1")
+	r.coordinator.update(func(view *region.View) { view.NewRoutes = nil })
+	r.awaitPolls()
+	r.begin("later")
+	assert.Contains(t, r.versionsBegun(), "other v1")
+}
+
+// Guards against conclusions from an earlier configuration: of a gateway that has started and is not told yet what was before
+// the one that it has.
+func TestAStreamOfUnknownOriginIsRefusedWhileEarlierConfigurationsAreNotKnown(t *testing.T) {
+	t.Parallel()
+	r := startRegionOfTwoServices(t)
+	r.coordinator.update(func(view *region.View) { view.RoutesComplete = false })
+	r.second = startGateway(t, r.coordinator)
+	r.second.awaitReadiness(http.StatusOK)
+	r.awaitPolls()
+	fields := map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": "r-unknown"}
+	assert.Equal(t, http.StatusServiceUnavailable, r.takeUpWith(fields))
+	r.coordinator.update(func(view *region.View) { view.RoutesComplete = true })
+	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusOK }, 30*time.Second, 10*time.Millisecond)
+}
+
 // awaitPolls waits until both gateways have the coordinator's view.
 func (r *takeUps) awaitPolls() {
 	r.t.Helper()
--- a/internal/relay/daemon/routehistory.go
+++ b/internal/relay/daemon/routehistory.go
@@ -1,92 +1,73 @@
 package daemon
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pierhaven/pierhaven/internal/origin"
+	"github.com/pierhaven/pierhaven/internal/region"
 	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
-// routeHistory remembers to which services the requests of routes have gone within origin.Window.
-type routeHistory map[routePlace]*routeServices
-
-// routePlace identifies a route over configurations.
-type routePlace struct{ host, prefix string }
-
-func placeOf(route *traffic.Route) routePlace { return routePlace{route.Host, route.PathPrefix} }
-
-// routeServices is where the requests of a route go, and when they last went elsewhere.
-type routeServices struct {
-	present []string
-	former  map[string]time.Duration
+// routeHistory remembers at which services streams of routes began by earlier configurations, within origin.Window.
+type routeHistory struct {
+	// former has until when.
+	former map[origin.RouteService]time.Duration
+	// complete is set once a coordinator has told what was before the first configuration here.
+	complete bool
 }
 
-// note records a route of a configuration that takes effect. It returns the services that the route had before, if it has
-// others now.
-func (h routeHistory) note(now time.Duration, route *traffic.Route) (changed []string) {
-	known := h[placeOf(route)]
-	if known == nil {
-		known = &routeServices{}
-		h[placeOf(route)] = known
-	}
-	for service, left := range known.former {
-		if now-left >= origin.Window {
-			delete(known.former, service)
-		}
+// noteConfiguration records a configuration that takes effect after another one, nil for the first. It returns the services of
+// the routes whose services have changed.
+func (h *routeHistory) noteConfiguration(now time.Duration, before, after *traffic.Configuration) (changed []string) {
+	maps.DeleteFunc(h.former, func(_ origin.RouteService, until time.Duration) bool { return now-until >= origin.Window })
+	moved := traffic.MovedStreams(before, after)
+	for _, at := range moved.Former {
+		h.add(at, now)
 	}
-	before := known.present
-	known.present = servicesOf(route)
-	for _, service := range before {
-		if slices.Contains(known.present, service) {
-			continue
+	for _, at := range slices.Concat(moved.Former, moved.Added) {
+		for index := range before.Routes {
+			if route := &before.Routes[index]; at.MayServe(strings.ToLower(route.Host), route.PathPrefix) {
+				changed = append(changed, route.Services()...)
+			}
 		}
-		if known.former == nil {
-			known.former = map[string]time.Duration{}
-		}
-		known.former[service] = now
-	}
-	if slices.Equal(slices.Sorted(slices.Values(before)), slices.Sorted(slices.Values(known.present))) {
-		return nil
 	}
-	return before
+	slices.Sort(changed)
+	return slices.Compact(changed)
 }
 
-// prune forgets the routes that a configuration no longer has.
-func (h routeHistory) prune(configuration *traffic.Configuration) {
-	present := make(map[routePlace]bool, len(configuration.Routes))
-	for index := range configuration.Routes {
-		present[placeOf(&configuration.Routes[index])] = true
-	}
-	for place := range h {
-		if !present[place] {
-			delete(h, place)
-		}
+// noteView records what a coordinator tells of earlier configurations.
+func (h *routeHistory) noteView(now time.Duration, view *region.View) {
+	for _, each := range view.FormerRoutes {
+		h.add(each.RouteService, now-time.Duration(max(view.RegionNanos-each.Until, 0)))
 	}
+	h.complete = h.complete || view.RoutesComplete
 }
 
-// services returns the services at which streams of a route may have begun within origin.Window.
-func (h routeHistory) services(now time.Duration, route *traffic.Route) []string {
-	services := servicesOf(route)
-	known := h[placeOf(route)]
-	if known == nil {
-		return services
+func (h *routeHistory) add(at origin.RouteService, until time.Duration) {
+	if h.former == nil {
+		h.former = map[origin.RouteService]time.Duration{}
 	}
-	for service, left := range known.former {
-		if now-left < origin.Window && !slices.Contains(services, service) {
-			services = append(services, service)
-		}
+	if known, found := h.former[at]; !found || known < until {
+		h.former[at] = until
 	}
-	return services
 }
 
-// servicesOf returns the services that requests of a route go to.
-func servicesOf(route *traffic.Route) []string {
-	var services []string
-	for _, part := range route.Split {
-		if part.Weight > 0 {
-			services = append(services, part.Service)
+// services returns the services at which streams of a route may have begun within origin.Window, and whether these are all that
+// can be told from the configurations.
+func (h *routeHistory) services(now time.Duration, route *traffic.Route) (services []string, complete bool) {
+	services, complete = route.Services(), h.complete
+	host := strings.ToLower(route.Host)
+	for at, until := range h.former {
+		switch {
+		case now-until >= origin.Window || !at.MayServe(host, route.PathPrefix):
+		case at == origin.AnyRouteService:
+			complete = false
+		case !slices.Contains(services, at.Service):
+			services = append(services, at.Service)
 		}
 	}
-	return services
+	return services, complete
 }
--- a/internal/relay/daemon/viewkeeper.go
+++ b/internal/relay/daemon/viewkeeper.go
@@ -37,14 +37,14 @@
 	// polled is the coordinator that is polled.
 	polled atomic.Pointer[string]
 
-	// onConfigured is called with each configuration that takes effect. It must be set before first
-	// use.
-	onConfigured func(*traffic.Configuration)
+	// onConfigured is called with each configuration that takes effect, and the one before, nil for the first. It must be set
+	// before first use.
+	onConfigured func(before, after *traffic.Configuration)
 	// onListed is called with each list that takes effect; whole is false while parts of it are missing. It must be set
 	// before first use.
 	onListed func(whole bool)
-	// onFormerSoftware is called with each view of a coordinator whose copy was confirmed. It must be set before first use.
-	onFormerSoftware func(view *region.View)
+	// onFormerOrigins is called with each view of a coordinator whose copy was confirmed. It must be set before first use.
+	onFormerOrigins func(view *region.View)
 
 	table atomic.Pointer[traffic.Table]
 	// readVersion is the version of the last configuration that was read, 0 before there is one.
@@ -67,7 +67,7 @@
 	// is set.
 	freshAt   time.Duration
 	confirmed bool
-	lease     listLease
+	lease     viewLease
 	// copyAge is the age of the coordinator's copy in the last view. listReadAt and pageReadAt are when the last reading of
 	// the platform's list began, and when a page of it was last read; 0 if that is not known.
 	copyAge, listReadAt, pageReadAt time.Duration
@@ -95,10 +95,10 @@
 
 		received:     make(chan *region.View, 1),
 		configured:   make(chan struct{}),
-		onConfigured: func(*traffic.Configuration) {},
+		onConfigured: func(_, _ *traffic.Configuration) {},
 		onListed:     func(bool) {},
 
-		onFormerSoftware: func(*region.View) {},
+		onFormerOrigins: func(*region.View) {},
 	}
 }
 
@@ -211,11 +211,12 @@
 	if v.evidence != nil {
 		request.PoisonRevision = v.evidence.Guard.Revision()
 	}
-	request.Version = max(v.version(), v.receivedVersion.Load())
+	request.InForce = v.version()
+	request.Version = max(request.InForce, v.receivedVersion.Load())
 	v.mutex.Lock()
 	v.list.Request(request, maximumListPart)
 	request.MembersHash = v.membersHash
-	request.NewSoftware = region.HashNewSoftware(v.lease.newSoftware)
+	request.NewSoftware = region.HashNewOrigins(v.lease.newSoftware, v.lease.newRoutes)
 	v.mutex.Unlock()
 	polledAt := v.now()
 	var view region.View
@@ -240,13 +241,14 @@
 		// when it has its first configuration.
 		v.evidence.Guard.ApplyNews(view.Poison)
 	}
-	if len(view.Document) > 0 {
-		v.receive(view)
-	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	// What may not take streams yet is known before it is listed.
+	// Where streams may not begin yet is known before it is listed or in force.
+	v.noteNewRoutes(view)
 	v.noteNewSoftware(view)
+	if len(view.Document) > 0 {
+		v.receive(view)
+	}
 	v.applyList(view)
 	v.zones[coordinator] = view.Zone
 	v.updateMembers(view)
@@ -261,7 +263,7 @@
 		v.gateways.Store(int64(view.Gateways))
 	}
 	v.noteListAges(view)
-	v.onFormerSoftware(view)
+	v.onFormerOrigins(view)
 	if at := v.now() - time.Duration(view.AgeMillis)*time.Millisecond; !v.confirmed || at > v.freshAt {
 		v.confirmed = true
 		v.freshAt = at
@@ -369,9 +371,11 @@
 		}
 	}
 	v.table.Store(traffic.NewTable(configuration, previous))
-	v.onConfigured(configuration)
 	if previous == nil {
+		v.onConfigured(nil, configuration)
 		close(v.configured)
+	} else {
+		v.onConfigured(previous.Configuration, configuration)
 	}
 	v.logger.Info(event.ConfigurationApplied, "version", configuration.Version, "routes", len(configuration.Routes),
 		"age_ms", view.AgeMillis, "took_ms", (v.now() - begun).Milliseconds())
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"github.com/pierhaven/pierhaven/internal/origin"
-	"github.com/pierhaven/pierhaven/internal/traffic"
 )
 
 // OriginRecorder records where a call's stream begins if its next send, of a number from 1, brings the first event. It does
@@ -15,11 +14,8 @@
 // called before the Runner is used.
 func (r *Runner) SetOriginRecorder(recorder OriginRecorder) { r.recordOrigin = recorder }
 
-// mayBeTakenUp reports whether the call is a stream that callers may take up.
-func (c *Call) mayBeTakenUp() bool { return c.Route.Kind == traffic.KindStream && c.Route.Resumable }
-
 // beginsStream reports whether the call begins a stream that callers may take up.
-func (c *Call) beginsStream() bool { return c.mayBeTakenUp() && !c.Software.IsSet() }
+func (c *Call) beginsStream() bool { return c.Route.MayBeTakenUp() && !c.Software.IsSet() }
 
 // noteOrigin records where the call's stream will begin, unless it has begun.
 func (r *callState) noteOrigin(lease *Lease) {
--- a/internal/traffic/configuration.go
+++ b/internal/traffic/configuration.go
@@ -101,6 +101,20 @@
 	return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resumable
 }
 
+// MayBeTakenUp reports whether requests of the route are streams that callers may take up.
+func (r *Route) MayBeTakenUp() bool { return r.Kind == KindStream && r.Resumable }
+
+// Services returns the services that requests of the route go to.
+func (r *Route) Services() []string {
+	var services []string
+	for _, part := range r.Split {
+		if part.Weight > 0 {
+			services = append(services, part.Service)
+		}
+	}
+	return services
+}
+
 // SplitsTo reports whether requests of the route may go to a service.
 func (r *Route) SplitsTo(service string) bool {
 	return slices.ContainsFunc(r.Split, func(part Part) bool { return part.Service == service && part.Weight > 0 })
