A take-up waits a moment for what is known of earlier configurations

After a start of all processes, gateways are told what was before their configuration as soon as the coordinators have a leader.

What is known is looked up anew with each try. TestATakeUpWaitsAMomentUntilEarlierConfigurationsAreKnown failed before (503).

--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -235,37 +235,17 @@
 
 func (o *originClient) search(ctx context.Context, tenant string, request relay.RequestMetadata, route *traffic.Route, version uint64) (takenUp, error) {
 	key := origin.KeyOf(tenant, request.Resumes)
-	// A lease that is renewed meanwhile may be on a newer view than what is read here.
-	held := o.views.heldLease(version)
-	now := o.clock()
-	o.mutex.Lock()
-	record, age := o.begun.Get(now, key)
-	recent, allServices := o.recentlyAt(now, route)
-	o.mutex.Unlock()
-	for index := range recent {
-		recent[index].Complete = recent[index].Complete && held.software
-	}
-	if request.Resumes == "" {
-		record = nil
-	}
-	if record != nil {
+	if record, age := o.own(key); record != nil && request.Resumes != "" {
 		return checked(takenUp{Origin: record.Origin, found: originOwn, age: age}, record, route)
 	}
-	combine := merged
-	if held.kept {
-		combine = narrowed
-	}
-	routesKnown := !held.routesKept || held.routes && allServices
 	until := time.Now().Add(min(maximumOriginWait, callerWait(request.Wait)/originWaitDivisor))
 	for {
-		replies := o.ask(ctx, key, recent)
-		possible := combine(recent, replies)
-		if !routesKnown {
-			possible = withoutCompleteness(possible)
-		}
+		known := o.known(route, version)
+		replies := o.ask(ctx, key, known.services)
+		possible := known.combine(replies)
 		found, err := fromReplies(replies, possible, request, route)
 		found.replies, found.possible = len(replies), possible
-		if err == nil || len(replies) == 0 || !routesKnown || anyTells(replies) || time.Now().After(until) {
+		if err == nil || len(replies) == 0 || known.routes && anyTells(replies) || time.Now().After(until) {
 			return found, err
 		}
 		// Coordinators that have just started, or lack a leader, can tell in a moment.
@@ -275,6 +255,47 @@
 	}
 }
 
+// own returns the record of a stream that has begun here, nil if there is none.
+func (o *originClient) own(key origin.Key) (record *origin.Record, age time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.begun.Get(o.clock(), key)
+}
+
+// knownOrigins is where streams of a route may have begun, as far as this gateway knows.
+type knownOrigins struct {
+	services []origin.ServiceVersions
+	// routes is set if streams can have begun at no other services.
+	routes bool
+	// gated says that there are leases on lists.
+	gated bool
+}
+
+// known returns where streams of a route may have begun, by a version of the configuration.
+func (o *originClient) known(route *traffic.Route, version uint64) knownOrigins {
+	// A lease that is renewed meanwhile may be on a newer view than what is read here.
+	held := o.views.heldLease(version)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	recent, allServices := o.recentlyAt(o.clock(), route)
+	for index := range recent {
+		recent[index].Complete = recent[index].Complete && held.software
+	}
+	return knownOrigins{services: recent, routes: !held.routesKept || held.routes && allServices, gated: held.kept}
+}
+
+// combine adds what coordinators know.
+func (k *knownOrigins) combine(replies []keeperReply) []origin.ServiceVersions {
+	combined := merged(k.services, replies)
+	if k.gated {
+		combined = narrowed(k.services, replies)
+	}
+	if !k.routes {
+		combined = withoutCompleteness(combined)
+	}
+	return combined
+}
+
 // withoutCompleteness returns what services run and have run, if streams may have begun at others too.
 func withoutCompleteness(services []origin.ServiceVersions) []origin.ServiceVersions {
 	incomplete := slices.Clone(services)
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -411,6 +411,24 @@
 	require.Eventually(t, func() bool { return r.takeUpWith(fields) == http.StatusOK }, 30*time.Second, 10*time.Millisecond)
 }
 
+// Guards against take-ups that are refused right after a start of all processes: what coordinators can't tell yet, they can tell
+// in a moment.
+func TestATakeUpWaitsAMomentUntilEarlierConfigurationsAreKnown(t *testing.T) {
+	t.Parallel()
+	r := startRegionOfTwoServices(t)
+	r.coordinator.update(func(view *region.View) { view.RoutesComplete = false })
+	r.second = startGateway(t, r.coordinator)
+	r.second.awaitReadiness(http.StatusOK)
+	queries := r.coordinator.origins.Counts().Queries
+	go func() {
+		for r.coordinator.origins.Counts().Queries == queries {
+			time.Sleep(time.Millisecond)
+		}
+		r.coordinator.update(func(view *region.View) { view.RoutesComplete = true })
+	}()
+	assert.Equal(t, http.StatusOK, r.takeUpWith(map[string]string{"Request": "x", "Resumed": "x", "Last-Event": "1", "Resumes": "r-unknown"}))
+}
+
 // awaitPolls waits until both gateways have the coordinator's view.
 func (r *takeUps) awaitPolls() {
 	r.t.Helper()
