Take-ups wait for coordinators that can't tell yet for half of the contact time

After a start of all processes a group may have its leader after more than the second for which take-ups waited, and they were refused as of unknown origin.

--- a/internal/relay/daemon/originquery.go
+++ b/internal/relay/daemon/originquery.go
@@ -18,11 +18,11 @@
 	// originOthersFraction is the fraction of that time to wait for the others once one coordinator has the record: one may
 	// have a newer record.
 	originOthersFraction = 0.2
-	// maximumOriginWait bounds how long coordinators are asked that can't tell yet, and 1/originWaitDivisor of its caller's
-	// wait does.
-	maximumOriginWait = time.Second
-	originWaitDivisor = 2
-	originRetryPause  = 50 * time.Millisecond
+	// originWaitFraction is the fraction of the contact time for which coordinators are asked that can't tell yet: they have
+	// a leader by then. 1/originWaitDivisor of the caller's wait bounds it too.
+	originWaitFraction = 0.5
+	originWaitDivisor  = 2
+	originRetryPause   = 50 * time.Millisecond
 )
 
 // keeperReply is the reply of a coordinator.
--- a/internal/relay/daemon/origins.go
+++ b/internal/relay/daemon/origins.go
@@ -238,7 +238,8 @@
 	if record, age := o.own(key); record != nil && request.Resumes != "" {
 		return checked(takenUp{Origin: record.Origin, found: originOwn, age: age}, record, route)
 	}
-	until := time.Now().Add(min(maximumOriginWait, callerWait(request.Wait)/originWaitDivisor))
+	longest := time.Duration(originWaitFraction * float64(o.settings.ContactTime))
+	until := time.Now().Add(min(longest, callerWait(request.Wait)/originWaitDivisor))
 	for {
 		known := o.known(route, version)
 		replies := o.ask(ctx, key, known.services)
