A peer with a newer configuration begins no stream at another service than the gateway that forwards it

What callers may have got: a stream that a peer has begun at one service, and that the gateway continued, or had recorded for a take-up, at another one.

Cause: where a route no longer has the service of a forwarded call, the peer dealt it anew, and told the software alone. The gateway took its own service for the stream's. The peer now refuses a stream that may be taken up as not ready, and the gateway asks another one.

TestAForwardedStreamBeginsAtNoOtherService failed before (200 from the other service).

--- a/internal/relay/daemon/forwardserver.go
+++ b/internal/relay/daemon/forwardserver.go
@@ -98,9 +98,11 @@
 		return f.beginsAt(ctx, version, route, forwarded.Tenant, metadata)
 	case !allowed && forwarded.Software != nil:
 		return began, errServiceLeft
+	case !allowed && route.MayBeTakenUp():
+		// The peer would take its stream to have begun at the service that it has chosen.
+		return began, failure.New(failure.NotReady, "the route no longer has the service", failure.WithRetryAfter(notReadyRetryAfter))
 	case !allowed:
-		service, err := f.chooseService(ctx, route)
-		return origin.Origin{Service: service}, err
+		began.Service = route.Splitter.Next()
 	}
 	return began, nil
 }
--- a/internal/relay/daemon/origins_test.go
+++ b/internal/relay/daemon/origins_test.go
@@ -265,22 +265,7 @@
 	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"}, version{"service", "v2"})
 	r.begin("r-1")
 	forward := func(service, resumes string) (status int, kind string) {
-		forwarded := &region.ForwardedCall{Gateway: "g", Address: r.secondPeer, Version: 3, Service: service, LastEvent: "1", WaitMicros: 5_000_000}
-		encoded, err := forwarded.MarshalMsg(nil)
-		require.NoError(t, err)
-		request, err := http.NewRequest(http.MethodPost, "http://"+r.secondPeer+"/v3/x", bytes.NewBufferString("body"))
-		require.NoError(t, err)
-		request.Host = "h.example"
-		for name, value := range map[string]string{
-			"Request": "x", "Resumed": "r-1", "Resumes": resumes, "Peer-Call": base64.StdEncoding.EncodeToString(encoded),
-		} {
-			request.Header.Set(name, value)
-		}
-		answer, err := http.DefaultClient.Do(request)
-		require.NoError(t, err)
-		_, _ = io.Copy(io.Discard, answer.Body)
-		_ = answer.Body.Close()
-		return answer.StatusCode, answer.Header.Get("Peer-Refusal")
+		return r.forward(&region.ForwardedCall{Service: service, LastEvent: "1"}, map[string]string{"Request": "x", "Resumed": "r-1", "Resumes": resumes})
 	}
 	for _, service := range []string{"service", "other"} {
 		status, kind := forward(service, "")
@@ -292,6 +277,37 @@
 	r.assertPairs(1)
 }
 
+// forward sends a peer's call to the second gateway, and returns the status and the kind of a refusal.
+func (r *takeUps) forward(forwarded *region.ForwardedCall, fields map[string]string) (status int, kind string) {
+	r.t.Helper()
+	forwarded.Gateway, forwarded.Address, forwarded.Version, forwarded.WaitMicros = "g", r.secondPeer, 3, 5_000_000
+	encoded, err := forwarded.MarshalMsg(nil)
+	require.NoError(r.t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.secondPeer+"/v3/x", bytes.NewBufferString("body"))
+	require.NoError(r.t, err)
+	request.Host = "h.example"
+	request.Header.Set("Peer-Call", base64.StdEncoding.EncodeToString(encoded))
+	for name, value := range fields {
+		request.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(r.t, err)
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode, answer.Header.Get("Peer-Refusal")
+}
+
+// Guards against streams of two services: a peer that has a newer configuration began a forwarded stream at another service than
+// the gateway that forwards it, which recorded and continued it at its own.
+func TestAForwardedStreamBeginsAtNoOtherService(t *testing.T) {
+	t.Parallel()
+	r := startTakeUps(t, []traffic.Part{{Service: "service", Weight: 1}}, version{"service", "v1"}, version{"other", "v1"})
+	status, kind := r.forward(&region.ForwardedCall{Service: "other"}, map[string]string{"Request": "r-1", "Begun": "r-1"})
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.Equal(t, string(failure.NotReady), kind)
+	assert.Empty(t, r.versionsBegun())
+}
+
 // showSecondVersion lists a replica of a second version at the coordinator, at which streams may not begin yet.
 func (r *takeUps) showSecondVersion() {
 	address := startReplica(r.t, r.replica(version{"service", "v2"}))
