Software that ran before a gateway's start counts from its end, not from the start

Callers who took streams up at a gateway that had just started were refused although one version alone was possible: what coordinators tell of former software lies in the past of the process, at a negative time of its clock, and the larger of that and of nothing was 0, its start. It counted for up to 30 s too long.

TestFormerSoftwareOfBeforeTheStartCountsFromItsEnd failed before (two versions in place of one).

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -96,6 +96,16 @@
 	assert.Equal(t, "several", only(4*origin.Window), "parts of the list are missing")
 }
 
+// Guards against take-ups that are refused after a start of all processes: software of long ago counted from the start on.
+func TestFormerSoftwareOfBeforeTheStartCountsFromItsEnd(t *testing.T) {
+	var versions origin.Versions
+	until := time.Second - origin.Window
+	versions.Confirm(0, map[string]map[origin.Software]time.Duration{"s": {{Version: "v1"}: until}})
+	versions.Observe(0, listOf("v2"), true)
+	assert.Len(t, versions.Recent(time.Second-1, "s").Software, 2)
+	assert.Equal(t, []origin.Software{{Version: "v2"}}, versions.Recent(time.Second, "s").Software)
+}
+
 func TestSoftwareThatIsNewAllTheTimeIsBounded(t *testing.T) {
 	var versions origin.Versions
 	versions.Confirm(0, nil)
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -38,7 +38,9 @@
 		}
 		recent := v.services[service]
 		for software, until := range gone {
-			recent.seenAt[software] = max(recent.seenAt[software], until)
+			if seen, known := recent.seenAt[software]; !known || seen < until {
+				recent.seenAt[software] = until
+			}
 		}
 	}
 }
