--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -441,10 +441,11 @@
 		f.mutex.Unlock()
 	} else {
 		laid.role = "relay"
+		budget := options.retryBudget()
 		laid.address = fmt.Sprintf("%s:%d", ip, callerPort)
 		common += withoutLine(options.Without)
-		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: 0.2\nretry_window_seconds: 10\nretry_slack: 50\ndrain_ms: %d\n",
-			f.callerListen(number, options), ip, readyPort, leaveTime.Milliseconds())
+		common += fmt.Sprintf("listen: %s\nready_listen: %s:%d\nretry_ratio: %v\nretry_window_seconds: %d\nretry_slack: %d\ndrain_ms: %d\n",
+			f.callerListen(number, options), ip, readyPort, budget.ratio, int(retryWindow.Seconds()), budget.slack, leaveTime.Milliseconds())
 		if options.Plants.CutsAtVersions {
 			if _, err := f.proxy.ListenTCP("callers-"+laid.name, laid.address, f.callerListen(number, options)); err != nil {
 				return err
--- a/bench/soak/releases.go
+++ b/bench/soak/releases.go
@@ -7,9 +7,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pierhaven/pierhaven/bench/faultproxy"
 	"github.com/pierhaven/pierhaven/platform/platformtest"
 )
 
@@ -36,18 +38,35 @@
 	// two engines that start again meanwhile.
 	killEvery        = 1500 * time.Millisecond
 	slowReleaseEvery = 4 * time.Second
+	// cutOffShare of the kills of a gateway come while the other one is cut off from the coordinators, and cutOffBefore is the
+	// mean time for which it is by then.
+	cutOffShare  = 0.4
+	cutOffBefore = time.Second
 )
 
-// killGateways kills gateways in turn until the duration is over, or a broken promise is noticed that is waited for.
+// killGateways kills gateways in turn until the duration is over, or a broken promise is noticed that is waited for. Some of them
+// are killed while the other one is cut off from the coordinators.
 func (s *soak) killGateways(ctx context.Context) {
 	end := time.Now().Add(s.options.Duration)
 	for number := 0; ctx.Err() == nil && time.Now().Before(end) && !s.waitedFor(); number++ {
 		s.countFault()
+		var other sync.WaitGroup
+		if s.roll(cutOffShare) {
+			other.Go(func() { s.cutOffFromCoordinators(ctx, s.fleet.gateways[(number+1)%gateways]) })
+			pause(ctx, s.around(cutOffBefore))
+		}
 		s.restart(ctx, s.fleet.gateways[number%gateways], syscall.SIGKILL)
+		other.Wait()
 		pause(ctx, contactTime+s.around(killEvery))
 	}
 }
 
+func (s *soak) cutOffFromCoordinators(ctx context.Context, gateway *process) {
+	defer s.truth.disturbs(gateway.name, "p*")()
+	defer s.fleet.proxy.Apply(faultproxy.Match{Source: gateway.name, Destination: "p*"}, cutOff)()
+	pause(ctx, s.around(2*cutOffBefore))
+}
+
 // anyVersion draws a version.
 func (s *soak) anyVersion() string { return versions[int(s.draw()*float64(len(versions)))] }
 
@@ -66,8 +85,9 @@
 	events  []platformtest.Event
 }
 
-// takeUps counts the tries to begin streams and to take them up.
-type takeUps struct{ judged, wentOn, begins, began int }
+// takeUps counts the tries to begin streams and to take them up: those that are judged, and of the latter all, also those beside
+// faults.
+type takeUps struct{ judged, wentOn, begins, began, all, allWentOn int }
 
 // streamOverTries has a stream from gateways in turn, and takes it up where it broke off.
 func (s *soak) streamOverTries(ctx context.Context, client *http.Client, number int, wanted stream) {
@@ -97,13 +117,14 @@
 	s.truth.begin(id, false, "", wanted.owner)
 	gateway := s.gatewayFor(id, number)
 	judged := s.judgesTry(id, wanted)
+	s.truth.asksEngines()
 	sent := time.Now()
 	answer, err := platformtest.CallStream(ctx, client, gateway, caller)
 	if err != nil && ctx.Err() == nil {
 		s.truth.cut(id, sent, err)
 	}
-	if ctx.Err() == nil && judged {
-		s.truth.tried(len(wanted.events) > 0, len(answer.Events) > 0)
+	if ctx.Err() == nil {
+		s.truth.tried(judged, len(wanted.events) > 0, len(answer.Events) > 0)
 	}
 	if len(wanted.events) == 0 && len(answer.Events) > 0 {
 		wanted.resumes = id
@@ -154,9 +175,18 @@
 }
 
 // tried notes a try to begin a stream or to take it up.
-func (t *truth) tried(takesUp, succeeded bool) {
+func (t *truth) tried(judged, takesUp, succeeded bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if takesUp {
+		t.takeUps.all++
+	}
+	if takesUp && succeeded {
+		t.takeUps.allWentOn++
+	}
+	if !judged {
+		return
+	}
 	all, some := &t.takeUps.begins, &t.takeUps.began
 	if takesUp {
 		all, some = &t.takeUps.judged, &t.takeUps.wentOn
--- a/bench/soak/replica.go
+++ b/bench/soak/replica.go
@@ -23,7 +23,10 @@
 
 func replicaName(number int) string { return fmt.Sprintf("i-%d", number) }
 
-func engineName(number int) string { return fmt.Sprintf("e-%d", number) }
+// enginePrefix begins the names of the model replicas.
+const enginePrefix = "e-"
+
+func engineName(number int) string { return fmt.Sprint(enginePrefix, number) }
 
 func (r *replicaProcess) instance() string {
 	if r.keepsID {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -64,6 +64,8 @@
 	Callers int
 	// Endless has stand-ins answer some requests without end, and judges the memory of each process.
 	Endless bool
+	// Resets has engines reset requests at any step, and judges the arrivals at engines by the retry budget.
+	Resets bool
 	// Race builds the program with the race detector; each of its reports is a violation.
 	Race bool
 	// Halt stops the replacing of processes half-way: the two builds go on side by side. LateThaw has
@@ -136,8 +138,10 @@
 	// a gateway that they leave, which were judged.
 	Rested, Left int
 	// TakeUps are the tries to take up streams that were judged, and WentOn those that went on; Begins and Began are the same
-	// for streams that begin.
-	TakeUps, WentOn, Begins, Began int
+	// for streams that begin. AllTakeUps and AllWentOn have those beside faults too.
+	TakeUps, WentOn, Begins, Began, AllTakeUps, AllWentOn int
+	// Resets are the requests that engines have reset.
+	Resets resetCounts
 	// Endless are the answers without end, and MostMemory is the most that a process has held, in megabytes.
 	Endless, MostMemory int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
@@ -168,8 +172,9 @@
 	faults  int
 	upgrade upgrade
 
-	mutex sync.Mutex
-	dice  *rand.Rand
+	mutex  sync.Mutex
+	dice   *rand.Rand
+	resets resetting
 }
 
 // Run runs a soak.
@@ -182,7 +187,7 @@
 		client:  newClient(),
 	}
 	var err error
-	s.fleet, err = newFleet(options, s.runAtReplica, s.engineWatch(), s.endlessly)
+	s.fleet, err = newFleet(options, s.runAtReplica, s.engineWatch(), s.spoils())
 	if s.fleet != nil {
 		defer s.fleet.stop()
 	}
@@ -205,6 +210,9 @@
 	if options.Endless {
 		running.Go(func() { s.watchMemory(work) })
 	}
+	if options.Resets {
+		running.Go(func() { s.varyResets(work) })
+	}
 	if !options.Calm {
 		running.Go(func() { s.callHalfClosed(work) })
 	}
@@ -249,12 +257,22 @@
 	s.truth.replicaLimits()
 	s.truth.strays(s.fleet.strays.Load())
 	s.truth.duties(s.fleet.duties.Broken(), len(s.fleet.duties.Windows()))
+	resets := s.truth.judgeRetries(options.retryBudget())
 	result := s.truth.result(options.Seed, s.faults)
+	result.Resets = resets
 	result.Replaced = s.upgrade.replaced
 	result.ServedBefore, result.ServedDuring = s.upgrade.before.share(), s.upgrade.during.share()
 	return result, nil
 }
 
+// spoils returns what stands before the handlers of the stand-ins.
+func (s *soak) spoils() wrapper {
+	if s.options.Resets {
+		return s.resetsRequests
+	}
+	return s.endlessly
+}
+
 // failPages has calls for pages of a long list fail from now on.
 func (s *soak) failPages() {
 	switch {
@@ -420,6 +438,9 @@
 		}
 		s.truth.begin(id, path == onceRoute || path == modelRoute, wanted, owner)
 		gateway := s.gatewayFor(id, caller+number/len(routes))
+		if prompt != nil {
+			s.truth.asksEngines()
+		}
 		bounded, cancel := context.WithTimeout(ctx, 2*callWait)
 		sent := time.Now()
 		answer, err := platformtest.CallAs(bounded, client, gateway, host, path+"x", id, callWait, prompt, key)
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -51,6 +51,7 @@
 	asks                  asks
 	rested, left, drained int
 	takeUps               takeUps
+	engines               engineArrivals
 	// cuts are the calls that ended without a whole answer, and excused how many of them may, by reason.
 	cuts       []cutCall
 	excused    map[string]int
@@ -285,6 +286,8 @@
 		Drained:    t.drained,
 		TakeUps:    t.takeUps.judged,
 		WentOn:     t.takeUps.wentOn,
+		AllTakeUps: t.takeUps.all,
+		AllWentOn:  t.takeUps.allWentOn,
 		Begins:     t.takeUps.begins,
 		Began:      t.takeUps.began,
 		Endless:    t.endless,
