--- a/internal/coordinator/routes.go
+++ b/internal/coordinator/routes.go
@@ -56,9 +56,7 @@
 			former = append(former, each)
 		}
 	}
-	age := c.freshness.age(c.now())
-	fresh := age >= 0 && age < c.settings.ContactTime
-	return former, fresh && state.RoutesSince != 0 && now-state.RoutesSince >= int64(origin.Window+clockSlack)
+	return former, c.isCompleteSince(state.RoutesSince, now)
 }
 
 // configurationCommand returns the command that puts a configuration into effect in place of that of a state.
--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -166,9 +166,15 @@
 			former = append(former, each)
 		}
 	}
+	return former, c.isCompleteSince(state.SoftwareSince, now)
+}
+
+// isCompleteSince reports whether what this coordinator's copy of the state keeps since a time, 0 for never, is all that counts
+// within origin.Window. Both times are in nanoseconds since 1970.
+func (c *Coordinator) isCompleteSince(since, now int64) bool {
 	age := c.freshness.age(c.now())
 	fresh := age >= 0 && age < c.settings.ContactTime
-	return former, fresh && state.SoftwareSince != 0 && now-state.SoftwareSince >= int64(origin.Window+clockSlack)
+	return fresh && since != 0 && now-since >= int64(origin.Window+clockSlack)
 }
 
 // recentSoftware returns at what software the streams of services may have begun within origin.Window, by this coordinator's
