The configuration's times for heads and idle connections are in force, on open connections too

Callers saw: connections without a request that stayed for 30 s, and idle ones for two minutes, whatever HeaderTimeoutMs and IdleTimeoutMs said.

Why this works: a listener looks at its connections twice a second by the limits in force then. A head has to be whole, and a body has to bring 4 KB or its end, within HeaderTimeoutMs; a connection that is used within IdleTimeoutMs is kept (TestConnectionsThatAreUsedInTimeAreKept).

TestConfiguredTimesAreInForceOnOpenConnections failed before: all three connections were open 15 s after the configuration was acknowledged.

--- a/internal/relay/daemon/daemon.go
+++ b/internal/relay/daemon/daemon.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
 	}
-	callers.Limits, forwarding.Limits, forwarding.Internal = func() listener.Limits { return defaultLimits }, func() listener.Limits { return forwardingLimits }, true
+	callers.Limits, forwarding.Limits, forwarding.Internal = d.callerLimits, func() listener.Limits { return forwardingLimits }, true
 	readiness, err := d.listen("readiness", d.settings.ReadyListen, readinessConnections)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal)
--- a/internal/relay/daemon/limits.go
+++ b/internal/relay/daemon/limits.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/listener"
 	"github.com/pierhaven/pierhaven/internal/traffic"
@@ -25,3 +27,33 @@
 var forwardingLimits = listener.Limits{
 	HeaderBytes: maximumHeaderBytes + forwardedHeaderBytes, BodyBytes: maximumBodyBytes, HeaderTime: headerTimeout, IdleTime: idleTimeout,
 }
+
+// callerLimits returns the limits of callers' requests by the configuration in force.
+func (d *Daemon) callerLimits() listener.Limits {
+	table := d.views.Table()
+	if table == nil {
+		return defaultLimits
+	}
+	configured := table.Configuration.Limits
+	return listener.Limits{
+		HeaderBytes: atMost(configured.MaximumHeaderBytes, maximumHeaderBytes),
+		BodyBytes:   atMost(configured.MaximumBodyBytes, maximumBodyBytes),
+		HeaderTime:  orDefault(configured.HeaderTimeout, headerTimeout),
+		IdleTime:    orDefault(configured.IdleTimeout, idleTimeout),
+	}
+}
+
+// atMost returns a limit up to a maximum, which holds for 0.
+func atMost(limit, maximum int) int {
+	if limit <= 0 {
+		return maximum
+	}
+	return min(limit, maximum)
+}
+
+func orDefault(configured, otherwise time.Duration) time.Duration {
+	if configured <= 0 {
+		return otherwise
+	}
+	return configured
+}
