Connections without a whole request give their places up to those that come

Callers saw: new connections closed at once, for as long as a crowd of idle clients stayed.

Why this works: when all places are taken, the connection that is furthest from a whole request is closed, the longest there among equals; kept connections go last, and those with a request that is served never.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -117,7 +117,7 @@
 func (l *Listener) admit(accepted net.Conn) net.Conn {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(l.open) >= l.maximum {
+	if len(l.open) >= l.maximum && !l.makePlace() {
 		l.turned++
 		return nil
 	}
@@ -130,6 +130,26 @@
 	return admitted
 }
 
+// makePlace closes the connection that is furthest from a whole request, the one that has been there for longest among equals, and reports
+// whether there was one. The caller must hold l.mutex.
+func (l *Listener) makePlace() bool {
+	var furthest *connection
+	var place placeRank
+	for c := range l.open {
+		if rank, gives := c.placeRank(); gives && (furthest == nil || rank.before(place)) {
+			furthest, place = c, rank
+		}
+	}
+	if furthest == nil {
+		return false
+	}
+	delete(l.open, furthest)
+	furthest.end(endNoPlace)
+	furthest.closing.Store(true)
+	_ = furthest.Conn.Close()
+	return true
+}
+
 // sweepInterval is a fraction of the time within which changed limits are in force on open connections.
 const sweepInterval = 500 * time.Millisecond
 
--- a/internal/listener/receive_test.go
+++ b/internal/listener/receive_test.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -185,6 +187,41 @@
 	assert.EqualValues(t, 1, served.Load())
 }
 
+// A kept connection gives its place up after those without a request, and only if places are short.
+func TestPlacesAreGivenUpByThoseFurthestFromARequest(t *testing.T) {
+	var served atomic.Int64
+	l, _ := serving(t, 4, calmLimits, &served)
+	begin := func(first string) net.Conn {
+		connection := dial(t, l)
+		_, err := io.WriteString(connection, first)
+		require.NoError(t, err)
+		return connection
+	}
+	kept := begin("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	reader := bufio.NewReader(kept)
+	require.NoError(t, kept.SetDeadline(time.Now().Add(20*time.Second)))
+	readAnswer(t, reader)
+	body := begin("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc")
+	head := begin("POST / HT")
+	silent := begin("")
+	require.Eventually(t, func() bool {
+		phases := l.Phases()
+		return phases["idle"] == 1 && phases["body"] == 1 && phases["head"] == 1 && phases["new"] == 1
+	}, 10*time.Second, time.Millisecond)
+	for _, closed := range []net.Conn{silent, head, body} {
+		answered := begin("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, answered.SetDeadline(time.Now().Add(20*time.Second)))
+		readAnswer(t, bufio.NewReader(answered))
+		require.NoError(t, closed.SetDeadline(time.Now().Add(20*time.Second)))
+		_, err := closed.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+	_, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	readAnswer(t, reader)
+}
+
 // A caller that keeps inside four fifths of the idle time is never cut.
 func TestConnectionsThatAreUsedInTimeAreKept(t *testing.T) {
 	limits := calmLimits
