The heap of a crowd that has gone is given back

Operators saw: 355 MB held by a gateway 30 s after a crowd had gone (6 MB before), 1,145 to 2,049 MB by a zone's processes.

Why this works: a listener's look at its connections has the heap collected and given back once, after a quarter of the requests' memory was held and a twentieth is left.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -163,6 +163,7 @@
 			c.expire(now, limits)
 		}
 		l.memory.room.Broadcast()
+		l.memory.collectAfterCrowd()
 		if counted := l.counted(); counted != told {
 			told = counted
 			l.logCounts(counted)
@@ -177,7 +178,7 @@
 func (l *Listener) endSweep() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sweeping = len(l.open) > 0
+	l.sweeping = len(l.open) > 0 || l.memory.mayCollect()
 	return !l.sweeping
 }
 
--- a/internal/listener/memory.go
+++ b/internal/listener/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -148,6 +149,31 @@
 	m.room.Broadcast()
 }
 
+const (
+	// crowdShare of the memory was held by what is called a crowd, and goneShare is held once it has gone.
+	crowdShare = 0.25
+	goneShare  = 0.05
+)
+
+// collectAfterCrowd gives the heap of a crowd that has gone back to the system: with little to allocate, the collector would not run
+// for minutes.
+func (m *Memory) collectAfterCrowd() {
+	most, held := m.mostSinceCollection.Load(), m.budget.Held()
+	if float64(most) < crowdShare*float64(m.total) || float64(held) > goneShare*float64(m.total) || !m.collecting.CompareAndSwap(false, true) {
+		return
+	}
+	m.mostSinceCollection.Store(0)
+	go func() {
+		defer m.collecting.Store(false)
+		debug.FreeOSMemory()
+	}()
+}
+
+// mayCollect reports whether a crowd's heap is to be given back yet.
+func (m *Memory) mayCollect() bool {
+	return float64(m.mostSinceCollection.Load()) >= crowdShare*float64(m.total)
+}
+
 // raise sets a maximum to a value that is above it.
 func raise(maximum *atomic.Int64, value int64) {
 	for {
