Callers' requests and those of peers have a part of the memory each

Cause: the last fifth of the one sum was left to peers, by a bound on what all held; bodies of peers took it beyond that bound, and nothing was left for anyone else.

Why this works: two budgets in the sum, three quarters for clients and a quarter for peers, each with its own dynamic threshold.

--- a/bench/fleet/serving_test.go
+++ b/bench/fleet/serving_test.go
@@ -147,7 +147,9 @@
 	assert.Contains(t, string(refusal), "idempotency_key_missing")
 
 	code := client.post(t, "/v1/applications/floor/sorting-code", `{"parcel":"3S1"}`, nil)
-	assert.Equal(t, http.StatusOK, code.StatusCode)
+	answered, err := io.ReadAll(code.Body)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, code.StatusCode, "%s", answered)
 
 	wrongKey := openAIClient{base: client.base, key: "wrong"}
 	refused := wrongKey.post(t, "/v1/chat/completions", `{"model":"address-reading","messages":[{"role":"user","content":"x"}]}`, nil)
--- a/bench/soak/command.go
+++ b/bench/soak/command.go
@@ -40,6 +40,7 @@
 	command.Flags().BoolVar(&options.GatewayKills, "gateway-kills", false, "no faults but kills of gateways and starts of engines: streams that are taken up have to go on")
 	command.Flags().BoolVar(&options.Members, "members", false, "no faults but losses of one coordinator at a time, of which some are replaced by others at new addresses")
 	command.Flags().BoolVar(&options.Endless, "endless", false, "stand-ins answer some requests without end; the memory of each process is judged")
+	command.Flags().BoolVar(&options.Crowds, "crowds", false, "clients that don't behave meet all listeners; the memory and the descriptors of each process are judged")
 	command.Flags().BoolVar(&options.Resets, "resets", false, "engines reset requests at any step; the arrivals at engines are judged by the retry budget")
 	command.Flags().BoolVar(&options.LongList, "long-list", false, "the platform's list comes in pages, of which some fail, and takes few calls a second")
 	command.Flags().BoolVar(&options.Halt, "halt", false, "stop replacing processes half-way, and go on with both builds")
@@ -107,9 +108,9 @@
 
 // print writes what a soak has found.
 func (r *Result) print(out io.Writer, options *Options) {
-	_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests, %d leaving and %d draining engines judged, %d of %d take-ups went on (%d of %d with those beside faults) and %d of %d streams began, %d requests and %d prompts reset by engines, %d retries of %d in a window, %d answers without end, %d MB held at most, %d violations\n",
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests served, %d of them streams, %d of these moved, %d faults, %d changes, %d orders, %d windows of usage, %d replicas ended by requests, %d answers that one is held, %d refused for a limit, %d limits of replicas, %d processes replaced by another build, %d calls cut with an excuse %v, %d rests, %d leaving and %d draining engines judged, %d of %d take-ups went on (%d of %d with those beside faults) and %d of %d streams began, %d requests and %d prompts reset by engines, %d retries of %d in a window, %d answers without end, %d crowds, %d MB held at most, %d violations\n",
 		r.Seed, r.Served, r.Streams, r.Moves, r.Faults, r.Changes, r.Orders, r.Windows,
-		r.Ends, r.Held, r.Limited, r.Named, r.Replaced, r.Cuts, r.Excused, r.Rested, r.Left, r.Drained, r.WentOn, r.TakeUps, r.AllWentOn, r.AllTakeUps, r.Began, r.Begins, r.Resets.Requests-r.Resets.Prompts, r.Resets.Prompts, r.Resets.Retries, r.Resets.Allowed, r.Endless, r.MostMemory, len(r.Violations))
+		r.Ends, r.Held, r.Limited, r.Named, r.Replaced, r.Cuts, r.Excused, r.Rested, r.Left, r.Drained, r.WentOn, r.TakeUps, r.AllWentOn, r.AllTakeUps, r.Began, r.Begins, r.Resets.Requests-r.Resets.Prompts, r.Resets.Prompts, r.Resets.Retries, r.Resets.Allowed, r.Endless, r.Crowds, r.MostMemory, len(r.Violations))
 	if options.Calm {
 		_, _ = fmt.Fprintf(out, "  of the callers' requests %.4f were answered before, %.4f from the first replacement on\n", r.ServedBefore, r.ServedDuring)
 	}
--- a/bench/soak/endless.go
+++ b/bench/soak/endless.go
@@ -86,10 +86,10 @@
 		for _, each := range s.fleet.all() {
 			held := each.memoryMegabytes(anonymousMemory)
 			s.truth.holds(held)
-			if held <= memoryMegabytes {
+			if held <= s.options.allowedMegabytes() {
 				continue
 			}
-			s.truth.report("%s holds %d MB, and may hold %d", each.name, held, memoryMegabytes)
+			s.truth.report("%s holds %d MB, and may hold %d", each.name, held, s.options.allowedMegabytes())
 			s.restart(ctx, each, syscall.SIGKILL)
 		}
 	}
--- a/bench/soak/settings.go
+++ b/bench/soak/settings.go
@@ -21,8 +21,11 @@
 	laid := &process{name: fmt.Sprintf("p%d", number), folder: filepath.Join(f.folder, fmt.Sprintf("data-%d", number)), binary: options.firstBinary(), seeds: seeds}
 	common := f.zoneSettings() + fmt.Sprintf("name: p%d\nzone: %s\naddress: %s\ninternal_port: %d\n%s\nreplica_list: %s\nstop_seconds: 6\nlog_verbosity: 1\nmetrics_listen: %s:%d\nusage_window_seconds: %d\n%s",
 		number, f.zoneOf(number), ip, internalPort, seedsLine(seeds), f.listAddress, ip, metricsPort, usageSeconds, quotaSettings())
-	if options.Endless {
-		common += fmt.Sprintf("memory_megabytes: %d\n", memoryMegabytes)
+	if options.Endless || options.Crowds {
+		common += fmt.Sprintf("memory_megabytes: %d\n", options.allowedMegabytes())
+	}
+	if options.Crowds {
+		common += fmt.Sprintf("file_descriptors: %d\n", crowdDescriptors)
 	}
 	if options.LongList {
 		common += fmt.Sprintf("list_calls_per_second: %d\n", longListRate)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -14,7 +14,7 @@
 //   - what the platform's list shows of leaving replicas is in force in time, also if it is long and some of its pages fail
 //   - a stream holds events of one version of the replicas' software, over all tries of its caller, and streams that are
 //     taken up go on
-//   - a process holds no more memory than it may, whatever its peers answer
+//   - a process holds no more memory than it may, whatever its peers answer and its clients send
 //   - service comes back
 //
 // All of them hold too while processes are replaced by those of another build, one after the other.
@@ -64,6 +64,8 @@
 	Callers int
 	// Endless has stand-ins answer some requests without end, and judges the memory of each process.
 	Endless bool
+	// Crowds has clients that don't behave meet all listeners, and judges the memory and the descriptors of each process.
+	Crowds bool
 	// Resets has engines reset requests at any step, and judges the arrivals at engines by the retry budget.
 	Resets bool
 	// Race builds the program with the race detector; each of its reports is a violation.
@@ -144,6 +146,8 @@
 	Resets resetCounts
 	// Endless are the answers without end, and MostMemory is the most that a process has held, in megabytes.
 	Endless, MostMemory int
+	// Crowds are those that have met a listener.
+	Crowds int
 	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
 	// first process was replaced, and from then on.
 	ServedBefore, ServedDuring float64
@@ -207,9 +211,13 @@
 		running.Go(func() { s.askToLeave(work) })
 		running.Go(func() { s.askForRest(work) })
 	}
-	if options.Endless {
+	if options.Endless || options.Crowds {
 		running.Go(func() { s.watchMemory(work) })
 	}
+	if options.Crowds {
+		running.Go(func() { s.sendCrowds(work) })
+		running.Go(func() { s.watchDescriptors(work) })
+	}
 	if options.Resets {
 		running.Go(func() { s.varyResets(work) })
 	}
--- a/bench/soak/truth.go
+++ b/bench/soak/truth.go
@@ -58,6 +58,8 @@
 	violations []string
 	// endless counts the answers without end, mostMemory is the most that a process has held, in megabytes.
 	endless, mostMemory int
+	// crowds are those that have met a listener.
+	crowds int
 	// unframed are the beginnings of the answers without a length that each request got.
 	unframed map[string][]string
 }
@@ -292,6 +294,7 @@
 		Began:      t.takeUps.began,
 		Endless:    t.endless,
 		MostMemory: t.mostMemory,
+		Crowds:     t.crowds,
 	}
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,7 +36,6 @@
 	if err != nil {
 		return err
 	}
-	peers.Internal = true
 	g.peers = &door{listener: peers}
 	return nil
 }
--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -188,9 +188,6 @@
 
 // keep sets what is kept of the connection's request, in bytes.
 func (c *connection) keep(size int64) error {
-	if !c.listener.memory.allows(size-c.keptBytes.Load(), c.listener.Internal) {
-		return membudget.ErrNoRoom
-	}
 	if err := c.kept.Resize(size); err != nil {
 		return err
 	}
--- a/internal/listener/export_test.go
+++ b/internal/listener/export_test.go
@@ -5,7 +5,7 @@
 // DecodeChunks decodes a chunked body, and returns what follows it; an error if the body is not whole.
 func DecodeChunks(input []byte, most int64) (data, rest []byte, err error) {
 	c := &connection{listener: Wrap(nil, 1, nil)}
-	c.kept = c.listener.memory.budget.Reserve()
+	c.kept = c.listener.memory.external.Reserve()
 	var decoder chunkDecoder
 	body := receivedBody{connection: c, limits: DefaultLimits, most: most}
 	rest, err = body.decode(&decoder, input)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -34,7 +34,7 @@
 	Name string
 	// Limits returns the limits in force; nil selects DefaultLimits. It is set before the first Accept, as is what follows.
 	Limits func() Limits
-	// Internal says that the process's peers use the listener: the last part of the memory is left to them.
+	// Internal says that the process's peers use the listener, which have a part of the memory for themselves.
 	Internal bool
 	// KeptPerBodyByte is how many bytes a handler keeps for each byte of a body, the body included; 0 is 1.
 	KeptPerBodyByte int64
@@ -121,7 +121,7 @@
 		l.turned++
 		return nil
 	}
-	admitted := &connection{Conn: accepted, listener: l, phase: phaseNew, since: time.Now(), kept: l.memory.budget.Reserve()}
+	admitted := &connection{Conn: accepted, listener: l, phase: phaseNew, since: time.Now(), kept: l.memory.budget(l.Internal).Reserve()}
 	l.open[admitted] = struct{}{}
 	if !l.sweeping {
 		l.sweeping = true
--- a/internal/listener/memory.go
+++ b/internal/listener/memory.go
@@ -14,11 +14,16 @@
 // DefaultMemoryBytes is the size of a Memory whose process names no bound of its memory.
 const DefaultMemoryBytes = 64 << 20
 
+// internalShare of a Memory is for the listeners that the process's peers use: neither crowds of clients nor of peers take the room of the
+// others.
+const internalShare = 0.25
+
 // Memory is what all listeners of a process together keep of requests, from the first byte until the answer. A request that needs more
 // than there is waits for it; the least advanced of those from which nothing has come for a time give way.
 type Memory struct {
-	budget *membudget.Budget
-	total  int64
+	total int64
+	// external is for the requests of clients, internal for those of the process's peers.
+	external, internal *membudget.Budget
 
 	// mutex guards what follows, and room is signalled with it whenever bytes were given back.
 	mutex sync.Mutex
@@ -37,7 +42,13 @@
 	if bytes <= 0 {
 		bytes = DefaultMemoryBytes
 	}
-	m := &Memory{budget: membudget.New(bytes), total: bytes, receiving: map[*connection]struct{}{}}
+	internal := int64(internalShare * float64(bytes))
+	m := &Memory{
+		total:     bytes,
+		external:  membudget.New(bytes - internal),
+		internal:  membudget.New(internal),
+		receiving: map[*connection]struct{}{},
+	}
 	m.room = sync.NewCond(&m.mutex)
 	return m
 }
@@ -58,20 +69,34 @@
 }
 
 // Held is the number of bytes kept now.
-func (m *Memory) Held() int64 { return m.budget.Held() }
+func (m *Memory) Held() int64 { return m.external.Held() + m.internal.Held() }
+
+// Most is the most that was kept since the start, for clients and for peers.
+func (m *Memory) Most() int64 { return m.external.Most() + m.internal.Most() }
 
-// Most is the highest value of Held since the start.
-func (m *Memory) Most() int64 { return m.budget.Most() }
+// budget returns the budget of a listener's requests.
+func (m *Memory) budget(internal bool) *membudget.Budget {
+	if internal {
+		return m.internal
+	}
+	return m.external
+}
 
 // largest is the most that one request can be given: as much again has to be free.
-func (m *Memory) largest() int64 { return m.total / 2 }
+func (m *Memory) largest(internal bool) int64 {
+	share := 1 - internalShare
+	if internal {
+		share = internalShare
+	}
+	return int64(share * float64(m.total) / 2)
+}
 
 // resize sets what a connection keeps, and waits for room if it has to until the connection is told to give way or a time has come.
 func (m *Memory) resize(c *connection, size int64, until time.Time) error {
 	if err := c.keep(size); err == nil {
 		return nil
 	}
-	if size > m.largest() {
+	if size > m.largest(c.listener.Internal) {
 		return membudget.ErrNoRoom
 	}
 	m.mutex.Lock()
@@ -102,7 +127,7 @@
 		fewest = other.received.Load()
 	}
 	for c := range m.receiving {
-		if c == other || c.keptBytes.Load() == 0 || !c.hasStopped(now) {
+		if c == other || c.listener.Internal != other.listener.Internal || c.keptBytes.Load() == 0 || !c.hasStopped(now) {
 			continue
 		}
 		if c.ended() != endNone {
@@ -116,20 +141,12 @@
 	return least
 }
 
-// internalShare of the memory is left to the listeners that the process's peers use.
-const internalShare = 0.2
-
-// allows reports whether more may be kept for a listener.
-func (m *Memory) allows(more int64, internal bool) bool {
-	return more <= 0 || internal || float64(m.budget.Held()+more) <= (1-internalShare)*float64(m.total)
-}
-
 // release gives back what a connection keeps.
 func (m *Memory) release(c *connection) {
 	if c.keptBytes.Load() == 0 {
 		return
 	}
-	raise(&m.mostSinceCollection, m.budget.Held())
+	raise(&m.mostSinceCollection, m.Held())
 	// A reservation can always shrink.
 	_ = c.keep(0)
 	m.room.Broadcast()
@@ -158,7 +175,7 @@
 // collectAfterCrowd gives the heap of a crowd that has gone back to the system: with little to allocate, the collector would not run
 // for minutes.
 func (m *Memory) collectAfterCrowd() {
-	most, held := m.mostSinceCollection.Load(), m.budget.Held()
+	most, held := m.mostSinceCollection.Load(), m.Held()
 	if float64(most) < crowdShare*float64(m.total) || float64(held) > goneShare*float64(m.total) || !m.collecting.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/listener/receive.go
+++ b/internal/listener/receive.go
@@ -177,7 +177,7 @@
 // largestBody returns the size of the largest body that is taken: the limit, or what there is memory for while one buffer grows into the
 // other.
 func (c *connection) largestBody(framing bodyFraming, limits Limits) int64 {
-	largest := c.listener.memory.largest() - c.headBytes
+	largest := c.listener.memory.largest(c.listener.Internal) - c.headBytes
 	growing := largest * 2 / 3
 	if !framing.isChunked {
 		growing = largest * (jumpDivisor / 2) / (jumpDivisor/2 + 1)
--- a/internal/listener/receive_test.go
+++ b/internal/listener/receive_test.go
@@ -262,3 +262,34 @@
 		}
 	})
 }
+
+// Bodies of peers took the room of callers' small requests, which waited for it.
+func TestBodiesOfPeersLeaveRoomToCallers(t *testing.T) {
+	limits := calmLimits
+	limits.BodyBytes = 100 << 10
+	var served atomic.Int64
+	callers, memory := serving(t, 100, limits, &served)
+	peers, err := listener.Listen("127.0.0.1:0", 100, func(failure.Kind) {})
+	require.NoError(t, err)
+	peers.Limits, peers.Internal = func() listener.Limits { return limits }, true
+	peers.Use(memory)
+	engine := listener.NewServer(peers, server.WithExitWaitTime(0))
+	go func() { _ = engine.Run() }()
+	t.Cleanup(func() {
+		_ = engine.Close()
+		peers.CloseConnections()
+	})
+	for range 50 {
+		stopped := dial(t, peers)
+		go func() {
+			_, _ = io.WriteString(stopped, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 102400\r\n\r\n"+strings.Repeat("a", 60000))
+		}()
+	}
+	require.Eventually(t, func() bool { return peers.Phases()["body"] > 40 }, 10*time.Second, time.Millisecond)
+	connection := dial(t, callers)
+	// A tenth of the time for which a request waits for room.
+	require.NoError(t, connection.SetDeadline(time.Now().Add(limits.HeaderTime/20)))
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 600\r\n\r\n"+strings.Repeat("b", 600))
+	require.NoError(t, err)
+	assert.Equal(t, strings.Repeat("b", 600), readAnswer(t, bufio.NewReader(connection)))
+}
