--- a/bench/crowd/process_test.go
+++ b/bench/crowd/process_test.go
@@ -114,7 +114,7 @@
 }
 
 // build returns the product's program.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	buildOnce.Do(func() {
 		folder, err := os.MkdirTemp("", "pierhaven-crowd-")
@@ -133,13 +133,13 @@
 }
 
 // startRegion starts the processes and waits until the gateway serves.
-func startRegion(t *testing.T, memory int) *region {
+func startRegion(t testing.TB, memory int) *region {
 	t.Helper()
 	return startRegionOf(t, build(t), memory)
 }
 
 // startRegionOf is startRegion with a program.
-func startRegionOf(t *testing.T, binary string, memory int) *region {
+func startRegionOf(t testing.TB, binary string, memory int) *region {
 	t.Helper()
 	var address atomic.Value
 	replica := httptest.NewServer(platformtest.ReplicaHandler("i-1", func(request platformtest.Request) platformtest.Reply {
@@ -186,7 +186,7 @@
 }
 
 // call sends an ordinary request on a new connection.
-func (r *region) call(t *testing.T, id string) error {
+func (r *region) call(t testing.TB, id string) error {
 	caller := platformtest.Caller{Host: callerHost, Path: callerPath, ID: id, Wait: patience, Body: strings.Repeat("b", 600)}
 	answer, err := platformtest.CallWith(t.Context(), newClient(), r.callers, caller)
 	if err != nil {
@@ -211,7 +211,7 @@
 }
 
 // start starts a process of the region, and ends it with the test.
-func start(t *testing.T, binary, role string, memory int, list, seed, internal, metrics, more string) *watched {
+func start(t testing.TB, binary, role string, memory int, list, seed, internal, metrics, more string) *watched {
 	t.Helper()
 	ip, port, _ := strings.Cut(internal, ":")
 	text := fmt.Sprintf("name: %s-1\nzone: zone\naddress: %s\ninternal_port: %s\nseeds: [%q]\nreplica_list: %s\nmetrics_listen: %s\nstop_seconds: 6\nlog_verbosity: 1\ncontact_ms: 3000\nmemory_megabytes: %d\nfile_descriptors: %d\n%s",
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -3,11 +3,17 @@
 
 import (
 	"bytes"
-	"strings"
 
 	"github.com/pierhaven/pierhaven/internal/failure"
 )
 
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	chunked          = []byte("chunked")
+	host             = []byte("Host")
+)
+
 // Check returns an error if a request's header fields leave it ambiguous where its body ends or
 // which host it is for. What follows such a request may be a part of it for one server and a
 // separate request for another, which allows request smuggling (RFC 9112, sections 3.2, 5.2, 6.1
@@ -19,15 +25,15 @@
 			return failure.New(failure.MalformedRequest, "a header field goes on in the next line")
 		}
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		switch strings.ToLower(string(name)) {
-		case "content-length":
+		switch {
+		case bytes.EqualFold(name, contentLength):
 			lengths++
-		case "transfer-encoding":
+		case bytes.EqualFold(name, transferEncoding):
 			codings++
-			if !strings.EqualFold(string(bytes.TrimSpace(value)), "chunked") {
+			if !bytes.EqualFold(bytes.TrimSpace(value), chunked) {
 				return failure.New(failure.MalformedRequest, "the transfer coding is not known")
 			}
-		case "host":
+		case bytes.EqualFold(name, host):
 			hosts++
 		}
 	}
--- a/internal/listener/head.go
+++ b/internal/listener/head.go
@@ -58,6 +58,13 @@
 	isExpected bool
 }
 
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	expect           = []byte("Expect")
+	continued        = []byte("100-continue")
+)
+
 // readFraming returns the framing that the fields of a head name, and hides an announced length: the digits become zeros, so that the
 // HTTP library expects no body.
 func readFraming(fields []byte) (bodyFraming, error) {
@@ -77,7 +84,7 @@
 		}
 		value := bytes.TrimSpace(line[colon+1:])
 		switch name := line[:colon]; {
-		case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
+		case bytes.EqualFold(name, contentLength):
 			length, err := strconv.ParseUint(string(value), 10, 63)
 			if err != nil {
 				return read, failure.Wrap(err, failure.MalformedRequest)
@@ -86,10 +93,10 @@
 			for index := range value {
 				value[index] = '0'
 			}
-		case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		case bytes.EqualFold(name, transferEncoding):
 			read.isChunked = true
-		case len(name) == len("Expect") && bytes.EqualFold(name, []byte("Expect")):
-			read.isExpected = bytes.EqualFold(value, []byte("100-continue"))
+		case bytes.EqualFold(name, expect):
+			read.isExpected = bytes.EqualFold(value, continued)
 		}
 	}
 	return read, nil
--- a/internal/listener/memory.go
+++ b/internal/listener/memory.go
@@ -91,14 +91,15 @@
 	return int64(share * float64(m.total) / 2)
 }
 
-// resize sets what a connection keeps, and waits for room if it has to until the connection is told to give way or a time has come.
-func (m *Memory) resize(c *connection, size int64, until time.Time) error {
+// resize sets what a connection keeps, and waits for room if it has to: for a time at most, and until the connection is told to give way.
+func (m *Memory) resize(c *connection, size int64, patience time.Duration) error {
 	if err := c.keep(size); err == nil {
 		return nil
 	}
 	if size > m.largest(c.listener.Internal) {
 		return membudget.ErrNoRoom
 	}
+	until := time.Now().Add(patience)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	c.waiting.Store(true)
--- a/internal/listener/receive.go
+++ b/internal/listener/receive.go
@@ -99,11 +99,12 @@
 		if err != nil {
 			return head, nil, err
 		}
-		if c.received.Add(int64(count)) == int64(count) {
-			c.enter(phaseHead)
-		}
+		isFirst := c.received.Add(int64(count)) == int64(count)
 		head.store = head.store[:before+count]
 		head.end = head.scan(head.store)
+		if isFirst && head.end == 0 {
+			c.enter(phaseHead)
+		}
 		size := head.end
 		if size == 0 {
 			size = len(head.store)
@@ -185,10 +186,13 @@
 	return min(int64(limits.BodyBytes), growing, largest/c.listener.keptPerBodyByte())
 }
 
-// takeSmallBody takes a body that has come with its head.
+// takeSmallBody takes a body that has come with its head. It is no larger than the first buffer, for which the places are counted, unless
+// the head was large.
 func (c *connection) takeSmallBody(first []byte, framing bodyFraming, limits Limits) error {
-	if err := c.reserve(c.headBytes+framing.length*c.listener.keptPerBodyByte(), limits); err != nil {
-		return err
+	if size := framing.length * c.listener.keptPerBodyByte(); size > scratchBytes || c.headBytes > 0 {
+		if err := c.reserve(c.headBytes+size, limits); err != nil {
+			return err
+		}
 	}
 	c.body, c.pending = clone(first[:framing.length]), clone(first[framing.length:])
 	return nil
@@ -196,8 +200,7 @@
 
 // reserve sets what is kept of the request, before it is.
 func (c *connection) reserve(size int64, limits Limits) error {
-	until := time.Now().Add(time.Duration(roomWaitShare * float64(limits.HeaderTime)))
-	return c.listener.memory.resize(c, size, until)
+	return c.listener.memory.resize(c, size, time.Duration(roomWaitShare*float64(limits.HeaderTime)))
 }
 
 // read reads what was pending, or from the network.
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -15,7 +15,6 @@
 
 	"github.com/pierhaven/pierhaven/internal/event"
 	"github.com/pierhaven/pierhaven/internal/failure"
-	"github.com/pierhaven/pierhaven/internal/framing"
 	"github.com/pierhaven/pierhaven/internal/lifecycle"
 	"github.com/pierhaven/pierhaven/internal/listener"
 	"github.com/pierhaven/pierhaven/internal/origin"
@@ -73,10 +72,6 @@
 	responder := &responder{frontend: f, request: request}
 	defer responder.finish()
 	call, err := f.newCall(ctx, request)
-	if failure.KindOf(err) == failure.MalformedRequest {
-		// The following bytes may have been meant as part of this request.
-		request.Response.Header.SetConnectionClose(true)
-	}
 	if err != nil {
 		responder.Refuse(err)
 		return
@@ -103,10 +98,6 @@
 func (f *frontend) newCall(ctx context.Context, request *app.RequestContext) (*authorizedCall, error) {
 	arrived := time.Now()
 	metadata := f.settings.Dialect.ReadRequestMetadata(func(name string) string { return fieldValue(&request.Request.Header, name) })
-	if err := framing.Check(request.Request.Header.RawHeaders()); err != nil {
-		f.logRefusal(metadata.ID, err.Error())
-		return nil, err
-	}
 	if f.refusing() {
 		f.logRefusal(metadata.ID, "the gateway is leaving")
 		return nil, failure.New(failure.Leaving, "the gateway is leaving", failure.WithRetryAfter(notReadyRetryAfter))
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -28,7 +28,7 @@
 var given atomic.Uint32
 
 // Listen listens at a free port of this test process's own loopback address.
-func Listen(t *testing.T) net.Listener {
+func Listen(t testing.TB) net.Listener {
 	t.Helper()
 	for {
 		port := firstPort + given.Add(1)%ports
@@ -42,7 +42,7 @@
 }
 
 // Address is one that a process of the test may listen at, again and again.
-func Address(t *testing.T) string {
+func Address(t testing.TB) string {
 	t.Helper()
 	listener := Listen(t)
 	defer func() { _ = listener.Close() }()
