A request that has arrived is read before its connection ends for being idle

Cause: the look at connections ends those from which nothing has been read, by a deadline of reads in the past; Go then reads nothing, also if bytes are there. A process that had no processor for the idle time, or was suspended, had not read what had come.

Why this works: a connection that is to end for being idle is read once more, for a millisecond, and goes on if something has come; a look that is late itself judges nothing, so that readers have an interval for what came meanwhile.

--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -80,6 +80,8 @@
 	mutex  sync.Mutex
 	phase  phase
 	ending ending
+	// lastLooked is set once a connection that is to end was looked at once more.
+	lastLooked bool
 	// since is when the phase began, or in phaseBody when windowBytes had come.
 	since       time.Time
 	windowBytes int64
@@ -158,6 +160,16 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.phase, c.since, c.windowBytes = next, now, c.received.Load()
+	c.keepOn()
+}
+
+// keepOn takes back that an idle connection was to end: a request has begun. The caller must hold c.mutex.
+func (c *connection) keepOn() {
+	if c.ending != endIdle {
+		return
+	}
+	c.ending, c.lastLooked = endNone, false
+	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
 // handOver begins the phase in which the library reads a request. It is no longer given up.
@@ -211,6 +223,22 @@
 	c.listener.counts.end(reason)
 }
 
+// lastLook is for how long an idle connection that is to end is looked at once more.
+const lastLook = time.Millisecond
+
+// mayHaveArrived reports whether the connection was to end for being idle: a request may have arrived that a busy process, or one that was
+// suspended, has not read yet. If so, it has one more look.
+func (c *connection) mayHaveArrived() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ending != endIdle || c.lastLooked {
+		return false
+	}
+	c.lastLooked = true
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+	return true
+}
+
 // leastWindowBytes of a body, or its end, have to come within the time for a head.
 const leastWindowBytes = 4 << 10
 
--- a/internal/listener/export_test.go
+++ b/internal/listener/export_test.go
@@ -14,3 +14,10 @@
 	}
 	return body.data, rest, err
 }
+
+// EndIdle has all connections that are idle end.
+func (l *Listener) EndIdle() {
+	for _, c := range l.connections() {
+		c.end(endIdle)
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -157,10 +157,14 @@
 func (l *Listener) sweep() {
 	var told countsSnapshot
 	for {
+		began := time.Now()
 		time.Sleep(sweepInterval)
 		now, limits := time.Now(), l.limits()
-		for _, c := range l.connections() {
-			c.expire(now, limits)
+		// A process that was suspended, or had no processor, has yet to read what has come meanwhile.
+		if now.Sub(began) < 2*sweepInterval {
+			for _, c := range l.connections() {
+				c.expire(now, limits)
+			}
 		}
 		l.memory.room.Broadcast()
 		l.memory.collectAfterCrowd()
--- a/internal/listener/receive.go
+++ b/internal/listener/receive.go
@@ -71,7 +71,7 @@
 	if c.phase > phaseIdle {
 		c.phase, c.since = phaseIdle, time.Now()
 	}
-	c.ending = endNone
+	c.ending, c.lastLooked = endNone, false
 	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
@@ -214,6 +214,9 @@
 		return count, nil
 	}
 	count, err := c.Conn.Read(buffer)
+	if count == 0 && err != nil && c.mayHaveArrived() {
+		count, err = c.Conn.Read(buffer)
+	}
 	if count > 0 {
 		return count, nil
 	}
--- a/internal/listener/receive_test.go
+++ b/internal/listener/receive_test.go
@@ -293,3 +293,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, strings.Repeat("b", 600), readAnswer(t, bufio.NewReader(connection)))
 }
+
+// A request that had arrived when its connection was to end for being idle was dropped with it.
+func TestARequestThatHasArrivedIsReadBeforeAnIdleConnectionEnds(t *testing.T) {
+	var served atomic.Int64
+	l, _ := serving(t, 10, calmLimits, &served)
+	connection := dial(t, l)
+	require.NoError(t, connection.SetDeadline(time.Now().Add(20*time.Second)))
+	reader := bufio.NewReader(connection)
+	for range 200 {
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		l.EndIdle()
+		readAnswer(t, reader)
+	}
+	l.EndIdle()
+	_, err := connection.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
