A connection that was just accepted keeps its place until its request can have been read

Callers saw: new connections that were reset, beside a crowd that had sent a byte of a body on each of its own.

Cause: a new connection ranked as the furthest from a request, before all that had begun one. With a crowd of these, the next connection took the place of the one accepted before it, whose request had arrived and was not read.

Why this works: within a twentieth of the time for a head a new connection ranks behind the requests that have begun, and before kept ones.

TestAConnectionThatWasJustAcceptedKeepsItsPlace failed before. TestPlacesAreGivenUpByThoseFurthestFromARequest waits until the silent connection is no longer new; what it asks is the same.

--- a/internal/listener/place.go
+++ b/internal/listener/place.go
@@ -1,6 +1,9 @@
 package listener
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // placeRank orders connections by which of them gives its place up first.
 type placeRank struct {
@@ -21,7 +24,11 @@
 	return r.since.Before(other.since)
 }
 
-// placeRank returns the connection's rank, and whether it may give its place up.
+// arrivalShare of the time for a head is for the first bytes of a connection to arrive and be read.
+const arrivalShare = 0.05
+
+// placeRank returns the connection's rank, and whether it may give its place up. One that was just accepted ranks behind all requests that
+// have begun: its own may be there already.
 func (c *connection) placeRank() (rank placeRank, gives bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -29,5 +36,8 @@
 	if c.phase == phaseHead || c.phase == phaseBody {
 		rank.received = c.received.Load()
 	}
+	if c.phase == phaseNew && time.Since(c.since) < time.Duration(arrivalShare*float64(c.listener.limits().HeaderTime)) {
+		rank.phase, rank.received = phaseBody, math.MaxInt64
+	}
 	return rank, c.phase <= phaseIdle
 }
--- a/internal/listener/receive_test.go
+++ b/internal/listener/receive_test.go
@@ -208,6 +208,8 @@
 		phases := l.Phases()
 		return phases["idle"] == 1 && phases["body"] == 1 && phases["head"] == 1 && phases["new"] == 1
 	}, 10*time.Second, time.Millisecond)
+	// The silent one has had the time for its request to arrive.
+	time.Sleep(calmLimits.HeaderTime / 10)
 	for _, closed := range []net.Conn{silent, head, body} {
 		answered := begin("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		require.NoError(t, answered.SetDeadline(time.Now().Add(20*time.Second)))
@@ -222,6 +224,26 @@
 	readAnswer(t, reader)
 }
 
+// A connection gave its place up before its request was read, since those of a crowd had sent something.
+func TestAConnectionThatWasJustAcceptedKeepsItsPlace(t *testing.T) {
+	var served atomic.Int64
+	l, _ := serving(t, 2, calmLimits, &served)
+	for range 2 {
+		stopped := dial(t, l)
+		_, err := io.WriteString(stopped, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return l.Phases()["body"] == 2 }, 10*time.Second, time.Millisecond)
+	accepted := dial(t, l)
+	require.Eventually(t, func() bool { return l.Phases()["new"] == 1 }, 10*time.Second, time.Millisecond)
+	dial(t, l)
+	require.Eventually(t, func() bool { return l.Endings()["no_place"] == 2 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, accepted.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err := io.WriteString(accepted, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	readAnswer(t, bufio.NewReader(accepted))
+}
+
 // A caller that keeps inside four fifths of the idle time is never cut.
 func TestConnectionsThatAreUsedInTimeAreKept(t *testing.T) {
 	limits := calmLimits
