Crowds and the listener: one copy of what stood twice, dead options out

- bench/planted builds a program with a fault, for the soak and for bench/crowd; meet, requireBounds and fill serve all tests of crowds.
The idle crowds' descriptors are counted for each kind anew, which is stricter: the second and third kinds were met before they held the places.
- lifecycle.Sleep in the place of a copy of it; one refuse for requests that no handler gets, which counts those that the library refuses, too.
- The library's bounds on bodies are left out: it sees none.
The heap of a crowd is given back by one flag, without a second copy of raise.
- bench/soak: Result has a file of its own.
Names: abortDeadline, fieldsStart.

--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -46,25 +46,52 @@
 	return count
 }
 
-// meet has a crowd meet a listener, and judges a process by what it holds meanwhile.
-func meet(t *testing.T, judged *watched, address string, kinds []crowd.Client, count, memory int) {
+// meet has a crowd meet a listener, and notes what a process holds meanwhile.
+func meet(t *testing.T, watched *watched, address string, kinds []crowd.Client, count int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), crowdTime)
 	defer cancel()
-	judged.mostMemory.Store(0)
-	judged.mostDescriptors.Store(0)
+	watched.mostMemory.Store(0)
+	watched.mostDescriptors.Store(0)
 	var running sync.WaitGroup
 	for number := range crowdClients(t, count) {
 		running.Go(func() { kinds[number%len(kinds)].Send(ctx, address) })
 	}
-	running.Go(func() { judged.watch(ctx) })
+	running.Go(func() { watched.watch(ctx) })
 	running.Wait()
-	t.Logf("%s held at most %.1f MB and %d descriptors", judged.name, float64(judged.mostMemory.Load())/(1<<20), judged.mostDescriptors.Load())
+	t.Logf("%s held at most %.1f MB and %d descriptors", watched.name, float64(watched.mostMemory.Load())/(1<<20), watched.mostDescriptors.Load())
+}
+
+// requireBounds has a crowd meet a listener, and requires that a process keeps to its bounds.
+func requireBounds(t *testing.T, judged *watched, address string, kinds []crowd.Client, count, memory int) {
+	t.Helper()
+	meet(t, judged, address, kinds, count)
 	require.True(t, judged.isRunning(), "%s has ended", judged.name)
 	assert.LessOrEqual(t, judged.mostMemory.Load(), int64(memory)<<20, "%s holds more than it may", judged.name)
 	assert.LessOrEqual(t, judged.mostDescriptors.Load(), int64(fileDescriptors))
 }
 
+// fill has idle clients take all places of callers, and come again when they are turned away, until the returned function is called.
+func (r *region) fill(t *testing.T, client crowd.Client) (end func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for range idleClients {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				client.Send(ctx, r.callers)
+				time.Sleep(redialPause)
+			}
+		})
+	}
+	running.Go(func() { r.gateway.watch(ctx) })
+	require.Eventually(t, func() bool { return r.gateway.mostDescriptors.Load() > crowdDescriptors }, patience, 10*time.Millisecond)
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 func target(path string) crowd.Target {
 	return crowd.Target{Host: callerHost, Path: path, MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes}
 }
@@ -89,7 +116,7 @@
 	for _, group := range crowd.Groups(target(callerPath)) {
 		t.Run(group.Name, func(t *testing.T) {
 			r := startRegion(t, memoryMegabytes)
-			meet(t, r.gateway, r.callers, group.Clients, crowdOf(group), memoryMegabytes)
+			requireBounds(t, r.gateway, r.callers, group.Clients, crowdOf(group), memoryMegabytes)
 			require.NoError(t, r.call(t, "afterwards"))
 		})
 	}
@@ -99,7 +126,7 @@
 	for _, group := range crowd.Groups(target("/pierhaven/Config.Replace")) {
 		t.Run(group.Name, func(t *testing.T) {
 			r := startRegion(t, memoryMegabytes)
-			meet(t, r.coordinator, r.operators, group.Clients, crowdOf(group), memoryMegabytes)
+			requireBounds(t, r.coordinator, r.operators, group.Clients, crowdOf(group), memoryMegabytes)
 			require.NoError(t, r.readBack(t))
 			require.NoError(t, r.call(t, "afterwards"))
 		})
@@ -119,7 +146,7 @@
 		{"metrics of a coordinator", r.coordinatorMetrics, "/metrics", r.coordinator},
 	} {
 		t.Run(listener.name, func(t *testing.T) {
-			meet(t, listener.judged, listener.address, allOf(crowd.Groups(target(listener.path))), clients, memoryMegabytes)
+			requireBounds(t, listener.judged, listener.address, allOf(crowd.Groups(target(listener.path))), clients, memoryMegabytes)
 			require.NoError(t, r.readBack(t))
 			require.NoError(t, r.call(t, "afterwards"))
 		})
@@ -136,7 +163,7 @@
 		{"coordinator", r.operators, "/pierhaven/Config.Replace", r.coordinator},
 	} {
 		before := door.judged.memory()
-		meet(t, door.judged, door.address, allOf(crowd.Groups(target(door.path))), clients, memoryMegabytes)
+		requireBounds(t, door.judged, door.address, allOf(crowd.Groups(target(door.path))), clients, memoryMegabytes)
 		require.Eventually(t, func() bool { return door.judged.memory() <= before+returnedMargin }, patience, 100*time.Millisecond,
 			"%s: %d bytes before, %d afterwards", door.name, before, door.judged.memory())
 		require.NoError(t, r.call(t, "afterwards"))
@@ -148,20 +175,8 @@
 	r := startRegion(t, memoryMegabytes)
 	for _, group := range crowd.Idle(target(callerPath)) {
 		t.Run(group.Name, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			var running sync.WaitGroup
-			defer running.Wait()
-			defer cancel()
-			for range idleClients {
-				running.Go(func() {
-					for ctx.Err() == nil {
-						group.Clients[0].Send(ctx, r.callers)
-						time.Sleep(redialPause)
-					}
-				})
-			}
-			running.Go(func() { r.gateway.watch(ctx) })
-			require.Eventually(t, func() bool { return r.gateway.mostDescriptors.Load() > crowdDescriptors }, patience, 10*time.Millisecond)
+			r.gateway.mostDescriptors.Store(0)
+			defer r.fill(t, group.Clients[0])()
 			for number := range 24 {
 				require.NoError(t, r.call(t, fmt.Sprintf("%s-%d", "beside", number)))
 			}
--- a/bench/crowd/zones_test.go
+++ b/bench/crowd/zones_test.go
@@ -51,7 +51,7 @@
 			judged := &watched{name: door.process.Name, pid: door.process.ProcessID()}
 			before := judged.memory()
 			target := crowd.Target{Host: "h", Path: door.path, MaxHeaderBytes: zoneHeaderBytes, MaxBodyBytes: zoneBodyBytes}
-			meet(t, judged, door.address, allOf(crowd.Groups(target)), clients, zoneMemoryMegabytes)
+			requireBounds(t, judged, door.address, allOf(crowd.Groups(target)), clients, zoneMemoryMegabytes)
 			require.Eventually(t, func() bool { return judged.memory() <= before+returnedMargin }, patience, patience/600,
 				"%d bytes before, %d afterwards", before, judged.memory())
 			require.Equal(t, http.StatusOK, zoneCall(t, callers))
--- a/bench/soak/endless_test.go
+++ b/bench/soak/endless_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/bench/planted"
 )
 
 // Replicas, the platform's list among their stand-ins, that answered without end took processes over their memory. The
@@ -26,7 +28,7 @@
 
 func TestASoakNoticesHeadsWithoutABound(t *testing.T) {
 	t.Parallel()
-	planted := buildPlanted(t, "internal/upstream/source.go", "if s.head == nil {", "if true {")
+	planted := planted.Build(t, "internal/upstream/source.go", "if s.head == nil {", "if true {")
 	result, err := Run(t.Context(), Options{
 		Seed: 22002, Endless: true, Duration: noticeTime, EndsWhenNoticed: true, Binary: planted, Folder: t.TempDir(), Log: t.Output(),
 	})
--- a/bench/soak/members_test.go
+++ b/bench/soak/members_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/bench/planted"
 )
 
 // memberSeeds are played with losses and replacements of coordinators. In the first a voter is away for long while a spare one waits.
@@ -26,7 +28,7 @@
 
 func TestASoakNoticesCoordinatorsThatAreNeverTakenBack(t *testing.T) {
 	t.Parallel()
-	planted := buildPlanted(t, "internal/coordinator/membership.go", "return !status.IsMember() || status.LeaderSilence > voterSilence", "return len(status.Members) == 0")
+	planted := planted.Build(t, "internal/coordinator/membership.go", "return !status.IsMember() || status.LeaderSilence > voterSilence", "return len(status.Members) == 0")
 	result, err := Run(t.Context(), Options{
 		Seed: 69145, Members: true, Duration: noticeTime, EndsWhenNoticed: true, Binary: planted, Folder: t.TempDir(), Log: t.Output(),
 	})
--- a/bench/soak/resets_test.go
+++ b/bench/soak/resets_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/bench/planted"
 )
 
 // Guards against arrivals at replicas that no retry budget was charged for: engines reset requests and prompts at any step, also
@@ -28,7 +30,7 @@
 
 func TestASoakNoticesSendsThatAreNotCharged(t *testing.T) {
 	t.Parallel()
-	planted := buildPlanted(t, "internal/relay/ledger.go",
+	planted := planted.Build(t, "internal/relay/ledger.go",
 		"sendAnswer:  {outcomeUnsent: 0, outcomeTakenUp: 1, outcomeRejected: 1, outcomeUnknown: 1}",
 		"sendAnswer:  {outcomeUnsent: 0, outcomeTakenUp: 0, outcomeRejected: 1, outcomeUnknown: 0}")
 	result, err := Run(t.Context(), Options{
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -108,51 +108,6 @@
 	NoLimits bool
 }
 
-// Result is what a soak has found.
-type Result struct {
-	Seed       uint64
-	Violations []string
-	Served     int
-	Faults     int
-	Changes    uint64
-	// Streams are those of model replicas, Orders what these obeyed, and Moves the streams
-	// that went on at another one.
-	Streams int
-	Orders  int
-	Moves   int
-	// Windows are the windows of usage that were reported.
-	Windows int
-	// Ends are the replicas that requests have ended, and Held the answers that said so.
-	Ends int
-	Held int
-	// Limited are the requests that were refused for their tenant's limit.
-	Limited int
-	// Named are the limits of replicas that were judged.
-	Named int
-	// Replaced are the processes that were replaced by one of another build.
-	Replaced int
-	// Cuts are the calls that ended without a whole answer and may, and Excused why.
-	Cuts    int
-	Excused map[string]int
-	// Drained are the engines that the list has shown as draining, which were judged.
-	Drained int
-	// Rested are the times for which a gateway was asked to leave an engine alone, and Left the engines that had told
-	// a gateway that they leave, which were judged.
-	Rested, Left int
-	// TakeUps are the tries to take up streams that were judged, and WentOn those that went on; Begins and Began are the same
-	// for streams that begin. AllTakeUps and AllWentOn have those beside faults too.
-	TakeUps, WentOn, Begins, Began, AllTakeUps, AllWentOn int
-	// Resets are the requests that engines have reset.
-	Resets resetCounts
-	// Endless are the answers without end, and MostMemory is the most that a process has held, in megabytes.
-	Endless, MostMemory int
-	// Crowds are those that have met a listener.
-	Crowds int
-	// ServedBefore and ServedDuring are the shares of the callers' requests that were answered before the
-	// first process was replaced, and from then on.
-	ServedBefore, ServedDuring float64
-}
-
 const (
 	defaultCallers  = 6
 	callWait        = 2 * time.Second
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pierhaven/pierhaven/bench/planted"
 	"github.com/pierhaven/pierhaven/internal/mechanism"
 )
 
@@ -228,7 +229,7 @@
 		t.Run(name, func(t *testing.T) {
 			result, err := Run(t.Context(), Options{
 				Seed: 12201, Duration: noticeTime, EndsWhenNoticed: true, GatewayKills: true, Callers: 12, Releases: true,
-				Binary: buildPlanted(t, plant.file, plant.text, plant.planted), Folder: t.TempDir(), Log: t.Output(),
+				Binary: planted.Build(t, plant.file, plant.text, plant.planted), Folder: t.TempDir(), Log: t.Output(),
 			})
 			require.NoError(t, err)
 			require.Contains(t, strings.Join(result.Violations, "\n"), "holds events of versions")
--- a/bench/soak/upgrade_test.go
+++ b/bench/soak/upgrade_test.go
@@ -1,15 +1,14 @@
 package soak
 
 import (
-	"encoding/json"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pierhaven/pierhaven/bench/planted"
 )
 
 // earlierBuild is the build that runs beside this one while processes are replaced.
@@ -44,32 +43,10 @@
 	require.Greater(t, result.Replaced, 4)
 }
 
-// buildPlanted builds this program with a text in one of its files replaced, below the folder of the
-// repository.
-func buildPlanted(t *testing.T, file, text, planted string) string {
-	t.Helper()
-	folder := t.TempDir()
-	root, err := filepath.Abs("../..")
-	require.NoError(t, err)
-	source, err := os.ReadFile(filepath.Join(root, file))
-	require.NoError(t, err)
-	require.Contains(t, string(source), text)
-	changed := filepath.Join(folder, "planted.go")
-	require.NoError(t, os.WriteFile(changed, []byte(strings.ReplaceAll(string(source), text, planted)), 0o600))
-	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{filepath.Join(root, file): changed}})
-	require.NoError(t, err)
-	overlayFile := filepath.Join(folder, "overlay.json")
-	require.NoError(t, os.WriteFile(overlayFile, overlay, 0o600))
-	binary := filepath.Join(folder, "pierhaven")
-	output, err := exec.Command("go", "build", "-overlay", overlayFile, "-o", binary, "../../cmd/pierhaven").CombinedOutput()
-	require.NoError(t, err, "%s", output)
-	return binary
-}
-
 // A build that reads the counts of usage under another name than the build before has written them fixes the windows
 // that are fixed already once more, with other counts.
 func TestASoakNoticesABuildThatRenamesAField(t *testing.T) {
-	planted := buildPlanted(t, "internal/region/state_gen.go", `case "usage":`, `case "renamed":`)
+	planted := planted.Build(t, "internal/region/state_gen.go", `case "usage":`, `case "renamed":`)
 	result, err := Run(t.Context(), Options{
 		Seed: 5001, Duration: 14 * time.Second, Binary: planted, Production: buildProgram(t, t.TempDir()), Folder: t.TempDir(), Log: t.Output(),
 		Recovery: 10 * time.Second,
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -39,7 +39,7 @@
 	opened.Limits = func() listener.Limits { return limits }
 	opened.KeptPerBodyByte = keptPerBodyByte
 	opened.Use(c.requests)
-	return listener.NewServer(opened, append([]config.Option{server.WithMaxRequestBodySize(maximumBody), server.WithExitWaitTime(0)}, more...)...)
+	return listener.NewServer(opened, append([]config.Option{server.WithExitWaitTime(0)}, more...)...)
 }
 
 // newInternalServer returns the server for gateways and other controllers.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -252,7 +252,7 @@
 	opened.Limits = func() listener.Limits { return callLimits }
 	opened.KeptPerBodyByte = keptPerCallByte
 	opened.Use(c.settings.RequestMemory)
-	engine := listener.NewServer(opened, append(rpc.ServerOptions(), server.WithMaxRequestBodySize(maximumBodyBytes), server.WithExitWaitTime(0))...)
+	engine := listener.NewServer(opened, append(rpc.ServerOptions(), server.WithExitWaitTime(0))...)
 	rpc.Handle(engine, wire.PathConsensus, c.handleConsensus)
 	rpc.Handle(engine, peer.PathIdentity, c.handleIdentity)
 	rpc.Handle(engine, peer.PathPromise, c.handlePromise)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,7 +78,6 @@
 func (g *Gateway) newServer(opened *listener.Listener) *server.Hertz {
 	created := listener.NewServer(opened,
 		server.WithSenseClientDisconnection(true),
-		server.WithMaxRequestBodySize(g.settings.Limits.MaximumBodyBytes),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithRedirectTrailingSlash(false),
 		server.WithDisablePreParseMultipartForm(true),
--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pierhaven/pierhaven/internal/failure"
 	"github.com/pierhaven/pierhaven/internal/membudget"
 )
 
@@ -87,12 +88,13 @@
 	windowBytes int64
 }
 
-// handedDeadline is the deadline by which the HTTP library ends its wait for a connection's end.
-var handedDeadline = time.Unix(1, 0)
+// abortDeadline is a deadline in the past that ends a read under way. It is the one by which the HTTP library ends its wait for a
+// connection's end.
+var abortDeadline = time.Unix(1, 0)
 
 // SetReadDeadline implements net.Conn. The library's times for requests don't count: the listener has its own.
 func (c *connection) SetReadDeadline(at time.Time) error {
-	if at.After(handedDeadline) {
+	if at.After(abortDeadline) {
 		return nil
 	}
 	c.mutex.Lock()
@@ -134,7 +136,7 @@
 	}
 	count, err := c.Conn.Read(buffer)
 	if count > 0 {
-		c.pending = append([]byte(nil), buffer[:count]...)
+		c.pending = clone(buffer[:count])
 		return os.ErrDeadlineExceeded
 	}
 	return err
@@ -154,7 +156,7 @@
 	return c.ending
 }
 
-// enter begins a phase, unless the connection is to give up its request.
+// enter begins a phase.
 func (c *connection) enter(next phase) {
 	now := time.Now()
 	c.mutex.Lock()
@@ -219,7 +221,7 @@
 		return
 	}
 	c.ending = reason
-	_ = c.Conn.SetReadDeadline(handedDeadline)
+	_ = c.Conn.SetReadDeadline(abortDeadline)
 	c.listener.counts.end(reason)
 }
 
@@ -296,14 +298,21 @@
 	if !isRefusal {
 		return c.writeSteadily(answer)
 	}
-	c.refused.Store(true)
-	c.listener.onRefusal(kind)
-	if _, err := c.writeSteadily(renderRefusal(kind)); err != nil {
+	if err := c.refuse(kind); err != nil {
 		return 0, err
 	}
 	return len(answer), nil
 }
 
+// refuse answers a request that no handler gets.
+func (c *connection) refuse(kind failure.Kind) error {
+	c.refused.Store(true)
+	c.listener.counts.refused.Add(1)
+	c.listener.onRefusal(kind)
+	_, err := c.writeSteadily(renderRefusal(kind))
+	return err
+}
+
 // Close implements net.Conn. It is called by the goroutine that reads.
 func (c *connection) Close() error {
 	c.listener.memory.release(c)
--- a/internal/listener/counts.go
+++ b/internal/listener/counts.go
@@ -1,10 +1,6 @@
 package listener
 
-import (
-	"sync/atomic"
-
-	"github.com/pierhaven/pierhaven/internal/failure"
-)
+import "sync/atomic"
 
 // counts are those of connections that were closed, and requests that were refused, before any handler.
 type counts struct {
@@ -12,8 +8,7 @@
 	refused atomic.Uint64
 }
 
-func (c *counts) end(reason ending)     { c.endings[reason].Add(1) }
-func (c *counts) refuse(_ failure.Kind) { c.refused.Add(1) }
+func (c *counts) end(reason ending) { c.endings[reason].Add(1) }
 
 // countsSnapshot are counts at a time.
 type countsSnapshot struct {
--- a/internal/listener/head.go
+++ b/internal/listener/head.go
@@ -12,9 +12,9 @@
 type headScanner struct {
 	// scanned bytes were looked at, and lineStart is where the line under way begins.
 	scanned, lineStart int
-	// start is where the request line begins and fields where the fields do, 0 before it is known.
-	start, fields int
-	lines         int
+	// start is where the request line begins and fieldsStart where the fields do, 0 before it is known.
+	start, fieldsStart int
+	lines              int
 }
 
 // scan looks at the bytes that have come since, and returns the end of the head, 0 if it is not whole.
@@ -30,12 +30,12 @@
 		s.scanned, s.lineStart = next, next
 		isEmpty := len(line) == 1 || len(line) == 2 && line[0] == '\r'
 		switch {
-		case isEmpty && s.fields == 0:
+		case isEmpty && s.fieldsStart == 0:
 			s.start = next
 		case isEmpty:
 			return next
-		case s.fields == 0:
-			s.fields = next
+		case s.fieldsStart == 0:
+			s.fieldsStart = next
 		default:
 			s.lines++
 		}
@@ -44,10 +44,10 @@
 
 // exceeds reports whether the request line, with what is before it, or the fields have more bytes than a limit.
 func (s *headScanner) exceeds(size, limit int) bool {
-	if s.fields == 0 {
+	if s.fieldsStart == 0 {
 		return size > limit
 	}
-	return s.fields > limit || size-s.fields > limit
+	return s.fieldsStart > limit || size-s.fieldsStart > limit
 }
 
 // bodyFraming says how a request's body is sent.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -182,7 +182,7 @@
 func (l *Listener) endSweep() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sweeping = len(l.open) > 0 || l.memory.mayCollect()
+	l.sweeping = len(l.open) > 0 || l.memory.crowded.Load()
 	return !l.sweeping
 }
 
--- a/internal/listener/memory.go
+++ b/internal/listener/memory.go
@@ -32,9 +32,8 @@
 	receiving map[*connection]struct{}
 	listeners []*Listener
 
-	// mostSinceCollection is the most that was held since the heap was last given back.
-	mostSinceCollection atomic.Int64
-	collecting          atomic.Bool
+	// crowded is set once a crowd's share was held, until the heap is given back.
+	crowded atomic.Bool
 }
 
 // NewMemory returns a Memory of a number of bytes; 0 selects the default.
@@ -147,7 +146,9 @@
 	if c.keptBytes.Load() == 0 {
 		return
 	}
-	raise(&m.mostSinceCollection, m.Held())
+	if float64(m.Held()) >= crowdShare*float64(m.total) {
+		m.crowded.Store(true)
+	}
 	// A reservation can always shrink.
 	_ = c.keep(0)
 	m.room.Broadcast()
@@ -176,28 +177,7 @@
 // collectAfterCrowd gives the heap of a crowd that has gone back to the system: with little to allocate, the collector would not run
 // for minutes.
 func (m *Memory) collectAfterCrowd() {
-	most, held := m.mostSinceCollection.Load(), m.Held()
-	if float64(most) < crowdShare*float64(m.total) || float64(held) > goneShare*float64(m.total) || !m.collecting.CompareAndSwap(false, true) {
-		return
-	}
-	m.mostSinceCollection.Store(0)
-	go func() {
-		defer m.collecting.Store(false)
-		debug.FreeOSMemory()
-	}()
-}
-
-// mayCollect reports whether a crowd's heap is to be given back yet.
-func (m *Memory) mayCollect() bool {
-	return float64(m.mostSinceCollection.Load()) >= crowdShare*float64(m.total)
-}
-
-// raise sets a maximum to a value that is above it.
-func raise(maximum *atomic.Int64, value int64) {
-	for {
-		before := maximum.Load()
-		if value <= before || maximum.CompareAndSwap(before, value) {
-			return
-		}
+	if float64(m.Held()) <= goneShare*float64(m.total) && m.crowded.CompareAndSwap(true, false) {
+		go debug.FreeOSMemory()
 	}
 }
--- a/internal/listener/receive.go
+++ b/internal/listener/receive.go
@@ -83,7 +83,7 @@
 }
 
 func (h *receivedHead) bytes() []byte  { return h.store[h.start:h.end] }
-func (h *receivedHead) fields() []byte { return h.store[h.headScanner.fields:h.end] }
+func (h *receivedHead) fields() []byte { return h.store[h.fieldsStart:h.end] }
 
 // receiveHead reads a head, and returns it with the bytes that came behind it.
 func (c *connection) receiveHead(buffer []byte, limits Limits) (head receivedHead, rest []byte, err error) {
@@ -152,7 +152,6 @@
 		}
 	}
 	if int64(len(first)) >= framing.length && !framing.isChunked {
-		// Also the usual case: nothing is awaited.
 		return c.takeSmallBody(first, framing, limits)
 	}
 	c.enter(phaseBody)
@@ -349,10 +348,7 @@
 	if kind == "" || !begun {
 		return
 	}
-	c.refused.Store(true)
-	c.listener.counts.refuse(kind)
-	c.listener.onRefusal(kind)
-	_, _ = c.writeSteadily(renderRefusal(kind))
+	_ = c.refuse(kind)
 }
 
 // refusalOf returns the kind of failure that is answered, empty for a connection that is just closed.
--- a/internal/relay/daemon/front.go
+++ b/internal/relay/daemon/front.go
@@ -55,7 +55,6 @@
 		server.WithSenseClientDisconnection(true),
 		server.WithTracer(writeErrorTracer{}),
 		server.WithTraceLevel(stats.LevelBase),
-		server.WithMaxRequestBodySize(maximumBodyBytes),
 		server.WithRedirectTrailingSlash(false),
 		server.WithRemoveExtraSlash(false),
 		server.WithDisablePreParseMultipartForm(true),
--- a/internal/testnet/crowd/crowd.go
+++ b/internal/testnet/crowd/crowd.go
@@ -7,6 +7,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/pierhaven/pierhaven/internal/lifecycle"
 )
 
 // Target is where a client's requests are for, and what the limits there allow.
@@ -121,7 +123,7 @@
 	defer stop()
 	sent, err := conn.Write([]byte(c.Beginning))
 	pieces := 0
-	for err == nil && c.Piece != "" && (c.Most == 0 || pieces < c.Most) && pause(ctx, c.Pause) {
+	for err == nil && c.Piece != "" && (c.Most == 0 || pieces < c.Most) && (c.Pause == 0 || lifecycle.Sleep(ctx, c.Pause)) {
 		piece := c.Piece
 		if c.Most > 0 {
 			piece = piece[:min(len(piece), c.Most-pieces)]
@@ -130,7 +132,7 @@
 		count, err = conn.Write([]byte(piece))
 		pieces += count
 	}
-	for err == nil && c.Drip > 0 && pause(ctx, c.Drip) {
+	for err == nil && c.Drip > 0 && lifecycle.Sleep(ctx, c.Drip) {
 		_, err = conn.Write([]byte("a"))
 		pieces++
 	}
@@ -145,18 +147,3 @@
 		_, err = conn.Read(buffer)
 	}
 }
-
-// pause sleeps, and reports whether the context still holds.
-func pause(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
