An answer of a known, small length is read into one buffer

Callers may see: a sound answer of 10 KB that is lost beside many without end.

Cause: a buffer that grew from 512 bytes by doubling held 24 KB for a moment for an answer of 10 KB, where forty answers at their threshold leave 25 KB free, and a reservation may be half of that.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -156,7 +156,11 @@
 	if e.response.ContentLength > most {
 		return nil, e.Lost(&ExcessError{Bound: BoundBody})
 	}
-	body := make([]byte, 0, minimumBodyBuffer)
+	size := firstBuffer(e.response.ContentLength)
+	if err := e.Keep(size); err != nil {
+		return nil, e.Lost(err)
+	}
+	body := make([]byte, 0, size)
 	for {
 		count, err := e.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
@@ -175,8 +179,18 @@
 	}
 }
 
-// minimumBodyBuffer is the size of the buffer in which a body is read at first.
-const minimumBodyBuffer = 512
+const (
+	// minimumBodyBuffer is the size of the buffer in which a body is read at first, if it isn't announced.
+	minimumBodyBuffer = 512
+	// announcedBodyBuffer bounds the first buffer of a body that is announced: what is announced may never come.
+	announcedBodyBuffer = 16 << 10
+)
+
+// firstBuffer returns the size of the first buffer for a body of a length, -1 if it is not known. A small body that is announced fits into
+// it with the byte that shows its end.
+func firstBuffer(length int64) int64 {
+	return max(minimumBodyBuffer, min(length+1, announcedBodyBuffer))
+}
 
 // grow returns a body in a buffer of twice the size, with room for one byte more than it may have.
 func (e *Exchange) grow(body []byte, most int64) ([]byte, error) {
